--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and capacity measurements."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path."""
--- /dev/null
+++ b/lycheegate/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line of operators."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/lycheegate/conftest.py
@@ -0,0 +1,37 @@
+"""Test configuration shared by all subpackages."""
+
+import pathlib
+
+import hypothesis
+import pytest
+
+# Derandomized so that every run has the same verdict.
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, database=None, max_examples=60
+)
+hypothesis.settings.load_profile("ci")
+
+_KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def _read_known_red() -> dict[str, str]:
+    entries = {}
+    for line in _KNOWN_RED.read_text(encoding="utf-8").splitlines():
+        if line.strip() and not line.startswith("#"):
+            node_id, _, rest = line.partition("|")
+            entries[node_id.strip()] = rest.strip()
+    return entries
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Marks the tests listed in KNOWN-RED.txt as expected failures."""
+    known_red = _read_known_red()
+    for item in items:
+        if item.nodeid in known_red:
+            item.add_marker(pytest.mark.xfail(reason=known_red[item.nodeid], strict=False))
+
+
+def pytest_terminal_summary(terminalreporter) -> None:
+    """Prints the known failing tests, so that they stay visible in a passing run."""
+    for node_id, detail in _read_known_red().items():
+        terminalreporter.write_line(f"KNOWN-RED {node_id}: {detail}")
--- /dev/null
+++ b/lycheegate/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, counters, histograms and reports."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/lycheegate/release/__init__.py
@@ -0,0 +1,3 @@
+"""Release notes: parsed, checked, planned, accepted and read back."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the outside systems, for tests and the demo."""
