--- a/lycheegate/core/naive.py
+++ b/lycheegate/core/naive.py
@@ -87,9 +87,11 @@
         case events.WorkerLost():
             _lose_worker(state, event.worker_id, out)
         case events.AttemptRecorded():
-            _order_members(state.attempts[event.attempt_id], out)
+            if event.attempt_id in state.attempts:
+                _order_members(state.attempts[event.attempt_id], out)
         case events.AttemptNotRecorded():
-            _retry(state, state.attempts[event.attempt_id], out)
+            if event.attempt_id in state.attempts:
+                _retry(state, state.attempts[event.attempt_id], out)
         case events.TaskHeld():
             _note_held(state, event.task_id, out)
         case events.TaskStarted():
--- a/lycheegate/core/tests/test_naive.py
+++ b/lycheegate/core/tests/test_naive.py
@@ -47,3 +47,20 @@
     assert [type(command) for command in out] == [commands.RecordAttempt]
     out = naive.decide(state, events.AttemptRecorded(out[0].attempt_id), 1.0)
     assert [type(command) for command in out] == [commands.HoldTask]
+
+
+@pytest.mark.parametrize(
+    "late_event",
+    [
+        events.AttemptRecorded("r-1-0"),
+        events.AttemptNotRecorded("r-1-0"),
+        events.TaskStarted("r-1-0.0"),
+        events.AnswerStored("r-1-0"),
+    ],
+)
+def test_ignore_events_of_a_closed_attempt(late_event):
+    """Guards against a crash or an order when a store answer arrives after cancellation."""
+    state = _state(1)
+    naive.decide(state, events.RequestSubmitted(_request("r", resources.Shape(1, 1), False)), 1.0)
+    naive.decide(state, events.CancelRequested("r"), 1.0)
+    assert naive.decide(state, late_event, 2.0) == []
