--- /dev/null
+++ b/lycheegate/core/tests/test_routing.py
@@ -0,0 +1,88 @@
+"""Tests of the choice of a partition."""
+
+import collections
+import random
+
+import pytest
+
+from lycheegate.core import routing
+from lycheegate.model import releases, requests, resources
+
+
+def _summary(partition: str, **changes) -> routing.PartitionSummary:
+    fields = {
+        "partition": partition,
+        "data_centre": partition.split("/")[0],
+        "has_owner": True,
+        "total_slots": 48,
+        "total_accelerators": 48,
+        "largest_rack_accelerators": 48,
+        "largest_worker_accelerators": 8,
+        "free_slots": 48,
+        "free_accelerators": 48,
+    }
+    return routing.PartitionSummary(**(fields | changes))
+
+
+def _request(members: int, accelerators: int, adjacency="rack") -> requests.Request:
+    shape = resources.Shape(members, accelerators, resources.Adjacency(adjacency))
+    return requests.Request(
+        "r", "hanbok", "c", "x", requests.Urgency.NORMAL, shape, True, True, 0.0
+    )
+
+
+_GUARANTEE = releases.Guarantee(
+    "hanbok", "hero", resources.Shape(2, 8, resources.Adjacency.RACK), 1, "goyang"
+)
+
+
+@pytest.mark.parametrize(
+    ("request_", "summaries", "expected"),
+    [
+        (_request(1, 1), [_summary("suwon/0")], "suwon/0"),
+        (_request(1, 9), [_summary("suwon/0")], None),
+        (_request(7, 8), [_summary("suwon/0")], None),
+        (_request(2, 8), [_summary("suwon/0"), _summary("goyang/0")], "goyang/0"),
+        (
+            _request(2, 8),
+            [_summary("suwon/0"), _summary("goyang/0", has_owner=False)],
+            "suwon/0",
+        ),
+        (
+            _request(1, 8),
+            [_summary("suwon/0", has_owner=False), _summary("goyang/0", has_owner=False)],
+            "suwon/0",
+        ),
+        (_request(2, 8, "worker"), [_summary("suwon/0")], None),
+    ],
+)
+def test_choose(request_, summaries, expected):
+    """Guards against routing to a partition that has no owner or can never hold the shape."""
+    chosen = routing.choose_partition(request_, summaries, [_GUARANTEE], "suwon", random.Random(1))
+    assert chosen == expected
+
+
+def test_avoid_a_full_partition_near_by():
+    """Guards against callers of one data centre waiting while another one is idle."""
+    summaries = [
+        _summary("suwon/0", free_accelerators=0, queued=40, queued_accelerators=60),
+        _summary("goyang/0"),
+        _summary("bucheon/0"),
+    ]
+    rng = random.Random(1)
+    counts = collections.Counter(
+        routing.choose_partition(_request(1, 1), summaries, [], "suwon", rng) for _ in range(300)
+    )
+    assert counts["suwon/0"] < 150
+    assert counts["goyang/0"] > 50
+    assert counts["bucheon/0"] > 50
+
+
+def test_move_few_racks_when_a_partition_is_added():
+    """Guards against a change of the partition count that moves most racks to new owners."""
+    racks = [f"rack{number}" for number in range(120)]
+    before = {rack: routing.assign_rack(rack, 3) for rack in racks}
+    after = {rack: routing.assign_rack(rack, 4) for rack in racks}
+    moved = [rack for rack in racks if before[rack] != after[rack]]
+    assert all(after[rack] == 3 for rack in moved)
+    assert len(moved) < 60
