--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Sequence
 from concurrent import futures
 
-from benchmarks import driver, workloads
+from benchmarks import driver, recorders, workloads
 from lycheegate.core import policy
 from lycheegate.model import requests
 
@@ -64,6 +64,8 @@
         FAULTS if case.with_faults else driver.FaultPlan(),
         case.seed,
         window_s=ARRIVALS_S,
+        # The baseline sees all workers at once, which is its best case.
+        partitioned=case.core == "engine",
     )
     arrivals = workloads.generate_arrivals(workload, case.load, ARRIVALS_S, case.seed)
     recorder = bench.run(arrivals, ARRIVALS_S + DRAIN_S)
@@ -71,7 +73,7 @@
 
 
 def _summarize(
-    recorder: driver.Recorder, workload: workloads.Workload, until_s: float
+    recorder: recorders.Recorder, workload: workloads.Workload, until_s: float
 ) -> dict[str, float]:
     traces = list(recorder.traces.values())
     urgent = [t for t in traces if t.arrival.request.urgency is requests.Urgency.URGENT]
@@ -129,7 +131,7 @@
 }
 
 
-def _list_start_s(traces: Iterable[driver.RequestTrace], until_s: float) -> list[float]:
+def _list_start_s(traces: Iterable[recorders.RequestTrace], until_s: float) -> list[float]:
     """Returns the time to the first start; a request still waiting counts up to the end."""
     waits = []
     for trace in traces:
@@ -141,7 +143,7 @@
     return waits
 
 
-def _list_completion_s(traces: Iterable[driver.RequestTrace], until_s: float) -> list[float]:
+def _list_completion_s(traces: Iterable[recorders.RequestTrace], until_s: float) -> list[float]:
     times = []
     for trace in traces:
         submitted_s = trace.arrival.request.submitted_at_s
@@ -153,7 +155,7 @@
 
 
 def _list_reclaim_s(
-    traces: Iterable[driver.RequestTrace], recorder: driver.Recorder, until_s: float
+    traces: Iterable[recorders.RequestTrace], recorder: recorders.Recorder, until_s: float
 ) -> list[float]:
     """Returns the start delays of requests whose guarantee had an idle unit."""
     short = {client_account for client_account, _ in recorder.short_guarantees}
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -1,7 +1,9 @@
 """Event queue that drives the decisions with fake workers and a fake request table.
 
 No network and no model of a cluster: an order takes a fixed time, a task takes its true run
-time, and faults happen at times that are given.
+time, and faults happen at times that are given. With ``partitioned`` set, each data centre is a
+partition with a state of its own, and requests are routed by summaries that are refreshed with
+each tick.
 """
 
 import dataclasses
@@ -9,15 +11,15 @@
 import itertools
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from types import ModuleType
 from typing import Any
 
-from benchmarks import workloads
-from lycheegate.core import commands, events, policy
+from benchmarks import recorders, workloads
+from lycheegate.core import commands, events, policy, routing
 from lycheegate.model import requests, resources
 
-__all__ = ["Driver", "FaultPlan", "Recorder", "Task"]
+__all__ = ["Driver", "FaultPlan", "Task"]
 
 ORDER_S = 0.003  # order to a worker and its answer
 RECORD_S = 0.010  # conditional write to the table service
@@ -58,49 +60,6 @@
     token: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class RequestTrace:
-    """What callers and workers saw of one request."""
-
-    arrival: workloads.Arrival
-    started_at_s: float | None = None
-    ended_at_s: float | None = None
-    end: commands.EndRequest | None = None
-    starts: int = 0
-    ends: int = 0
-    done_s: float = 0.0
-    guarantee_idle: bool = False
-
-
-@dataclasses.dataclass
-class Recorder:
-    """Figures of one run.
-
-    Attributes:
-        traces: One for each request.
-        decision_s: Time of each decision, in seconds.
-        busy_accelerator_s: Accelerator seconds that tasks ran.
-        wasted_accelerator_s: Part of it whose work was lost.
-        useful_accelerator_s: Part of it that led to an answer.
-        free_samples: Time-averaged free accelerators.
-        unusable_samples: Of them, those that the largest wanted shape cannot use.
-        partial_gang_s: Longest time that a gang ran without some of its members.
-        overbooked: Orders for accelerators that another task still held.
-        short_guarantees: Client account and name of guarantees reported short.
-    """
-
-    traces: dict[str, RequestTrace] = dataclasses.field(default_factory=dict)
-    decision_s: list[float] = dataclasses.field(default_factory=list)
-    busy_accelerator_s: float = 0.0
-    wasted_accelerator_s: float = 0.0
-    useful_accelerator_s: float = 0.0
-    free_samples: float = 0.0
-    unusable_samples: float = 0.0
-    partial_gang_s: float = 0.0
-    overbooked: int = 0
-    short_guarantees: set[tuple[str, str]] = dataclasses.field(default_factory=set)
-
-
 class Driver:
     """Runs one workload against one implementation of the decisions."""
 
@@ -112,15 +71,25 @@
         faults: FaultPlan = FaultPlan(),  # noqa: B008 - frozen
         seed: int = 0,
         window_s: float = float("inf"),
+        partitioned: bool = False,
     ):
         self.core = core
         self.window_s = window_s
         self.workload = workload
         self.faults = faults
         self.now_s = 0.0
-        self.state: Any = core.create_state("bench/0", settings, seed)
-        self.recorder = Recorder()
+        self.recorder = recorders.Recorder()
         self.workers = {w.worker_id: w for w in workloads.make_workers(workload)}
+        names = workload.data_centres if partitioned else ("all",)
+        self.partitions = {
+            w.worker_id: w.data_centre if partitioned else "all" for w in self.workers.values()
+        }
+        self.states: dict[str, Any] = {
+            name: core.create_state(f"{name}/0", settings, seed) for name in names
+        }
+        self._request_partition: dict[str, str] = {}
+        self._summaries: list[routing.PartitionSummary] = []
+        self._router_rng = random.Random(f"router/{seed}")
         self.alive = dict.fromkeys(self.workers, True)
         self.tasks: dict[str, Task] = {}
         self._accelerators: dict[str, list[str | None]] = {
@@ -131,7 +100,7 @@
         self._sequence = itertools.count()
         self._tokens = itertools.count(1)
         self._rng = random.Random(f"faults/{seed}")
-        self._live: dict[str, RequestTrace] = {}
+        self._live: dict[str, recorders.RequestTrace] = {}
         self._partial_since: dict[str, float] = {}
         self._stopped_at_s: dict[str, float] = {}
         self._broken = {
@@ -139,14 +108,13 @@
             for start_s, until_s, number in faults.broken_workers
         }
 
-    def run(self, arrivals: Iterable[tuple[float, workloads.Arrival]], until_s: float) -> Recorder:
+    def run(
+        self, arrivals: Iterable[tuple[float, workloads.Arrival]], until_s: float
+    ) -> recorders.Recorder:
         """Runs until ``until_s`` seconds and returns the figures."""
-        self._feed(events.EpochGained(1))
-        for worker in self.workers.values():
-            self._feed(events.WorkerReported(worker))
-        self._feed(
-            events.ReleaseApplied(1, self.workload.client_accounts, self.workload.guarantees)
-        )
+        for name in self.states:
+            self._start_partition(name)
+        self._refresh_summaries()
         for at_s, arrival in arrivals:
             self._at(at_s, self._submit, arrival)
         for at_s, number, away_s in self.faults.lost_workers:
@@ -164,6 +132,16 @@
                 self._account(task, useful=True)
         return self.recorder
 
+    def _start_partition(self, name: str) -> None:
+        self._feed_partition(name, events.EpochGained(1))
+        for worker in self.workers.values():
+            if self.partitions[worker.worker_id] == name:
+                self._feed_partition(name, events.WorkerReported(worker))
+        guarantees = tuple(g for g in self.workload.guarantees if name in ("all", g.data_centre))
+        self._feed_partition(
+            name, events.ReleaseApplied(1, self.workload.client_accounts, guarantees)
+        )
+
     def _at(self, at_s: float, function: Callable[..., None], *arguments: Any) -> None:
         heapq.heappush(self._heap, (at_s, next(self._sequence), function, arguments))
 
@@ -171,8 +149,20 @@
         self._at(self.now_s + delay_s, function, *arguments)
 
     def _feed(self, event: events.Event) -> None:
+        """Feeds an event about a task, an attempt, a request or a worker to its partition."""
+        if hasattr(event, "worker_id"):
+            name = self.partitions[event.worker_id]
+        elif hasattr(event, "task_id"):
+            name = self._request_partition[_get_request_id(event.task_id)]
+        elif hasattr(event, "attempt_id"):
+            name = self._request_partition[_get_request_id(event.attempt_id)]
+        else:
+            name = self._request_partition[event.request_id]
+        self._feed_partition(name, event)
+
+    def _feed_partition(self, name: str, event: events.Event) -> None:
         before_s = time.perf_counter()
-        out = self.core.decide(self.state, event, self.now_s)
+        out = self.core.decide(self.states[name], event, self.now_s)
         self.recorder.decision_s.append(time.perf_counter() - before_s)
         for command in out:
             self._carry_out(command)
@@ -201,13 +191,70 @@
     # Callers.
 
     def _submit(self, arrival: workloads.Arrival) -> None:
-        trace = RequestTrace(arrival, guarantee_idle=self._has_idle_guarantee(arrival.request))
+        trace = recorders.RequestTrace(
+            arrival, guarantee_idle=self._has_idle_guarantee(arrival.request)
+        )
         request_id = arrival.request.request_id
         self.recorder.traces[request_id] = trace
         self._live[request_id] = trace
         if arrival.cancel_after_s is not None:
             self._after(arrival.cancel_after_s, self._cancel, request_id)
-        self._feed(events.RequestSubmitted(arrival.request))
+        name = self._route(arrival.request)
+        self._request_partition[request_id] = name
+        self._feed_partition(name, events.RequestSubmitted(arrival.request))
+
+    def _route(self, request: requests.Request) -> str:
+        if len(self.states) == 1:
+            return next(iter(self.states))
+        home = self._router_rng.choice(self.workload.data_centres)
+        name = routing.choose_partition(
+            request, self._summaries, self.workload.guarantees, home, self._router_rng
+        )
+        return name or home
+
+    def _refresh_summaries(self) -> None:
+        if len(self.states) == 1:
+            return
+        used: dict[str, list[int]] = {name: [0, 0] for name in self.states}
+        for task in self.tasks.values():
+            if task.state in _HOLDING:
+                counts = used[self.partitions[task.place.worker_id]]
+                counts[0] += 1
+                counts[1] += task.place.count
+        queued: dict[str, list[int]] = {name: [0, 0] for name in self.states}
+        for request_id, trace in self._live.items():
+            if trace.started_at_s is None:
+                counts = queued[self._request_partition[request_id]]
+                counts[0] += 1
+                counts[1] += trace.arrival.request.shape.total_accelerators
+        self._summaries = [self._summarize(name, used[name], queued[name]) for name in self.states]
+
+    def _summarize(
+        self, name: str, used: Sequence[int], queued: Sequence[int]
+    ) -> routing.PartitionSummary:
+        alive = [
+            w
+            for w in self.workers.values()
+            if self.partitions[w.worker_id] == name and self.alive[w.worker_id]
+        ]
+        racks: dict[str, int] = {}
+        for worker in alive:
+            racks[worker.rack] = racks.get(worker.rack, 0) + worker.accelerators
+        slots = sum(w.slots for w in alive)
+        accelerators = sum(racks.values())
+        return routing.PartitionSummary(
+            partition=name,
+            data_centre=name,
+            has_owner=True,
+            total_slots=slots,
+            total_accelerators=accelerators,
+            largest_rack_accelerators=max(racks.values(), default=0),
+            largest_worker_accelerators=max((w.accelerators for w in alive), default=0),
+            free_slots=slots - used[0],
+            free_accelerators=accelerators - used[1],
+            queued=queued[0],
+            queued_accelerators=queued[1],
+        )
 
     def _has_idle_guarantee(self, request: requests.Request) -> bool:
         units = sum(
@@ -296,7 +343,7 @@
         self._after(self._remaining_s(task, trace), self._finish, task_id, task.token)
         self._feed(events.TaskStarted(task_id))
 
-    def _remaining_s(self, task: Task, trace: RequestTrace) -> float:
+    def _remaining_s(self, task: Task, trace: recorders.RequestTrace) -> float:
         if self._is_broken(task.place.worker_id) or trace.arrival.always_fails:
             return FAIL_S
         return max(0.01, trace.arrival.run_s - trace.done_s)
@@ -381,12 +428,15 @@
 
     def _return_worker(self, worker_id: str) -> None:
         self.alive[worker_id] = True
-        self._feed(events.WorkerReported(self.workers[worker_id]))
+        name = self.partitions[worker_id]
+        self._feed_partition(name, events.WorkerReported(self.workers[worker_id]))
 
     # Time.
 
     def _tick(self) -> None:
-        self._feed(events.Tick())
+        for name in self.states:
+            self._feed_partition(name, events.Tick())
+        self._refresh_summaries()
         self._check_gangs()
         self._after(TICK_S, self._tick)
 
@@ -420,7 +470,7 @@
             return
         total = sum(sum(runs) for rack in free.values() for runs in rack)
         self.recorder.free_samples += total
-        self.recorder.unusable_samples += total - _count_usable(free, shape)
+        self.recorder.unusable_samples += total - recorders.count_usable(free, shape)
         self._after(SAMPLE_S, self._sample)
 
     def _list_free_runs(self) -> dict[str, list[list[int]]]:
@@ -434,7 +484,9 @@
         for worker in self.workers.values():
             if self.alive[worker.worker_id]:
                 taken = busy.get(worker.worker_id, set())
-                racks.setdefault(worker.rack, []).append(_list_runs(taken, worker.accelerators))
+                racks.setdefault(worker.rack, []).append(
+                    recorders.list_runs(taken, worker.accelerators)
+                )
         return racks
 
     def _find_largest_wanted_shape(self) -> resources.Shape:
@@ -447,31 +499,6 @@
         return max(wanted, key=lambda shape: shape.total_accelerators)
 
 
-def _list_runs(taken: set[int], accelerators: int) -> list[int]:
-    runs = []
-    run = 0
-    for index in range(accelerators):
-        if index in taken:
-            runs.append(run)
-            run = 0
-        else:
-            run += 1
-    runs.append(run)
-    return [length for length in runs if length]
-
-
-def _count_usable(free: dict[str, list[list[int]]], shape: resources.Shape) -> int:
-    """Returns how many free accelerators disjoint placements of the shape could use."""
-    size = max(1, shape.accelerators)
-    usable = 0
-    all_members = 0
-    for rack in free.values():
-        per_worker = [sum(run // size for run in runs) for runs in rack]
-        if shape.adjacency is resources.Adjacency.WORKER:
-            groups = sum(count // shape.members for count in per_worker)
-            usable += groups * shape.members * size
-        elif shape.adjacency is resources.Adjacency.RACK:
-            usable += sum(per_worker) // shape.members * shape.members * size
-        else:
-            all_members += sum(per_worker)
-    return usable + all_members // shape.members * shape.members * size
+def _get_request_id(attempt_or_task_id: str) -> str:
+    """Returns the request of an attempt named ``request-epoch-number``, or of its task."""
+    return attempt_or_task_id.rsplit("-", 2)[0]
--- a/benchmarks/tests/test_driver.py
+++ b/benchmarks/tests/test_driver.py
@@ -2,14 +2,16 @@
 
 import pytest
 
-from benchmarks import driver, workloads
+from benchmarks import driver, recorders, workloads
 from lycheegate.core import naive, policy
 from lycheegate.model import requests, resources
 
 
-def _run(faults: driver.FaultPlan) -> driver.Recorder:
+def _run(faults: driver.FaultPlan) -> recorders.Recorder:
     workload = workloads.AGENCY
-    bench = driver.Driver(naive, workload, policy.PolicySettings(), faults, window_s=120.0)
+    bench = driver.Driver(
+        naive, workload, policy.PolicySettings(), faults, window_s=120.0, partitioned=True
+    )
     return bench.run(workloads.generate_arrivals(workload, 0.5, 120.0, 1), 600.0)
 
 
@@ -44,7 +46,8 @@
             0.0,
         )
         arrival = workloads.Arrival(request, 1.0)
-        bench.recorder.traces[request.request_id] = driver.RequestTrace(arrival)
+        bench.recorder.traces[request.request_id] = recorders.RequestTrace(arrival)
+        bench._request_partition[request.request_id] = "all"  # noqa: SLF001
         place = resources.MemberPlacement("w000", 0, 1)
         bench._hold(  # noqa: SLF001
             driver.commands.HoldTask(f"r{number}-1-0.0", f"r{number}", 0, place, start=False)
@@ -65,4 +68,4 @@
 )
 def test_count_usable_accelerators(free, shape, usable):
     """Guards against a fragmentation ratio that ignores adjacency."""
-    assert driver._count_usable(free, shape) == usable  # noqa: SLF001
+    assert recorders.count_usable(free, shape) == usable
