Add scheduling of the core: homes, queue order, preemption

Change: capacity views with indexes over racks, placement, homes of guaranteed units that move and are reclaimed, queue groups with weighted fair share, urgent preemption and the urgent reserve.

--- a/lycheegate/core/__init__.py
+++ b/lycheegate/core/__init__.py
@@ -5,4 +5,14 @@
 commands that it returns.
 """
 
-__all__ = ["commands", "events", "naive", "policy"]
+__all__ = [
+    "commands",
+    "events",
+    "guarantees",
+    "naive",
+    "placement",
+    "policy",
+    "queueing",
+    "scheduling",
+    "topology",
+]
