Add decision engine: admission, attempts, gangs, recovery

Cause: the core contract had no implementation besides the baseline. AttemptNotRecorded and WorkerReported get optional fields.

--- a/lycheegate/core/__init__.py
+++ b/lycheegate/core/__init__.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "commands",
+    "engine",
     "events",
     "guarantees",
     "naive",
--- /dev/null
+++ b/lycheegate/core/admission.py
@@ -0,0 +1,152 @@
+"""Admission, deadlines and cancellation of requests."""
+
+from lycheegate.core import closing, commands, estimates, recovery, reports, retries, scheduling
+from lycheegate.core import state as states
+from lycheegate.model import requests
+
+__all__ = ["cancel_request", "expire_request", "submit_request", "sweep_impossible"]
+
+_OVERLOAD_RETRY_AFTER_S = 10.0
+# Lost workers usually come back or are replaced within minutes.
+_LOST_CAPACITY_RETRY_AFTER_S = 60.0
+# Work that is not urgent may use this part of a client account's room in the queue, so that its
+# own backlog does not keep out its urgent work.
+_BACKLOG_RATIO = 0.9
+_MIN_WEIGHT_FACTOR = 0.25
+_MAX_WEIGHT_FACTOR = 4.0
+# A cancellation that overtakes its submission is remembered for this time and this many requests.
+_EARLY_CANCELS_KEPT_S = 60.0
+_EARLY_CANCELS_KEPT = 10000
+
+
+def submit_request(
+    state: states.PartitionState, request: requests.Request, out: list[commands.Command]
+) -> None:
+    """Queues a new request or refuses it at once."""
+    request_id = request.request_id
+    if request_id in state.jobs or request_id in state.ended:
+        return
+    job = states.Job(request)
+    states.set_phase(state, job, states.Phase.DELAYED)
+    if state.early_cancels.pop(request_id, None) is not None:
+        retries.end_request(state, job, requests.End.CANCELLED, out)
+        return
+    recovery.take_unclaimed(state, job, out)
+    if job.phase is states.Phase.ACTIVE:
+        return
+    reason, retry_after_s = _find_refusal(state, job)
+    if reason is not None:
+        retries.refuse(state, job, reason, out, retry_after_s=retry_after_s)
+        return
+    if request.deadline_at_s is not None:
+        states.add_timer(state, request.deadline_at_s, states.Timer.DEADLINE, request_id)
+    retries.enqueue(state, job)
+
+
+def _find_refusal(state: states.PartitionState, job: states.Job) -> tuple[str | None, float | None]:
+    """Returns why a request is refused, and when to try again."""
+    request = job.request
+    if not reports.is_settling(state):
+        impossible = scheduling.find_impossible(state.scheduling, request)
+        if impossible is not None:
+            return impossible, _get_impossible_retry_after_s(state)
+    if estimates.is_hopeless(state, job):
+        return "deadline", None
+    # The request itself is counted already.
+    waiting = state.waiting[request.client_account] - 1
+    limit = _compute_queue_limit(state, request.client_account)
+    if request.urgency is not requests.Urgency.URGENT:
+        limit *= _BACKLOG_RATIO
+    if waiting >= limit:
+        return "overload", _OVERLOAD_RETRY_AFTER_S
+    return None, None
+
+
+def _get_impossible_retry_after_s(state: states.PartitionState) -> float | None:
+    """Returns when an impossible request may become possible; None if never as things stand."""
+    if any(worker.lost_at_s is not None for worker in state.workers.values()):
+        return _LOST_CAPACITY_RETRY_AFTER_S
+    return None
+
+
+def _compute_queue_limit(state: states.PartitionState, client_account: str) -> float:
+    """Returns how many requests a client account may have waiting.
+
+    The limit is a multiple of the room that is left in the queue, as in dynamic threshold buffer
+    management: however many client accounts fill the queue, room remains for one that has little
+    waiting, and none has to be displaced for it.
+    """
+    room = state.settings.max_queued - (state.waiting_total - 1)
+    account = state.client_accounts.get(client_account)
+    factor = 1.0
+    if account is not None and state.weight_total > 0:
+        factor = account.weight * len(state.client_accounts) / state.weight_total
+        factor = min(_MAX_WEIGHT_FACTOR, max(_MIN_WEIGHT_FACTOR, factor))
+    return min(state.settings.max_queued_per_account, room * factor)
+
+
+def expire_request(
+    state: states.PartitionState, request_id: str, out: list[commands.Command]
+) -> None:
+    """Ends a request that has not started by its deadline."""
+    job = state.jobs.get(request_id)
+    if job is None or job.phase is states.Phase.ACTIVE:
+        return
+    if retries.is_deadline_past(state, job.request):
+        retries.refuse(state, job, "deadline", out)
+
+
+def cancel_request(
+    state: states.PartitionState, request_id: str, out: list[commands.Command]
+) -> None:
+    """Ends a request at its caller's wish, as far as it has not ended otherwise.
+
+    Idempotent work ends at once and is stopped afterwards. Non-idempotent work that may have
+    started ends as its worker says: a finished run is answered in spite of the cancellation.
+    """
+    job = state.jobs.get(request_id)
+    if job is None:
+        if request_id not in state.ended:
+            _remember_early_cancel(state, request_id)
+        return
+    job.cancelled = True
+    attempt = state.attempts.get(job.attempt_id or "")
+    if attempt is None:
+        retries.end_request(state, job, requests.End.CANCELLED, out)
+    elif attempt.step is states.Step.COLLECTING:
+        # The answer is complete; it is delivered if it can be fetched.
+        return
+    elif job.request.idempotent:
+        retries.end_request(state, job, requests.End.CANCELLED, out)
+        closing.close(state, attempt, states.After.CANCEL, out, "cancelled")
+    elif attempt.step is not states.Step.UNCERTAIN:
+        closing.close(state, attempt, states.After.CANCEL, out, "cancelled")
+
+
+def _remember_early_cancel(state: states.PartitionState, request_id: str) -> None:
+    cancels = state.early_cancels
+    cancels[request_id] = state.now_s
+    while cancels:
+        oldest = next(iter(cancels))
+        if (
+            len(cancels) <= _EARLY_CANCELS_KEPT
+            and cancels[oldest] > state.now_s - _EARLY_CANCELS_KEPT_S
+        ):
+            return
+        del cancels[oldest]
+
+
+def sweep_impossible(state: states.PartitionState, out: list[commands.Command]) -> None:
+    """Refuses waiting requests that no longer fit anywhere, after a loss or a release."""
+    if reports.is_settling(state):
+        return
+    reasons: dict[tuple, str | None] = {}
+    for job in [job for job in state.jobs.values() if job.phase is not states.Phase.ACTIVE]:
+        request = job.request
+        key = (request.client_account, request.shape, request.preemptible, request.urgency)
+        if key not in reasons:
+            reasons[key] = scheduling.find_impossible(state.scheduling, request)
+        reason = reasons[key]
+        if reason is not None:
+            retry_after_s = _get_impossible_retry_after_s(state)
+            retries.refuse(state, job, reason, out, retry_after_s=retry_after_s)
--- /dev/null
+++ b/lycheegate/core/closing.py
@@ -0,0 +1,241 @@
+"""Ends of attempts: collecting the answer, or stopping every member and drawing the conclusion."""
+
+from lycheegate.core import commands, estimates, quarantine, retries, scheduling
+from lycheegate.core import state as states
+from lycheegate.model import requests
+
+__all__ = [
+    "STOP_ANSWER_S",
+    "close",
+    "collect",
+    "conclude",
+    "drop",
+    "escalate",
+    "find_job",
+    "is_proven_not_started",
+    "order_release",
+    "set_due",
+    "settle",
+    "unblock",
+    "vacate",
+]
+
+# A stop order whose answer is missing this long after the grace period is followed by a release
+# order, which the daemon repeats until the worker answers or is lost.
+STOP_ANSWER_S = 0.5
+
+_RELEASE_DIRECTLY = (states.Status.ORDERED, states.Status.HELD)
+_STOP_FIRST = (states.Status.START_ORDERED, states.Status.RUNNING)
+_KEPT_BY_WORKER = (states.Status.FINISHED, states.Status.FAILED, states.Status.STOPPED)
+_NEVER_STARTED = (states.Status.PLANNED, states.Status.NOT_STARTED)
+
+
+def find_job(state: states.PartitionState, attempt: states.Attempt) -> states.Job | None:
+    """Returns the open job that an attempt belongs to, or None."""
+    job = state.jobs.get(attempt.request.request_id)
+    if job is None or job.attempt_id != attempt.attempt_id:
+        return None
+    return job
+
+
+def set_due(state: states.PartitionState, attempt: states.Attempt, due_s: float | None) -> None:
+    """Sets the timer of an attempt; an earlier timer of it no longer applies."""
+    attempt.due_s = due_s
+    if due_s is not None:
+        states.add_timer(state, due_s, states.Timer.ATTEMPT, attempt.attempt_id)
+
+
+def vacate(state: states.PartitionState, attempt: states.Attempt) -> None:
+    """Frees the capacity of an attempt."""
+    if attempt.occupies:
+        attempt.occupies = False
+        scheduling.vacate(state.scheduling, attempt.request.request_id, state.now_s)
+        state.plan_due = True
+
+
+def order_release(
+    state: states.PartitionState,
+    attempt: states.Attempt,
+    member: int,
+    out: list[commands.Command],
+) -> None:
+    """Orders the worker of a member to forget its task."""
+    place = attempt.placement[member]
+    if place is not None:
+        task_id = states.format_member_task_id(attempt, member)
+        out.append(commands.ReleaseTask(task_id, place.worker_id))
+
+
+def close(
+    state: states.PartitionState,
+    attempt: states.Attempt,
+    after: states.After,
+    out: list[commands.Command],
+    reason: str = "",
+    detail: str = "",
+    grace_s: float = 0.0,
+) -> None:
+    """Stops every member of an attempt; the conclusion follows when all of them are gone.
+
+    Args:
+        state: State, changed in place.
+        attempt: The attempt. If it is being closed already, the first reason stands.
+        after: What follows.
+        out: Commands, appended to.
+        reason: Code of the reason.
+        detail: Error of the job, if that is the reason.
+        grace_s: Time that running members have to checkpoint.
+    """
+    if attempt.step is states.Step.CLOSING:
+        return
+    attempt.step = states.Step.CLOSING
+    attempt.since_s = state.now_s
+    attempt.after = after
+    attempt.reason = reason
+    attempt.detail = detail
+    mode = commands.StopMode.KILL
+    if grace_s > 0 and attempt.request.preemptible:
+        mode = commands.StopMode.CHECKPOINT
+    else:
+        grace_s = 0.0
+    is_stopping = False
+    for member, status in enumerate(attempt.statuses):
+        place = attempt.placement[member]
+        if status in _RELEASE_DIRECTLY:
+            attempt.statuses[member] = states.Status.RELEASING
+            order_release(state, attempt, member, out)
+        elif status in _STOP_FIRST and place is not None:
+            is_stopping = True
+            task_id = states.format_member_task_id(attempt, member)
+            out.append(commands.StopTask(task_id, place.worker_id, mode, grace_s))
+        elif status is states.Status.UNKNOWN:
+            # A gang that is stopped cannot be answered any more, so nothing is to be learned from
+            # the member that is missing.
+            attempt.statuses[member] = states.Status.LOST
+    set_due(state, attempt, state.now_s + grace_s + STOP_ANSWER_S if is_stopping else None)
+    settle(state, attempt, out)
+
+
+def escalate(
+    state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
+) -> None:
+    """Goes on with closing after the time for it has passed."""
+    attempt.due_s = None
+    for member, status in enumerate(attempt.statuses):
+        if status in _STOP_FIRST:
+            order_release(state, attempt, member, out)
+        elif status is states.Status.UNKNOWN:
+            attempt.statuses[member] = states.Status.LOST
+    settle(state, attempt, out)
+
+
+def settle(
+    state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
+) -> None:
+    """Concludes an attempt that is being closed once nothing of it runs any more."""
+    if attempt.step is not states.Step.CLOSING or attempt.attempt_id not in state.attempts:
+        return
+    if any(states.Status.PLANNED < status < states.Status.FINISHED for status in attempt.statuses):
+        return
+    job = find_job(state, attempt)
+    if job is not None and all(status is states.Status.FINISHED for status in attempt.statuses):
+        # The stop order came too late: the answer is complete.
+        collect(state, attempt, out)
+        return
+    drop(state, attempt, out)
+    if job is not None:
+        conclude(state, attempt, job, out)
+
+
+def is_proven_not_started(attempt: states.Attempt) -> bool:
+    """Returns whether no member of an attempt can have started."""
+    return not attempt.start_ordered or all(status in _NEVER_STARTED for status in attempt.statuses)
+
+
+def conclude(
+    state: states.PartitionState,
+    attempt: states.Attempt,
+    job: states.Job,
+    out: list[commands.Command],
+) -> None:
+    """Decides what follows for the job of an attempt that is gone."""
+    is_proven = is_proven_not_started(attempt)
+    if not is_proven:
+        job.ran = True
+    idempotent = job.request.idempotent
+    has_failed = states.Status.FAILED in attempt.statuses
+    if not idempotent and not is_proven and not has_failed:
+        is_lost = states.Status.LOST in attempt.statuses
+        if job.cancelled and not is_lost and attempt.step is states.Step.CLOSING:
+            retries.end_request(state, job, requests.End.CANCELLED, out)
+        else:
+            retries.refuse(state, job, attempt.reason or "outcome_unknown", out)
+    elif attempt.after is states.After.FAIL or (not idempotent and has_failed):
+        retries.end_request(
+            state,
+            job,
+            requests.End.ANSWERED,
+            out,
+            outcome=requests.Outcome.FAILED,
+            reason="job_failed",
+            detail=attempt.detail,
+        )
+    else:
+        retries.retry(state, job, attempt, is_proven, out)
+
+
+def collect(
+    state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
+) -> None:
+    """Fetches the answer of an attempt whose members have all finished."""
+    vacate(state, attempt)
+    unblock(state, attempt)
+    attempt.step = states.Step.COLLECTING
+    attempt.since_s = state.now_s
+    attempt.due_s = None
+    if attempt.started_at_s is not None:
+        estimates.observe_run(state, attempt.request, state.now_s - attempt.started_at_s)
+    for worker_id in dict.fromkeys(place.worker_id for place in attempt.placement if place):
+        quarantine.note_success(state, worker_id, out)
+    place = attempt.placement[0]
+    assert place is not None
+    out.append(
+        commands.CollectAnswer(
+            attempt.request.request_id,
+            attempt.attempt_id,
+            states.format_member_task_id(attempt, 0),
+            place.worker_id,
+        )
+    )
+
+
+def drop(
+    state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
+) -> None:
+    """Forgets an attempt and lets its workers forget the tasks that they keep."""
+    vacate(state, attempt)
+    unblock(state, attempt)
+    for member, status in enumerate(attempt.statuses):
+        if status in _KEPT_BY_WORKER:
+            order_release(state, attempt, member, out)
+    for place in attempt.placement:
+        if place is not None:
+            worker = state.workers.get(place.worker_id)
+            if worker is not None:
+                worker.attempts.pop(attempt.attempt_id, None)
+            awaited = state.awaited.get(place.worker_id)
+            if awaited is not None:
+                awaited.pop(attempt.attempt_id, None)
+                if not awaited:
+                    del state.awaited[place.worker_id]
+    del state.attempts[attempt.attempt_id]
+    if attempt.probe_of is not None:
+        quarantine.finish_probe(state, attempt)
+
+
+def unblock(state: states.PartitionState, attempt: states.Attempt) -> None:
+    """Lets the workers of an attempt take new work after its members have been found."""
+    for place in attempt.placement:
+        worker = state.workers.get(place.worker_id) if place is not None else None
+        if worker is not None and worker.stale.pop(attempt.attempt_id, 0) is None:
+            quarantine.refresh_placeable(state, worker)
--- /dev/null
+++ b/lycheegate/core/engine.py
@@ -0,0 +1,276 @@
+"""Decisions of one partition: dispatch of events, timers and placement."""
+
+import heapq
+from collections.abc import Callable
+
+from lycheegate.core import (
+    admission,
+    attempts,
+    commands,
+    events,
+    losses,
+    quarantine,
+    recovery,
+    reports,
+    retries,
+    scheduling,
+)
+from lycheegate.core import state as states
+from lycheegate.model import resources
+
+__all__ = ["PartitionState", "create_state", "decide", "make_snapshot", "restore_snapshot"]
+
+PartitionState = states.PartitionState
+create_state = states.create_state
+make_snapshot = states.make_snapshot
+restore_snapshot = states.restore_snapshot
+
+_Commands = list[commands.Command]
+
+# Placement is planned again while attempts that were given up at once leave capacity free.
+_MAX_PLAN_ROUNDS = 8
+# Delay before a request is placed again that has room only on workers it failed on.
+_AVOID_DELAY_S = 0.5
+
+
+def decide(state: PartitionState, event: events.Event, now_s: float) -> _Commands:
+    """Applies an event to the state.
+
+    Args:
+        state: State, changed in place.
+        event: What happened. Events that are late, repeated or unknown change nothing.
+        now_s: Time of the event, in seconds; time that goes back is taken as unchanged.
+
+    Returns:
+        Commands to carry out, in order. The end of a request is durable before its tasks are
+        released.
+    """
+    out: _Commands = []
+    state.now_s = max(state.now_s, now_s)
+    handler = _HANDLERS.get(type(event))
+    if handler is not None:
+        handler(state, event, out)
+    _fire_timers(state, out)
+    if state.plan_due and not state.recovering:
+        _plan(state, out)
+    if state.capacity_changed and not reports.is_settling(state):
+        _follow_capacity(state, out)
+    return out
+
+
+def _fire_timers(state: PartitionState, out: _Commands) -> None:
+    while state.timers and state.timers[0][0] <= state.now_s:
+        due_s, _, kind, key = heapq.heappop(state.timers)
+        match kind:
+            case states.Timer.ATTEMPT:
+                attempt = state.attempts.get(key)
+                if attempt is not None and attempt.due_s == due_s:
+                    attempt.due_s = None
+                    attempts.fire_timer(state, attempt, out)
+            case states.Timer.DELAY:
+                job = state.jobs.get(key)
+                if (
+                    job is not None
+                    and job.phase is states.Phase.DELAYED
+                    and job.delayed_until_s == due_s
+                ):
+                    retries.enqueue(state, job)
+            case states.Timer.DEADLINE:
+                admission.expire_request(state, key, out)
+            case states.Timer.SWEEP:
+                losses.forget_lost(state)
+                admission.sweep_impossible(state, out)
+            case states.Timer.RECOVERY:
+                state.capacity_changed = True
+                admission.sweep_impossible(state, out)
+
+
+def _plan(state: PartitionState, out: _Commands) -> None:
+    for _ in range(_MAX_PLAN_ROUNDS):
+        state.plan_due = False
+        _apply(state, scheduling.plan(state.scheduling, state.now_s), out)
+        if not state.plan_due:
+            return
+
+
+def _apply(
+    state: PartitionState,
+    actions: list[scheduling.Start | scheduling.Preempt],
+    out: _Commands,
+    probed: states.WorkerState | None = None,
+) -> None:
+    """Carries out what the placement decided.
+
+    Args:
+        state: State, changed in place.
+        actions: Starts and preemptions, in order.
+        out: Commands, appended to.
+        probed: Quarantined worker that may get one probe, or None.
+    """
+    for action in actions:
+        if isinstance(action, scheduling.Preempt):
+            attempts.preempt(state, action.request_id, out)
+            continue
+        job = state.jobs.get(action.request_id)
+        if job is None or job.phase is not states.Phase.QUEUED:
+            scheduling.vacate(state.scheduling, action.request_id, state.now_s)
+        elif probed is not None and _has_place_on(action.placement, probed):
+            _start_probe(state, probed, job, action.placement, out)
+        elif state.now_s < job.avoid_until_s and any(
+            place.worker_id in job.failed_on for place in action.placement
+        ):
+            _place_elsewhere(state, job, out)
+        else:
+            attempts.begin(state, job, action.placement, out)
+
+
+def _has_place_on(placement: resources.Placement, worker: states.WorkerState) -> bool:
+    return any(place.worker_id == worker.worker.worker_id for place in placement)
+
+
+def _place_elsewhere(state: PartitionState, job: states.Job, out: _Commands) -> None:
+    """Places a request off the workers that it failed on, or delays it."""
+    scheduling.vacate(state.scheduling, job.request.request_id, state.now_s)
+    avoided = [
+        worker_id
+        for worker_id in job.failed_on
+        if worker_id in state.workers
+        and state.workers[worker_id].lost_at_s is None
+        and state.workers[worker_id].placeable
+    ]
+    for worker_id in avoided:
+        scheduling.set_placeable(state.scheduling, worker_id, False)
+    retries.enqueue(state, job)
+    actions = scheduling.plan(state.scheduling, state.now_s)
+    for worker_id in avoided:
+        scheduling.set_placeable(state.scheduling, worker_id, True)
+    _apply(state, actions, out)
+    if job.phase is states.Phase.QUEUED:
+        scheduling.withdraw(state.scheduling, job.request.request_id)
+        retries.delay(state, job, state.now_s + _AVOID_DELAY_S)
+    state.plan_due = True
+
+
+def _probe_workers(state: PartitionState, out: _Commands) -> None:
+    """Gives quarantined workers one idempotent request each, if a probe is due."""
+    for worker in quarantine.list_due_probes(state):
+        worker_id = worker.worker.worker_id
+        scheduling.set_placeable(state.scheduling, worker_id, True)
+        actions = scheduling.plan(state.scheduling, state.now_s)
+        scheduling.set_placeable(state.scheduling, worker_id, False)
+        _apply(state, actions, out, probed=worker)
+
+
+def _start_probe(
+    state: PartitionState,
+    worker: states.WorkerState,
+    job: states.Job,
+    placement: resources.Placement,
+    out: _Commands,
+) -> None:
+    """Starts a request on a quarantined worker if it may test it, or queues it again."""
+    if worker.probe_attempt_id is None and quarantine.is_probe_candidate(job):
+        attempts.begin(state, job, placement, out, probe_of=worker.worker.worker_id)
+        worker.probe_attempt_id = job.attempt_id
+    else:
+        scheduling.vacate(state.scheduling, job.request.request_id, state.now_s)
+        retries.enqueue(state, job)
+
+
+def _follow_capacity(state: PartitionState, out: _Commands) -> None:
+    """Reports guarantees that became short or whole, after quarantine has given way to them."""
+    quarantine.relieve(state, out)
+    state.capacity_changed = False
+    current = {
+        (short.client_account, short.guarantee): (short.short_units, short.reason)
+        for short in scheduling.list_short_guarantees(state.scheduling)
+    }
+    for key in sorted(current.keys() | state.short.keys()):
+        units, reason = current.get(key, (0, ""))
+        if state.short.get(key, (0, ""))[0] != units:
+            out.append(commands.ReportShortGuarantee(*key, units, reason))
+    state.short = current
+    if state.plan_due:
+        _plan(state, out)
+
+
+def _on_epoch_gained(state: PartitionState, event: events.EpochGained, out: _Commands) -> None:
+    del out
+    recovery.gain_epoch(state, event.epoch)
+
+
+def _on_recovered(state: PartitionState, event: events.RecoveredRequest, out: _Commands) -> None:
+    recovery.recover_request(state, event, out)
+
+
+def _on_submitted(state: PartitionState, event: events.RequestSubmitted, out: _Commands) -> None:
+    admission.submit_request(state, event.request, out)
+
+
+def _on_cancel(state: PartitionState, event: events.CancelRequested, out: _Commands) -> None:
+    admission.cancel_request(state, event.request_id, out)
+
+
+def _on_release(state: PartitionState, event: events.ReleaseApplied, out: _Commands) -> None:
+    if event.number <= state.release_number:
+        return
+    state.release_number = event.number
+    state.client_accounts = {account.name: account for account in event.client_accounts}
+    state.weight_total = sum(account.weight for account in event.client_accounts)
+    state.guarantees = event.guarantees
+    scheduling.apply_release(state.scheduling, event.client_accounts, event.guarantees)
+    state.capacity_changed = True
+    state.plan_due = True
+    admission.sweep_impossible(state, out)
+
+
+def _on_tick(state: PartitionState, event: events.Tick, out: _Commands) -> None:
+    del event
+    if state.epoch == 0:
+        return
+    if state.recovering:
+        recovery.finish_recovering(state, out)
+    if state.quarantined:
+        _probe_workers(state, out)
+    state.plan_due = True
+
+
+def _on_task(
+    handle: Callable[[PartitionState, states.Attempt, int, events.Event, _Commands], None],
+) -> Callable[[PartitionState, events.Event, _Commands], None]:
+    """Returns a handler that looks up the attempt and ignores unknown tasks."""
+
+    def on_task(state: PartitionState, event: events.Event, out: _Commands) -> None:
+        attempt, member = attempts.find_attempt(state, event.task_id)
+        if attempt is not None:
+            handle(state, attempt, member, event, out)
+
+    return on_task
+
+
+_HANDLERS: dict[type, Callable[[PartitionState, events.Event, _Commands], None]] = {
+    events.EpochGained: _on_epoch_gained,
+    events.RecoveredRequest: _on_recovered,
+    events.RequestSubmitted: _on_submitted,
+    events.CancelRequested: _on_cancel,
+    events.AttemptRecorded: lambda s, e, out: attempts.note_recorded(s, e.attempt_id, out),
+    events.AttemptNotRecorded: recovery.note_not_recorded,
+    events.WorkerReported: reports.note_report,
+    events.WorkerLeaving: lambda s, e, out: losses.note_leaving(s, e.worker_id, out),
+    events.WorkerLost: lambda s, e, out: losses.lose_worker(s, e.worker_id, out),
+    events.TaskHeld: _on_task(lambda s, a, m, e, out: attempts.note_held(s, a, m, out)),
+    events.TaskRefused: _on_task(
+        lambda s, a, m, e, out: attempts.note_refused(s, a, m, e.reason, out)
+    ),
+    events.TaskStarted: _on_task(lambda s, a, m, e, out: attempts.note_started(s, a, m)),
+    events.TaskFinished: _on_task(lambda s, a, m, e, out: attempts.note_finished(s, a, m, out)),
+    events.TaskFailed: _on_task(
+        lambda s, a, m, e, out: attempts.note_failed(s, a, m, e.error, out)
+    ),
+    events.TaskStopped: _on_task(lambda s, a, m, e, out: attempts.note_stopped(s, a, m, out)),
+    events.TaskReleased: lambda s, e, out: reports.note_released(s, e.task_id, e.started, out),
+    events.AnswerStored: lambda s, e, out: attempts.note_answer_stored(s, e.attempt_id, out),
+    events.AnswerBroken: lambda s, e, out: attempts.note_answer_broken(s, e.attempt_id, out),
+    events.ReleaseApplied: _on_release,
+    events.Tick: _on_tick,
+}
--- a/lycheegate/core/events.py
+++ b/lycheegate/core/events.py
@@ -116,9 +116,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptNotRecorded:
-    """The attempt is certainly not in the table; the request may be placed again."""
+    """The attempt is certainly not in the table; the request may be placed again.
+
+    Attributes:
+        attempt_id: The attempt.
+        found_attempt_id: Attempt of another owner that the record holds instead, or None. The
+            request is then placed again only after that attempt is proven not to have started.
+        found_placement: Placement of that attempt.
+    """
 
     attempt_id: str
+    found_attempt_id: str | None = None
+    found_placement: resources.Placement = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,10 +137,19 @@
     Sent when a worker appears, at takeover, and when it comes back after being lost.
     ``tasks`` is complete: a task of ours that is absent does not exist there, and an order
     sent before the fence under an older epoch can no longer take effect.
+
+    Attributes:
+        worker: The worker.
+        tasks: Its tasks of this partition.
+        leaving: Whether it says that it is leaving; it then gets no new work.
+        restarted: Whether it has lost the memory of earlier tasks; the absence of a task then
+            does not prove that the task never ran.
     """
 
     worker: resources.Worker
     tasks: tuple[TaskReport, ...] = ()
+    leaving: bool = False
+    restarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lycheegate/core/quarantine.py
@@ -0,0 +1,188 @@
+"""Quarantine of workers that fail what others run well, and their probes."""
+
+from lycheegate.core import commands, scheduling
+from lycheegate.core import state as states
+from lycheegate.model import requests
+
+__all__ = [
+    "count_short",
+    "finish_probe",
+    "is_healthy",
+    "is_probe_candidate",
+    "list_due_probes",
+    "note_failure",
+    "note_success",
+    "refresh_placeable",
+    "relieve",
+]
+
+# At most one worker in four is in quarantine; beyond that a common cause is more likely than
+# bad workers.
+_MAX_SHARE = 4
+_MAX_PROBE_FACTOR = 16
+_MAX_FAILURES_KEPT = 64
+
+
+def is_healthy(state: states.PartitionState, worker_id: str, request_id: str) -> bool:
+    """Returns whether a worker serves requests other than this one well."""
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.quarantined_at_s is not None:
+        return False
+    others = len(worker.failures) - (request_id in worker.failures)
+    return others < state.settings.quarantine_requests - 1
+
+
+def count_short(state: states.PartitionState) -> int:
+    """Returns the number of guaranteed units that have no home."""
+    return sum(short.short_units for short in scheduling.list_short_guarantees(state.scheduling))
+
+
+def refresh_placeable(state: states.PartitionState, worker: states.WorkerState) -> None:
+    """Tells the scheduling state whether a worker may get new work, if that has changed."""
+    if worker.lost_at_s is not None:
+        return
+    placeable = not worker.leaving and not worker.stale and worker.quarantined_at_s is None
+    if placeable != worker.placeable:
+        worker.placeable = placeable
+        scheduling.set_placeable(state.scheduling, worker.worker.worker_id, placeable)
+        state.plan_due = True
+        state.capacity_changed = True
+
+
+def note_success(state: states.PartitionState, worker_id: str, out: list[commands.Command]) -> None:
+    """Notes that a task ran to its end at a worker."""
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        return
+    worker.failures.clear()
+    worker.succeeded_at_s = state.now_s
+    if worker.quarantined_at_s is not None:
+        _restore(state, worker, out)
+
+
+def note_failure(
+    state: states.PartitionState,
+    worker_id: str,
+    job: states.Job | None,
+    attempt: states.Attempt,
+    out: list[commands.Command],
+) -> None:
+    """Notes that a task's own run failed at a worker."""
+    worker = state.workers.get(worker_id)
+    if worker is None or worker.quarantined_at_s is not None:
+        return
+    request_id = attempt.request.request_id
+    if job is not None and any(
+        other != worker_id and is_healthy(state, other, request_id) for other in job.failed_on
+    ):
+        # The request fails elsewhere as well, so its failure says nothing about this worker.
+        return
+    if not worker.failures:
+        worker.failing_since_s = state.now_s
+    worker.failures[request_id] = worker.failures.get(request_id, 0) + 1
+    if len(worker.failures) > _MAX_FAILURES_KEPT:
+        del worker.failures[next(iter(worker.failures))]
+    settings = state.settings
+    if (
+        sum(worker.failures.values()) >= settings.quarantine_failures
+        and len(worker.failures) >= settings.quarantine_requests
+        and _do_others_succeed(state, worker)
+    ):
+        _quarantine(state, worker, out)
+
+
+def _do_others_succeed(state: states.PartitionState, worker: states.WorkerState) -> bool:
+    return any(
+        other is not worker
+        and other.lost_at_s is None
+        and other.succeeded_at_s is not None
+        and other.succeeded_at_s >= worker.failing_since_s
+        for other in state.workers.values()
+    )
+
+
+def _quarantine(
+    state: states.PartitionState, worker: states.WorkerState, out: list[commands.Command]
+) -> None:
+    present = sum(other.lost_at_s is None for other in state.workers.values())
+    if len(state.quarantined) + 1 > max(1, present // _MAX_SHARE):
+        return
+    short_before = count_short(state)
+    worker.quarantined_at_s = state.now_s
+    refresh_placeable(state, worker)
+    if count_short(state) > short_before:
+        # The guarantees need this worker. It is judged again after as many further failures.
+        worker.quarantined_at_s = None
+        worker.failures.clear()
+        refresh_placeable(state, worker)
+        return
+    worker.probe_interval_s = state.settings.probe_interval_s
+    worker.probe_at_s = state.now_s + worker.probe_interval_s
+    state.quarantined[worker.worker.worker_id] = None
+    out.append(
+        commands.QuarantineWorker(
+            worker.worker.worker_id,
+            f"{sum(worker.failures.values())} consecutive failures of "
+            f"{len(worker.failures)} requests",
+        )
+    )
+
+
+def _restore(
+    state: states.PartitionState, worker: states.WorkerState, out: list[commands.Command]
+) -> None:
+    worker.quarantined_at_s = None
+    worker.probe_attempt_id = None
+    worker.failures.clear()
+    state.quarantined.pop(worker.worker.worker_id, None)
+    refresh_placeable(state, worker)
+    out.append(commands.RestoreWorker(worker.worker.worker_id))
+
+
+def relieve(state: states.PartitionState, out: list[commands.Command]) -> None:
+    """Restores quarantined workers that a short guarantee needs, oldest first."""
+    for worker_id in list(state.quarantined):
+        worker = state.workers[worker_id]
+        if worker.lost_at_s is not None:
+            continue
+        short_before = count_short(state)
+        if not short_before:
+            return
+        since_s = worker.quarantined_at_s
+        worker.quarantined_at_s = None
+        refresh_placeable(state, worker)
+        if count_short(state) < short_before:
+            _restore(state, worker, out)
+        else:
+            worker.quarantined_at_s = since_s
+            refresh_placeable(state, worker)
+
+
+def list_due_probes(state: states.PartitionState) -> list[states.WorkerState]:
+    """Returns the quarantined workers whose next probe is due."""
+    return [
+        worker
+        for worker in (state.workers[worker_id] for worker_id in state.quarantined)
+        if worker.lost_at_s is None
+        and not worker.leaving
+        and not worker.stale
+        and worker.probe_attempt_id is None
+        and state.now_s >= worker.probe_at_s
+    ]
+
+
+def is_probe_candidate(job: states.Job) -> bool:
+    """Returns whether a request may test a quarantined worker."""
+    request: requests.Request = job.request
+    return request.idempotent and request.shape.members == 1 and not job.failed_on
+
+
+def finish_probe(state: states.PartitionState, attempt: states.Attempt) -> None:
+    """Sets the time of the next probe after an attempt that tested a worker and did not succeed."""
+    worker = state.workers.get(attempt.probe_of or "")
+    if worker is None or worker.probe_attempt_id != attempt.attempt_id:
+        return
+    worker.probe_attempt_id = None
+    longest_s = state.settings.probe_interval_s * _MAX_PROBE_FACTOR
+    worker.probe_interval_s = min(longest_s, worker.probe_interval_s * 2)
+    worker.probe_at_s = state.now_s + worker.probe_interval_s
--- /dev/null
+++ b/lycheegate/core/recovery.py
@@ -0,0 +1,154 @@
+"""Takeover of a partition.
+
+A new owner learns from the table which requests have not ended, and from the workers what runs.
+"""
+
+import dataclasses
+
+from lycheegate.core import closing, commands, events, reports, retries, scheduling
+from lycheegate.core import state as states
+from lycheegate.model import requests, resources
+
+__all__ = [
+    "expect_attempt",
+    "finish_recovering",
+    "gain_epoch",
+    "note_not_recorded",
+    "recover_request",
+    "take_unclaimed",
+]
+
+_KEPT_OVER_EPOCHS = (
+    "estimates",
+    "hopeless",
+    "ended",
+    "release_number",
+    "client_accounts",
+    "weight_total",
+    "guarantees",
+    "now_s",
+    "timer_number",
+    "short",
+)
+
+
+def gain_epoch(state: states.PartitionState, epoch: int) -> None:
+    """Begins ownership; what an earlier ownership knew of tasks and queue is outdated."""
+    if epoch <= state.epoch:
+        return
+    fresh = states.create_state(state.partition, state.settings, state.seed)
+    for field in dataclasses.fields(fresh):
+        if field.name not in _KEPT_OVER_EPOCHS:
+            setattr(state, field.name, getattr(fresh, field.name))
+    state.epoch = epoch
+    state.epoch_at_s = state.now_s
+    if state.client_accounts or state.guarantees:
+        scheduling.apply_release(
+            state.scheduling, tuple(state.client_accounts.values()), state.guarantees
+        )
+    states.add_timer(state, state.now_s + reports.RECOVERY_WAIT_S, states.Timer.RECOVERY, "")
+
+
+def recover_request(
+    state: states.PartitionState,
+    event: events.RecoveredRequest,
+    out: list[commands.Command],
+) -> None:
+    """Takes over a request that has not ended."""
+    request = event.request
+    request_id = request.request_id
+    job = state.jobs.get(request_id)
+    if job is None:
+        if request_id in state.ended:
+            return
+        # Idempotent work leaves no trace in the table, so an earlier owner may have run it.
+        job = states.Job(request, ran=request.idempotent)
+        states.set_phase(state, job, states.Phase.DELAYED)
+        if request.deadline_at_s is not None:
+            states.add_timer(state, request.deadline_at_s, states.Timer.DEADLINE, request_id)
+    elif job.phase is states.Phase.QUEUED and event.attempt_id is not None and state.recovering:
+        scheduling.withdraw(state.scheduling, request_id)
+    elif job.phase is not states.Phase.DELAYED or event.attempt_id is None:
+        return
+    job.cancelled = job.cancelled or event.cancel_requested
+    job.cancelled = job.cancelled or state.early_cancels.pop(request_id, None) is not None
+    if not request.idempotent and event.attempt_id is not None:
+        expect_attempt(state, job, event.attempt_id, event.placement, out)
+        return
+    if job.cancelled:
+        retries.end_request(state, job, requests.End.CANCELLED, out)
+        return
+    take_unclaimed(state, job, out)
+    if job.phase is states.Phase.ACTIVE:
+        return
+    if request.idempotent and request.urgency is not requests.Urgency.URGENT:
+        retries.delay(state, job, max(state.now_s, state.epoch_at_s + reports.RECOVERY_WAIT_S))
+    else:
+        retries.enqueue(state, job)
+
+
+def take_unclaimed(
+    state: states.PartitionState, job: states.Job, out: list[commands.Command]
+) -> None:
+    """Takes over tasks that were reported before their request was known."""
+    for worker_id, task in state.unclaimed.pop(job.request.request_id, ()):
+        worker = state.workers.get(worker_id)
+        if worker is not None and worker.lost_at_s is None:
+            reports.note_task(state, worker, task, True, out)
+
+
+def expect_attempt(
+    state: states.PartitionState,
+    job: states.Job,
+    attempt_id: str,
+    placement: resources.Placement,
+    out: list[commands.Command],
+) -> None:
+    """Waits until workers tell what became of a recorded attempt of another owner."""
+    places: list[resources.MemberPlacement | None] = list(placement)
+    members = job.request.shape.members
+    attempt = reports.create_found(state, job, attempt_id, places or [None] * members)
+    closing.set_due(state, attempt, state.now_s + state.settings.outcome_wait_s)
+    tasks = {
+        task.task_id: (worker_id, task)
+        for worker_id, task in state.unclaimed.pop(job.request.request_id, ())
+    }
+    for member, place in enumerate(placement):
+        worker = state.workers.get(place.worker_id)
+        if worker is None or worker.lost_at_s is not None:
+            state.awaited.setdefault(place.worker_id, {})[attempt_id] = None
+            continue
+        worker.attempts[attempt_id] = None
+        if states.format_member_task_id(attempt, member) not in tasks:
+            reports.note_absent(state, attempt, member, False, out)
+    for worker_id, task in tasks.values():
+        reports.note_task(state, state.workers[worker_id], task, True, out)
+
+
+def finish_recovering(state: states.PartitionState, out: list[commands.Command]) -> None:
+    """Ends the takeover: every request is known, so unclaimed tasks belong to none."""
+    state.recovering = False
+    state.plan_due = True
+    for tasks in state.unclaimed.values():
+        for worker_id, task in tasks:
+            worker = state.workers.get(worker_id)
+            if worker is not None and worker.lost_at_s is None:
+                reports.release_stale(state, worker, task.task_id, out)
+    state.unclaimed.clear()
+
+
+def note_not_recorded(
+    state: states.PartitionState,
+    event: events.AttemptNotRecorded,
+    out: list[commands.Command],
+) -> None:
+    """Places a request again whose attempt is not in the table."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None or attempt.step is not states.Step.RECORDING:
+        return
+    job = closing.find_job(state, attempt)
+    if event.found_attempt_id is None or job is None:
+        closing.close(state, attempt, states.After.RETRY, out, "not_recorded")
+        return
+    closing.drop(state, attempt, out)
+    expect_attempt(state, job, event.found_attempt_id, event.found_placement, out)
--- /dev/null
+++ b/lycheegate/core/reports.py
@@ -0,0 +1,328 @@
+"""Reports of workers: what runs there is matched with what is known of it.
+
+Running tasks of known requests are taken over. Tasks that belong to nothing are released before
+their worker gets new work.
+"""
+
+from lycheegate.core import attempts as attempts_
+from lycheegate.core import closing, commands, events, gangs, losses, quarantine, scheduling
+from lycheegate.core import state as states
+from lycheegate.model import resources
+
+__all__ = [
+    "RECOVERY_WAIT_S",
+    "create_found",
+    "is_settling",
+    "note_absent",
+    "note_released",
+    "note_report",
+    "note_task",
+    "release_stale",
+]
+
+# Workers report within the time after which they count as lost. Until then, recovered requests
+# that are not urgent wait, since a task of theirs may still be running.
+RECOVERY_WAIT_S = 3.0
+# A report may have been made before an order of this age took effect.
+_REPORT_LAG_S = 2.0
+
+
+def is_settling(state: states.PartitionState) -> bool:
+    """Returns whether workers may still report for the first time under this epoch."""
+    return state.recovering or state.now_s < state.epoch_at_s + RECOVERY_WAIT_S
+
+
+def create_found(
+    state: states.PartitionState,
+    job: states.Job,
+    attempt_id: str,
+    places: list[resources.MemberPlacement | None],
+) -> states.Attempt:
+    """Returns a new attempt whose tasks workers have, or may have, from an earlier order."""
+    attempt = states.Attempt(
+        attempt_id,
+        job.request,
+        places,
+        [states.Status.UNKNOWN] * len(places),
+        states.Step.UNCERTAIN,
+        state.now_s,
+        start_ordered=True,
+        occupies=False,
+        reason="outcome_unknown",
+    )
+    state.attempts[attempt_id] = attempt
+    states.set_phase(state, job, states.Phase.ACTIVE)
+    job.attempt_id = attempt_id
+    return attempt
+
+
+def note_report(
+    state: states.PartitionState, event: events.WorkerReported, out: list[commands.Command]
+) -> None:
+    """Takes in a worker and what it runs."""
+    worker_id = event.worker.worker_id
+    worker = state.workers.get(worker_id)
+    if worker is not None and worker.lost_at_s is None and _has_changed(worker, event.worker):
+        losses.lose_worker(state, worker_id, out)
+    is_fresh = worker is None or worker.lost_at_s is not None
+    if worker is None:
+        worker = state.workers[worker_id] = states.WorkerState(event.worker)
+    worker.worker = event.worker
+    if is_fresh:
+        worker.lost_at_s = None
+        worker.placeable = True
+        worker.leaving = event.leaving
+        scheduling.add_worker(state.scheduling, event.worker)
+        worker.attempts.update(state.awaited.pop(worker_id, {}))
+    worker.leaving = worker.leaving or event.leaving
+    for task in event.tasks:
+        note_task(state, worker, task, is_fresh, out)
+    reported = {task.task_id for task in event.tasks}
+    for attempt_id in list(worker.attempts):
+        attempt = state.attempts.get(attempt_id)
+        for member, place in enumerate(attempt.placement if attempt is not None else ()):
+            if place is not None and place.worker_id == worker_id:
+                task_id = commands.format_task_id(attempt_id, member)
+                if task_id not in reported:
+                    note_absent(state, attempt, member, event.restarted, out)
+    quarantine.refresh_placeable(state, worker)
+    state.plan_due = True
+    state.capacity_changed = True
+
+
+def _has_changed(worker: states.WorkerState, reported: resources.Worker) -> bool:
+    known = worker.worker
+    return (known.slots, known.accelerators, known.rack, known.data_centre) != (
+        reported.slots,
+        reported.accelerators,
+        reported.rack,
+        reported.data_centre,
+    )
+
+
+def note_task(
+    state: states.PartitionState,
+    worker: states.WorkerState,
+    task: events.TaskReport,
+    is_fresh: bool,
+    out: list[commands.Command],
+) -> None:
+    """Matches a reported task with what is known of it.
+
+    Args:
+        state: State, changed in place.
+        worker: The worker that reported it.
+        task: The task.
+        is_fresh: Whether the worker has just come, so that the task may be unknown.
+        out: Commands, appended to.
+    """
+    worker_id = worker.worker.worker_id
+    attempt, member = attempts_.find_attempt(state, task.task_id)
+    if attempt is None:
+        job = state.jobs.get(task.request_id)
+        if job is None and state.recovering:
+            state.unclaimed.setdefault(task.request_id, []).append((worker_id, task))
+        elif job is not None and is_fresh and _adopt(state, worker, job, task, out):
+            pass
+        else:
+            release_stale(state, worker, task.task_id, out)
+        return
+    place = attempt.placement[member]
+    status = attempt.statuses[member]
+    if status in (states.Status.LOST, states.Status.NOT_STARTED) or (
+        place is not None and place.worker_id != worker_id
+    ):
+        release_stale(state, worker, task.task_id, out)
+    elif status is states.Status.UNKNOWN:
+        _find_member(state, worker, attempt, member, task, out)
+    elif states.Status.PLANNED < status <= states.Status.RUNNING:
+        _feed(state, attempt, member, task, out)
+
+
+def _feed(
+    state: states.PartitionState,
+    attempt: states.Attempt,
+    member: int,
+    task: events.TaskReport,
+    out: list[commands.Command],
+) -> None:
+    """Treats a reported task state like the event that it stands for."""
+    match task.state:
+        case events.TaskState.HELD:
+            attempts_.note_held(state, attempt, member, out)
+        case events.TaskState.RUNNING:
+            attempts_.note_started(state, attempt, member)
+        case events.TaskState.FINISHED:
+            attempts_.note_finished(state, attempt, member, out)
+        case events.TaskState.FAILED:
+            attempts_.note_failed(state, attempt, member, "failed", out)
+        case events.TaskState.STOPPED:
+            attempts_.note_stopped(state, attempt, member, out)
+
+
+def _adopt(
+    state: states.PartitionState,
+    worker: states.WorkerState,
+    job: states.Job,
+    task: events.TaskReport,
+    out: list[commands.Command],
+) -> bool:
+    """Takes over a running or finished task of a request that has no attempt."""
+    attempt_id, member = commands.split_task_id(task.task_id)
+    members = job.request.shape.members
+    if (
+        task.state not in (events.TaskState.RUNNING, events.TaskState.FINISHED)
+        or not 0 <= member < members
+        or not attempt_id.startswith(job.request.request_id + "-")
+        or (members > 1 and not is_settling(state))
+    ):
+        return False
+    if job.phase is states.Phase.ACTIVE:
+        # Attempts of a request follow one another, so of two found ones the older is outdated.
+        other = state.attempts[job.attempt_id or ""]
+        if other.step is not states.Step.UNCERTAIN or not job.request.idempotent:
+            return False
+        if _rank(other.attempt_id) >= _rank(attempt_id):
+            return False
+        for number, place in enumerate(other.placement):
+            if place is not None and other.statuses[number] is not states.Status.UNKNOWN:
+                other_worker = state.workers[place.worker_id]
+                other_task_id = states.format_member_task_id(other, number)
+                release_stale(state, other_worker, other_task_id, out)
+        closing.drop(state, other, out)
+    elif job.phase is states.Phase.QUEUED:
+        scheduling.withdraw(state.scheduling, job.request.request_id)
+    attempt = create_found(state, job, attempt_id, [None] * members)
+    closing.set_due(state, attempt, max(state.now_s, state.epoch_at_s) + RECOVERY_WAIT_S)
+    _find_member(state, worker, attempt, member, task, out)
+    return True
+
+
+def _rank(attempt_id: str) -> tuple[int, int]:
+    """Returns epoch and number of an attempt."""
+    _, epoch, number = attempt_id.rsplit("-", 2)
+    return int(epoch), int(number)
+
+
+def _find_member(
+    state: states.PartitionState,
+    worker: states.WorkerState,
+    attempt: states.Attempt,
+    member: int,
+    task: events.TaskReport,
+    out: list[commands.Command],
+) -> None:
+    """Notes what the worker tells about a member that was not known about."""
+    worker_id = worker.worker.worker_id
+    attempt.placement[member] = resources.MemberPlacement(worker_id, task.first, task.count)
+    worker.attempts[attempt.attempt_id] = None
+    attempt.statuses[member] = {
+        events.TaskState.HELD: states.Status.HELD,
+        events.TaskState.RUNNING: states.Status.RUNNING,
+        events.TaskState.FINISHED: states.Status.FINISHED,
+        events.TaskState.FAILED: states.Status.FAILED,
+        events.TaskState.STOPPED: states.Status.STOPPED,
+    }[task.state]
+    if attempt.step is states.Step.CLOSING:
+        if attempt.statuses[member] is states.Status.RUNNING:
+            closing.order_release(state, attempt, member, out)
+        closing.settle(state, attempt, out)
+        return
+    # Its capacity is occupied in the scheduling state once all members are found.
+    worker.stale[attempt.attempt_id] = None
+    quarantine.refresh_placeable(state, worker)
+    _check_found(state, attempt, out)
+
+
+def _check_found(
+    state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
+) -> None:
+    """Goes on with an attempt as far as its members are known."""
+    if attempt.step is not states.Step.UNCERTAIN:
+        return
+    statuses = attempt.statuses
+    is_running = states.Status.RUNNING in statuses
+    is_waiting = states.Status.UNKNOWN in statuses or states.Status.RELEASING in statuses
+    alive = (states.Status.RUNNING, states.Status.FINISHED)
+    unclear = (*alive, states.Status.UNKNOWN, states.Status.RELEASING)
+    job = closing.find_job(state, attempt)
+    if all(status is states.Status.FINISHED for status in statuses):
+        closing.collect(state, attempt, out)
+    elif job is not None and job.cancelled and is_running:
+        closing.close(state, attempt, states.After.CANCEL, out, "cancelled")
+    elif all(status in alive for status in statuses):
+        placement = tuple(place for place in attempt.placement if place is not None)
+        scheduling.restore(state.scheduling, attempt.request, placement, state.now_s)
+        attempt.occupies = True
+        attempt.step = states.Step.RUNNING
+        attempt.since_s = state.now_s
+        attempt.due_s = None
+        closing.unblock(state, attempt)
+        state.plan_due = True
+    elif states.Status.FAILED in statuses:
+        after = states.After.RETRY if attempt.request.idempotent else states.After.FAIL
+        closing.close(state, attempt, after, out, "job_failed", "failed")
+    elif any(status not in unclear for status in statuses):
+        if is_running or not is_waiting:
+            grace_s = gangs.compute_loss_grace_s(state)
+            closing.close(state, attempt, states.After.RETRY, out, "worker_lost", "", grace_s)
+    elif is_running and is_waiting:
+        due_s = state.now_s + RECOVERY_WAIT_S
+        if attempt.due_s is None or due_s < attempt.due_s:
+            closing.set_due(state, attempt, due_s)
+
+
+def note_absent(
+    state: states.PartitionState,
+    attempt: states.Attempt,
+    member: int,
+    restarted: bool,
+    out: list[commands.Command],
+) -> None:
+    """Notes that a worker has no task for a member."""
+    status = attempt.statuses[member]
+    if status is states.Status.UNKNOWN:
+        if restarted:
+            attempt.statuses[member] = states.Status.LOST
+        else:
+            attempt.statuses[member] = states.Status.RELEASING
+            closing.order_release(state, attempt, member, out)
+        _check_found(state, attempt, out)
+        closing.settle(state, attempt, out)
+    elif (
+        status in (states.Status.HELD, states.Status.START_ORDERED, states.Status.RUNNING)
+        and attempt.step is not states.Step.CLOSING
+        and (restarted or state.now_s > attempt.since_s + _REPORT_LAG_S)
+    ):
+        attempt.statuses[member] = states.Status.LOST
+        grace_s = gangs.compute_loss_grace_s(state)
+        closing.close(state, attempt, states.After.RETRY, out, "vanished", "", grace_s)
+
+
+def release_stale(
+    state: states.PartitionState,
+    worker: states.WorkerState,
+    task_id: str,
+    out: list[commands.Command],
+) -> None:
+    """Releases a task that belongs to nothing; its worker gets no new work until then."""
+    worker_id = worker.worker.worker_id
+    worker.stale[task_id] = None
+    state.stale[task_id] = worker_id
+    out.append(commands.ReleaseTask(task_id, worker_id))
+    quarantine.refresh_placeable(state, worker)
+
+
+def note_released(
+    state: states.PartitionState, task_id: str, started: bool, out: list[commands.Command]
+) -> None:
+    """Notes that a worker forgot a task."""
+    worker_id = state.stale.pop(task_id, None)
+    if worker_id is not None:
+        worker = state.workers[worker_id]
+        worker.stale.pop(task_id, None)
+        quarantine.refresh_placeable(state, worker)
+    attempt, member = attempts_.find_attempt(state, task_id)
+    if attempt is not None:
+        attempts_.note_released(state, attempt, member, started, out)
+        _check_found(state, attempt, out)
