Widen the engine's state machine and fix placement off failed workers

Cause: two requests that avoid the same workers made placement recurse without end; late orders, orders of a former owner to unfenced workers and releases were not drawn. Change: a second plan delays such requests instead of planning again. The machine draws late orders, asymmetric cuts, releases with guarantees and quotas.

--- a/lycheegate/core/engine.py
+++ b/lycheegate/core/engine.py
@@ -98,6 +98,7 @@
     actions: list[scheduling.Start | scheduling.Preempt],
     out: _Commands,
     probed: states.WorkerState | None = None,
+    is_second: bool = False,
 ) -> None:
     """Carries out what the placement decided.
 
@@ -106,6 +107,8 @@
         actions: Starts and preemptions, in order.
         out: Commands, appended to.
         probed: Quarantined worker that may get one probe, or None.
+        is_second: Whether the plan was made to place a request off the workers that it failed
+            on; other such requests are then delayed, so that plans do not follow without end.
     """
     for action in actions:
         if isinstance(action, scheduling.Preempt):
@@ -119,7 +122,11 @@
         elif state.now_s < job.avoid_until_s and any(
             place.worker_id in job.failed_on for place in action.placement
         ):
-            _place_elsewhere(state, job, out)
+            if is_second:
+                scheduling.vacate(state.scheduling, action.request_id, state.now_s)
+                retries.delay(state, job, state.now_s + _AVOID_DELAY_S)
+            else:
+                _place_elsewhere(state, job, out)
         else:
             attempts.begin(state, job, action.placement, out)
 
@@ -144,7 +151,7 @@
     actions = scheduling.plan(state.scheduling, state.now_s)
     for worker_id in avoided:
         scheduling.set_placeable(state.scheduling, worker_id, True)
-    _apply(state, actions, out)
+    _apply(state, actions, out, is_second=True)
     if job.phase is states.Phase.QUEUED:
         scheduling.withdraw(state.scheduling, job.request.request_id)
         retries.delay(state, job, state.now_s + _AVOID_DELAY_S)
--- a/lycheegate/core/tests/fakes.py
+++ b/lycheegate/core/tests/fakes.py
@@ -12,7 +12,7 @@
 
 STEP_S = 0.25
 LOSS_TIMEOUT_S = 3.0
-FATES = ("ok", "lost", "reply_lost", "reply_late", "reply_repeated")
+FATES = ("ok", "lost", "late", "late_unreachable", "reply_lost", "reply_late", "reply_repeated")
 
 
 def make_request(
@@ -66,6 +66,8 @@
     crashed: bool = False
     unreachable_since_s: float = 0.0
     known_lost: bool = False
+    reachable_by_old: bool = False
+    connection: int = 0
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     tombstones: dict[str, bool] = dataclasses.field(default_factory=dict)
 
@@ -104,6 +106,7 @@
         self.workers = {f"w{n}": FakeWorker(make_worker(f"w{n}")) for n in range(workers)}
         self.fates: collections.deque[str] = collections.deque()
         self.late: list[tuple[int, events.Event]] = []
+        self.late_orders: list[tuple[Owner, int, commands.Command]] = []
         self.store_writes: list[tuple[int, commands.Command]] = []
         self.releases: list[tuple[int, commands.ReleaseTask]] = []
         self.past_events: collections.deque[events.Event] = collections.deque(maxlen=50)
@@ -113,6 +116,7 @@
         self.commands: list[commands.Command] = []
         self.partial_since_s: dict[str, float] = {}
         self.taken_over_at_s = 0.0
+        self.release: events.ReleaseApplied | None = None
         self.owner: Owner | None = None
         self.old: Owner | None = None
         self.take_over()
@@ -126,7 +130,14 @@
         state = engine.create_state("suwon/0", self.settings, seed=7)
         self.owner = Owner(state, self.table_epoch)
         self.taken_over_at_s = self.now_s
+        # The daemon submits a request again only after it has read that its record has no end.
+        submissions = (events.RequestSubmitted, events.RecoveredRequest)
+        kept = [event for event in self.past_events if not isinstance(event, submissions)]
+        self.past_events.clear()
+        self.past_events.extend(kept)
         self.send(self.owner, events.EpochGained(self.table_epoch))
+        if self.release is not None:
+            self.send(self.owner, self.release)
         for worker in self.workers.values():
             worker.known_lost = False
             self.fence(worker)
@@ -213,14 +224,20 @@
                 else:
                     self.late.append((owner.epoch, events.AnswerBroken(command.attempt_id)))
 
-    def order(self, owner: Owner, command) -> None:
+    def order(self, owner: Owner, command, is_late: bool = False) -> None:
         """Delivers an order to its worker."""
         is_hold = isinstance(command, commands.HoldTask)
         worker = self.workers[command.place.worker_id if is_hold else command.worker_id]
-        if not isinstance(command, commands.StopTask):
+        if not isinstance(command, commands.StopTask) and not is_late:
             assert worker.worker.worker_id not in owner.leaving, "order to a leaving worker"
         fate = self.fates.popleft() if self.fates else "ok"
-        if fate == "lost" or not worker.reachable or not worker.alive or worker.known_lost:
+        if fate in ("late", "late_unreachable"):
+            self.late_orders.append((owner, worker.connection, command))
+            if fate == "late" or isinstance(command, commands.StopTask):
+                return
+        is_reachable = worker.reachable or (worker.reachable_by_old and owner is self.old)
+        is_lost = worker.known_lost and owner is self.owner
+        if fate in ("lost", "late_unreachable") or not is_reachable or not worker.alive or is_lost:
             if not isinstance(command, commands.StopTask):
                 refusal = events.TaskRefused(command.task_id, events.Refusal.UNREACHABLE)
                 self.late.append((owner.epoch, refusal))
@@ -342,7 +359,16 @@
                 self.send(owner, events.AttemptNotRecorded(command.attempt_id))
 
     def deliver_late(self) -> None:
-        """Delivers answers that were held back, last one first."""
+        """Delivers orders and answers that were held back, last one first.
+
+        An order does not outlive the connection to its worker.
+        """
+        orders, self.late_orders = self.late_orders, []
+        for owner, connection, command in reversed(orders):
+            is_hold = isinstance(command, commands.HoldTask)
+            worker = self.workers[command.place.worker_id if is_hold else command.worker_id]
+            if connection == worker.connection and owner in (self.owner, self.old):
+                self.order(owner, command, is_late=True)
         late, self.late = self.late, []
         for epoch, event in reversed(late):
             self.send(self.find_owner(epoch), event)
@@ -407,13 +433,15 @@
                 and self.now_s >= worker.unreachable_since_s + LOSS_TIMEOUT_S
             ):
                 worker.known_lost = True
+                worker.connection += 1
                 self.send(self.owner, events.WorkerLost(worker.worker.worker_id))
 
     # Faults.
 
-    def pause(self, worker_id: str) -> None:
-        """Cuts a worker off; its tasks go on."""
+    def pause(self, worker_id: str, reachable_by_old: bool = False) -> None:
+        """Cuts a worker off; its tasks go on, and an earlier owner may still reach it."""
         worker = self.workers[worker_id]
+        worker.reachable_by_old = reachable_by_old
         if worker.reachable and worker.alive:
             worker.reachable = False
             worker.unreachable_since_s = self.now_s
@@ -438,6 +466,7 @@
         worker = self.workers[worker_id]
         if worker.alive:
             worker.alive = False
+            worker.connection += 1
             worker.crashed = True
             worker.unreachable_since_s = self.now_s
             worker.tasks.clear()
@@ -461,10 +490,12 @@
 
     # Requests.
 
-    def submit(self, request: requests.Request, run_s: float = 1.0) -> None:
-        """Accepts a request."""
+    def submit(self, request: requests.Request, run_s: float = 1.0, also_old: bool = False) -> None:
+        """Accepts a request; an entry VM may still send it to the earlier owner as well."""
         self.records[request.request_id] = Record(request)
         self.run_s[request.request_id] = run_s
+        if also_old:
+            self.send(self.old, events.RequestSubmitted(request))
         self.send(self.owner, events.RequestSubmitted(request))
 
     def cancel(self, request_id: str) -> None:
@@ -518,6 +549,9 @@
         self.store_up = True
         self.fates.clear()
         self.bad_jobs.clear()
+        if self.release is not None:
+            # Work of another shape than the guaranteed one may have to wait for the guarantee.
+            self.send(self.owner, events.ReleaseApplied(self.release.number + 1, (), ()))
         for worker_id, worker in self.workers.items():
             worker.fails_all = False
             self.resume(worker_id)
--- a/lycheegate/core/tests/test_engine_machine.py
+++ b/lycheegate/core/tests/test_engine_machine.py
@@ -6,7 +6,7 @@
 
 from lycheegate.core import engine, events, scheduling
 from lycheegate.core.tests import fakes
-from lycheegate.model import requests
+from lycheegate.model import releases, requests, resources
 
 _WORKERS = st.sampled_from(["w0", "w1", "w2", "w3"])
 
@@ -18,6 +18,7 @@
         super().__init__()
         self.world = fakes.World(workers=4)
         self.count = 0
+        self.release = 0
 
     @stateful.rule(
         shape=st.sampled_from([(1, 0), (1, 1), (1, 4), (2, 2), (3, 4), (4, 1), (5, 4), (1, 5)]),
@@ -27,8 +28,21 @@
         deadline_s=st.sampled_from([None, None, 3.0, 20.0]),
         is_bad=st.sampled_from([False, False, False, True]),
         copies=st.sampled_from([1, 1, 3]),
+        client_account=st.sampled_from(["hanbok-studio", "atelier"]),
+        also_old=st.booleans(),
     )
-    def submit(self, shape, idempotent, urgency, run_s, deadline_s, is_bad, copies):
+    def submit(
+        self,
+        shape,
+        idempotent,
+        urgency,
+        run_s,
+        deadline_s,
+        is_bad,
+        copies,
+        client_account,
+        also_old,
+    ):
         """Submits requests whose declared run time is untrue."""
         world = self.world
         for _ in range(copies):
@@ -36,6 +50,7 @@
             request = fakes.make_request(
                 f"r-{self.count}",
                 *shape,
+                client_account=client_account,
                 idempotent=idempotent,
                 urgency=urgency,
                 submitted_at_s=world.now_s,
@@ -44,7 +59,7 @@
             )
             if is_bad:
                 world.bad_jobs.add(request.request_id)
-            world.submit(request, run_s)
+            world.submit(request, run_s, also_old)
 
     @stateful.rule(duration_s=st.sampled_from([0.25, 0.5, 1.0, 3.0, 7.0]))
     def advance(self, duration_s):
@@ -70,10 +85,10 @@
         """Loses, delays or repeats the next orders or their answers."""
         self.world.fates.extend(fates)
 
-    @stateful.rule(worker_id=_WORKERS)
-    def pause(self, worker_id):
+    @stateful.rule(worker_id=_WORKERS, reachable_by_old=st.booleans())
+    def pause(self, worker_id, reachable_by_old):
         """Cuts a worker off."""
-        self.world.pause(worker_id)
+        self.world.pause(worker_id, reachable_by_old)
 
     @stateful.rule(worker_id=_WORKERS)
     def resume(self, worker_id):
@@ -111,6 +126,25 @@
         """Starts a second owner while the first goes on sending orders."""
         self.world.take_over()
 
+    @stateful.rule(
+        units=st.integers(0, 3),
+        accelerators=st.sampled_from([2, 4]),
+        quota=st.sampled_from([None, 8, 16]),
+    )
+    def apply_release(self, units, accelerators, quota):
+        """Changes guarantees and quotas."""
+        self.release += 1
+        shape = resources.Shape(1, accelerators)
+        self.world.release = events.ReleaseApplied(
+            self.release,
+            (
+                releases.ClientAccount("hanbok-studio", quota, 2.0),
+                releases.ClientAccount("atelier"),
+            ),
+            (releases.Guarantee("atelier", "block", shape, units, "suwon"),) if units else (),
+        )
+        self.world.send(self.world.owner, self.world.release)
+
     @stateful.precondition(lambda self: self.world.past_events)
     @stateful.rule(indices=st.lists(st.integers(0, 49), min_size=1, max_size=5))
     def repeat_events(self, indices):
