--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,95 @@
+"""Threaded HTTP servers of the stand-ins."""
+
+import argparse
+import contextlib
+import signal
+import socket
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+from cheroot import wsgi
+
+__all__ = ["Server", "Startable", "create_parser", "run_until_stopped"]
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Gateway that lets the application close its connection without an answer."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the WSGI environment of the request."""
+        environ = super().get_environ()
+        environ["standins.break_connection"] = self._break_connection
+        return environ
+
+    def _break_connection(self) -> None:
+        self.req.close_connection = True
+        with contextlib.suppress(OSError):
+            self.req.conn.socket.shutdown(socket.SHUT_RDWR)
+
+
+class Server:
+    """HTTP server of one stand-in on a loopback port."""
+
+    def __init__(self, application: Callable, port: int = 0, threads: int = 16):
+        self._server = wsgi.Server(
+            ("127.0.0.1", port),
+            application,
+            numthreads=threads,
+            request_queue_size=256,
+            timeout=60,
+            shutdown_timeout=1,
+        )
+        self._server.gateway = _Gateway
+        self._server.error_log = _ignore_log
+        self._thread: threading.Thread | None = None
+        self.address = ""
+
+    def start(self) -> None:
+        """Binds the port and serves in a thread."""
+        self._server.prepare()
+        self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
+        self._thread = threading.Thread(target=self._server.serve, name="standin", daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the port and all connections."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(5.0)
+
+
+class Startable(Protocol):
+    """A stand-in that can be started and stopped."""
+
+    address: str
+
+    def start(self) -> None:
+        """Starts serving."""
+
+    def stop(self) -> None:
+        """Stops serving."""
+
+
+def _ignore_log(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Drops cheroot's messages about connections that were closed on purpose."""
+
+
+def create_parser(description: str) -> argparse.ArgumentParser:
+    """Returns a parser with the options that all stand-ins have."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--port", type=int, default=0, help="0: the operating system chooses")
+    return parser
+
+
+def run_until_stopped(name: str, standins: Sequence[Startable]) -> None:
+    """Starts stand-ins, prints a line with the address of each, and waits for a signal."""
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    for standin in standins:
+        standin.start()
+        print(f"{name} http://{standin.address}", flush=True)
+    stopped.wait()
+    for standin in standins:
+        standin.stop()
