--- a/standins/memory.py
+++ b/standins/memory.py
@@ -28,7 +28,7 @@
     Attributes:
         faults: Fault switches.
         request_count: Calls so far, refused ones included.
-        write_count: Transactions that took effect so far.
+        write_count: Transactions that took effect so far, except those that only check.
     """
 
     def __init__(self, sleep: Callable[[float], None] = time.sleep):
@@ -86,7 +86,8 @@
                 self._apply_one(operation, data)
                 for operation, data in zip(operations, encoded, strict=True)
             ]
-            self.write_count += 1
+            if any(op.kind is not table_module.OperationKind.CHECK for op in operations):
+                self.write_count += 1
         return result.Success(tuple(versions))
 
     def get(self, table: str, key: str) -> table_module.Row | None:
