Add worker client

Cause: the owner of a partition orders, fences and watches its workers over the worker protocol. Change: WorkerPool sends orders (repeated under a budget, since each names its task), keeps a long poll for each worker without a thread for each, translates it into the events of the decisions, and reports a worker lost 3 s after its last answer. A report after a fence is complete: an order whose outcome is unknown and whose task the worker does not know is deleted first, and orders are refused until the decisions have taken the report. Answers are checked for length, digest and request. The contract test found that a worker's 503 'leaving' and 507 counted as server errors; guards now take a function that tells which responses are failures.

--- a/lycheegate/platform/guards.py
+++ b/lycheegate/platform/guards.py
@@ -11,7 +11,7 @@
 from lycheegate.platform import http
 from lycheegate.utils import backoff, exceptions
 
-__all__ = ["Guard", "create_guard", "is_refused", "send", "send_and_wait"]
+__all__ = ["Guard", "create_guard", "find_error", "send", "send_and_wait"]
 
 HttpResult = http.HttpResult
 
@@ -45,9 +45,14 @@
     return Guard(backoff.RetryBudget(), breaker, generator, monotonic_s)
 
 
-def is_refused(response: http.Response) -> bool:
-    """Returns whether a response says that the system took no notice of the request."""
-    return response.status == 503
+def find_error(response: http.Response) -> exceptions.LycheegateError | None:
+    """Returns the failure that a server error stands for, or None for a proper answer."""
+    if response.status == 503:
+        return exceptions.UnavailableError("status 503")
+    if response.status >= 500:
+        # The system may have failed before or after the request took effect.
+        return exceptions.OutcomeUnknownError(f"status {response.status}")
+    return None
 
 
 def send(
@@ -55,7 +60,7 @@
     guard: Guard,
     request: http.Request,
     repeatable: bool,
-    refused: Callable[[http.Response], bool] = is_refused,
+    find: Callable[[http.Response], exceptions.LycheegateError | None] = find_error,
 ) -> futures.Future[HttpResult]:
     """Sends a request, and again if that is safe and the budget allows it.
 
@@ -63,6 +68,13 @@
     unknown is sent again only if it is ``repeatable``; if no attempt gives an answer, the outcome
     stays unknown, whatever the last attempt met.
 
+    Args:
+        client: HTTP client.
+        guard: Budget and breaker of the outside system.
+        request: The request.
+        repeatable: Whether it may take effect twice.
+        find: Tells which responses are failures.
+
     Returns:
         A future of the response. ``request.timeout_s`` bounds all attempts together.
     """
@@ -81,18 +93,13 @@
 
     def take_outcome(number: int, outcome: HttpResult) -> None:
         if isinstance(outcome, result.Success):
-            response = outcome.unwrap()
-            if not refused(response):
-                if response.status < 500:
-                    guard.breaker.record_success()
-                    guard.budget.record_success()
-                    finish(outcome)
-                    return
-                # Any other server error leaves open whether the request took effect.
-                error = exceptions.OutcomeUnknownError(f"status {response.status}")
-            else:
-                error = exceptions.UnavailableError(f"status {response.status}")
-            outcome = result.Failure(error)
+            found = find(outcome.unwrap())
+            if found is None:
+                guard.breaker.record_success()
+                guard.budget.record_success()
+                finish(outcome)
+                return
+            outcome = result.Failure(found)
         error = outcome.failure()
         guard.breaker.record_failure()
         may_repeat = isinstance(error, exceptions.UnavailableError)
--- a/lycheegate/platform/http.py
+++ b/lycheegate/platform/http.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from concurrent import futures
 
+import logbook
 import pycurl
 from returns import result
 
@@ -22,6 +23,8 @@
 
 HttpResult = result.Result["Response", exceptions.LycheegateError]
 
+_log = logbook.Logger("platform.http")
+
 _SPARE_HANDLES = 64
 _MAX_HEADER_BYTES = 16_384
 _EVENT_BITS = {
@@ -374,7 +377,11 @@
                 if not self._timers or self._timers[0][0] > time.monotonic():
                     return
                 timer = heapq.heappop(self._timers)[2]
-            timer.run()
+            try:
+                timer.run()
+            except Exception:
+                # A defect in one timer must not end the thread that serves all clients.
+                _log.exception("timer_failed")
 
     def _fail_all(self) -> None:
         """Ends what is still under way when the client is closed."""
--- /dev/null
+++ b/lycheegate/platform/tests/test_workers.py
@@ -0,0 +1,308 @@
+"""Contract tests of the worker pool against the worker stand-in."""
+
+import queue
+import random
+import time
+
+import pytest
+from returns import result
+
+from lycheegate.core import commands, events
+from lycheegate.model import resources
+from lycheegate.platform import http, workers
+from lycheegate.utils import exceptions
+from standins import worker as worker_standin
+
+_WAIT_S = 20.0
+_PLACE = resources.MemberPlacement("w1", 0, 2)
+_FAST = workers.WorkerSettings(
+    poll_wait_s=0.2, loss_timeout_s=0.6, check_interval_s=0.02, connect_timeout_s=0.3
+)
+_LONG = {"run_s": 600}
+
+
+class _Owner:
+    """Pool of one worker, with the events it has emitted."""
+
+    def __init__(self, standin, epoch=1, settings=_FAST):
+        self.standin = standin
+        self.client = http.HttpClient()
+        self.emitted: queue.Queue = queue.Queue()
+        self.seen: list[events.Event] = []
+        self.fenced: queue.Queue = queue.Queue()
+        self.pool = workers.WorkerPool(
+            self.client,
+            "p",
+            epoch,
+            self.emitted.put,
+            self.fenced.put,
+            random.Random(5),
+            settings,
+        )
+        self.pool.add(resources.Worker("w1", standin.address, "r", "dc", "rack", 1, 1))
+        self.report = self.take(events.WorkerReported)
+        self.pool.accept_orders("w1")
+
+    def take(self, kind, **fields):
+        """Waits for an event of a kind, and returns it; earlier ones are kept in ``seen``."""
+        ends_s = time.monotonic() + _WAIT_S
+        while True:
+            event = self.emitted.get(timeout=max(0.01, ends_s - time.monotonic()))
+            self.seen.append(event)
+            if isinstance(event, kind):
+                assert all(getattr(event, name) == value for name, value in fields.items())
+                return event
+
+    def hold(self, task_id, payload=_LONG, start=True, place=_PLACE):
+        request_id = task_id.split(".")[0]
+        self.pool.hold(commands.HoldTask(task_id, request_id, 0, place, start), "x", payload)
+
+    def close(self):
+        self.pool.close()
+        self.client.close()
+
+
+@pytest.fixture(name="standin")
+def _standin():
+    standin = worker_standin.WorkerStandin()
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture(name="owner")
+def _owner(standin):
+    owner = _Owner(standin)
+    yield owner
+    owner.close()
+
+
+@pytest.mark.parametrize(
+    ("payload", "start", "kinds"),
+    [
+        ({"run_s": 0.05}, True, [events.TaskStarted, events.TaskFinished]),
+        ({"run_s": 0.05, "fail": "no input"}, True, [events.TaskStarted, events.TaskFailed]),
+        (_LONG, False, [events.TaskHeld]),
+    ],
+)
+def test_task_events(owner, payload, start, kinds):
+    """Guards against a state of a task that is not told, told twice or told out of order."""
+    owner.hold("a.0", payload, start)
+    for kind in kinds:
+        owner.take(kind, task_id="a.0")
+    # The event of another task comes after all events of the first one.
+    owner.hold("z.0", place=resources.MemberPlacement("w1", 4, 1))
+    owner.take(events.TaskStarted, task_id="z.0")
+    assert [type(event) for event in owner.seen[1:-1]] == kinds
+
+
+@pytest.mark.parametrize(
+    ("prepare", "reason"),
+    [
+        (lambda o: o.standin.leave(), events.Refusal.LEAVING),
+        (lambda o: o.pool.note_leaving("w1"), events.Refusal.LEAVING),
+        (lambda o: o.hold("b.0"), events.Refusal.CAPACITY),
+        (lambda o: o.pool.release(commands.ReleaseTask("a.0", "w1")), events.Refusal.TOMBSTONE),
+        (lambda o: o.standin.faults.set(refused=True), events.Refusal.UNREACHABLE),
+        (lambda o: o.standin.faults.set(down=True), events.Refusal.UNREACHABLE),
+        (lambda o: o.pool.remove("w1"), events.Refusal.UNREACHABLE),
+    ],
+)
+def test_refusals(owner, prepare, reason):
+    """Guards against a refused order that is told as taken, or with another reason."""
+    prepare(owner)
+    if reason is events.Refusal.TOMBSTONE:
+        owner.take(events.TaskReleased, task_id="a.0", started=False)
+    if reason is events.Refusal.CAPACITY:
+        owner.take(events.TaskStarted, task_id="b.0")
+    owner.hold("a.0")
+    owner.take(events.TaskRefused, task_id="a.0", reason=reason)
+    assert "a" not in owner.standin.get_starts()
+
+
+@pytest.mark.parametrize(
+    ("mode", "able", "checkpointed"),
+    [
+        (commands.StopMode.CHECKPOINT, True, True),
+        (commands.StopMode.CHECKPOINT, False, False),
+        (commands.StopMode.KILL, True, False),
+    ],
+)
+def test_stop(owner, mode, able, checkpointed):
+    """Guards against a stop that is not told, or told with a checkpoint that does not exist."""
+    owner.standin.faults.set(checkpoint_on_stop=able)
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    owner.pool.stop(commands.StopTask("a.0", "w1", mode, 0.05))
+    owner.take(events.TaskStopped, task_id="a.0", checkpointed=checkpointed)
+    owner.pool.release(commands.ReleaseTask("a.0", "w1"))
+    owner.take(events.TaskReleased, task_id="a.0", started=True)
+
+
+def test_lease_lapse(owner):
+    """Guards against a task whose end by a lapsed lease is not noticed."""
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    owner.standin.lapse_leases()
+    owner.take(events.TaskStopped, task_id="a.0", checkpointed=True)
+
+
+def test_renew_leases(standin):
+    """Guards against tasks that lose their lease although their owner lives."""
+    settings = workers.WorkerSettings(poll_wait_s=0.1, lease_s=1.0)
+    owner = _Owner(standin, settings=settings)
+    owner.hold("a.0", {"run_s": 3.0})
+    owner.take(events.TaskStarted)
+    owner.take(events.TaskFinished)
+    assert not any(isinstance(event, events.TaskStopped) for event in owner.seen)
+    owner.close()
+
+
+@pytest.mark.parametrize("switch", ["lose_answers", "lose_requests"])
+@pytest.mark.parametrize("order", ["hold", "start", "stop", "release"])
+def test_lost_messages(owner, switch, order):
+    """Guards against an order that is lost, or takes effect twice, with its answer."""
+    owner.hold("a.0", start=order == "stop")
+    owner.take((events.TaskHeld, events.TaskStarted))
+    owner.standin.faults.set(**{switch: 1})
+    if order == "hold":
+        owner.hold("b.0", place=resources.MemberPlacement("w1", 2, 1))
+        kind = events.TaskStarted
+    elif order == "start":
+        owner.pool.start(commands.StartTask("a.0", "w1"))
+        kind = events.TaskStarted
+    elif order == "stop":
+        owner.pool.stop(commands.StopTask("a.0", "w1", commands.StopMode.KILL, 0.0))
+        kind = events.TaskStopped
+    else:
+        owner.pool.release(commands.ReleaseTask("a.0", "w1"))
+        kind = events.TaskReleased
+    # The poll may meet the fault instead of the order; then the worker is reported again.
+    event = owner.take((kind, events.TaskRefused))
+    assert isinstance(event, kind)
+    assert all(count == {0: 1} for count in owner.standin.get_starts().values())
+
+
+@pytest.mark.parametrize(
+    ("switches", "broken"),
+    [
+        ({"cut_answers": 1}, False),
+        ({"wrong_digests": 2}, False),
+        ({"wrong_requests": 1}, False),
+        ({"lose_answers": 1}, False),
+        ({"cut_answers": 99}, True),
+        ({"wrong_digests": 99}, True),
+        ({"wrong_requests": 99}, True),
+        ({"refused": True}, True),
+    ],
+)
+def test_fetch_answer(owner, switches, broken):
+    """Guards against an answer that is cut, altered or of another request but passed on."""
+    owner.hold("a.0", {"answer_bytes": 100_000})
+    owner.take(events.TaskFinished)
+    owner.standin.faults.set(**switches)
+    outcome = owner.pool.fetch_answer("w1", "a.0", "a").result(_WAIT_S)
+    if broken:
+        assert isinstance(
+            outcome.failure(), (exceptions.ProtocolError, exceptions.UnavailableError)
+        )
+    else:
+        assert outcome.unwrap() == b"a" * 100_000
+
+
+@pytest.mark.parametrize(("task_id", "worker_id"), [("none.0", "w1"), ("a.0", "other")])
+def test_fetch_missing_answer(owner, task_id, worker_id):
+    """Guards against an answer that is waited for although nobody has it."""
+    outcome = owner.pool.fetch_answer(worker_id, task_id, "a").result(_WAIT_S)
+    assert isinstance(outcome.failure(), exceptions.UnavailableError)
+
+
+def test_answer_too_large(standin):
+    """Guards against an answer that fills the memory of the entry VM."""
+    owner = _Owner(standin, settings=workers.WorkerSettings(max_answer_bytes=1000))
+    owner.hold("a.0", {"answer_bytes": 1001})
+    owner.take(events.TaskFinished)
+    outcome = owner.pool.fetch_answer("w1", "a.0", "a").result(_WAIT_S)
+    assert isinstance(outcome, result.Failure)
+    owner.close()
+
+
+def test_leaving_is_told(owner):
+    """Guards against work that is placed on a worker that has said it is leaving."""
+    owner.standin.leave()
+    owner.take(events.WorkerLeaving, worker_id="w1")
+
+
+def test_takeover(standin, owner):
+    """Guards against an old owner whose orders count after another has fenced the worker."""
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    successor = _Owner(standin, epoch=2)
+    assert [task.task_id for task in successor.report.tasks] == ["a.0"]
+    owner.hold("b.0", place=resources.MemberPlacement("w1", 2, 1))
+    assert owner.fenced.get(timeout=_WAIT_S) == 2
+    assert "b" not in standin.get_starts()
+    successor.pool.stop(commands.StopTask("a.0", "w1", commands.StopMode.KILL, 0.0))
+    successor.take(events.TaskStopped, task_id="a.0")
+    successor.close()
+
+
+def test_lose_and_regain_paused_worker(owner):
+    """Guards against a paused worker that is not noticed, or comes back with late orders.
+
+    The order that was given to the paused worker is settled before the worker is reported: it is
+    either in the report or can no longer start.
+    """
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    owner.standin.faults.set(stalled=True)
+    owner.hold("b.0", place=resources.MemberPlacement("w1", 2, 1))
+    owner.take(events.WorkerLost, worker_id="w1")
+    owner.standin.faults.set(stalled=False)
+    report = owner.take(events.WorkerReported)
+    states = {task.task_id: task.state for task in report.tasks}
+    assert states["a.0"] is events.TaskState.RUNNING
+    if "b.0" not in states:
+        assert "b" not in owner.standin.get_starts()
+    owner.hold("c.0", place=resources.MemberPlacement("w1", 3, 1))
+    owner.take(events.TaskRefused, task_id="c.0", reason=events.Refusal.UNREACHABLE)
+    owner.pool.accept_orders("w1")
+    owner.hold("d.0", place=resources.MemberPlacement("w1", 3, 1))
+    owner.take(events.TaskStarted, task_id="d.0")
+
+
+def test_delete_unsettled_order_before_the_report(owner):
+    """Guards against a report that omits a task which starts later.
+
+    Every answer to the order is lost, and the order takes no effect; so the pool cannot know.
+    """
+    owner.standin.faults.set(lose_requests=1000)
+    owner.hold("a.0")
+    owner.take(events.WorkerLost)
+    owner.standin.faults.set(lose_requests=0)
+    report = owner.take(events.WorkerReported)
+    assert report.tasks == ()
+    # The tombstone refuses an order that was under way all the time.
+    owner.pool.accept_orders("w1")
+    owner.hold("a.0")
+    owner.take(events.TaskRefused, task_id="a.0", reason=events.Refusal.TOMBSTONE)
+    assert owner.standin.get_starts() == {}
+
+
+def test_restarted_worker(standin, owner):
+    """Guards against a worker that has lost its tasks in a restart and still counts as running."""
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    port = int(standin.address.rpartition(":")[2])
+    standin.stop()
+    fresh = worker_standin.WorkerStandin(port=port)
+    fresh.start()
+    assert owner.take(events.WorkerReported).tasks == ()
+    fresh.stop()
+    owner.take(events.WorkerLost)
+
+
+def test_remove(owner):
+    """Guards against a worker that is gone from the VM list and still counts."""
+    owner.pool.remove("w1")
+    owner.take(events.WorkerLost, worker_id="w1")
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -48,6 +48,9 @@
     def start(self) -> None:
         """Binds the port and serves in a thread."""
         self._server.prepare()
+        # cheroot leaves this out for a port that the system chose. Connections inherit it, so that
+        # a restarted stand-in can bind the same port.
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
         self._thread = threading.Thread(target=self._server.serve, name="standin", daemon=True)
         self._thread.start()
