--- a/lycheegate/platform/http.py
+++ b/lycheegate/platform/http.py
@@ -162,12 +162,14 @@
 
     Attributes:
         requests_done: Requests that ended so far.
+        connections_made: Connections opened so far.
         bytes_sent: Bytes of request lines, headers and bodies sent so far.
         bytes_received: Bytes of status lines, headers and bodies received so far.
     """
 
     def __init__(self, name: str = "http", limits: HttpLimits | None = None):
         self.requests_done = 0
+        self.connections_made = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self._limits = limits or HttpLimits()
@@ -338,6 +340,7 @@
     def _finish(self, handle: pycurl.Curl, code: int, message: str) -> None:
         transfer = self._transfers.pop(handle)
         self.requests_done += 1
+        self.connections_made += handle.getinfo(pycurl.NUM_CONNECTS)
         self.bytes_received += transfer.header_bytes + transfer.size
         if transfer.sent:
             self.bytes_sent += handle.getinfo(pycurl.REQUEST_SIZE)
--- /dev/null
+++ b/lycheegate/platform/tests/test_http.py
@@ -0,0 +1,197 @@
+"""Tests of the HTTP client."""
+
+import random
+import threading
+
+import pytest
+from returns import result
+
+from lycheegate.platform import guards, http, table_client
+from lycheegate.utils import exceptions
+from standins import objects as objects_standin
+from standins import table as table_standin
+
+_WAIT_S = 20.0
+_UNAVAILABLE = exceptions.UnavailableError
+_UNKNOWN = exceptions.OutcomeUnknownError
+_PROTOCOL = exceptions.ProtocolError
+
+
+@pytest.fixture(name="standin", scope="module")
+def _standin():
+    standin = objects_standin.ObjectsStandin(threads=120)
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture(name="client")
+def _client(standin):
+    standin.faults.clear()
+    standin.objects.clear()
+    standin.objects["k"] = b"content"
+    client = http.HttpClient(limits=http.HttpLimits(connections_per_origin=4))
+    yield client
+    client.close()
+    standin.faults.clear()
+
+
+def _make_request(standin, method="GET", body=None, **fields):
+    return http.Request(method, f"http://{standin.address}/v1/objects/k", body, **fields)
+
+
+def _send(client, request):
+    return client.send(request).result(_WAIT_S)
+
+
+def test_exchange(standin, client):
+    """Guards against a body, status or header that is lost, and connections that are not reused."""
+    for _ in range(20):
+        assert _send(client, _make_request(standin, "PUT", b"\0new")).unwrap().status == 204
+        response = _send(client, _make_request(standin)).unwrap()
+        assert (response.status, response.body) == (200, b"\0new")
+        assert response.headers["x-request-id"] == "k"
+    assert client.connections_made == 1
+    assert client.requests_done == 40
+    assert client.bytes_sent > 40 * 30
+    assert client.bytes_received > 40 * 30
+
+
+@pytest.mark.parametrize("warm", [False, True])
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST", "DELETE"])
+@pytest.mark.parametrize("switch", ["lose_answers", "lose_requests"])
+def test_send_once(standin, client, switch, method, warm):
+    """Guards against libcurl's own repetition after a reused connection was closed."""
+    if warm:
+        _send(client, _make_request(standin))
+    before = standin.request_count
+    standin.faults.set(**{switch: 9})
+    body = b"x" if method in ("PUT", "POST") else None
+    outcome = _send(client, _make_request(standin, method, body))
+    assert type(outcome.failure()) is _UNKNOWN
+    assert standin.request_count == before + 1
+
+
+@pytest.mark.parametrize(
+    ("switches", "fields", "error"),
+    [
+        ({"down": True}, {}, _UNKNOWN),
+        ({"stalled": True}, {"timeout_s": 0.2}, _UNKNOWN),
+        ({"slow_s": 1.0}, {"timeout_s": 0.2}, _UNKNOWN),
+        ({"cut_answers": 1}, {}, _UNKNOWN),
+        ({}, {"max_body_bytes": 6}, _PROTOCOL),
+        ({}, {"max_body_bytes": 7}, None),
+        ({"refused": True}, {}, None),
+    ],
+)
+def test_outcomes(standin, client, switches, fields, error):
+    """Guards against a failure that is told as another kind than it is."""
+    standin.faults.set(**switches)
+    outcome = _send(client, _make_request(standin, **fields))
+    if error is None:
+        assert isinstance(outcome, result.Success)
+    else:
+        assert type(outcome.failure()) is error
+
+
+def test_not_sent(standin, client):
+    """Guards against a request that was never sent but counts as one that may have run."""
+    refused = http.Request("PUT", "http://127.0.0.1:1/", b"x")
+    assert type(_send(client, refused).failure()) is _UNAVAILABLE
+    standin.faults.set(stalled=True)
+    waiting = [client.send(_make_request(standin, "PUT", b"x", timeout_s=0.3)) for _ in range(9)]
+    kinds = [type(future.result(_WAIT_S).failure()) for future in waiting]
+    # 4 connections carry a request each; the other requests never get one.
+    assert sorted(kind.__name__ for kind in kinds) == sorted(
+        4 * [_UNKNOWN.__name__] + 5 * [_UNAVAILABLE.__name__]
+    )
+
+
+def test_many_waiting_requests(standin):
+    """Guards against long polls that wait for each other; one by one they would take 50 s."""
+    client = http.HttpClient(limits=http.HttpLimits(connections_per_origin=100))
+    standin.faults.set(slow_s=0.5)
+    waiting = [client.send(_make_request(standin, timeout_s=10.0)) for _ in range(100)]
+    assert all(isinstance(future.result(_WAIT_S), result.Success) for future in waiting)
+    standin.faults.clear()
+    client.close()
+
+
+def test_stalled_store_blocks_nobody_else(standin, client):
+    """Guards against a stalled store that takes the connections or the thread of other clients."""
+    table = table_standin.TableStandin()
+    table.start()
+    table.faults.set(stalled=True)
+    url = f"http://{table.address}"
+    stalled = table_client.HttpTable(client, url, random.Random(1))
+    threads = [
+        threading.Thread(target=stalled.read, args=("t", "k", 60.0), daemon=True) for _ in range(50)
+    ]
+    for thread in threads:
+        thread.start()
+    for _ in range(100):
+        assert _send(client, _make_request(standin)).unwrap().body == b"content"
+    table.faults.clear()
+    for thread in threads:
+        thread.join(_WAIT_S)
+    table.stop()
+
+
+def test_refuse_past_the_limit(standin):
+    """Guards against a queue that grows without bound while a system is stalled."""
+    limits = http.HttpLimits(connections_per_origin=2, requests_per_origin=5)
+    client = http.HttpClient(limits=limits)
+    standin.faults.set(stalled=True)
+    waiting = [client.send(_make_request(standin, timeout_s=10.0)) for _ in range(8)]
+    assert [future.done() for future in waiting] == 5 * [False] + 3 * [True]
+    assert type(waiting[-1].result().failure()) is _UNAVAILABLE
+    standin.faults.clear()
+    assert all(isinstance(f.result(_WAIT_S), result.Success) for f in waiting[:5])
+    assert isinstance(_send(client, _make_request(standin)), result.Success)
+    client.close()
+
+
+def test_close(standin):
+    """Guards against a caller that waits for a client that is closed."""
+    client = http.HttpClient(limits=http.HttpLimits(connections_per_origin=1))
+    standin.faults.set(stalled=True)
+    before = standin.request_count
+    waiting = [client.send(_make_request(standin, timeout_s=10.0)) for _ in range(2)]
+    while standin.request_count == before:
+        pass
+    client.close()
+    kinds = {type(future.result(_WAIT_S).failure()) for future in waiting}
+    assert kinds == {_UNKNOWN, _UNAVAILABLE}
+    assert type(_send(client, _make_request(standin)).failure()) is _UNAVAILABLE
+    standin.faults.clear()
+
+
+def test_timers(client):
+    """Guards against timers out of order, cancelled ones that run, and a defect in one of them."""
+    called = []
+    ended = threading.Event()
+    client.call_later(0.05, lambda: called.append(2))
+    client.call_later(0.01, lambda: called.append(1))
+    client.call_later(0.02, lambda: called.append(9)).cancel()
+    client.call_later(0.03, lambda: called[99])
+    client.call_later(0.06, ended.set)
+    assert ended.wait(_WAIT_S)
+    assert called == [1, 2]
+
+
+def test_refuse_to_wait_on_own_thread(standin, client):
+    """Guards against the client's thread waiting for itself for ever."""
+    raised = []
+    ended = threading.Event()
+    guard = guards.create_guard(random.Random(1))
+
+    def wait():
+        try:
+            guards.send_and_wait(client, guard, _make_request(standin), True)
+        except RuntimeError as error:
+            raised.append(error)
+        ended.set()
+
+    client.call_later(0.0, wait)
+    assert ended.wait(_WAIT_S)
+    assert raised
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -41,6 +41,8 @@
             shutdown_timeout=1,
         )
         self._server.gateway = _Gateway
+        # cheroot's default of 10 idle connections makes clients with more connect again and again.
+        self._server.keep_alive_conn_limit = 1000
         self._server.error_log = _ignore_log
         self._thread: threading.Thread | None = None
         self.address = ""
