--- /dev/null
+++ b/lycheegate/keys/tokens.py
@@ -0,0 +1,141 @@
+"""Bearer tokens of callers and operators.
+
+A token is ``lyg_<salt>_<secret>``; its hash is ``sha256$<salt>$<digest>``. The salt is public: it
+is part of both, so that the holder of a token is found by one lookup, and the digest is then
+compared in constant time. The secret has 256 random bits, so a slow hash adds nothing.
+"""
+
+import dataclasses
+import datetime
+import enum
+import hashlib
+import hmac
+import re
+import secrets
+from collections.abc import Iterable
+
+from returns import result
+
+__all__ = [
+    "HASH_PATTERN",
+    "Holder",
+    "TokenIndex",
+    "TokenProblem",
+    "find_salt",
+    "hash_token",
+    "make_token",
+    "parse_bearer",
+    "verify_token",
+]
+
+HASH_PATTERN = r"^sha256\$[0-9a-f]{16}\$[0-9a-f]{64}\Z"
+_TOKEN = re.compile(r"^lyg_(?P<salt>[0-9a-f]{16})_(?P<secret>[A-Za-z0-9_-]{43})\Z", re.ASCII)
+_SALT_BYTES = 8
+_SECRET_BYTES = 32
+# Compared against when no holder has the salt, so that both cases cost one hash and one compare.
+_NO_HASH = f"sha256${'0' * 16}${'0' * 64}"
+
+
+class TokenProblem(enum.StrEnum):
+    """Why a token was not accepted."""
+
+    MISSING = "missing"
+    WRONG = "wrong"
+    EXPIRED = "expired"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Someone who holds a token.
+
+    Attributes:
+        name: Name of the caller or operator.
+        token_hash: Hash of the token.
+        expires_on: Last day on which the token is valid, as an ISO date, or None.
+    """
+
+    name: str
+    token_hash: str
+    expires_on: str | None = None
+
+
+def make_token() -> str:
+    """Returns a new random token."""
+    return f"lyg_{secrets.token_hex(_SALT_BYTES)}_{secrets.token_urlsafe(_SECRET_BYTES)}"
+
+
+def hash_token(token: str) -> str:
+    """Returns the hash of a token, for settings files and release notes.
+
+    Raises:
+        ValueError: The text does not have the form of a token.
+    """
+    match = _TOKEN.match(token)
+    if match is None:
+        raise ValueError("not a token")
+    return f"sha256${match['salt']}${_digest(token)}"
+
+
+def find_salt(token_hash: str) -> str:
+    """Returns the salt of a token hash."""
+    return token_hash.split("$")[1]
+
+
+def verify_token(
+    token: str, token_hash: str, expires_on: str | None, today: datetime.date
+) -> result.Result[None, TokenProblem]:
+    """Checks a token against a hash in constant time, then its expiry.
+
+    Expiry is told only to someone who holds the right token.
+
+    Args:
+        token: Token as presented.
+        token_hash: Hash that ``hash_token`` gave.
+        expires_on: Last valid day as an ISO date, or None.
+        today: Current date in UTC.
+    """
+    digest = _digest(token)
+    expected = token_hash.rpartition("$")[2]
+    matches = hmac.compare_digest(digest.encode(), expected.encode())
+    if not matches or _TOKEN.match(token) is None:
+        return result.Failure(TokenProblem.WRONG)
+    if expires_on is not None and today > datetime.date.fromisoformat(expires_on):
+        return result.Failure(TokenProblem.EXPIRED)
+    return result.Success(None)
+
+
+def parse_bearer(header: str | None) -> result.Result[str, TokenProblem]:
+    """Returns the token of an ``Authorization`` header."""
+    if not header:
+        return result.Failure(TokenProblem.MISSING)
+    scheme, _, token = header.partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        return result.Failure(TokenProblem.MISSING)
+    return result.Success(token.strip())
+
+
+class TokenIndex:
+    """Finds the holder of a token; unchanged after it was made, so safe between threads."""
+
+    def __init__(self, holders: Iterable[Holder]):
+        self._by_salt = {find_salt(holder.token_hash): holder for holder in holders}
+
+    def authenticate(
+        self, header: str | None, today: datetime.date
+    ) -> result.Result[str, TokenProblem]:
+        """Returns the name of the holder of the bearer token in a header."""
+        return parse_bearer(header).bind(lambda token: self.find(token, today))
+
+    def find(self, token: str, today: datetime.date) -> result.Result[str, TokenProblem]:
+        """Returns the name of the holder of a token."""
+        match = _TOKEN.match(token)
+        holder = self._by_salt.get(match["salt"]) if match else None
+        if holder is None:
+            verify_token(token, _NO_HASH, None, today)
+            return result.Failure(TokenProblem.WRONG)
+        checked = verify_token(token, holder.token_hash, holder.expires_on, today)
+        return checked.map(lambda _: holder.name)
+
+
+def _digest(token: str) -> str:
+    return hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
