--- a/lycheegate/metrics/__init__.py
+++ b/lycheegate/metrics/__init__.py
@@ -1,3 +1,3 @@
 """Logs, counters, histograms and reports."""
 
-__all__: list[str] = []
+__all__ = ["counters", "histograms", "logs", "report"]
