--- a/lycheegate/release/__init__.py
+++ b/lycheegate/release/__init__.py
@@ -1,3 +1,3 @@
 """Release notes: parsed, checked, planned, accepted and read back."""
 
-__all__: list[str] = []
+__all__ = ["capacity", "checks", "encoding", "holder", "notes", "plans", "store"]
--- a/lycheegate/utils/documents.py
+++ b/lycheegate/utils/documents.py
@@ -46,7 +46,7 @@
         value: The model, or None if there is no mapping at all. Its own fields are None where
             a field without a default is missing or wrong, so that the rest can be checked.
         places: Place of each value by its path; indices are those within the model.
-        incomplete: Paths of lists and mappings that lost a faulty element.
+        incomplete: Paths of faulty fields, and of lists and mappings that lost an element.
         collected: All findings, in no order.
     """
 
@@ -144,11 +144,15 @@
 
 
 def _find_words(kind: msgspec.inspect.Type) -> str | None:
-    while isinstance(kind, msgspec.inspect.Metadata):
-        if kind.extra and "allowed" in kind.extra:
-            return kind.extra["allowed"]
-        kind = kind.type
-    return None
+    while True:
+        if isinstance(kind, msgspec.inspect.Metadata):
+            if kind.extra and "allowed" in kind.extra:
+                return kind.extra["allowed"]
+            kind = kind.type
+        elif isinstance(kind, msgspec.inspect.UnionType):
+            kind = next(t for t in kind.types if not isinstance(t, msgspec.inspect.NoneType))
+        else:
+            return None
 
 
 def _describe_range(name: str, kind: msgspec.inspect.IntType | msgspec.inspect.FloatType) -> str:
@@ -257,7 +261,9 @@
                 self._add_at(key_node, "unknown_field", f"unknown field {key!r}", ", ".join(fields))
                 continue
             value = self.convert(value_node, fields[key].type, (*path, key))
-            if value is not _INVALID:
+            if value is _INVALID:
+                self._document.incomplete.add((*path, key))
+            else:
                 values[fields[key].name] = value
         complete = True
         for key, field in fields.items():
