--- a/lycheegate/release/store.py
+++ b/lycheegate/release/store.py
@@ -33,6 +33,7 @@
     "read_if_newer",
     "read_newest",
     "read_release",
+    "settle_base",
 ]
 
 TABLE = "release"
@@ -187,7 +188,7 @@
     if isinstance(head, result.Failure):
         return head
     if head.unwrap().number != base:
-        return _settle_outdated(table, plan)
+        return settle_base(table, base, plan.digest)
     operations = _make_operations(plan, write_id, head.unwrap().version)
     # A request whose answer was lost may still be on its way. Sending the same conditional write
     # again settles it: only one of the two can take effect.
@@ -232,12 +233,22 @@
     # The head may have moved on since, so the summary of this number tells whose write it was.
     if summary is not None and summary.write_id == write_id:
         return result.Success(Accepted(plan.release))
-    return _settle_outdated(table, plan)
+    return settle_base(table, plan.release.number - 1, plan.digest)
 
 
-def _settle_outdated(table: table_module.Table, plan: plans.Plan) -> result.Result[Accepted, Any]:
-    """Returns the newest release if its changes are exactly the plan's, else what lies between."""
-    base = plan.release.number - 1
+def settle_base(
+    table: table_module.Table, base: int, digest: str
+) -> result.Result[Accepted, Outdated | exceptions.LycheegateError]:
+    """Tells a note that was applied before from one that lost a race.
+
+    Args:
+        table: Table service.
+        base: Base of the note, lower than the newest release.
+        digest: Digest of the changes of the note.
+
+    Returns:
+        The newest release if it followed the base with exactly these changes, else ``Outdated``.
+    """
     newest = read_newest(table)
     if isinstance(newest, result.Failure):
         return newest
@@ -246,7 +257,7 @@
         return history
     between = history.unwrap()
     number = newest.unwrap().number
-    if number == base + 1 and len(between) == 1 and between[0].digest == plan.digest:
+    if number == base + 1 and len(between) == 1 and between[0].digest == digest:
         return result.Success(Accepted(newest.unwrap(), already=True))
     return result.Failure(Outdated(base, number, tuple(reversed(between))))
 
--- /dev/null
+++ b/standins/entry_services.py
@@ -0,0 +1,126 @@
+"""Stand-in of the entry daemon for the operators' interface and the command line."""
+
+from returns import result
+
+from lycheegate.entry import services
+from lycheegate.keys import tokens
+from lycheegate.metrics import histograms
+from lycheegate.release import holder
+from lycheegate.settings import loader
+from standins import memory
+
+__all__ = ["EXPIRED_TOKEN", "TOKEN", "FakeServices"]
+
+TOKEN = "lyg_00112233aabbccdd_" + "x" * 43
+EXPIRED_TOKEN = "lyg_ffffffffaabbccdd_" + "x" * 43
+_SETTINGS = f"""\
+vm_id: entry-1
+region: kr
+data_centre: suwon
+callers_address: 127.0.0.1:0
+peers_address: 127.0.0.1:0
+platform: {{table: "http://127.0.0.1:1", objects: "http://127.0.0.1:1", vms: "http://127.0.0.1:1"}}
+peer_key: {"k" * 32}
+operators:
+  - {{name: kim, token_hash: "{tokens.hash_token(TOKEN)}"}}
+  - {{name: lee, token_hash: "{tokens.hash_token(EXPIRED_TOKEN)}", expires_on: 2025-12-31}}
+job_classes: {{preview: {{urgency: urgent, idempotent: true}}}}
+limits: {{max_body_bytes: 2048, operator_threads: 1}}
+"""
+
+
+class FakeServices:
+    """Entry daemon without peers.
+
+    Attributes:
+        table: Table service in memory.
+        holder: The release in force.
+        prepared: What ``prepare_release`` returns.
+        drained: VMs whose drain was started.
+        on_status: Called by ``get_status``.
+        workers: Workers that are listed.
+    """
+
+    def __init__(self):
+        self.table = memory.MemoryTable(sleep=lambda _: None)
+        self.holder = holder.ReleaseHolder()
+        self.prepared: result.Result = result.Success(1)
+        self.drained: list[str] = []
+        self.on_status = lambda: None
+        self.workers = [
+            services.WorkerView(
+                worker_id=f"w{n}",
+                endpoint="127.0.0.1:1",
+                region="kr",
+                data_centre="suwon",
+                rack="r1",
+                slots=8,
+                accelerators=8,
+                state=state,
+            )
+            for n, state in enumerate(("live", "lost", "leaving"))
+        ]
+
+    def get_settings(self):
+        """Returns settings with one valid and one expired operator."""
+        return loader.parse_settings(_SETTINGS, "entry.yaml").unwrap()
+
+    def get_release(self):
+        """Returns the release in force."""
+        return self.holder.get()
+
+    def get_table(self):
+        """Returns the table."""
+        return self.table
+
+    def list_workers(self):
+        """Returns one live, one lost and one leaving worker."""
+        return self.workers
+
+    def prepare_release(self, release):
+        """Returns what the test has set."""
+        return self.prepared
+
+    def announce_release(self, release):
+        """Adopts the release."""
+        self.holder.adopt(release)
+
+    def list_jobs(self):
+        """Returns three jobs and a VM that did not answer."""
+        jobs = tuple(
+            services.JobView(
+                request_id=f"r{n}",
+                client_account="studio",
+                caller="stylist-1",
+                job_class="preview",
+                urgency="urgent",
+                state=state,
+                age_s=2.0,
+            )
+            for n, state in enumerate(("queued", "running", "running"))
+        )
+        return services.JobsView(jobs=jobs, missing=("entry-2",))
+
+    def list_usage(self):
+        """Returns a guarantee that is short."""
+        short = services.GuaranteeUsage(name="hero", short=1, reason="capacity_lost")
+        usage = services.AccountUsage(client_account="studio", queued=4, guarantees=(short,))
+        return services.UsageView(accounts=(usage,))
+
+    def get_status(self):
+        """Returns the release in force."""
+        self.on_status()
+        return services.StatusView(vm_id="entry-1", release=self.holder.get().number)
+
+    def read_histograms(self):
+        """Returns one histogram."""
+        recorder = histograms.Histograms()
+        recorder.record("studio", "preview", histograms.Kind.QUEUEING, 0.5)
+        return services.HistogramsView(histograms=recorder.write())
+
+    def start_drain(self, vm_id):
+        """Notes the drain of the only VM."""
+        if vm_id != "entry-1":
+            return result.Failure(services.UnknownVm(vm_id, ("entry-1",)))
+        self.drained.append(vm_id)
+        return result.Success(None)
