Fill the partition and its queue when decisions are timed

Cause: the decisions were timed with free capacity and an empty queue, the cheapest case, and stopped tasks were counted as running. The engine places nothing before its first tick, which the fake fleet did not send. Change: every slot is taken and 1,000 requests wait at full size; stopped tasks are forgotten.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -24,7 +24,7 @@
 
 SIZES = (24, 240, 930)
 FULL_WORKERS = 930
-FULL_TASKS = 9_700
+QUEUED = 1_000
 STEADY_JOBS = 1_000
 CLIENT_ACCOUNTS = 42
 WORKERS_PER_RACK = 20
@@ -85,8 +85,10 @@
             case commands.StartTask():
                 self._pending.append(events.TaskStarted(command.task_id))
             case commands.StopTask():
+                self._forget(command.task_id)
                 self._pending.append(events.TaskStopped(command.task_id, True))
             case commands.ReleaseTask():
+                self._forget(command.task_id)
                 self._pending.append(events.TaskReleased(command.task_id, True))
             case commands.CollectAnswer():
                 self._pending.append(events.AnswerStored(command.attempt_id))
@@ -94,6 +96,13 @@
                 self.running.pop(command.request_id, None)
                 self.requests.pop(command.request_id, None)
 
+    def _forget(self, task_id: str) -> None:
+        request_id = task_id.rsplit("-", 2)[0]
+        tasks = self.running.get(request_id, {})
+        tasks.pop(task_id, None)
+        if not tasks:
+            self.running.pop(request_id, None)
+
     def submit(self, request: requests.Request) -> None:
         """Submits a request."""
         self.requests[request.request_id] = request
@@ -121,7 +130,7 @@
                 "region",
                 "dc",
                 f"rack{number // WORKERS_PER_RACK}",
-                slots=12,
+                slots=10 + (number % 7 < 3),  # 9,699 slots at full size
                 accelerators=accelerators,
             )
         )
@@ -183,10 +192,12 @@
     for worker in fleet.workers:
         fleet.feed(events.WorkerReported(worker))
     fleet.feed(events.ReleaseApplied(1, _make_accounts(), _make_guarantees(fleet.workers)))
-    target = FULL_TASKS * workers // FULL_WORKERS
+    fleet.feed(events.Tick())
+    queued = QUEUED * workers // FULL_WORKERS
     max_gang = max(2, min(MAX_GANG, MAX_GANG * workers // 240))
     number = 0
-    while sum(map(len, fleet.running.values())) < target and number < 2 * target:
+    limit = 3 * sum(worker.slots for worker in fleet.workers)
+    while len(fleet.requests) - len(fleet.running) < queued and number < limit:
         fleet.submit(_draw_request(number, rng, max_gang))
         number += 1
     gc.collect()
