--- /dev/null
+++ b/lycheegate/entry/callers.py
@@ -0,0 +1,350 @@
+"""HTTP interface of callers, as a WSGI application."""
+
+import dataclasses
+import math
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import logbook
+import msgspec
+from returns import result
+from werkzeug import exceptions as http_exceptions
+from werkzeug import routing, wrappers
+
+from lycheegate.entry import admission, answers, following, records, replies
+from lycheegate.keys import tokens
+from lycheegate.model import releases, resources
+from lycheegate.peers import confirmation
+from lycheegate.settings import models
+from lycheegate.utils import clock as clock_module
+from lycheegate.utils import exceptions
+
+__all__ = ["ROUTES", "CallersApplication", "Services"]
+
+_log = logbook.Logger("lycheegate.entry.callers")
+
+ROUTES = routing.Map(
+    [
+        routing.Rule("/v1/requests", methods=["POST"], endpoint="submit"),
+        routing.Rule("/v1/requests/<request_id>", methods=["GET"], endpoint="status"),
+        routing.Rule("/v1/requests/<request_id>", methods=["DELETE"], endpoint="cancel"),
+        routing.Rule("/v1/requests/<request_id>/answer", methods=["GET"], endpoint="answer"),
+        routing.Rule("/v1/ready", methods=["GET"], endpoint="ready"),
+        routing.Rule("/v1/live", methods=["GET"], endpoint="live"),
+    ]
+)
+
+MAX_KEY_LENGTH = 200
+CANCEL_WAIT_S = 2.0
+"""Time that a cancellation waits for the end, so that most callers learn it at once."""
+
+RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Services:
+    """What the interface needs of the daemon.
+
+    Attributes:
+        settings: Settings of this entry VM.
+        table: Table service.
+        objects: Object store.
+        get_release: Returns the release in force.
+        judge: Returns whether new requests may be accepted.
+        is_draining: Whether this entry VM is about to exit.
+        choose_partition: Chooses the partition of an account's shape for a request identifier.
+        follow: Registry of requests under way.
+        cancel: Tells the owner of a partition that a request is to be cancelled.
+        take_waiting: Takes room for one more waiting caller; false if there is none.
+        leave_waiting: Gives that room back.
+        budget: Bound on the bytes of answers in memory.
+        clock: Source of time.
+        observe: Notes the duration of a call by its name.
+        count: Counts an event by name.
+    """
+
+    settings: models.EntrySettings
+    table: Any
+    objects: answers.ObjectStore
+    get_release: Callable[[], releases.Release]
+    judge: Callable[[], confirmation.Verdict]
+    is_draining: Callable[[], bool]
+    choose_partition: Callable[[str, resources.Shape, str], str | None]
+    follow: following.Following
+    cancel: Callable[[str, str], None]
+    take_waiting: Callable[[], bool]
+    leave_waiting: Callable[[], None]
+    budget: answers.Budget
+    clock: clock_module.Clock
+    observe: Callable[[str, float], None] = lambda name, seconds_s: None
+    count: Callable[[str], None] = lambda name: None
+
+
+class _Refused(Exception):
+    """Ends a call with a response."""
+
+    def __init__(self, response: wrappers.Response):
+        super().__init__()
+        self.response = response
+
+
+class CallersApplication:
+    """Serves callers; all state is in ``services``."""
+
+    def __init__(self, services: Services):
+        self._services = services
+        limits = services.settings.limits
+        self._rates = admission.RateLimiter(limits.rate_per_caller_per_s, limits.burst_per_caller)
+        self._index: tuple[int, tokens.TokenIndex] = (-1, tokens.TokenIndex([]))
+
+    def __call__(self, environ: Mapping, start_response: Callable) -> Iterable[bytes]:
+        """Serves one call."""
+        request = wrappers.Request(environ)
+        began_s = time.perf_counter()
+        name = "unknown"
+        try:
+            name, arguments = ROUTES.bind_to_environ(environ).match()
+            response = getattr(self, f"_{name}")(request, **arguments)
+        except _Refused as refused:
+            response = refused.response
+        except http_exceptions.HTTPException as error:
+            response = replies.refuse(error.code or 400, "no_such_path", str(error.name))
+        except Exception:
+            _log.exception("call_failed name={}", name)
+            self._services.count("call_failed")
+            response = replies.make_unknown("internal_error")
+        self._services.observe(name, time.perf_counter() - began_s)
+        return response(environ, start_response)
+
+    def _live(self, request: wrappers.Request) -> wrappers.Response:
+        del request
+        return replies.make_json(200, {"live": True})
+
+    def _ready(self, request: wrappers.Request) -> wrappers.Response:
+        del request
+        verdict = self._services.judge()
+        is_ready = not self._services.is_draining() and (
+            verdict is not confirmation.Verdict.UNCONFIRMED
+        )
+        body = {
+            "ready": is_ready,
+            "draining": self._services.is_draining(),
+            "release": self._services.get_release().number,
+            "confirmation": verdict,
+        }
+        return replies.make_json(200 if is_ready else 503, body)
+
+    def _submit(self, request: wrappers.Request) -> wrappers.Response:
+        services = self._services
+        if services.is_draining():
+            return replies.refuse(503, "draining", retry_after_s=RETRY_S)
+        caller = self._authenticate(request)
+        key = request.headers.get("Idempotency-Key", "")
+        if not 0 < len(key) <= MAX_KEY_LENGTH:
+            return replies.refuse(400, "idempotency_key", f"1 to {MAX_KEY_LENGTH} characters")
+        data = self._read_body(request)
+        body = _unwrap(admission.decode_body(data))
+        verdict = services.judge()
+        if verdict is confirmation.Verdict.UNCONFIRMED:
+            return replies.refuse(503, "release_unconfirmed", retry_after_s=RETRY_S)
+        wall_s = services.clock.now().timestamp()
+        job_classes = services.settings.job_classes
+        record = _unwrap(admission.make_record(body, caller, key, job_classes, wall_s))
+        shape = resources.Shape(record.members, record.accelerators, record.adjacency)
+        partition = services.choose_partition(caller.client_account, shape, record.request_id)
+        if partition is None:
+            return replies.refuse(503, "no_owner", retry_after_s=RETRY_S)
+        record = msgspec.structs.replace(record, partition=partition)
+        wait_s = min(body.wait_s, services.settings.limits.max_wait_s)
+        waits = wait_s > 0 and services.take_waiting()
+        try:
+            return self._accept(record, len(data), wait_s if waits else 0.0)
+        finally:
+            if waits:
+                services.leave_waiting()
+
+    def _accept(self, record: records.Record, size_bytes: int, wait_s: float) -> wrappers.Response:
+        """Creates the record and follows the request; all earlier refusals stored nothing."""
+        services = self._services
+        if size_bytes > records.INLINE_BYTES:
+            key = f"payload-{record.request_id}-{record.spec_digest[:16]}"
+            put = services.objects.put(key, msgspec.json.encode(record.payload))
+            if isinstance(put, result.Failure):
+                return self._serve_without_store(record, wait_s)
+            record = msgspec.structs.replace(record, payload=None, payload_key=key)
+        match records.create(services.table, record):
+            case result.Success((known, is_created)):
+                pass
+            case result.Failure(exceptions.UnavailableError()):
+                return self._serve_without_store(record, wait_s)
+            case _:
+                # The record may exist, and the request may then run.
+                return replies.make_unknown("store_unavailable", record.request_id)
+        if known.record.spec_digest != record.spec_digest:
+            return replies.refuse(
+                400, "key_reused", "the idempotency key belongs to another request"
+            )
+        if known.record.end is not None:
+            return self._answer_end(known.record, following.Settled(known.record.end))
+        return self._wait(known, wait_s, is_repeated=not is_created)
+
+    def _serve_without_store(self, record: records.Record, wait_s: float) -> wrappers.Response:
+        """Serves an idempotent request whose caller waits; refuses any other."""
+        if not record.idempotent or wait_s <= 0:
+            return replies.refuse(
+                503, "store_unavailable", retry_after_s=2 * RETRY_S, request_id=record.request_id
+            )
+        self._services.count("served_without_record")
+        known = records.Versioned(record, 0)
+        followed = self._services.follow.follow(known, waits=True, is_repeated=False)
+        try:
+            followed.done.wait(wait_s)
+        finally:
+            self._services.follow.leave(followed)
+        if followed.settled is not None:
+            return self._answer_end(record, followed.settled)
+        self._services.cancel(record.partition, record.request_id)
+        return replies.make_unknown("store_unavailable", record.request_id)
+
+    def _wait(
+        self, known: records.Versioned, wait_s: float, is_repeated: bool
+    ) -> wrappers.Response:
+        followed = self._services.follow.follow(known, wait_s > 0, is_repeated)
+        if wait_s > 0:
+            try:
+                followed.done.wait(wait_s)
+            finally:
+                self._services.follow.leave(followed)
+        if followed.settled is not None:
+            return self._answer_end(known.record, followed.settled)
+        return replies.make_accepted(known.record)
+
+    def _status(self, request: wrappers.Request, request_id: str) -> wrappers.Response:
+        known = self._find(request, request_id)
+        if known.record.end is None:
+            return replies.make_accepted(known.record)
+        return replies.make_end(known.record, known.record.end, self._wall_s())
+
+    def _answer(self, request: wrappers.Request, request_id: str) -> wrappers.Response:
+        wait_s = request.args.get("wait_s", 0.0, float)
+        if not math.isfinite(wait_s) or wait_s < 0:
+            return replies.refuse(400, "wait_s", "a number from 0")
+        known = self._find(request, request_id)
+        if known.record.end is not None:
+            return self._answer_end(known.record, following.Settled(known.record.end))
+        wait_s = min(wait_s, self._services.settings.limits.max_wait_s)
+        waits = wait_s > 0 and self._services.take_waiting()
+        try:
+            return self._wait(known, wait_s if waits else 0.0, is_repeated=True)
+        finally:
+            if waits:
+                self._services.leave_waiting()
+
+    def _cancel(self, request: wrappers.Request, request_id: str) -> wrappers.Response:
+        services = self._services
+        known = self._find(request, request_id)
+        match records.request_cancel(services.table, request_id):
+            case result.Success(records.Versioned() as noted):
+                known = noted
+            case _:
+                return replies.make_unknown("store_unavailable", request_id)
+        if known.record.end is not None:
+            return replies.make_end(known.record, known.record.end, self._wall_s())
+        services.cancel(known.record.partition, request_id)
+        waits = services.take_waiting()
+        followed = services.follow.follow(known, waits, is_repeated=True)
+        if waits:
+            try:
+                followed.done.wait(CANCEL_WAIT_S)
+            finally:
+                services.follow.leave(followed)
+                services.leave_waiting()
+        if followed.settled is not None:
+            return replies.make_end(known.record, followed.settled.end, self._wall_s())
+        return replies.make_accepted(known.record)
+
+    def _answer_end(self, record: records.Record, settled: following.Settled) -> wrappers.Response:
+        """Returns the end and, for an answered request, the whole answer."""
+        end = settled.end
+        if end.answer is None:
+            return replies.make_end(record, end, self._wall_s())
+        size_bytes = end.answer.length
+        if not self._services.budget.take(size_bytes, 10.0):
+            return replies.refuse_later("answers_in_memory", record.request_id)
+        try:
+            match self._load(end.answer, settled.body):
+                case result.Success(body):
+                    return replies.make_answer(record, end, body)
+        finally:
+            # The bytes are counted while they are loaded; cheroot sends them at once after.
+            self._services.budget.give_back(size_bytes)
+        return replies.refuse_later("store_unavailable", record.request_id)
+
+    def _load(self, reference: records.AnswerReference, body: bytes | None) -> result.Result:
+        if body is not None:
+            return answers.check(body, reference.length, reference.sha256, "", "")
+        return answers.load(self._services.objects, reference)
+
+    def _find(self, request: wrappers.Request, request_id: str) -> records.Versioned:
+        """Returns a record of the caller; that of anyone else looks as if it were absent."""
+        caller = self._authenticate(request)
+        match records.read(self._services.table, request_id):
+            case result.Success(records.Versioned() as known):
+                if known.record.caller == caller.name:
+                    return known
+            case result.Success():
+                pass
+            case _:
+                raise _Refused(replies.refuse_later("store_unavailable", request_id))
+        raise _Refused(replies.refuse(404, "no_such_request"))
+
+    def _authenticate(self, request: wrappers.Request) -> releases.Caller:
+        services = self._services
+        release = services.get_release()
+        number, index = self._index
+        if number != release.number:
+            holders = [
+                tokens.Holder(caller.name, caller.token_hash, caller.expires_on)
+                for caller in release.callers.values()
+            ]
+            index = tokens.TokenIndex(holders)
+            self._index = (release.number, index)
+        today = services.clock.now().date()
+        match index.authenticate(request.headers.get("Authorization"), today):
+            case result.Success(name) if name in release.callers:
+                caller = release.callers[name]
+            case _:
+                raise _Refused(replies.refuse(401, "token"))
+        retry_after_s = self._rates.take(caller.name, services.clock.monotonic_s())
+        if retry_after_s > 0:
+            services.count("rate_limited")
+            raise _Refused(replies.refuse(429, "rate", retry_after_s=retry_after_s))
+        return caller
+
+    def _read_body(self, request: wrappers.Request) -> bytes:
+        limit = self._services.settings.limits.max_body_bytes
+        length = request.content_length
+        if length is None:
+            raise _Refused(replies.refuse(400, "content_length", "a Content-Length is required"))
+        if length > limit:
+            raise _Refused(replies.refuse(413, "body_too_large", f"at most {limit} bytes"))
+        try:
+            data = request.environ["wsgi.input"].read(length)
+        except OSError:
+            data = b""
+        if len(data) != length:
+            raise _Refused(replies.refuse(400, "body_incomplete"))
+        return data
+
+    def _wall_s(self) -> float:
+        return self._services.clock.now().timestamp()
+
+
+def _unwrap(found: result.Result) -> Any:
+    match found:
+        case result.Success(value):
+            return value
+        case result.Failure(admission.Fault() as fault):
+            raise _Refused(replies.refuse(400, fault.reason, fault.detail))
+    raise TypeError(found)
--- /dev/null
+++ b/lycheegate/entry/owner.py
@@ -0,0 +1,506 @@
+"""Owner of a partition: one thread feeds the decisions, pools carry out their commands.
+
+The thread is the only one that touches the state of the decisions. It takes over in this order:
+the epoch, the release, a fence of every worker, the open requests from the table; only then it
+sends ticks. No order for a non-idempotent request is sent before its attempt is in the table, and
+no worker is told to forget an answer before the end of its request is in the table.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import queue
+import random
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import logbook
+from returns import result
+
+from lycheegate.core import commands, events
+from lycheegate.entry import answers, execution, orders, records, watch
+from lycheegate.model import releases, requests, resources
+from lycheegate.utils import clock as clock_module
+from lycheegate.utils import pools
+
+__all__ = ["Core", "Dependencies", "OpenRequest", "PartitionOwner", "Submission"]
+
+_log = logbook.Logger("lycheegate.entry.owner")
+
+TICK_S = 0.25
+RESCAN_INTERVAL_S = 30.0
+"""Time between searches for requests whose accepting entry VM died before handing them over."""
+
+RECENT_LIMIT = 2000
+"""Ended requests that are remembered, so that a repeated submission is answered at once."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Core:
+    """Functions of the scheduling decisions: ``lycheegate.core.engine`` or ``naive``."""
+
+    create_state: Callable[..., Any]
+    decide: Callable[[Any, events.Event, float], list[commands.Command]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Dependencies:
+    """What an owner needs of the daemon.
+
+    Attributes:
+        core: The decisions.
+        policy: Settings of the decisions.
+        table: Table service.
+        objects: Object store.
+        calls: Calls of workers.
+        worker_pool: Pool for orders.
+        table_pool: Pool for the table service and the object store.
+        budget: Bound on the bytes of answers in memory.
+        clock: Source of time.
+        notify_ended: Called with the entry VMs that wait, the request, its end and its answer.
+        on_fenced: Called with the partition and the epoch that a worker has seen.
+        on_stopped: Called with the partition and the epoch after a graceful stop.
+        count: Counts an event by name.
+    """
+
+    core: Core
+    policy: Any
+    table: Any
+    objects: answers.ObjectStore
+    calls: orders.WorkerCalls
+    worker_pool: pools.BoundedPool
+    table_pool: pools.BoundedPool
+    budget: answers.Budget
+    clock: clock_module.Clock
+    notify_ended: Callable[[Iterable[str], str, records.EndRecord, bytes | None], None]
+    on_fenced: Callable[[str, int], None]
+    on_stopped: Callable[[str, int], None]
+    count: Callable[[str], None] = lambda name: None
+
+
+@dataclasses.dataclass
+class OpenRequest:
+    """A request of the partition that has not ended.
+
+    Attributes:
+        known: Its record as last read or written; version 0 if it is served without one.
+        waiters: Entry VMs that want its end.
+        answer: Reference of the answer of an attempt, once it is stored.
+        body: The answer itself, while it is small enough to travel with the end.
+        end: Its end, once decided.
+        deferred: Commands that wait until the end is in the table.
+    """
+
+    known: records.Versioned
+    waiters: set[str] = dataclasses.field(default_factory=set)
+    answer: tuple[str, records.AnswerReference] | None = None
+    body: bytes | None = None
+    end: records.EndRecord | None = None
+    deferred: list[commands.Command] = dataclasses.field(default_factory=list)
+
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the request has a record."""
+        return self.known.version > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A request handed over by an entry VM.
+
+    Attributes:
+        known: Its record.
+        vm_id: Entry VM that wants its end, or None.
+        reply: Called with ``queued``, ``ended`` or ``not_owner``.
+        is_repeated: Whether it may have been handed over before, so that ``known`` may be old.
+    """
+
+    known: records.Versioned
+    vm_id: str | None
+    reply: Callable[[str], None]
+    is_repeated: bool
+
+
+class PartitionOwner:
+    """Owner of one partition under one epoch."""
+
+    def __init__(
+        self,
+        partition: str,
+        epoch: int,
+        dependencies: Dependencies,
+        release: releases.Release,
+        workers: dict[str, resources.Worker],
+        partitions_of: Callable[[str], list[str]] = lambda data_centre: [],
+    ):
+        self.partition = partition
+        self.epoch = epoch
+        self.deps = dependencies
+        self.open: dict[str, OpenRequest] = {}
+        self.tasks: dict[str, str] = {}
+        self.workers: dict[str, resources.Worker] = {}
+        self.quarantined: dict[str, str] = {}
+        self.short: dict[tuple[str, str], tuple[int, str]] = {}
+        self.phases: dict[str, int] = {}
+        self.recent: collections.OrderedDict[str, records.EndRecord] = collections.OrderedDict()
+        self._first_release = release
+        self._first_workers = dict(workers)
+        self._partitions_of = partitions_of
+        self._watches: dict[str, watch.WorkerWatch] = {}
+        self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._timer_numbers = itertools.count()
+        self._unread: set[str] = set()
+        self._is_recovered = False
+        self._early: list[Submission] = []
+        self._stopped = threading.Event()
+        self._is_graceful = False
+        self._executor = execution.Executor(self)
+        seed = random.getrandbits(32)
+        self._state = dependencies.core.create_state(partition, dependencies.policy, seed)
+        self._thread = threading.Thread(target=self._run, name=f"owner-{partition}", daemon=True)
+
+    # Called from any thread.
+
+    def start(self) -> None:
+        """Takes the partition over."""
+        self._thread.start()
+
+    def stop(self, graceful: bool) -> None:
+        """Stops; a graceful stop first lets orders under way finish, then calls ``on_stopped``."""
+        if graceful:
+            self.call(self._begin_graceful_stop)
+        else:
+            self._stopped.set()
+            self.call(lambda: None)
+
+    def join(self, timeout_s: float) -> None:
+        """Waits for the thread."""
+        self._thread.join(timeout_s)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether orders are no longer given."""
+        return self._stopped.is_set()
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether submissions are taken."""
+        return not self._stopped.is_set() and not self._is_graceful
+
+    def call(self, function: Callable[[], None]) -> None:
+        """Runs a function in the owner's thread."""
+        self._inbox.put(function)
+
+    def post(self, event: events.Event) -> None:
+        """Feeds an event to the decisions."""
+        self._inbox.put(lambda: self.apply(event))
+
+    def submit(self, submission: Submission) -> None:
+        """Takes a request."""
+        if not self.is_accepting:
+            submission.reply("not_owner")
+            return
+        self.call(lambda: self._take(submission))
+
+    def cancel(self, request_id: str) -> None:
+        """Asks for the cancellation of a request."""
+        self.call(lambda: self._cancel(request_id))
+
+    def set_workers(self, workers: dict[str, resources.Worker], leaving: set[str]) -> None:
+        """Tells which workers the VM list shows."""
+        self.call(lambda: self._set_workers(workers, leaving))
+
+    def apply_release(self, release: releases.Release) -> None:
+        """Puts a release in force."""
+        self.call(lambda: self._apply_release(release))
+
+    def rescan(self) -> None:
+        """Searches the table for open requests that were not handed over."""
+        self.call(lambda: self._list_open(self._note_orphans))
+
+    def get_load(self) -> tuple[int, int]:
+        """Returns the number of open requests and of slots."""
+        return len(self.open), sum(worker.slots for worker in list(self.workers.values()))
+
+    # Called in the owner's thread.
+
+    def later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Runs a function in the owner's thread after a delay."""
+        due_s = self.deps.clock.monotonic_s() + delay_s
+        heapq.heappush(self._timers, (due_s, next(self._timer_numbers), function))
+
+    def apply(self, event: events.Event) -> None:
+        """Feeds an event to the decisions and carries out what they return."""
+        if not self.is_accepting or not self._admit(event):
+            return
+        for command in self.deps.core.decide(self._state, event, self.deps.clock.monotonic_s()):
+            self._executor.execute(command)
+
+    def close(self, request_id: str) -> None:
+        """Forgets a request whose end is settled and tells who waits for it."""
+        entry = self.open.pop(request_id, None)
+        if entry is None:
+            return
+        self.recent[request_id] = entry.end
+        if len(self.recent) > RECENT_LIMIT:
+            self.recent.popitem(last=False)
+        self._executor.deliver(entry)
+        for command in entry.deferred:
+            self._executor.execute(command)
+
+    def _admit(self, event: events.Event) -> bool:
+        """Keeps worker state and drops task events that are out of date."""
+        match event:
+            case events.WorkerReported():
+                self.workers[event.worker.worker_id] = event.worker
+                for task in event.tasks:
+                    self.tasks[task.task_id] = task.request_id
+                    self.phases[task.task_id] = execution.PHASES[task.state]
+            case events.WorkerLost():
+                self.workers.pop(event.worker_id, None)
+            case events.TaskHeld() | events.TaskStarted():
+                phase = 0 if isinstance(event, events.TaskHeld) else 1
+                # The reply to an order and the event stream race; only progress is reported.
+                if event.task_id not in self.tasks or self.phases.get(event.task_id, -1) >= phase:
+                    return False
+                self.phases[event.task_id] = phase
+            case events.TaskFinished() | events.TaskFailed() | events.TaskStopped():
+                if event.task_id not in self.tasks or self.phases.get(event.task_id, -1) >= 2:
+                    return False
+                self.phases[event.task_id] = 2
+        return True
+
+    def _run(self) -> None:
+        try:
+            self._take_over()
+            while not self._stopped.is_set():
+                self._step()
+        except Exception:  # A defect in one partition must not end the process.
+            _log.exception("owner_failed partition={} epoch={}", self.partition, self.epoch)
+            self.deps.count("owner_failed")
+            self._stopped.set()
+            self.deps.on_fenced(self.partition, self.epoch + 1)
+        finally:
+            for watching in self._watches.values():
+                watching.stop()
+
+    def _step(self) -> None:
+        now_s = self.deps.clock.monotonic_s()
+        timeout_s = max(0.0, self._timers[0][0] - now_s) if self._timers else TICK_S
+        try:
+            self._inbox.get(timeout=timeout_s)()
+        except queue.Empty:
+            pass
+        else:
+            for _ in range(256):
+                if self._inbox.empty() or self._stopped.is_set():
+                    break
+                self._inbox.get()()
+        now_s = self.deps.clock.monotonic_s()
+        while self._timers and self._timers[0][0] <= now_s and not self._stopped.is_set():
+            heapq.heappop(self._timers)[2]()
+
+    def _take_over(self) -> None:
+        _log.info("takeover partition={} epoch={}", self.partition, self.epoch)
+        self.deps.count("takeover")
+        self.apply(events.EpochGained(self.epoch))
+        self._apply_release(self._first_release)
+        self._set_workers(self._first_workers, set())
+        self._recover_all()
+
+    def _tick(self) -> None:
+        self.apply(events.Tick())
+        self.later(TICK_S, self._tick)
+
+    def _set_workers(self, workers: dict[str, resources.Worker], leaving: set[str]) -> None:
+        for worker_id, worker in workers.items():
+            known = self._watches.get(worker_id)
+            if known is not None and known.worker.endpoint != worker.endpoint:
+                known.stop()
+                self.apply(events.WorkerLost(worker_id))
+                known = None
+            if known is None:
+                known = watch.WorkerWatch(
+                    worker,
+                    self.partition,
+                    self.epoch,
+                    self.deps.calls,
+                    self.post,
+                    lambda epoch: self.deps.on_fenced(self.partition, epoch),
+                    self.deps.clock,
+                )
+                self._watches[worker_id] = known
+                known.start()
+        for worker_id in list(self._watches):
+            known = self._watches[worker_id]
+            if worker_id not in workers and known.is_lost:
+                # The VM list lags, so a worker that still answers stays, but gets no new work.
+                known.stop()
+                del self._watches[worker_id]
+                self.apply(events.WorkerLost(worker_id))
+            elif worker_id not in workers or worker_id in leaving:
+                self.apply(events.WorkerLeaving(worker_id))
+
+    def _apply_release(self, release: releases.Release) -> None:
+        data_centre = self.partition.rpartition("/")[0]
+        partitions = self._partitions_of(data_centre) or [self.partition]
+        carried = tuple(
+            guarantee
+            for guarantee in release.guarantees.values()
+            if guarantee.data_centre == data_centre
+            and execution.find_carrier(guarantee, partitions) == self.partition
+        )
+        self.apply(
+            events.ReleaseApplied(release.number, tuple(release.client_accounts.values()), carried)
+        )
+
+    def _take(self, submission: Submission) -> None:
+        if not self.is_accepting:
+            submission.reply("not_owner")
+            return
+        known = submission.known
+        request_id = known.record.request_id
+        entry = self.open.get(request_id)
+        if entry is not None:
+            if submission.vm_id is not None:
+                entry.waiters.add(submission.vm_id)
+            submission.reply("queued")
+        elif request_id in self.recent or known.record.end is not None:
+            submission.reply("ended")
+        elif not known.version:
+            self._add(known, submission.vm_id)
+            submission.reply("queued")
+        elif not self._is_recovered:
+            # Only the recovery under way knows whether an earlier owner has started it.
+            self._early.append(submission)
+        elif submission.is_repeated:
+            self._read(request_id, lambda found: self._take_read(submission, found))
+        else:
+            self._add(known, submission.vm_id)
+            submission.reply("queued")
+
+    def _take_read(self, submission: Submission, found: result.Result) -> None:
+        match found:
+            case result.Success(records.Versioned() as known):
+                submission = dataclasses.replace(submission, known=known, is_repeated=False)
+                self._take(submission)
+            case _:
+                # The sender repeats it.
+                submission.reply("not_owner")
+
+    def _add(self, known: records.Versioned, vm_id: str | None) -> None:
+        record = known.record
+        self.open[record.request_id] = OpenRequest(known, {vm_id} - {None})
+        if known.version and (record.attempt or record.cancel_requested):
+            self._recover(known)
+        else:
+            self.apply(events.RequestSubmitted(self._make_request(record)))
+
+    def _make_request(self, record: records.Record) -> requests.Request:
+        clock = self.deps.clock
+        return records.make_request(record, clock.monotonic_s(), clock.now().timestamp())
+
+    def _recover(self, known: records.Versioned) -> None:
+        record = known.record
+        self.open.setdefault(record.request_id, OpenRequest(known)).known = known
+        placement: resources.Placement = ()
+        if record.attempt is not None:
+            placement = tuple(
+                resources.MemberPlacement(*place) for place in record.attempt.placement
+            )
+        self.apply(
+            events.RecoveredRequest(
+                self._make_request(record),
+                record.attempt.attempt_id if record.attempt else None,
+                placement,
+                record.cancel_requested,
+            )
+        )
+
+    def _cancel(self, request_id: str) -> None:
+        if request_id in self.open:
+            self.apply(events.CancelRequested(request_id))
+        elif self._is_recovered:
+            self._list_open(self._note_orphans)
+
+    def _list_open(self, then: Callable[[result.Result], None]) -> None:
+        def work() -> None:
+            found = records.list_open(self.deps.table, self.partition)
+            self.call(lambda: then(found))
+
+        self._executor.run(self.deps.table_pool, work)
+
+    def _read(self, request_id: str, then: Callable[[result.Result], None]) -> None:
+        def work() -> None:
+            found = records.read(self.deps.table, request_id)
+            self.call(lambda: then(found))
+
+        self._executor.run(self.deps.table_pool, work)
+
+    def _recover_all(self) -> None:
+        self._list_open(self._note_listed)
+
+    def _note_listed(self, found: result.Result) -> None:
+        match found:
+            case result.Success(request_ids):
+                self._unread = set(request_ids)
+                for request_id in request_ids:
+                    self._recover_one(request_id)
+                self._finish_recovery()
+            case result.Failure():
+                self.later(0.2, self._recover_all)
+
+    def _recover_one(self, request_id: str) -> None:
+        self._read(request_id, lambda found: self._note_read(request_id, found))
+
+    def _note_read(self, request_id: str, found: result.Result) -> None:
+        match found:
+            case result.Success(records.Versioned() as known) if known.record.end is None:
+                self._recover(known)
+            case result.Failure():
+                self.later(0.2, lambda: self._recover_one(request_id))
+                return
+        self._unread.discard(request_id)
+        self._finish_recovery()
+
+    def _finish_recovery(self) -> None:
+        if self._unread or self._is_recovered:
+            return
+        self._is_recovered = True
+        _log.info("recovered partition={} open={}", self.partition, len(self.open))
+        self._tick()
+        early, self._early = self._early, []
+        for submission in early:
+            self._take(dataclasses.replace(submission, is_repeated=True))
+        self.later(RESCAN_INTERVAL_S, self._rescan_regularly)
+
+    def _rescan_regularly(self) -> None:
+        self._list_open(self._note_orphans)
+        self.later(RESCAN_INTERVAL_S * random.uniform(0.8, 1.2), self._rescan_regularly)
+
+    def _note_orphans(self, found: result.Result) -> None:
+        for request_id in found.value_or([]):
+            if request_id not in self.open and request_id not in self.recent:
+                self._read(request_id, self._note_orphan)
+
+    def _note_orphan(self, found: result.Result) -> None:
+        match found:
+            case result.Success(records.Versioned() as known) if known.record.end is None:
+                self._take(Submission(known, None, lambda state: None, False))
+
+    def _begin_graceful_stop(self) -> None:
+        unrecorded = [entry for entry in self.open.values() if not entry.is_recorded]
+        if unrecorded:
+            # Nobody else knows these requests, so they are finished here.
+            self.later(0.1, self._begin_graceful_stop)
+            return
+        self._is_graceful = True
+        if self._executor.is_busy():
+            self.later(0.02, self._begin_graceful_stop)
+            return
+        self._stopped.set()
+        _log.info("handover partition={} epoch={}", self.partition, self.epoch)
+        self.deps.on_stopped(self.partition, self.epoch)
--- /dev/null
+++ b/lycheegate/entry/server.py
@@ -0,0 +1,146 @@
+"""HTTP server of the callers' address: bounded threads, a time limit on reading a request."""
+
+import contextlib
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+from cheroot.ssl import builtin
+
+from lycheegate.settings import models
+
+__all__ = ["CallersServer"]
+
+_log = logbook.Logger("lycheegate.entry.server")
+
+READ_LIMIT_S = 10.0
+"""Time to receive a whole request; a slower one would hold a thread for as long as it likes."""
+
+IDLE_LIMIT_S = 30.0
+MAX_HEADER_BYTES = 16 * 1024
+WATCH_INTERVAL_S = 0.5
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Connection that knows since when it is reading a request."""
+
+    reading_since_s: float | None = None
+
+    def communicate(self) -> bool:
+        """Serves one request."""
+        self.reading_since_s = time.monotonic()
+        self.server.watched.add(self)
+        try:
+            return super().communicate()
+        finally:
+            self.reading_since_s = None
+            self.server.watched.discard(self)
+
+
+class _Input:
+    """Body of a request; notes that the request was received once the body was read."""
+
+    def __init__(self, stream: Any, connection: _Connection):
+        self._stream = stream
+        self._connection = connection
+
+    def read(self, size: int = -1) -> bytes:
+        """Reads the body."""
+        try:
+            return self._stream.read(size)
+        finally:
+            self._connection.reading_since_s = None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._stream, name)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Gateway that ends the time limit when the request was received."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the WSGI environment."""
+        environ = super().get_environ()
+        connection = self.req.conn
+        if self.req.inheaders.get(b"Content-Length", b"0") in (b"0", b""):
+            connection.reading_since_s = None
+        environ["wsgi.input"] = _Input(environ["wsgi.input"], connection)
+        return environ
+
+
+class _Server(wsgi.Server):
+    ConnectionClass = _Connection
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self.watched: set[_Connection] = set()
+        self.gateway = _Gateway
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Sends cheroot's messages to the log."""
+        if traceback:
+            _log.exception("http_server_error message={}", msg)
+        elif level >= logging.WARNING:
+            _log.warning("http_server message={}", msg)
+
+
+class CallersServer:
+    """Server that runs in its own threads."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        application: Callable,
+        limits: models.LimitSettings,
+        tls: models.TlsSettings | None = None,
+    ):
+        self._server = _Server(
+            (host, port),
+            application,
+            numthreads=limits.caller_threads,
+            max=limits.caller_threads,
+            request_queue_size=256,
+            timeout=IDLE_LIMIT_S,
+            shutdown_timeout=5,
+            accepted_queue_size=max(1, limits.caller_queue),
+            # A connection that finds the queue full is refused with 503 at once.
+            accepted_queue_timeout=0.01,
+        )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        # The application refuses larger bodies itself, with the reason.
+        self._server.max_request_body_size = 0
+        if tls is not None:
+            self._server.ssl_adapter = builtin.BuiltinSSLAdapter(
+                tls.certificate_file, tls.key_file
+            )
+        self._stopped = threading.Event()
+
+    def start(self) -> int:
+        """Binds the port and serves; returns the port."""
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, name="callers-accept", daemon=True).start()
+        threading.Thread(target=self._watch, name="callers-watch", daemon=True).start()
+        return self._server.bind_addr[1]
+
+    def stop(self) -> None:
+        """Closes the port and waits for responses under way."""
+        self._stopped.set()
+        self._server.stop()
+
+    def _watch(self) -> None:
+        """Ends the reading of requests that take too long."""
+        while not self._stopped.wait(WATCH_INTERVAL_S):
+            oldest_s = time.monotonic() - READ_LIMIT_S
+            for connection in list(self._server.watched):
+                since_s = connection.reading_since_s
+                if since_s is not None and since_s < oldest_s:
+                    # The reader sees the end of the stream and can still send a response.
+                    with contextlib.suppress(OSError):
+                        connection.socket.shutdown(socket.SHUT_RD)
--- a/lycheegate/peers/__init__.py
+++ b/lycheegate/peers/__init__.py
@@ -1,3 +1,3 @@
-"""Communication between entry VMs, membership and partition ownership."""
+"""Communication between entry VMs: messages, links, membership and partition ownership."""
 
-__all__: list[str] = []
+__all__ = ["confirmation", "hashing", "links", "membership", "messages", "ownership"]
--- /dev/null
+++ b/lycheegate/peers/ownership.py
@@ -0,0 +1,374 @@
+"""Who owns a partition: leases with epochs in table ``partition``.
+
+``decide`` takes the state of one partition, an event and the time and returns the new state and
+the actions. Times are on the monotonic clock of this process. Safety does not rest on clocks:
+a lease is taken by a conditional write of epoch + 1, and workers refuse lower epochs.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from lycheegate.peers import hashing
+
+__all__ = [
+    "Action",
+    "Claim",
+    "Claimed",
+    "Event",
+    "Fenced",
+    "LeaseReleased",
+    "LeaseRow",
+    "OwnerStopped",
+    "OwnershipState",
+    "ReadRow",
+    "ReleaseLease",
+    "Renew",
+    "Renewed",
+    "RowRead",
+    "StartOwner",
+    "StopOwner",
+    "Tick",
+    "WriteRejected",
+    "create_state",
+    "decide",
+    "rank_candidates",
+]
+
+LEASE_S = 2.0
+RENEW_INTERVAL_S = 0.5
+READ_INTERVAL_S = 0.25
+"""Time between reads of a row that this process does not own; bounds the takeover after lapse."""
+
+RANK_DELAY_S = 0.15
+"""Extra wait of a candidate for each better one, so that rivals seldom write at once."""
+
+SETTLE_S = 3.0
+"""Time for which another member must be preferred before the owner hands over to it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Row of a partition.
+
+    Attributes:
+        owner: Entry VM that holds the lease.
+        boot_id: Process of the holder.
+        epoch: Fencing token.
+        released: Whether the holder gave the lease up; the next owner need not wait.
+        version: Version of the row.
+    """
+
+    owner: str
+    boot_id: str
+    epoch: int
+    released: bool
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnershipState:
+    """View of one entry VM on one partition.
+
+    Attributes:
+        partition: Name, ``{data_centre}/{number}``.
+        vm_id: This entry VM.
+        boot_id: This process.
+        row: Row as last seen, or None if it is absent.
+        is_read: Whether the row was ever read.
+        seen_at_s: When the current version of the row was first seen.
+        owned_epoch: Epoch under which this process owns the partition, or None.
+        lost_epoch: Highest epoch under which this process has owned and stopped.
+        stopping: Whether a handover is under way.
+        is_stopped: Whether the owner has stopped, so that the lease may be released.
+        is_uncertain: Whether the version of the owned row must be read before the next write.
+        is_writing: Whether a claim, renewal or release is under way.
+        next_write_s: When the lease is renewed next.
+        next_read_s: When the row is read next.
+        preferred_since_s: Since when another member has been preferred, or None.
+        draining: Whether this process is about to exit.
+    """
+
+    partition: str
+    vm_id: str
+    boot_id: str
+    row: LeaseRow | None = None
+    is_read: bool = False
+    seen_at_s: float = 0.0
+    owned_epoch: int | None = None
+    lost_epoch: int = 0
+    stopping: bool = False
+    is_stopped: bool = False
+    is_uncertain: bool = False
+    is_writing: bool = False
+    next_write_s: float = 0.0
+    next_read_s: float = 0.0
+    preferred_since_s: float | None = None
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; carries the live members and their data centres."""
+
+    live: Mapping[str, str]
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowRead:
+    """The row as just read; None if it is absent."""
+
+    row: LeaseRow | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimed:
+    """The claim was written."""
+
+    epoch: int
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewed:
+    """The renewal was written."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseReleased:
+    """The row was marked as released."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerStopped:
+    """The owner has stopped gracefully and the lease may be released."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteRejected:
+    """A write was refused, or its result is unknown; the next read shows the row."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fenced:
+    """A worker has refused an order because of a higher epoch."""
+
+    epoch: int
+
+
+Event = Tick | RowRead | Claimed | Renewed | LeaseReleased | OwnerStopped | WriteRejected | Fenced
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Read the row; answered by ``RowRead`` unless the store is unavailable."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Write the row with this epoch; answered by ``Claimed`` or ``WriteRejected``."""
+
+    epoch: int
+    if_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renew:
+    """Rewrite the row; answered by ``Renewed`` or ``WriteRejected``."""
+
+    epoch: int
+    if_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseLease:
+    """Mark the row as released; answered by ``LeaseReleased`` or ``WriteRejected``."""
+
+    epoch: int
+    if_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartOwner:
+    """Start to own the partition under an epoch."""
+
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopOwner:
+    """Stop owning; with ``graceful``, finish orders first and answer with ``OwnerStopped``."""
+
+    epoch: int
+    graceful: bool
+
+
+Action = ReadRow | Claim | Renew | ReleaseLease | StartOwner | StopOwner
+
+
+def create_state(partition: str, vm_id: str, boot_id: str) -> OwnershipState:
+    """Returns the view on a partition of which nothing is known."""
+    return OwnershipState(partition, vm_id, boot_id)
+
+
+def rank_candidates(partition: str, live: Mapping[str, str]) -> list[str]:
+    """Returns the live members in order of preference, those of its data centre first."""
+    data_centre = partition.rpartition("/")[0]
+    near = [vm_id for vm_id, place in live.items() if place == data_centre]
+    far = [vm_id for vm_id, place in live.items() if place != data_centre]
+    return hashing.rank(partition, near) + hashing.rank(partition, far)
+
+
+def decide(
+    state: OwnershipState, event: Event, now_s: float
+) -> tuple[OwnershipState, list[Action]]:
+    """Applies an event.
+
+    Args:
+        state: View so far.
+        event: What happened.
+        now_s: Time of the event, in seconds.
+
+    Returns:
+        The new view, and the actions to carry out in order.
+    """
+    match event:
+        case Tick():
+            return _tick(state, event, now_s)
+        case RowRead():
+            return _apply_row(state, event.row, now_s)
+        case Claimed():
+            row = LeaseRow(state.vm_id, state.boot_id, event.epoch, False, event.version)
+            return _start(_see(state, row, now_s), event.epoch, now_s)
+        case Renewed():
+            return _note_written(state, event.version, False, now_s), []
+        case LeaseReleased() if state.owned_epoch is None:
+            return _note_written(state, event.version, True, now_s), []
+        case LeaseReleased():
+            state = _note_written(state, event.version, True, now_s)
+            return dataclasses.replace(state, owned_epoch=None, lost_epoch=state.owned_epoch), []
+        case OwnerStopped():
+            return dataclasses.replace(state, is_stopped=state.stopping), []
+        case WriteRejected():
+            return dataclasses.replace(
+                state, is_writing=False, is_uncertain=True, next_read_s=now_s
+            ), []
+        case Fenced():
+            if state.owned_epoch is None or event.epoch <= state.owned_epoch:
+                return state, []
+            return _lose(state, now_s)
+
+
+def _see(state: OwnershipState, row: LeaseRow | None, now_s: float) -> OwnershipState:
+    is_changed = not state.is_read or row != state.row
+    seen_at_s = now_s if is_changed else state.seen_at_s
+    return dataclasses.replace(state, row=row, is_read=True, seen_at_s=seen_at_s)
+
+
+def _start(state: OwnershipState, epoch: int, now_s: float) -> tuple[OwnershipState, list[Action]]:
+    state = dataclasses.replace(
+        state,
+        owned_epoch=epoch,
+        stopping=False,
+        is_stopped=False,
+        is_writing=False,
+        is_uncertain=False,
+        preferred_since_s=None,
+        next_write_s=now_s + RENEW_INTERVAL_S,
+    )
+    return state, [StartOwner(epoch)]
+
+
+def _lose(state: OwnershipState, now_s: float) -> tuple[OwnershipState, list[Action]]:
+    epoch = state.owned_epoch
+    state = dataclasses.replace(
+        state, owned_epoch=None, lost_epoch=epoch, is_writing=False, next_read_s=now_s
+    )
+    return state, [StopOwner(epoch, graceful=False)]
+
+
+def _note_written(
+    state: OwnershipState, version: int, released: bool, now_s: float
+) -> OwnershipState:
+    state = dataclasses.replace(state, is_writing=False, next_write_s=now_s + RENEW_INTERVAL_S)
+    if state.row is None or version <= state.row.version:
+        return state
+    return _see(state, dataclasses.replace(state.row, version=version, released=released), now_s)
+
+
+def _apply_row(
+    state: OwnershipState, row: LeaseRow | None, now_s: float
+) -> tuple[OwnershipState, list[Action]]:
+    # A read that began before a write of this process may return the row before that write.
+    if state.row is not None and (row is None or row.version < state.row.version):
+        return state, []
+    state = _see(state, row, now_s)
+    state = dataclasses.replace(state, next_read_s=now_s + READ_INTERVAL_S, is_uncertain=False)
+    is_ours = row is not None and (row.owner, row.boot_id) == (state.vm_id, state.boot_id)
+    if state.owned_epoch is None:
+        if is_ours and not row.released and not state.is_writing and row.epoch > state.lost_epoch:
+            # The response to a claim of this process was lost after the write took effect.
+            return _start(state, row.epoch, now_s)
+        return state, []
+    if not is_ours or row.epoch != state.owned_epoch:
+        return _lose(state, now_s)
+    if row.released:
+        return dataclasses.replace(state, owned_epoch=None, lost_epoch=row.epoch), []
+    return state, []
+
+
+def _tick(state: OwnershipState, tick: Tick, now_s: float) -> tuple[OwnershipState, list[Action]]:
+    state = dataclasses.replace(state, draining=tick.draining)
+    if state.owned_epoch is not None:
+        return _tick_owner(state, tick, now_s)
+    actions: list[Action] = []
+    if now_s >= state.next_read_s:
+        state = dataclasses.replace(state, next_read_s=now_s + READ_INTERVAL_S)
+        actions.append(ReadRow())
+    if state.is_read and not state.is_writing and not state.draining:
+        ranked = rank_candidates(state.partition, tick.live)
+        position = ranked.index(state.vm_id) if state.vm_id in ranked else len(ranked)
+        if _is_free_for(state, position, now_s):
+            epoch = state.row.epoch + 1 if state.row else 1
+            version = state.row.version if state.row else 0
+            state = dataclasses.replace(state, is_writing=True)
+            actions.append(Claim(epoch, version))
+    return state, actions
+
+
+def _is_free_for(state: OwnershipState, position: int, now_s: float) -> bool:
+    waited_s = now_s - state.seen_at_s - position * RANK_DELAY_S
+    if state.row is None or state.row.released:
+        return waited_s >= 0
+    return waited_s >= LEASE_S
+
+
+def _tick_owner(
+    state: OwnershipState, tick: Tick, now_s: float
+) -> tuple[OwnershipState, list[Action]]:
+    if state.is_uncertain:
+        if now_s < state.next_read_s:
+            return state, []
+        return dataclasses.replace(state, next_read_s=now_s + READ_INTERVAL_S), [ReadRow()]
+    ranked = rank_candidates(state.partition, tick.live)
+    preferred = ranked[0] if ranked else state.vm_id
+    since_s = state.preferred_since_s
+    since_s = None if preferred == state.vm_id else now_s if since_s is None else since_s
+    state = dataclasses.replace(state, preferred_since_s=since_s)
+    is_settled = since_s is not None and now_s - since_s >= SETTLE_S
+    if not state.stopping and (state.draining or is_settled):
+        state = dataclasses.replace(state, stopping=True)
+        return state, [StopOwner(state.owned_epoch, graceful=True)]
+    if state.is_writing:
+        return state, []
+    if state.is_stopped:
+        state = dataclasses.replace(state, is_writing=True)
+        return state, [ReleaseLease(state.owned_epoch, state.row.version)]
+    if now_s < state.next_write_s:
+        return state, []
+    state = dataclasses.replace(state, is_writing=True)
+    return state, [Renew(state.owned_epoch, state.row.version)]
