Add peer messages, links, membership, ownership and release confirmation

Cause: entry VMs need to agree on who owns a partition and which release is in force without a store of their own. Change: messages in CBOR over websocket links with a mutual challenge; membership, ownership and confirmation as functions of state, event and time.

--- a/lycheegate/peers/links.py
+++ b/lycheegate/peers/links.py
@@ -9,8 +9,6 @@
 import concurrent.futures
 import contextlib
 import dataclasses
-import hashlib
-import hmac
 import queue
 import random
 import secrets
@@ -19,17 +17,18 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import logbook
 from websockets import exceptions as ws_exceptions
 from websockets.sync import client as ws_client
 from websockets.sync import server as ws_server
 
+from lycheegate.keys import peers as peer_keys
+from lycheegate.metrics import logs
 from lycheegate.peers import messages
 from lycheegate.utils import exceptions
 
-__all__ = ["Calls", "Identity", "Mesh", "make_proof"]
+__all__ = ["Calls", "Identity", "Mesh"]
 
-_log = logbook.Logger("lycheegate.peers.links")
+_log = logs.Log("lycheegate.peers.links")
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 QUEUE_LIMIT = 2048
@@ -52,22 +51,13 @@
         vm_id: This entry VM.
         boot_id: This process.
         address: Where peers reach it.
-        key: Key that all entry VMs share.
+        keys: Keys that all entry VMs share.
     """
 
     vm_id: str
     boot_id: str
     address: str
-    key: bytes = dataclasses.field(repr=False)
-
-
-def make_proof(key: bytes, side: str, vm_id: str, own_nonce: bytes, peer_nonce: bytes) -> bytes:
-    """Returns the proof that one side of a link holds the key.
-
-    ``side`` keeps a proof of the dialling side from being replayed by the accepting side.
-    """
-    text = b"\0".join((side.encode(), vm_id.encode(), own_nonce.hex().encode(), peer_nonce))
-    return hmac.new(key, text, hashlib.sha256).digest()
+    keys: peer_keys.PeerKeys
 
 
 class Calls:
@@ -124,11 +114,11 @@
         self._server: ws_server.Server | None = None
         self._is_closed = False
 
-    def listen(self, host: str, port: int) -> int:
-        """Accepts links; returns the port, which the operating system chooses for port 0."""
+    def bind(self, host: str, port: int) -> Identity:
+        """Binds the address; returns the identity with the port, which may be chosen for it."""
         self._server = ws_server.serve(
             self._serve,
-            host,
+            host.strip("[]"),
             port,
             compression=None,
             max_size=MAX_FRAME_BYTES,
@@ -137,10 +127,14 @@
             close_timeout=0.5,
             server_header=None,
         )
-        threading.Thread(
-            target=self._server.serve_forever, name="peers-accept", daemon=True
-        ).start()
-        return self._server.socket.getsockname()[1]
+        address = f"{host}:{self._server.socket.getsockname()[1]}"
+        self._identity = dataclasses.replace(self._identity, address=address)
+        return self._identity
+
+    def start(self) -> None:
+        """Accepts links."""
+        accept = self._server.serve_forever
+        threading.Thread(target=accept, name="peers-accept", daemon=True).start()
 
     def set_peers(self, addresses: Mapping[str, str]) -> None:
         """Dials exactly these peers."""
@@ -212,10 +206,10 @@
                 self._run_outbound(link)
                 backoff_s = FIRST_BACKOFF_S
             except exceptions.ProtocolError as error:
-                _log.warning("peer_rejected vm_id={} reason={}", link.vm_id, error)
+                _log.warning("peer_rejected", vm_id=link.vm_id, reason=error)
                 backoff_s = MAX_BACKOFF_S
             except (OSError, TimeoutError, ws_exceptions.WebSocketException) as error:
-                _log.debug("peer_unreachable vm_id={} reason={!r}", link.vm_id, error)
+                _log.debug("peer_unreachable", vm_id=link.vm_id, reason=error)
             link.connected = False
             if not link.stopped.wait(backoff_s * (0.5 + random.random() / 2)):
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
@@ -241,7 +235,7 @@
             while not link.queue.empty():
                 link.queue.get_nowait()
             link.connected = True
-            _log.info("peer_connected vm_id={}", link.vm_id)
+            _log.info("peer_connected", vm_id=link.vm_id)
             while True:
                 message = link.queue.get()
                 if message is _STOP:
@@ -251,16 +245,16 @@
     def _prove_outbound(self, connection: ws_client.ClientConnection, vm_id: str) -> None:
         identity = self._identity
         challenge = _receive(connection, messages.Challenge)
-        nonce = secrets.token_bytes(32)
-        proof = make_proof(identity.key, "dial", identity.vm_id, nonce, challenge.nonce)
+        if challenge.vm_id != vm_id:
+            raise exceptions.ProtocolError(f"address belongs to {challenge.vm_id}")
+        nonce = peer_keys.make_nonce()
+        parties = (identity.vm_id, vm_id, nonce, challenge.nonce)
+        proof = identity.keys.make_proof(peer_keys.Role.DIALLER, *parties)
         hello = messages.Hello(identity.vm_id, identity.boot_id, identity.address, nonce, proof)
         connection.send(messages.encode(hello))
         welcome = _receive(connection, messages.Welcome)
-        expected = make_proof(identity.key, "accept", welcome.vm_id, challenge.nonce, nonce)
-        if not hmac.compare_digest(expected, welcome.proof):
+        if not identity.keys.verify_proof(welcome.proof, peer_keys.Role.LISTENER, *parties):
             raise exceptions.ProtocolError("peer does not hold the key")
-        if welcome.vm_id != vm_id:
-            raise exceptions.ProtocolError(f"address belongs to {welcome.vm_id}")
 
     def _serve(self, connection: ws_server.ServerConnection) -> None:
         vm_id = "unknown"
@@ -277,20 +271,20 @@
                     raise exceptions.ProtocolError("message names another sender")
                 self._handler(vm_id, message)
         except exceptions.ProtocolError as error:
-            _log.warning("peer_message_rejected vm_id={} reason={}", vm_id, error)
+            _log.warning("peer_message_rejected", vm_id=vm_id, reason=error)
         except (OSError, TimeoutError, ws_exceptions.WebSocketException) as error:
-            _log.debug("peer_link_broken vm_id={} reason={!r}", vm_id, error)
+            _log.debug("peer_link_broken", vm_id=vm_id, reason=error)
 
     def _prove_inbound(self, connection: ws_server.ServerConnection) -> messages.Hello:
         identity = self._identity
-        nonce = secrets.token_bytes(32)
-        connection.send(messages.encode(messages.Challenge(nonce)))
+        nonce = peer_keys.make_nonce()
+        connection.send(messages.encode(messages.Challenge(identity.vm_id, nonce)))
         hello = _receive(connection, messages.Hello)
-        expected = make_proof(identity.key, "dial", hello.vm_id, hello.nonce, nonce)
-        if not hmac.compare_digest(expected, hello.proof):
+        parties = (hello.vm_id, identity.vm_id, hello.nonce, nonce)
+        if not identity.keys.verify_proof(hello.proof, peer_keys.Role.DIALLER, *parties):
             raise exceptions.ProtocolError("peer does not hold the key")
-        proof = make_proof(identity.key, "accept", identity.vm_id, nonce, hello.nonce)
-        connection.send(messages.encode(messages.Welcome(identity.vm_id, proof)))
+        proof = identity.keys.make_proof(peer_keys.Role.LISTENER, *parties)
+        connection.send(messages.encode(messages.Welcome(proof)))
         return hello
 
 
--- a/lycheegate/peers/messages.py
+++ b/lycheegate/peers/messages.py
@@ -29,8 +29,9 @@
 
 
 class Challenge(msgspec.Struct, frozen=True):
-    """First frame of the accepting side: a random value for the dialling side to prove."""
+    """First frame of the listener: who it is, and a random value for the dialler to prove."""
 
+    vm_id: str
     nonce: bytes
 
 
@@ -45,9 +46,8 @@
 
 
 class Welcome(msgspec.Struct, frozen=True):
-    """Proof of the accepting side; the link carries messages from then on."""
+    """Proof of the listener; the link carries messages from then on."""
 
-    vm_id: str
     proof: bytes
 
 
--- /dev/null
+++ b/lycheegate/peers/tests/test_confirmation.py
@@ -0,0 +1,180 @@
+"""Tests of the rule for confirming a release."""
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import stateful
+
+from lycheegate.peers import confirmation, messages
+
+Verdict = confirmation.Verdict
+VMS = ("a", "b", "c")
+IN_FORCE_S = 4.0
+
+
+def _beat(vm_id, release, ok_age_s, echo_s, prepared=0, settled=True):
+    return messages.Heartbeat(
+        vm_id, "boot", "dc", release, prepared, ok_age_s, settled, {}, False, 0.0, echo_s
+    )
+
+
+def _state(**fields):
+    base = {
+        "vm_id": "a",
+        "started_s": -100.0,
+        "release": 5,
+        "known": True,
+        "table_ok_at_s": -10.0,
+        "members": frozenset(VMS),
+    }
+    return confirmation.ConfirmationState(**{**base, **fields})
+
+
+@pytest.mark.parametrize(
+    ("state", "beats", "expected"),
+    [
+        (_state(confirmed_at_s=8.0), [], Verdict.CONFIRMED),
+        (_state(confirmed_at_s=6.9), [], Verdict.UNCONFIRMED),
+        (_state(known=False, confirmed_at_s=10.0), [], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 5, 1.0, 9.0)], Verdict.CONFIRMED),
+        # A heartbeat that was delayed on its way is dated by its echo.
+        (_state(), [_beat("b", 5, 0.0, 6.5)], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 5, 0.0, None)], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 5, 60.0, 9.5)], Verdict.STORE_UNREACHABLE),
+        (_state(), [_beat("b", 5, 60.0, 6.5)], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 5, 60.0, 9.5, prepared=6)], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 5, 60.0, 9.5, settled=False)], Verdict.UNCONFIRMED),
+        (_state(prepared=6), [_beat("b", 5, 60.0, 9.5)], Verdict.UNCONFIRMED),
+        (_state(), [_beat("b", 6, 60.0, 9.5)], Verdict.UNCONFIRMED),
+        (_state(members=frozenset("abcd")), [_beat("b", 5, 60.0, 9.5)], Verdict.UNCONFIRMED),
+        (_state(started_s=-15.0), [_beat("b", 5, 60.0, 9.5)], Verdict.UNCONFIRMED),
+    ],
+)
+def test_judge(state, beats, expected):
+    """Guards against new requests under a release that may have been replaced."""
+    for beat in beats:
+        state = confirmation.learn_from_heartbeat(state, beat)
+    assert confirmation.judge(state, 10.0) is expected
+
+
+def test_older_release_is_never_adopted():
+    """Guards against a release that reverts."""
+    state = confirmation.learn_release(_state(), 4)
+    assert state.release == 5
+
+
+class ConfirmationMachine(stateful.RuleBasedStateMachine):
+    """Three members, partitions between them, store outages, restarts, delayed heartbeats."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 1000.0
+        self.head = 0
+        self.head_at_s = 0.0
+        self.reachable = dict.fromkeys(VMS, True)
+        self.states = {}
+        for vm_id in VMS:
+            self._boot(vm_id, 0.0)
+            state = confirmation.learn_from_table(self.states[vm_id], 0, self.now_s)
+            self.states[vm_id] = state
+        self.echoes = {}
+        self.in_flight = []
+
+    def _boot(self, vm_id, started_s):
+        state = confirmation.ConfirmationState(vm_id, started_s)
+        self.states[vm_id] = confirmation.learn_known_members(state, VMS)
+
+    @stateful.rule(seconds_s=st.sampled_from([0.3, 1.0, 2.9, 12.0]))
+    def pass_time(self, seconds_s):
+        """Moves the clock; reads and heartbeats that do not happen meanwhile are late."""
+        self.now_s += seconds_s
+
+    @stateful.rule(vm_id=st.sampled_from(VMS), is_up=st.booleans())
+    def set_store(self, vm_id, is_up):
+        """Connects a member to the store or cuts it off."""
+        self.reachable[vm_id] = is_up
+
+    @stateful.rule(vm_id=st.sampled_from(VMS))
+    def read_table(self, vm_id):
+        """A member polls the head."""
+        if self.reachable[vm_id]:
+            state = confirmation.learn_release(self.states[vm_id], self.head)
+            self.states[vm_id] = confirmation.learn_from_table(state, self.head, self.now_s)
+
+    @stateful.rule(sender=st.sampled_from(VMS), receiver=st.sampled_from(VMS))
+    def send(self, sender, receiver):
+        """A heartbeat leaves; it may arrive at any later time."""
+        if sender == receiver:
+            return
+        state = self.states[sender]
+        ok_at_s = state.table_ok_at_s
+        beat = _beat(
+            sender,
+            state.release,
+            None if ok_at_s is None else self.now_s - ok_at_s,
+            self.echoes.get((sender, receiver)),
+            state.prepared,
+            confirmation.is_settled(state),
+        )
+        self.in_flight.append((receiver, msgspec.structs.replace(beat, sent_s=self.now_s)))
+
+    @stateful.rule(index=st.integers(0, 5))
+    def arrive(self, index):
+        """A heartbeat arrives."""
+        if index < len(self.in_flight):
+            receiver, beat = self.in_flight.pop(index)
+            state = confirmation.learn_from_heartbeat(self.states[receiver], beat)
+            self.states[receiver] = state
+            self.echoes[receiver, beat.vm_id] = beat.sent_s
+
+    @stateful.rule(acceptor=st.sampled_from(VMS), others=st.sets(st.sampled_from(VMS)))
+    def accept(self, acceptor, others):
+        """An operator has a release accepted through one member, if a majority prepares it."""
+        number = self.head + 1
+        acknowledged = 0
+        for vm_id in others | {acceptor}:
+            state, accepted = confirmation.prepare(self.states[vm_id], number, self.now_s)
+            self.states[vm_id] = state
+            acknowledged += accepted
+        if 2 * acknowledged > len(VMS) and self.reachable[acceptor]:
+            self.head, self.head_at_s = number, self.now_s
+
+    @stateful.rule(vm_id=st.sampled_from(VMS), teacher=st.sampled_from(VMS))
+    def restart(self, vm_id, teacher):
+        """A member forgets everything and learns the release of a peer."""
+        release = self.states[teacher].release
+        self._boot(vm_id, self.now_s)
+        self.states[vm_id] = confirmation.learn_release(self.states[vm_id], release)
+        self.echoes = {key: at_s for key, at_s in self.echoes.items() if vm_id not in key}
+        self.in_flight = [
+            (receiver, beat) for receiver, beat in self.in_flight if receiver != vm_id
+        ]
+
+    @stateful.rule(dark=st.sets(st.sampled_from(VMS), min_size=2))
+    def lose_store(self, dark):
+        """Some members lose the store, hear each other for a while and nobody else."""
+        for vm_id in dark:
+            self.reachable[vm_id] = False
+        for _ in range(10):
+            self.now_s += 0.5
+            for sender in sorted(dark):
+                for receiver in sorted(dark):
+                    self.send(sender, receiver)
+                    while self.in_flight:
+                        self.arrive(0)
+
+    @stateful.invariant()
+    def accepted_release_is_in_force(self):
+        """Later than 4 s after acceptance, no member takes requests under an older release."""
+        if self.now_s < self.head_at_s + IN_FORCE_S:
+            return
+        for state in self.states.values():
+            if state.release < self.head:
+                assert confirmation.judge(state, self.now_s) is Verdict.UNCONFIRMED
+
+
+TestConfirmationMachine = ConfirmationMachine.TestCase
+TestConfirmationMachine.settings = hypothesis.settings(
+    stateful_step_count=50, max_examples=150, derandomize=True
+)
