--- a/lycheegate/entry/admission.py
+++ b/lycheegate/entry/admission.py
@@ -17,7 +17,7 @@
 MAX_BUCKETS = 10_000
 
 
-class _ShapeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ShapeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     members: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
     accelerators: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
     adjacency: resources.Adjacency = resources.Adjacency.DATA_CENTRE
@@ -28,7 +28,7 @@
 
     job_class: str = msgspec.field(name="class")
     payload: dict[str, Any] = {}
-    shape: _ShapeBody | None = None
+    shape: ShapeBody | None = None
     idempotent: bool | None = None
     deadline_s: Annotated[float, msgspec.Meta(gt=0, le=31_536_000)] | None = None
     wait_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/lycheegate/entry/callers.py
+++ b/lycheegate/entry/callers.py
@@ -1,19 +1,20 @@
 """HTTP interface of callers, as a WSGI application."""
 
 import dataclasses
+import datetime
 import math
 import time
+import traceback
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-import logbook
 import msgspec
 from returns import result
 from werkzeug import exceptions as http_exceptions
 from werkzeug import routing, wrappers
 
 from lycheegate.entry import admission, answers, following, records, replies
-from lycheegate.keys import tokens
+from lycheegate.metrics import logs
 from lycheegate.model import releases, resources
 from lycheegate.peers import confirmation
 from lycheegate.settings import models
@@ -22,7 +23,7 @@
 
 __all__ = ["ROUTES", "CallersApplication", "Services"]
 
-_log = logbook.Logger("lycheegate.entry.callers")
+_log = logs.Log("lycheegate.entry.callers")
 
 ROUTES = routing.Map(
     [
@@ -51,6 +52,7 @@
         table: Table service.
         objects: Object store.
         get_release: Returns the release in force.
+        authenticate: Returns the caller whose token an ``Authorization`` header holds.
         judge: Returns whether new requests may be accepted.
         is_draining: Whether this entry VM is about to exit.
         choose_partition: Chooses the partition of an account's shape for a request identifier.
@@ -68,6 +70,7 @@
     table: Any
     objects: answers.ObjectStore
     get_release: Callable[[], releases.Release]
+    authenticate: Callable[[str | None, datetime.date], result.Result[releases.Caller, Any]]
     judge: Callable[[], confirmation.Verdict]
     is_draining: Callable[[], bool]
     choose_partition: Callable[[str, resources.Shape, str], str | None]
@@ -96,7 +99,6 @@
         self._services = services
         limits = services.settings.limits
         self._rates = admission.RateLimiter(limits.rate_per_caller_per_s, limits.burst_per_caller)
-        self._index: tuple[int, tokens.TokenIndex] = (-1, tokens.TokenIndex([]))
 
     def __call__(self, environ: Mapping, start_response: Callable) -> Iterable[bytes]:
         """Serves one call."""
@@ -111,7 +113,7 @@
         except http_exceptions.HTTPException as error:
             response = replies.refuse(error.code or 400, "no_such_path", str(error.name))
         except Exception:
-            _log.exception("call_failed name={}", name)
+            _log.error("call_failed", name=name, error=traceback.format_exc()[-500:])
             self._services.count("call_failed")
             response = replies.make_unknown("internal_error")
         self._services.observe(name, time.perf_counter() - began_s)
@@ -301,19 +303,10 @@
 
     def _authenticate(self, request: wrappers.Request) -> releases.Caller:
         services = self._services
-        release = services.get_release()
-        number, index = self._index
-        if number != release.number:
-            holders = [
-                tokens.Holder(caller.name, caller.token_hash, caller.expires_on)
-                for caller in release.callers.values()
-            ]
-            index = tokens.TokenIndex(holders)
-            self._index = (release.number, index)
         today = services.clock.now().date()
-        match index.authenticate(request.headers.get("Authorization"), today):
-            case result.Success(name) if name in release.callers:
-                caller = release.callers[name]
+        match services.authenticate(request.headers.get("Authorization"), today):
+            case result.Success(caller):
+                pass
             case _:
                 raise _Refused(replies.refuse(401, "token"))
         retry_after_s = self._rates.take(caller.name, services.clock.monotonic_s())
--- a/lycheegate/entry/control.py
+++ b/lycheegate/entry/control.py
@@ -4,74 +4,30 @@
 bounded pool; results come back through its inbox. So a slow store delays no heartbeat.
 """
 
+import contextlib
 import dataclasses
 import queue
-import secrets
 import threading
+import traceback
 from collections.abc import Callable, Mapping
-from typing import Any
 
-import logbook
 from returns import result
 
-from lycheegate.entry import routing
-from lycheegate.model import releases, resources
+from lycheegate.entry import routing, rows
+from lycheegate.metrics import logs
+from lycheegate.model import releases
 from lycheegate.peers import confirmation, links, membership, messages, ownership
 from lycheegate.platform import table as table_module
+from lycheegate.release import encoding, holder, store
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import exceptions, pools
 
-__all__ = ["Control", "Hooks", "VmEntry"]
+__all__ = ["Control"]
 
-_log = logbook.Logger("lycheegate.entry.control")
+_log = logs.Log("lycheegate.entry.control")
 
 TICK_S = 0.1
 HEAD_INTERVAL_S = 1.0
-MEMBERS = "member"
-PARTITIONS = "partition"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class VmEntry:
-    """A VM of the VM list."""
-
-    vm_id: str
-    is_entry: bool
-    is_leaving: bool
-    worker: resources.Worker | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Hooks:
-    """What the control thread needs of the daemon.
-
-    Attributes:
-        table: Table service.
-        list_vms: Returns the VM list.
-        read_head: Returns the number of the newest release.
-        read_release: Returns the release of a number.
-        encode_release: Returns a release as a document for peers.
-        decode_release: Returns the release of such a document.
-        on_release: Called with each release that comes into force.
-        start_owner: Starts the owner of a partition under an epoch.
-        stop_owner: Stops the owner of a partition; with true, gracefully.
-        get_load: Returns open requests and slots of an owned partition.
-        on_workers: Called with the workers of all partitions and the leaving ones.
-        on_member_lost: Called when a live member is no longer heard.
-    """
-
-    table: table_module.Table
-    list_vms: Callable[[], result.Result[list[VmEntry], exceptions.LycheegateError]]
-    read_head: Callable[[], result.Result[int, exceptions.LycheegateError]]
-    read_release: Callable[[int], result.Result[releases.Release, exceptions.LycheegateError]]
-    encode_release: Callable[[releases.Release], dict[str, Any]]
-    decode_release: Callable[[dict[str, Any]], releases.Release]
-    on_release: Callable[[releases.Release], None]
-    start_owner: Callable[[str, int], None]
-    stop_owner: Callable[[str, int, bool], None]
-    get_load: Callable[[str], tuple[int, int]]
-    on_workers: Callable[[dict[str, dict[str, resources.Worker]], set[str]], None]
-    on_member_lost: Callable[[str], None]
 
 
 class Control:
@@ -86,14 +42,14 @@
         data_centre: str,
         seeds: Mapping[str, str],
         partitions: Mapping[str, int],
-        hooks: Hooks,
+        hooks: rows.Hooks,
         mesh: links.Mesh,
         pool: pools.BoundedPool,
         clock: clock_module.Clock,
     ):
         self.identity = identity
         self.data_centre = data_centre
-        self.release = releases.Release()
+        self.holder = holder.ReleaseHolder()
         self.membership = membership.create_state(identity.vm_id, data_centre)
         self.confirmation = confirmation.ConfirmationState(identity.vm_id, clock.monotonic_s())
         self.ownership: dict[str, ownership.OwnershipState] = {}
@@ -118,6 +74,11 @@
 
     # Called from any thread.
 
+    @property
+    def release(self) -> releases.Release:
+        """The release in force."""
+        return self.holder.get()
+
     def start(self) -> None:
         """Starts the control thread."""
         self._thread.start()
@@ -143,13 +104,13 @@
     def find_owner(self, partition: str) -> tuple[str, int] | None:
         """Returns owner and epoch of a partition as far as known."""
         found: tuple[int, str] | None = None
-        live = {*self.membership.contacts, self.identity.vm_id}
         state = self.ownership.get(partition)
         if state is not None and state.owned_epoch is not None:
             found = (state.owned_epoch, self.identity.vm_id)
-        elif state is not None and state.row is not None and state.row.owner in live:
-            if not state.row.released and state.row.owner != self.identity.vm_id:
-                found = (state.row.epoch, state.row.owner)
+        elif state is not None and state.row is not None:
+            row = state.row
+            if not row.released and row.owner in self.membership.contacts:
+                found = (row.epoch, row.owner)
         for vm_id, heartbeat in self.heartbeats.items():
             owned = heartbeat.owned.get(partition)
             if owned is not None and (found is None or owned.epoch > found[0]):
@@ -213,10 +174,7 @@
 
     def remove_own_row(self) -> None:
         """Deletes the member row; called at the end of a drain."""
-        operation = table_module.Operation(
-            table_module.OperationKind.DELETE, MEMBERS, self.identity.vm_id
-        )
-        self._hooks.table.transact([operation])
+        rows.remove_member(self._hooks.table, self.identity.vm_id)
 
     # Called in the control thread.
 
@@ -225,15 +183,13 @@
         while not self._stopped.is_set():
             try:
                 timeout_s = max(0.0, next_tick_s - self._clock.monotonic_s())
-                try:
+                with contextlib.suppress(queue.Empty):
                     self._inbox.get(timeout=timeout_s)()
-                except queue.Empty:
-                    pass
                 if self._clock.monotonic_s() >= next_tick_s:
                     next_tick_s = self._clock.monotonic_s() + TICK_S
                     self._tick()
             except Exception:  # A defect in one step must not end membership.
-                _log.exception("control_failed")
+                _log.error("control_failed", error=traceback.format_exc()[-500:])
 
     def _background(self, work: Callable[[], Callable[[], None]]) -> None:
         """Runs ``work`` on the pool and what it returns in the control thread."""
@@ -242,7 +198,7 @@
             try:
                 then = work()
             except Exception:
-                _log.exception("control_action_failed")
+                _log.error("control_action_failed", error=traceback.format_exc()[-500:])
                 return
             self.call(then)
 
@@ -257,7 +213,7 @@
         self._decide_membership(membership.Tick())
         live = membership.list_live(self.membership, now_s)
         for vm_id in self._live - set(live):
-            _log.info("member_lost vm_id={}", vm_id)
+            _log.info("member_lost", vm_id=vm_id)
             self._hooks.on_member_lost(vm_id)
         self._live = frozenset(live)
         candidates = {vm_id: place for vm_id, place in live.items() if self._reaches_table(vm_id)}
@@ -322,20 +278,19 @@
                     self._hooks.on_member_lost(vm_id)
             case messages.ReleasePush():
                 if message.document is not None:
-                    self._adopt(self._hooks.decode_release(message.document))
+                    self._adopt(encoding.decode_release(message.document))
                 elif message.number > self.release.number:
                     self._start_read_head()
 
     def _push_release(self, vm_id: str) -> None:
-        document = self._hooks.encode_release(self.release)
+        document = encoding.encode_release(self.release)
         self._mesh.send(vm_id, messages.ReleasePush(self.release.number, document))
 
     def _adopt(self, release: releases.Release) -> None:
-        if release.number <= self.release.number:
+        if not self.holder.adopt(release):
             return
-        self.release = release
         self.confirmation = confirmation.learn_release(self.confirmation, release.number)
-        _log.info("release_in_force number={}", release.number)
+        _log.info("release_in_force", number=release.number)
         self._hooks.on_release(release)
 
     def _prepare(self, number: int, withdrawn: bool, reply: Callable[[bool], None]) -> None:
@@ -355,10 +310,10 @@
 
         def work() -> Callable[[], None]:
             began_s = self._clock.monotonic_s()
-            head = self._hooks.read_head()
+            head = store.read_head(self._hooks.table).map(lambda found: found.number)
             newer = None
             if head.value_or(0) > number:
-                newer = self._hooks.read_release(head.unwrap()).value_or(None)
+                newer = store.read_release(self._hooks.table, head.unwrap()).value_or(None)
             return lambda: self._note_head(head.value_or(None), newer, began_s)
 
         try:
@@ -383,21 +338,12 @@
         hooks = self._hooks
 
         def write_row() -> Callable[[], None]:
-            value = {
-                "address": self.identity.address,
-                "boot_id": self.identity.boot_id,
-                "data_centre": self.data_centre,
-                "write_id": secrets.token_hex(4),
-            }
-            operation = table_module.Operation(
-                table_module.OperationKind.PUT, MEMBERS, self.identity.vm_id, value
-            )
             if not self.draining:
-                hooks.table.transact([operation])
+                rows.write_member(hooks.table, self.identity, self.data_centre)
             return lambda: None
 
         def read_rows() -> Callable[[], None]:
-            found = hooks.table.scan(MEMBERS)
+            found = hooks.table.scan(rows.MEMBERS)
             return lambda: found.map(self._note_members)
 
         def read_vms() -> Callable[[], None]:
@@ -405,13 +351,7 @@
             return lambda: found.map(self._note_vms)
 
         def remove_row() -> Callable[[], None]:
-            operation = table_module.Operation(
-                table_module.OperationKind.DELETE,
-                MEMBERS,
-                action.vm_id,
-                if_version=action.if_version,
-            )
-            hooks.table.transact([operation])
+            rows.remove_member(hooks.table, action.vm_id, action.if_version)
             return lambda: None
 
         match action:
@@ -424,14 +364,14 @@
             case membership.RemoveRow():
                 return remove_row
 
-    def _note_members(self, rows: list[table_module.Row]) -> None:
-        values = {row.key: (row.value, row.version) for row in rows}
+    def _note_members(self, found: list[table_module.Row]) -> None:
+        values = {row.key: (row.value, row.version) for row in found}
         self._decide_membership(membership.RowsRead(values))
         self.confirmation = confirmation.learn_known_members(self.confirmation, values)
         peers = membership.list_peers(self.membership)
         self._mesh.set_peers({**self._seeds, **peers})
 
-    def _note_vms(self, vms: list[VmEntry]) -> None:
+    def _note_vms(self, vms: list[rows.VmEntry]) -> None:
         entry_vms = frozenset(vm.vm_id for vm in vms if vm.is_entry)
         self._decide_membership(membership.VmsRead(entry_vms))
         workers = [vm.worker for vm in vms if vm.worker is not None]
@@ -477,7 +417,7 @@
         self._is_reading_rows = True
 
         def work() -> Callable[[], None]:
-            found = self._hooks.table.scan(PARTITIONS)
+            found = self._hooks.table.scan(rows.PARTITIONS)
             return lambda: self._note_partitions(found)
 
         try:
@@ -487,47 +427,13 @@
 
     def _note_partitions(self, found: result.Result) -> None:
         self._is_reading_rows = False
-        rows = found.value_or(None)
-        if rows is None:
+        found_rows = found.value_or(None)
+        if found_rows is None:
             return
-        by_key = {row.key: _decode_lease(row) for row in rows}
+        by_key = {row.key: rows.decode_lease(row) for row in found_rows}
         for partition in list(self.ownership):
             self._own(partition, ownership.RowRead(by_key.get(partition)))
 
     def _write_lease(self, partition: str, action: ownership.Action) -> Callable[[], None]:
-        value = {
-            "owner": self.identity.vm_id,
-            "boot_id": self.identity.boot_id,
-            "epoch": action.epoch,
-            "released": isinstance(action, ownership.ReleaseLease),
-            "write_id": secrets.token_hex(4),
-        }
-        operation = table_module.Operation(
-            table_module.OperationKind.PUT, PARTITIONS, partition, value, action.if_version
-        )
-        match self._hooks.table.transact([operation], timeout_s=1.0):
-            case result.Success(versions):
-                event = _make_written(action, versions[0])
-            case _:
-                event = ownership.WriteRejected()
+        event = rows.write_lease(self._hooks.table, self.identity, partition, action)
         return lambda: self._own(partition, event)
-
-
-def _make_written(action: ownership.Action, version: int) -> ownership.Event:
-    match action:
-        case ownership.Claim():
-            return ownership.Claimed(action.epoch, version)
-        case ownership.ReleaseLease():
-            return ownership.LeaseReleased(version)
-    return ownership.Renewed(version)
-
-
-def _decode_lease(row: table_module.Row) -> ownership.LeaseRow:
-    value = row.value
-    return ownership.LeaseRow(
-        str(value["owner"]),
-        str(value["boot_id"]),
-        int(value["epoch"]),
-        bool(value.get("released", False)),
-        row.version,
-    )
--- /dev/null
+++ b/lycheegate/entry/daemon.py
@@ -0,0 +1,413 @@
+"""The entry daemon: wires its parts from settings, starts and stops them."""
+
+import secrets
+import signal
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from lycheegate.entry import (
+    answers,
+    callers,
+    control,
+    drain,
+    following,
+    owner,
+    partitions,
+    records,
+    routing,
+    rows,
+    server,
+    wiring,
+)
+from lycheegate.metrics import counters, histograms, logs
+from lycheegate.model import releases, resources
+from lycheegate.peers import links, messages
+from lycheegate.settings import models
+from lycheegate.utils import clock as clock_module
+from lycheegate.utils import exceptions, pools
+
+__all__ = ["Daemon", "run"]
+
+_log = logs.Log("lycheegate.entry.daemon")
+
+CONTROL_THREADS = 4
+CONTROL_QUEUE = 64
+ANSWER_MEMORY_BYTES = 16 * 1024 * 1024
+"""Bound on answers in memory; half of the state that an entry VM may have."""
+
+RESERVED_THREADS = 4
+"""Caller threads that no waiting caller may take, so that calls that do not wait are served."""
+
+
+class Daemon:
+    """One entry VM."""
+
+    def __init__(self, settings: models.EntrySettings, clock: clock_module.Clock | None = None):
+        self.settings = settings
+        self.clock = clock or clock_module.SystemClock()
+        self.counters = counters.make_counters(settings.statsd)
+        self.histograms = histograms.Histograms()
+        self.platform = wiring.create_platform(settings)
+        self.calls = links.Calls()
+        self.owners: dict[str, owner.PartitionOwner] = {}
+        self.workers: dict[str, dict[str, resources.Worker]] = {}
+        self.leaving: set[str] = set()
+        self.is_draining = False
+        self.stopped = threading.Event()
+        self._interrupt = threading.Event()
+        limits = settings.limits
+        self._budget = answers.Budget(ANSWER_MEMORY_BYTES)
+        self._table_pool = pools.BoundedPool("table", limits.table_threads, limits.table_queue)
+        self._control_pool = pools.BoundedPool("control", CONTROL_THREADS, CONTROL_QUEUE)
+        waiting = max(1, min(limits.max_waiting, limits.caller_threads - RESERVED_THREADS))
+        self._waiting = threading.BoundedSemaphore(waiting)
+        self._in_flight = 0
+        self._in_flight_lock = threading.Lock()
+        self._drain_thread: threading.Thread | None = None
+        self._listen_peers()
+        self.following = following.Following(
+            self.control.find_owner, self._submit, self._read_record, self.clock
+        )
+        self._callers = callers.CallersApplication(self._make_caller_services())
+        self._application = wiring.create_application(self, self._callers)
+        host, port = wiring.split_address(settings.callers_address)
+        self._server = server.CallersServer(host, port, self._serve, limits, settings.tls)
+        self.callers_address = ""
+
+    def start(self) -> None:
+        """Joins the deployment and serves callers."""
+        self.control.start()
+        self.mesh.start()
+        self.following.start()
+        host, _ = wiring.split_address(self.settings.callers_address)
+        self.callers_address = f"{host}:{self._server.start()}"
+        _log.info("started", vm_id=self.settings.vm_id, address=self.callers_address)
+
+    def start_drain(self) -> None:
+        """Begins a graceful shutdown; ``stopped`` is set at its end."""
+        with self._in_flight_lock:
+            if self._drain_thread is not None:
+                return
+            self._drain_thread = threading.Thread(target=self._drain, name="drain", daemon=True)
+        self._drain_thread.start()
+
+    def close(self) -> None:
+        """Stops at once; callers under way are cut."""
+        self.is_draining = True
+        self._server.stop()
+        self.following.stop()
+        for one in list(self.owners.values()):
+            one.stop(graceful=False)
+        self.control.stop()
+        self.mesh.close()
+        self._control_pool.shutdown(wait=False)
+        self._table_pool.shutdown(wait=False)
+        self.platform.close()
+        self.stopped.set()
+
+    def get_load(self, partition: str) -> tuple[int, int]:
+        """Returns open requests and slots of an owned partition."""
+        found = self.owners.get(partition)
+        return found.get_load() if found is not None else (0, 0)
+
+    # Peers.
+
+    def _listen_peers(self) -> None:
+        settings = self.settings
+        host, port = wiring.split_address(settings.peers_address)
+        boot_id = secrets.token_hex(8)
+        keys = wiring.make_peer_keys(settings)
+        identity = links.Identity(settings.vm_id, boot_id, settings.peers_address, keys)
+        self.mesh = links.Mesh(identity, self._take_message)
+        identity = self.mesh.bind(host, port)
+        seeds = {peer.vm_id: peer.address for peer in settings.peers}
+        self.control = control.Control(
+            identity,
+            settings.data_centre,
+            seeds,
+            settings.partitions,
+            self._make_hooks(),
+            self.mesh,
+            self._control_pool,
+            self.clock,
+        )
+
+    def _make_hooks(self) -> rows.Hooks:
+        platform = self.platform
+        return rows.Hooks(
+            platform.table,
+            platform.list_vms,
+            self._apply_release,
+            self._start_owner,
+            self._stop_owner,
+            self.get_load,
+            self._note_workers,
+            self._note_member_lost,
+        )
+
+    def _take_message(self, vm_id: str, message: messages.Message) -> None:
+        """Takes a message of a peer, in the thread of its link."""
+        match message:
+            case messages.Heartbeat() | messages.ReleasePush():
+                self.control.note_message(vm_id, message)
+            case messages.Submit():
+                known = records.Versioned(records.decode(message.record), message.version)
+                self._hand_over(vm_id, known, message.wait, message.repeated)
+            case messages.SubmitReply():
+                self.following.note_reply(vm_id, message)
+            case messages.Ended():
+                end = msgspec.convert(message.end, records.EndRecord)
+                settled = following.Settled(end, message.answer)
+                self.following.settle(message.request_id, settled)
+            case messages.Cancel():
+                self._cancel(message.partition, message.request_id, forward=False)
+            case messages.ReleasePrepare():
+
+                def reply(accepted: bool) -> None:
+                    ack = messages.ReleaseAck(message.call_id, message.number, accepted)
+                    self.mesh.send(vm_id, ack)
+
+                self.control.prepare(message.number, message.withdrawn, reply)
+            case messages.ReleaseAck():
+                self.calls.resolve(message.call_id, message)
+            case messages.Status():
+                self._report_status(vm_id, message)
+            case messages.StatusReply():
+                self.calls.resolve(message.call_id, message)
+
+    def _report_status(self, vm_id: str, message: messages.Status) -> None:
+        def work() -> None:
+            value = wiring.make_status(self, message.subject)
+            self.mesh.send(vm_id, messages.StatusReply(message.call_id, value))
+
+        try:
+            self._control_pool.submit(work)
+        except exceptions.QueueFullError:
+            _log.warning("status_refused", vm_id=vm_id)
+
+    # Partitions.
+
+    def _apply_release(self, release: releases.Release) -> None:
+        for one in list(self.owners.values()):
+            one.apply_release(release)
+
+    def _start_owner(self, partition: str, epoch: int) -> None:
+        previous = self.owners.get(partition)
+        if previous is not None:
+            previous.stop(graceful=False)
+        started = owner.PartitionOwner(
+            partition,
+            epoch,
+            self._make_dependencies(),
+            self.control.release,
+            self.workers.get(partition, {}),
+            lambda data_centre: sorted(
+                name for name in self.workers if name.rpartition("/")[0] == data_centre
+            ),
+        )
+        self.owners[partition] = started
+        started.start()
+
+    def _stop_owner(self, partition: str, epoch: int, graceful: bool) -> None:
+        found = self.owners.get(partition)
+        if found is None or found.epoch != epoch:
+            return
+        found.stop(graceful)
+        if not graceful:
+            self.owners.pop(partition, None)
+
+    def _note_owner_stopped(self, partition: str, epoch: int) -> None:
+        found = self.owners.get(partition)
+        if found is not None and found.epoch == epoch:
+            self.owners.pop(partition, None)
+        self.control.note_owner_stopped(partition)
+
+    def _note_workers(
+        self, groups: dict[str, dict[str, resources.Worker]], leaving: set[str]
+    ) -> None:
+        self.workers, self.leaving = groups, leaving
+        for partition, found in list(self.owners.items()):
+            found.set_workers(groups.get(partition, {}), leaving)
+
+    def _note_member_lost(self, vm_id: str) -> None:
+        del vm_id
+        for found in list(self.owners.values()):
+            found.rescan()
+
+    def _make_dependencies(self) -> partitions.Dependencies:
+        return partitions.Dependencies(
+            wiring.get_core(),
+            models.make_policy(self.settings.policy),
+            self.platform.table,
+            self.platform.objects,
+            self.platform.worker_client,
+            wiring.make_worker_settings(self.settings),
+            self._table_pool,
+            self._budget,
+            self.clock,
+            self._notify_ended,
+            self.control.note_fenced,
+            self._note_owner_stopped,
+            self.counters.increment,
+            self.histograms.record,
+        )
+
+    def _notify_ended(
+        self,
+        vm_ids: Iterable[str],
+        request_id: str,
+        end: records.EndRecord,
+        body: bytes | None,
+    ) -> None:
+        if end.answer is not None and end.answer.inline is not None:
+            body = None
+        for vm_id in vm_ids:
+            if vm_id == self.settings.vm_id:
+                self.following.settle(request_id, following.Settled(end, body))
+            else:
+                ended = messages.Ended(request_id, msgspec.to_builtins(end), body)
+                self.mesh.send(vm_id, ended)
+
+    # Requests of callers.
+
+    def _submit(self, vm_id: str, known: records.Versioned, waits: bool, is_repeated: bool) -> None:
+        """Hands a request to the owner of its partition, which may be this process."""
+        if vm_id == self.settings.vm_id:
+            self._hand_over(vm_id, known, waits, is_repeated)
+            return
+        record = known.record
+        submit = messages.Submit(
+            record.request_id,
+            record.partition,
+            records.encode(record),
+            known.version,
+            waits,
+            is_repeated,
+        )
+        self.mesh.send(vm_id, submit)
+
+    def _hand_over(
+        self, vm_id: str, known: records.Versioned, waits: bool, is_repeated: bool
+    ) -> None:
+        record = known.record
+        found = self.owners.get(record.partition)
+        epoch = found.epoch if found is not None else 0
+
+        def reply(state: str) -> None:
+            answer = messages.SubmitReply(record.request_id, record.request_id, state, epoch)
+            if vm_id == self.settings.vm_id:
+                self.following.note_reply(vm_id, answer)
+            else:
+                self.mesh.send(vm_id, answer)
+
+        if found is None:
+            reply("not_owner")
+            return
+        waiter = vm_id if waits else None
+        found.submit(partitions.Submission(known, waiter, reply, is_repeated))
+
+    def _cancel(self, partition: str, request_id: str, forward: bool = True) -> None:
+        found = self.owners.get(partition)
+        if found is not None:
+            found.cancel(request_id)
+            return
+        owned_by = self.control.find_owner(partition) if forward else None
+        if owned_by is not None:
+            self.mesh.send(owned_by[0], messages.Cancel(partition, request_id))
+
+    def _read_record(
+        self, request_id: str, then: Callable[[records.Versioned | None], None]
+    ) -> None:
+        def work() -> None:
+            then(records.read(self.platform.table, request_id).value_or(None))
+
+        try:
+            self._table_pool.submit(work)
+        except exceptions.QueueFullError:
+            # The owner is asked again later.
+            _log.warning("table_pool_full")
+
+    def _choose_partition(
+        self, client_account: str, shape: resources.Shape, request_id: str
+    ) -> str | None:
+        return routing.choose_partition(
+            self.control.list_loads(),
+            self.control.release,
+            client_account,
+            shape,
+            self.settings.data_centre,
+            request_id,
+        )
+
+    def _make_caller_services(self) -> callers.Services:
+        return callers.Services(
+            self.settings,
+            self.platform.table,
+            self.platform.objects,
+            lambda: self.control.release,
+            lambda header, today: self.control.holder.authenticate(header, today),
+            self.control.judge,
+            lambda: self.is_draining,
+            self._choose_partition,
+            self.following,
+            self._cancel,
+            lambda: self._waiting.acquire(blocking=False),
+            self._waiting.release,
+            self._budget,
+            self.clock,
+            lambda name, seconds_s: self.counters.record_time("call", name, duration_s=seconds_s),
+            self.counters.increment,
+        )
+
+    def _serve(self, environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        with self._in_flight_lock:
+            self._in_flight += 1
+        try:
+            return self._application(environ, start_response)
+        finally:
+            with self._in_flight_lock:
+                self._in_flight -= 1
+
+    # Drain.
+
+    def _drain(self) -> None:
+        steps = drain.Steps(
+            self._announce_drain,
+            lambda: len(self.control.list_owned()),
+            lambda: sum(one.count_unrecorded() for one in list(self.owners.values())),
+            lambda: self._in_flight + self.following.count(),
+            self._finish_drain,
+        )
+        drain.drain(steps, self.clock, self.settings.limits.drain_timeout_s, self._interrupt)
+
+    def _announce_drain(self) -> None:
+        self.is_draining = True
+        self.control.start_drain()
+
+    def _finish_drain(self) -> None:
+        self.control.remove_own_row()
+        self.close()
+
+
+def run(settings: models.EntrySettings, announce: Callable[[Daemon], None] | None = None) -> int:
+    """Runs an entry VM until it is drained.
+
+    Args:
+        settings: Its settings.
+        announce: Called once it serves.
+
+    Returns:
+        The exit status of the process.
+    """
+    logs.set_up(settings.log.level)
+    daemon = Daemon(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.start_drain())
+    daemon.start()
+    if announce is not None:
+        announce(daemon)
+    daemon.stopped.wait()
+    return 0
--- a/lycheegate/entry/execution.py
+++ b/lycheegate/entry/execution.py
@@ -1,33 +1,27 @@
 """Carries out the commands of one partition owner on the bounded pools."""
 
-import collections
 import threading
+import traceback
 from collections.abc import Callable, Sequence
 from typing import Any
 
-import logbook
 from returns import result
 
 from lycheegate.core import commands, events
-from lycheegate.entry import answers, orders, records
+from lycheegate.entry import answers, records
+from lycheegate.metrics import logs
 from lycheegate.model import releases, requests
 from lycheegate.peers import hashing
 from lycheegate.utils import exceptions, pools
 
-__all__ = ["PHASES", "Executor", "find_carrier"]
+__all__ = ["Executor", "find_carrier"]
 
-_log = logbook.Logger("lycheegate.entry.owner")
+_log = logs.Log("lycheegate.entry.owner")
 
-PHASES = {
-    events.TaskState.HELD: 0,
-    events.TaskState.RUNNING: 1,
-    events.TaskState.FINISHED: 2,
-    events.TaskState.FAILED: 2,
-    events.TaskState.STOPPED: 2,
-}
-
-COLLECT_TRIES = 5
-"""Fetches of an answer that arrives cut or damaged, before its attempt counts as broken."""
+COLLECT_TRIES = 3
+"""Rounds of fetching an answer that stays broken, before its attempt counts as broken; the
+worker client repeats within each round.
+"""
 
 ATTEMPT_TRIES = 8
 """Writes of an attempt that the store refuses, before the request is placed again."""
@@ -35,15 +29,10 @@
 TRAVEL_BYTES = 1024 * 1024
 """Answers up to this size travel with the end to the entry VM that waits."""
 
-MAX_RETRY_S = 2.0
+LOAD_TRIES = 6
+"""Reads of a payload from the object store, before the request is placed again."""
 
-TaskCommand = (
-    commands.HoldTask
-    | commands.StartTask
-    | commands.StopTask
-    | commands.ReleaseTask
-    | commands.CollectAnswer
-)
+MAX_RETRY_S = 2.0
 
 
 def find_carrier(guarantee: releases.Guarantee, partitions: Sequence[str]) -> str | None:
@@ -56,12 +45,11 @@
 
 
 class Executor:
-    """Runs commands; orders for one task are carried out one after the other."""
+    """Runs commands: orders through the worker client, writes on the bounded table pool."""
 
     def __init__(self, owner: Any):
         self._owner = owner
         self._deps = owner.deps
-        self._chains: dict[str, collections.deque[TaskCommand]] = {}
         self._lock = threading.Lock()
         self._running = 0
 
@@ -77,7 +65,11 @@
                 if not self._owner.is_stopped:
                     function()
             except Exception:
-                _log.exception("command_failed partition={}", self._owner.partition)
+                _log.error(
+                    "command_failed",
+                    partition=self._owner.partition,
+                    error=traceback.format_exc()[-500:],
+                )
                 self._deps.count("command_failed")
             finally:
                 with self._lock:
@@ -101,23 +93,32 @@
                 self._end(command)
             case commands.QuarantineWorker():
                 self._owner.quarantined[command.worker_id] = command.reason
-                _log.warning("quarantined worker={} reason={}", command.worker_id, command.reason)
+                _log.warning("quarantined", worker=command.worker_id, reason=command.reason)
             case commands.RestoreWorker():
                 self._owner.quarantined.pop(command.worker_id, None)
-                _log.info("restored worker={}", command.worker_id)
+                _log.info("restored", worker=command.worker_id)
             case commands.ReportShortGuarantee():
                 key = (command.client_account, command.guarantee)
                 self._owner.short[key] = (command.short_units, command.reason)
                 if not command.short_units:
                     del self._owner.short[key]
                 _log.warning(
-                    "guarantee_short client_account={} guarantee={} units={} reason={}",
-                    *key,
-                    command.short_units,
-                    command.reason,
+                    "guarantee_short",
+                    client_account=key[0],
+                    guarantee=key[1],
+                    units=command.short_units,
+                    reason=command.reason,
                 )
-            case _:
-                self._queue_for_task(command)
+            case commands.HoldTask():
+                self._hold(command, 0)
+            case commands.StartTask():
+                self._owner.workers.start(command)
+            case commands.StopTask():
+                self._owner.workers.stop(command)
+            case commands.ReleaseTask():
+                self._release(command)
+            case commands.CollectAnswer():
+                self._collect(command, 0)
 
     def deliver(self, entry: Any) -> None:
         """Tells the waiting entry VMs how a request ended."""
@@ -128,172 +129,109 @@
             self._deps.budget.give_back(len(entry.body))
             entry.body = None
 
-    def _queue_for_task(self, command: TaskCommand) -> None:
-        owner = self._owner
-        if isinstance(command, commands.HoldTask):
-            owner.tasks[command.task_id] = command.request_id
-        if isinstance(command, commands.ReleaseTask):
-            entry = owner.open.get(owner.tasks.get(command.task_id, ""))
-            if entry is not None and entry.end is not None:
-                # The worker keeps the answer until the end is in the table.
-                entry.deferred.append(command)
-                return
-        chain = self._chains.get(command.task_id)
-        if chain is not None:
-            chain.append(command)
+    def _release(self, command: commands.ReleaseTask) -> None:
+        attempt_id, _ = commands.split_task_id(command.task_id)
+        entry = self._owner.open.get(self._owner.attempts.get(attempt_id, ""))
+        if entry is not None and entry.end is not None:
+            # The worker keeps the answer until the end is in the table.
+            entry.deferred.append(command)
             return
-        self._chains[command.task_id] = collections.deque()
-        self._start_command(command, 0)
-
-    def _start_command(self, command: TaskCommand, number: int) -> None:
-        """Runs the command of a task; ``number`` counts its failed tries."""
-        carry_out = self._prepare(command, number)
-        if carry_out is None:
-            self._finish_command(command.task_id)
+        self._owner.workers.release(command)
+
+    def _hold(self, command: commands.HoldTask, number: int) -> None:
+        entry = self._owner.open.get(command.request_id)
+        if entry is None:
+            return
+        attempt_id, _ = commands.split_task_id(command.task_id)
+        self._owner.attempts[attempt_id] = command.request_id
+        record = entry.known.record
+        if record.payload_key is None:
+            self._owner.workers.hold(command, record.job_class, record.payload or {})
             return
 
         def work() -> None:
-            again, produced = True, ()
-            try:
-                again, produced = carry_out()
-            except Exception:
-                # Repeated with backoff, so that the commands behind it are not lost.
-                _log.exception("command_failed partition={}", self._owner.partition)
-                self._deps.count("command_failed")
-            self._owner.call(lambda: self._note_done(command, number, again, produced))
+            loaded = answers.load_payload(self._deps.objects, record.payload_key)
+            self._owner.call(lambda: take(loaded))
+
+        def take(loaded: result.Result) -> None:
+            match loaded:
+                case result.Success(payload):
+                    self._owner.workers.hold(command, record.job_class, payload)
+                case _ if number >= LOAD_TRIES:
+                    # Nothing was sent to the worker, so this is as good as an unknown task.
+                    refused = events.TaskRefused(command.task_id, events.Refusal.TOMBSTONE)
+                    self._owner.apply(refused)
+                case _:
+                    self._owner.later(
+                        _make_delay_s(number), lambda: self._hold(command, number + 1)
+                    )
 
-        self.run(self._deps.worker_pool, work)
+        self.run(self._deps.table_pool, work)
 
-    def _note_done(
-        self, command: TaskCommand, number: int, again: bool, produced: Sequence[events.Event]
-    ) -> None:
-        if again:
-            self._owner.later(
-                _make_delay_s(number), lambda: self._start_command(command, number + 1)
-            )
+    def _collect(self, command: commands.CollectAnswer, number: int) -> None:
+        entry = self._owner.open.get(command.request_id)
+        if entry is None:
             return
-        for event in produced:
-            self._owner.apply(event)
-        if isinstance(command, commands.ReleaseTask):
-            self._owner.tasks.pop(command.task_id, None)
-            self._owner.phases.pop(command.task_id, None)
-        self._finish_command(command.task_id)
-
-    def _finish_command(self, task_id: str) -> None:
-        chain = self._chains[task_id]
-        if chain:
-            self._start_command(chain.popleft(), 0)
-        else:
-            del self._chains[task_id]
-
-    def _prepare(
-        self, command: TaskCommand, number: int
-    ) -> Callable[[], tuple[bool, Sequence[events.Event]]] | None:
-        """Returns the function that carries a command out, or None if it became pointless.
-
-        The function returns whether to try again, and the events that answer the command.
-        """
-        owner, calls, epoch = self._owner, self._deps.calls, self._owner.epoch
-        is_hold = isinstance(command, commands.HoldTask)
-        worker_id = command.place.worker_id if is_hold else command.worker_id
-        worker = owner.workers.get(worker_id)
-        task_id = command.task_id
-        if worker is None:
-            return self._answer_for_lost_worker(command)
-        endpoint = worker.endpoint
-        match command:
-            case commands.HoldTask():
-                entry = owner.open.get(command.request_id)
-                if entry is None:
-                    return None
-                return lambda: self._hold(endpoint, command, entry.known.record)
-            case commands.StartTask():
-                return lambda: self._conclude(orders.start_task(calls, endpoint, task_id, epoch))
-            case commands.StopTask():
-                return lambda: self._conclude(orders.stop_task(calls, endpoint, command, epoch))
-            case commands.ReleaseTask():
-                return lambda: self._conclude(
-                    orders.release_task(calls, endpoint, task_id, owner.partition, epoch)
-                )
-            case commands.CollectAnswer():
-                entry = owner.open.get(command.request_id)
-                if entry is None:
-                    return None
-                return lambda: self._collect(endpoint, command, entry, number)
-
-    def _answer_for_lost_worker(self, command: TaskCommand):
-        match command:
-            case commands.HoldTask() | commands.StartTask():
-                event = events.TaskRefused(command.task_id, events.Refusal.UNREACHABLE)
-                return lambda: (False, [event])
-            case commands.CollectAnswer():
-                return lambda: (False, [events.AnswerBroken(command.attempt_id)])
-        # The loss of the worker was reported; the task is reported again if it returns.
-        return None
-
-    def _conclude(self, reply: result.Result) -> tuple[bool, Sequence[events.Event]]:
-        match reply:
-            case result.Success(event):
-                return False, [event] if event is not None else []
-            case result.Failure(exceptions.FencedError() as error):
-                self._deps.on_fenced(self._owner.partition, error.epoch)
-                return False, []
-        return True, []
-
-    def _hold(
-        self, endpoint: str, command: commands.HoldTask, record: records.Record
-    ) -> tuple[bool, Sequence[events.Event]]:
-        payload = record.payload
-        if payload is None and record.payload_key is not None:
-            match answers.load_payload(self._deps.objects, record.payload_key):
-                case result.Success(loaded):
-                    payload = loaded
-                case result.Failure():
-                    # Nothing was sent to the worker, so a repetition is safe.
-                    return True, []
-        order = orders.TaskOrder(
-            command.request_id,
-            self._owner.partition,
-            self._owner.epoch,
-            command.member,
-            orders.list_accelerators(command.place),
-            command.start,
-            record.job_class,
-            payload or {},
+        if entry.answer is not None and entry.answer[0] == command.attempt_id:
+            self._owner.apply(events.AnswerStored(command.attempt_id))
+            return
+        fetched = self._owner.workers.fetch_answer(
+            command.worker_id, command.task_id, command.request_id
         )
-        return self._conclude(orders.order_task(self._deps.calls, endpoint, command.task_id, order))
-
-    def _collect(
-        self, endpoint: str, command: commands.CollectAnswer, entry: Any, number: int
-    ) -> tuple[bool, Sequence[events.Event]]:
-        broken = (False, [events.AnswerBroken(command.attempt_id)])
-        fetched = self._deps.calls.fetch_answer(endpoint, command.task_id)
-        checked = fetched.bind(
-            lambda answer: answers.check(
-                answer.body, answer.length, answer.sha256, command.request_id, answer.request_id
+        fetched.add_done_callback(
+            lambda done: self._owner.call(
+                lambda: self._take_answer(command, entry, number, done.result())
             )
         )
-        match checked:
+
+    def _take_answer(
+        self, command: commands.CollectAnswer, entry: Any, number: int, fetched: result.Result
+    ) -> None:
+        match fetched:
             case result.Success(body):
-                pass
+                self._keep(command, entry, body, 0)
+                return
             case result.Failure(error):
-                _log.warning("answer_rejected request={} reason={}", command.request_id, error)
+                _log.warning("answer_rejected", request=command.request_id, reason=str(error))
                 self._deps.count("answer_rejected")
-                return broken if number + 1 >= COLLECT_TRIES else (True, [])
-        if not self._deps.budget.take(len(body), 5.0):
-            return True, []
-        match self._keep(command, entry, body):
-            case result.Success(reference):
-                self._owner.call(lambda: self._note_stored(command, entry, reference, body))
-                return False, []
-        self._deps.budget.give_back(len(body))
-        return True, []
-
-    def _keep(self, command: commands.CollectAnswer, entry: Any, body: bytes) -> result.Result:
+        if number + 1 >= COLLECT_TRIES:
+            self._owner.apply(events.AnswerBroken(command.attempt_id))
+            return
+        self._owner.later(_make_delay_s(number), lambda: self._collect(command, number + 1))
+
+    def _keep(self, command: commands.CollectAnswer, entry: Any, body: bytes, number: int) -> None:
+        """Stores an answer; repeated while there is no room or the store is unavailable."""
+
+        def again() -> None:
+            self._owner.later(
+                _make_delay_s(number), lambda: self._keep(command, entry, body, number + 1)
+            )
+
+        if not self._deps.budget.take(len(body), 0.0):
+            # Fetched again later, so that the bytes are not held meanwhile.
+            self._owner.later(_make_delay_s(number), lambda: self._collect(command, 0))
+            return
         if not entry.is_recorded:
             # There is nothing to find it by later; it goes to the caller that waits.
-            return result.Success(answers.make_reference(body))
-        return answers.store(self._deps.objects, command.request_id, command.attempt_id, body)
+            self._note_stored(command, entry, answers.make_reference(body), body)
+            return
+
+        def work() -> None:
+            stored = answers.store(self._deps.objects, command.request_id, command.attempt_id, body)
+            self._owner.call(lambda: take(stored))
+
+        def take(stored: result.Result) -> None:
+            match stored:
+                case result.Success(reference):
+                    self._note_stored(command, entry, reference, body)
+                case _:
+                    self._deps.budget.give_back(len(body))
+                    again()
+
+        if len(body) <= records.INLINE_BYTES:
+            take(answers.store(self._deps.objects, command.request_id, command.attempt_id, body))
+        else:
+            self.run(self._deps.table_pool, work)
 
     def _note_stored(
         self,
@@ -381,7 +319,7 @@
                 entry.known = known
                 self._owner.close(request_id)
             case result.Failure(exceptions.ConditionFailedError()):
-                _log.error("record_vanished request={}", request_id)
+                _log.error("record_vanished", request=request_id)
                 self._owner.close(request_id)
             case _:
                 if entry.end.end is requests.End.ANSWERED and entry.waiters:
--- a/lycheegate/entry/following.py
+++ b/lycheegate/entry/following.py
@@ -8,8 +8,6 @@
 import threading
 from collections.abc import Callable
 
-import msgspec
-
 from lycheegate.entry import records
 from lycheegate.peers import messages
 from lycheegate.utils import clock as clock_module
@@ -63,7 +61,7 @@
     def __init__(
         self,
         find_owner: Callable[[str], tuple[str, int] | None],
-        send: Callable[[str, messages.Submit], None],
+        send: Callable[[str, records.Versioned, bool, bool], None],
         read_record: Callable[[str, Callable[[records.Versioned | None], None]], None],
         clock: clock_module.Clock,
     ):
@@ -71,7 +69,8 @@
 
         Args:
             find_owner: Returns owner and epoch of a partition, or None.
-            send: Sends a submission to an owner, which may be this process.
+            send: Hands a request to an owner, which may be this process; says whether a caller
+                waits, and whether it may have been handed over before.
             read_record: Reads a record in the background and calls back with it.
             clock: Source of time.
         """
@@ -110,7 +109,7 @@
                 followed = Followed(known, is_repeated=is_repeated)
                 self._followed[request_id] = followed
             followed.waiting += int(waits)
-        self._ask(followed, is_forced=False)
+        self._ask(followed)
         return followed
 
     def leave(self, followed: Followed) -> None:
@@ -155,9 +154,9 @@
     def _sweep_regularly(self) -> None:
         while not self._stopped.wait(SWEEP_S):
             for followed in list(self._followed.values()):
-                self._ask(followed, is_forced=False)
+                self._ask(followed)
 
-    def _ask(self, followed: Followed, is_forced: bool) -> None:
+    def _ask(self, followed: Followed) -> None:
         record = followed.known.record
         owner = self._find_owner(record.partition)
         if owner is None:
@@ -170,18 +169,5 @@
         if followed.asked is None and now_s - followed.asked_at_s < SWEEP_S:
             return
         followed.asked, followed.asked_at_s = owner, now_s
-        submit = messages.Submit(
-            record.request_id,
-            record.partition,
-            records.encode(record),
-            followed.known.version,
-            followed.waiting > 0,
-            followed.is_repeated,
-        )
-        followed.is_repeated = True
-        self._send(owner[0], submit)
-
-
-def replace_partition(known: records.Versioned, partition: str) -> records.Versioned:
-    """Returns a request without a record as one of another partition."""
-    return records.Versioned(msgspec.structs.replace(known.record, partition=partition), 0)
+        is_repeated, followed.is_repeated = followed.is_repeated, True
+        self._send(owner[0], followed.known, followed.waiting > 0, is_repeated)
--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -13,21 +13,20 @@
 import queue
 import random
 import threading
-from collections.abc import Callable, Iterable
-from typing import Any
+import traceback
+from collections.abc import Callable
 
-import logbook
 from returns import result
 
 from lycheegate.core import commands, events
-from lycheegate.entry import answers, execution, orders, records, watch
+from lycheegate.entry import execution, partitions, records
+from lycheegate.metrics import histograms, logs
 from lycheegate.model import releases, requests, resources
-from lycheegate.utils import clock as clock_module
-from lycheegate.utils import pools
+from lycheegate.platform import workers as workers_module
 
-__all__ = ["Core", "Dependencies", "OpenRequest", "PartitionOwner", "Submission"]
+__all__ = ["PartitionOwner"]
 
-_log = logbook.Logger("lycheegate.entry.owner")
+_log = logs.Log("lycheegate.entry.owner")
 
 TICK_S = 0.25
 RESCAN_INTERVAL_S = 30.0
@@ -37,92 +36,6 @@
 """Ended requests that are remembered, so that a repeated submission is answered at once."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Core:
-    """Functions of the scheduling decisions: ``lycheegate.core.engine`` or ``naive``."""
-
-    create_state: Callable[..., Any]
-    decide: Callable[[Any, events.Event, float], list[commands.Command]]
-
-
-@dataclasses.dataclass(frozen=True)
-class Dependencies:
-    """What an owner needs of the daemon.
-
-    Attributes:
-        core: The decisions.
-        policy: Settings of the decisions.
-        table: Table service.
-        objects: Object store.
-        calls: Calls of workers.
-        worker_pool: Pool for orders.
-        table_pool: Pool for the table service and the object store.
-        budget: Bound on the bytes of answers in memory.
-        clock: Source of time.
-        notify_ended: Called with the entry VMs that wait, the request, its end and its answer.
-        on_fenced: Called with the partition and the epoch that a worker has seen.
-        on_stopped: Called with the partition and the epoch after a graceful stop.
-        count: Counts an event by name.
-    """
-
-    core: Core
-    policy: Any
-    table: Any
-    objects: answers.ObjectStore
-    calls: orders.WorkerCalls
-    worker_pool: pools.BoundedPool
-    table_pool: pools.BoundedPool
-    budget: answers.Budget
-    clock: clock_module.Clock
-    notify_ended: Callable[[Iterable[str], str, records.EndRecord, bytes | None], None]
-    on_fenced: Callable[[str, int], None]
-    on_stopped: Callable[[str, int], None]
-    count: Callable[[str], None] = lambda name: None
-
-
-@dataclasses.dataclass
-class OpenRequest:
-    """A request of the partition that has not ended.
-
-    Attributes:
-        known: Its record as last read or written; version 0 if it is served without one.
-        waiters: Entry VMs that want its end.
-        answer: Reference of the answer of an attempt, once it is stored.
-        body: The answer itself, while it is small enough to travel with the end.
-        end: Its end, once decided.
-        deferred: Commands that wait until the end is in the table.
-    """
-
-    known: records.Versioned
-    waiters: set[str] = dataclasses.field(default_factory=set)
-    answer: tuple[str, records.AnswerReference] | None = None
-    body: bytes | None = None
-    end: records.EndRecord | None = None
-    deferred: list[commands.Command] = dataclasses.field(default_factory=list)
-
-    @property
-    def is_recorded(self) -> bool:
-        """Whether the request has a record."""
-        return self.known.version > 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submission:
-    """A request handed over by an entry VM.
-
-    Attributes:
-        known: Its record.
-        vm_id: Entry VM that wants its end, or None.
-        reply: Called with ``queued``, ``ended`` or ``not_owner``.
-        is_repeated: Whether it may have been handed over before, so that ``known`` may be old.
-    """
-
-    known: records.Versioned
-    vm_id: str | None
-    reply: Callable[[str], None]
-    is_repeated: bool
-
-
 class PartitionOwner:
     """Owner of one partition under one epoch."""
 
@@ -130,7 +43,7 @@
         self,
         partition: str,
         epoch: int,
-        dependencies: Dependencies,
+        dependencies: partitions.Dependencies,
         release: releases.Release,
         workers: dict[str, resources.Worker],
         partitions_of: Callable[[str], list[str]] = lambda data_centre: [],
@@ -138,26 +51,35 @@
         self.partition = partition
         self.epoch = epoch
         self.deps = dependencies
-        self.open: dict[str, OpenRequest] = {}
-        self.tasks: dict[str, str] = {}
-        self.workers: dict[str, resources.Worker] = {}
+        self.open: dict[str, partitions.OpenRequest] = {}
+        self.attempts: dict[str, str] = {}
+        self.live: dict[str, resources.Worker] = {}
+        self.leaving: set[str] = set()
         self.quarantined: dict[str, str] = {}
         self.short: dict[tuple[str, str], tuple[int, str]] = {}
-        self.phases: dict[str, int] = {}
         self.recent: collections.OrderedDict[str, records.EndRecord] = collections.OrderedDict()
         self._first_release = release
         self._first_workers = dict(workers)
         self._partitions_of = partitions_of
-        self._watches: dict[str, watch.WorkerWatch] = {}
+        self._listed: set[str] = set()
         self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_numbers = itertools.count()
         self._unread: set[str] = set()
         self._is_recovered = False
-        self._early: list[Submission] = []
+        self._early: list[partitions.Submission] = []
         self._stopped = threading.Event()
         self._is_graceful = False
         self._executor = execution.Executor(self)
+        self.workers = workers_module.WorkerPool(
+            dependencies.http_client,
+            partition,
+            epoch,
+            self.post,
+            lambda epoch: dependencies.on_fenced(partition, epoch),
+            random.Random(),
+            dependencies.worker_settings,
+        )
         seed = random.getrandbits(32)
         self._state = dependencies.core.create_state(partition, dependencies.policy, seed)
         self._thread = threading.Thread(target=self._run, name=f"owner-{partition}", daemon=True)
@@ -198,7 +120,7 @@
         """Feeds an event to the decisions."""
         self._inbox.put(lambda: self.apply(event))
 
-    def submit(self, submission: Submission) -> None:
+    def submit(self, submission: partitions.Submission) -> None:
         """Takes a request."""
         if not self.is_accepting:
             submission.reply("not_owner")
@@ -221,9 +143,13 @@
         """Searches the table for open requests that were not handed over."""
         self.call(lambda: self._list_open(self._note_orphans))
 
+    def count_unrecorded(self) -> int:
+        """Returns the number of open requests that only this process knows."""
+        return sum(not entry.is_recorded for entry in list(self.open.values()))
+
     def get_load(self) -> tuple[int, int]:
         """Returns the number of open requests and of slots."""
-        return len(self.open), sum(worker.slots for worker in list(self.workers.values()))
+        return len(self.open), sum(worker.slots for worker in list(self.live.values()))
 
     # Called in the owner's thread.
 
@@ -234,10 +160,13 @@
 
     def apply(self, event: events.Event) -> None:
         """Feeds an event to the decisions and carries out what they return."""
-        if not self.is_accepting or not self._admit(event):
+        if not self.is_accepting:
             return
+        self._note_event(event)
         for command in self.deps.core.decide(self._state, event, self.deps.clock.monotonic_s()):
             self._executor.execute(command)
+        if isinstance(event, events.WorkerReported):
+            self.workers.accept_orders(event.worker.worker_id)
 
     def close(self, request_id: str) -> None:
         """Forgets a request whose end is settled and tells who waits for it."""
@@ -247,31 +176,36 @@
         self.recent[request_id] = entry.end
         if len(self.recent) > RECENT_LIMIT:
             self.recent.popitem(last=False)
+        self._record_time(entry, histograms.Kind.COMPLETION)
         self._executor.deliver(entry)
         for command in entry.deferred:
-            self._executor.execute(command)
+            self.workers.release(command)
 
-    def _admit(self, event: events.Event) -> bool:
-        """Keeps worker state and drops task events that are out of date."""
+    def _note_event(self, event: events.Event) -> None:
+        """Keeps what the daemon itself needs to know of the workers."""
         match event:
             case events.WorkerReported():
-                self.workers[event.worker.worker_id] = event.worker
+                self.live[event.worker.worker_id] = event.worker
                 for task in event.tasks:
-                    self.tasks[task.task_id] = task.request_id
-                    self.phases[task.task_id] = execution.PHASES[task.state]
+                    attempt_id, _ = commands.split_task_id(task.task_id)
+                    self.attempts[attempt_id] = task.request_id
+            case events.TaskStarted():
+                attempt_id, _ = commands.split_task_id(event.task_id)
+                entry = self.open.get(self.attempts.get(attempt_id, ""))
+                if entry is not None and not entry.is_started:
+                    entry.is_started = True
+                    self._record_time(entry, histograms.Kind.QUEUEING)
+            case events.TaskReleased():
+                self.attempts.pop(commands.split_task_id(event.task_id)[0], None)
             case events.WorkerLost():
-                self.workers.pop(event.worker_id, None)
-            case events.TaskHeld() | events.TaskStarted():
-                phase = 0 if isinstance(event, events.TaskHeld) else 1
-                # The reply to an order and the event stream race; only progress is reported.
-                if event.task_id not in self.tasks or self.phases.get(event.task_id, -1) >= phase:
-                    return False
-                self.phases[event.task_id] = phase
-            case events.TaskFinished() | events.TaskFailed() | events.TaskStopped():
-                if event.task_id not in self.tasks or self.phases.get(event.task_id, -1) >= 2:
-                    return False
-                self.phases[event.task_id] = 2
-        return True
+                self.live.pop(event.worker_id, None)
+            case events.WorkerLeaving():
+                self.leaving.add(event.worker_id)
+
+    def _record_time(self, entry: partitions.OpenRequest, kind: histograms.Kind) -> None:
+        record = entry.known.record
+        duration_s = self.deps.clock.now().timestamp() - record.submitted_at
+        self.deps.record_time(record.client_account, record.job_class, kind, duration_s)
 
     def _run(self) -> None:
         try:
@@ -279,13 +213,17 @@
             while not self._stopped.is_set():
                 self._step()
         except Exception:  # A defect in one partition must not end the process.
-            _log.exception("owner_failed partition={} epoch={}", self.partition, self.epoch)
+            _log.error(
+                "owner_failed",
+                partition=self.partition,
+                epoch=self.epoch,
+                error=traceback.format_exc()[-500:],
+            )
             self.deps.count("owner_failed")
             self._stopped.set()
             self.deps.on_fenced(self.partition, self.epoch + 1)
         finally:
-            for watching in self._watches.values():
-                watching.stop()
+            self.workers.close()
 
     def _step(self) -> None:
         now_s = self.deps.clock.monotonic_s()
@@ -304,7 +242,7 @@
             heapq.heappop(self._timers)[2]()
 
     def _take_over(self) -> None:
-        _log.info("takeover partition={} epoch={}", self.partition, self.epoch)
+        _log.info("takeover", partition=self.partition, epoch=self.epoch)
         self.deps.count("takeover")
         self.apply(events.EpochGained(self.epoch))
         self._apply_release(self._first_release)
@@ -316,48 +254,33 @@
         self.later(TICK_S, self._tick)
 
     def _set_workers(self, workers: dict[str, resources.Worker], leaving: set[str]) -> None:
-        for worker_id, worker in workers.items():
-            known = self._watches.get(worker_id)
-            if known is not None and known.worker.endpoint != worker.endpoint:
-                known.stop()
-                self.apply(events.WorkerLost(worker_id))
-                known = None
-            if known is None:
-                known = watch.WorkerWatch(
-                    worker,
-                    self.partition,
-                    self.epoch,
-                    self.deps.calls,
-                    self.post,
-                    lambda epoch: self.deps.on_fenced(self.partition, epoch),
-                    self.deps.clock,
-                )
-                self._watches[worker_id] = known
-                known.start()
-        for worker_id in list(self._watches):
-            known = self._watches[worker_id]
-            if worker_id not in workers and known.is_lost:
+        for worker in workers.values():
+            self.workers.add(worker)
+        for worker_id in self._listed - set(workers):
+            if worker_id in self.live:
                 # The VM list lags, so a worker that still answers stays, but gets no new work.
-                known.stop()
-                del self._watches[worker_id]
-                self.apply(events.WorkerLost(worker_id))
-            elif worker_id not in workers or worker_id in leaving:
-                self.apply(events.WorkerLeaving(worker_id))
+                self.workers.note_leaving(worker_id)
+            else:
+                self.workers.remove(worker_id)
+                self._listed.discard(worker_id)
+        self._listed |= set(workers)
+        for worker_id in leaving & set(workers):
+            self.workers.note_leaving(worker_id)
 
     def _apply_release(self, release: releases.Release) -> None:
         data_centre = self.partition.rpartition("/")[0]
-        partitions = self._partitions_of(data_centre) or [self.partition]
+        names = self._partitions_of(data_centre) or [self.partition]
         carried = tuple(
             guarantee
             for guarantee in release.guarantees.values()
             if guarantee.data_centre == data_centre
-            and execution.find_carrier(guarantee, partitions) == self.partition
+            and execution.find_carrier(guarantee, names) == self.partition
         )
         self.apply(
             events.ReleaseApplied(release.number, tuple(release.client_accounts.values()), carried)
         )
 
-    def _take(self, submission: Submission) -> None:
+    def _take(self, submission: partitions.Submission) -> None:
         if not self.is_accepting:
             submission.reply("not_owner")
             return
@@ -382,7 +305,7 @@
             self._add(known, submission.vm_id)
             submission.reply("queued")
 
-    def _take_read(self, submission: Submission, found: result.Result) -> None:
+    def _take_read(self, submission: partitions.Submission, found: result.Result) -> None:
         match found:
             case result.Success(records.Versioned() as known):
                 submission = dataclasses.replace(submission, known=known, is_repeated=False)
@@ -393,7 +316,7 @@
 
     def _add(self, known: records.Versioned, vm_id: str | None) -> None:
         record = known.record
-        self.open[record.request_id] = OpenRequest(known, {vm_id} - {None})
+        self.open[record.request_id] = partitions.OpenRequest(known, {vm_id} - {None})
         if known.version and (record.attempt or record.cancel_requested):
             self._recover(known)
         else:
@@ -405,7 +328,7 @@
 
     def _recover(self, known: records.Versioned) -> None:
         record = known.record
-        self.open.setdefault(record.request_id, OpenRequest(known)).known = known
+        self.open.setdefault(record.request_id, partitions.OpenRequest(known)).known = known
         placement: resources.Placement = ()
         if record.attempt is not None:
             placement = tuple(
@@ -470,7 +393,7 @@
         if self._unread or self._is_recovered:
             return
         self._is_recovered = True
-        _log.info("recovered partition={} open={}", self.partition, len(self.open))
+        _log.info("recovered", partition=self.partition, open=len(self.open))
         self._tick()
         early, self._early = self._early, []
         for submission in early:
@@ -489,7 +412,7 @@
     def _note_orphan(self, found: result.Result) -> None:
         match found:
             case result.Success(records.Versioned() as known) if known.record.end is None:
-                self._take(Submission(known, None, lambda state: None, False))
+                self._take(partitions.Submission(known, None, lambda state: None, False))
 
     def _begin_graceful_stop(self) -> None:
         unrecorded = [entry for entry in self.open.values() if not entry.is_recorded]
@@ -502,5 +425,5 @@
             self.later(0.02, self._begin_graceful_stop)
             return
         self._stopped.set()
-        _log.info("handover partition={} epoch={}", self.partition, self.epoch)
+        _log.info("handover", partition=self.partition, epoch=self.epoch)
         self.deps.on_stopped(self.partition, self.epoch)
--- /dev/null
+++ b/lycheegate/entry/rows.py
@@ -0,0 +1,128 @@
+"""Rows of the tables ``member`` and ``partition``, and what the control thread is given."""
+
+import dataclasses
+import secrets
+from collections.abc import Callable
+
+from returns import result
+
+from lycheegate.model import releases, resources
+from lycheegate.peers import links, ownership
+from lycheegate.platform import table as table_module
+from lycheegate.utils import exceptions
+
+__all__ = [
+    "Hooks",
+    "VmEntry",
+    "decode_lease",
+    "remove_member",
+    "write_lease",
+    "write_member",
+]
+
+MEMBERS = "member"
+PARTITIONS = "partition"
+LEASE_WRITE_TIMEOUT_S = 1.0
+"""Two renewals fit into a lease even if the first one times out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmEntry:
+    """A VM of the VM list."""
+
+    vm_id: str
+    is_entry: bool
+    is_leaving: bool
+    worker: resources.Worker | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Hooks:
+    """What the control thread needs of the daemon.
+
+    Attributes:
+        table: Table service.
+        list_vms: Returns the VM list.
+        on_release: Called with each release that comes into force.
+        start_owner: Starts the owner of a partition under an epoch.
+        stop_owner: Stops the owner of a partition; with true, gracefully.
+        get_load: Returns open requests and slots of an owned partition.
+        on_workers: Called with the workers of all partitions and the leaving ones.
+        on_member_lost: Called when a live member is no longer heard.
+    """
+
+    table: table_module.Table
+    list_vms: Callable[[], result.Result[list[VmEntry], exceptions.LycheegateError]]
+    on_release: Callable[[releases.Release], None]
+    start_owner: Callable[[str, int], None]
+    stop_owner: Callable[[str, int, bool], None]
+    get_load: Callable[[str], tuple[int, int]]
+    on_workers: Callable[[dict[str, dict[str, resources.Worker]], set[str]], None]
+    on_member_lost: Callable[[str], None]
+
+
+def write_member(table: table_module.Table, identity: links.Identity, data_centre: str) -> None:
+    """Rewrites the row of this entry VM; a failure is made good by the next rewrite."""
+    value = {
+        "address": identity.address,
+        "boot_id": identity.boot_id,
+        "data_centre": data_centre,
+    }
+    table.transact(
+        [table_module.Operation(table_module.OperationKind.PUT, MEMBERS, identity.vm_id, value)]
+    )
+
+
+def remove_member(table: table_module.Table, vm_id: str, if_version: int | None = None) -> None:
+    """Deletes the row of an entry VM."""
+    table.transact(
+        [
+            table_module.Operation(
+                table_module.OperationKind.DELETE, MEMBERS, vm_id, if_version=if_version
+            )
+        ]
+    )
+
+
+def write_lease(
+    table: table_module.Table,
+    identity: links.Identity,
+    partition: str,
+    action: ownership.Claim | ownership.Renew | ownership.ReleaseLease,
+) -> ownership.Event:
+    """Writes the row of a partition; returns the event that answers the action."""
+    value = {
+        "owner": identity.vm_id,
+        "boot_id": identity.boot_id,
+        "epoch": action.epoch,
+        "released": isinstance(action, ownership.ReleaseLease),
+        "write_id": secrets.token_hex(4),
+    }
+    operation = table_module.Operation(
+        table_module.OperationKind.PUT, PARTITIONS, partition, value, action.if_version
+    )
+    match table.transact([operation], timeout_s=LEASE_WRITE_TIMEOUT_S):
+        case result.Success(versions):
+            return _make_written(action, versions[0])
+    return ownership.WriteRejected()
+
+
+def decode_lease(row: table_module.Row) -> ownership.LeaseRow:
+    """Returns the lease of a row of table ``partition``."""
+    value = row.value
+    return ownership.LeaseRow(
+        str(value["owner"]),
+        str(value["boot_id"]),
+        int(value["epoch"]),
+        bool(value.get("released", False)),
+        row.version,
+    )
+
+
+def _make_written(action: ownership.Action, version: int) -> ownership.Event:
+    match action:
+        case ownership.Claim():
+            return ownership.Claimed(action.epoch, version)
+        case ownership.ReleaseLease():
+            return ownership.LeaseReleased(version)
+    return ownership.Renewed(version)
--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -8,16 +8,16 @@
 from collections.abc import Callable
 from typing import Any
 
-import logbook
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 from cheroot.ssl import builtin
 
+from lycheegate.metrics import logs
 from lycheegate.settings import models
 
 __all__ = ["CallersServer"]
 
-_log = logbook.Logger("lycheegate.entry.server")
+_log = logs.Log("lycheegate.entry.server")
 
 READ_LIMIT_S = 10.0
 """Time to receive a whole request; a slower one would hold a thread for as long as it likes."""
@@ -85,9 +85,9 @@
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Sends cheroot's messages to the log."""
         if traceback:
-            _log.exception("http_server_error message={}", msg)
+            _log.error("http_server_error", message=msg, error=traceback.format_exc()[-500:])
         elif level >= logging.WARNING:
-            _log.warning("http_server message={}", msg)
+            _log.warning("http_server", message=msg)
 
 
 class CallersServer:
@@ -117,9 +117,7 @@
         # The application refuses larger bodies itself, with the reason.
         self._server.max_request_body_size = 0
         if tls is not None:
-            self._server.ssl_adapter = builtin.BuiltinSSLAdapter(
-                tls.certificate_file, tls.key_file
-            )
+            self._server.ssl_adapter = builtin.BuiltinSSLAdapter(tls.certificate_file, tls.key_file)
         self._stopped = threading.Event()
 
     def start(self) -> int:
--- a/lycheegate/peers/links.py
+++ b/lycheegate/peers/links.py
@@ -218,7 +218,7 @@
         host, _, port = link.address.rpartition(":")
         raw = socket.create_connection((host.strip("[]"), int(port)), OPEN_TIMEOUT_S)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
-        connection = ws_client.connect(
+        dialled = ws_client.connect(
             f"ws://{link.address}/",
             sock=raw,
             compression=None,
@@ -229,7 +229,7 @@
             user_agent_header=None,
             proxy=None,
         )
-        with contextlib.closing(connection):
+        with dialled as connection:
             self._prove_outbound(connection, link.vm_id)
             # What was queued for an earlier link is out of date.
             while not link.queue.empty():
