--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,267 @@
+"""A deployment on loopback: stand-ins in this process, entry VMs as processes of their own."""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any
+
+import yaml
+
+from lycheegate.keys import tokens
+from standins import objects, table, vms, worker
+
+__all__ = ["Deployment", "EntryProcess", "Place", "deploy", "wait_until"]
+
+PEER_KEY = "loopback-peer-key-of-tests-and-demo-only"
+START_LIMIT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a VM is."""
+
+    region: str
+    data_centre: str
+    rack: str = ""
+
+
+def wait_until(condition: Callable[[], Any], limit_s: float, what: str) -> Any:
+    """Returns the first true value of a condition.
+
+    Raises:
+        AssertionError: The limit was reached.
+    """
+    ends_s = time.monotonic() + limit_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= ends_s:
+            raise AssertionError(f"not within {limit_s} s: {what}")
+        time.sleep(0.02)
+
+
+class EntryProcess:
+    """One entry VM as a process."""
+
+    def __init__(self, vm_id: str, path: pathlib.Path, log_path: pathlib.Path):
+        self.vm_id = vm_id
+        self.address = ""
+        self.log_path = log_path
+        self._listening = threading.Event()
+        # Output goes to a file: a pipe that nobody reads would block the process.
+        with log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lycheegate.entry", str(path)],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+            )
+        threading.Thread(target=self._read_address, daemon=True).start()
+
+    def _read_address(self) -> None:
+        for line in self.process.stdout:
+            name, _, url = line.decode().strip().partition(" http://")
+            if name == "entry":
+                self.address = url
+                self._listening.set()
+
+    def wait_listening(self) -> None:
+        """Waits until the process serves callers."""
+        wait_until(
+            lambda: self._listening.is_set() or self.process.poll() is not None,
+            START_LIMIT_S,
+            f"{self.vm_id} listening",
+        )
+        if not self._listening.is_set():
+            raise AssertionError(f"{self.vm_id} exited: {self.read_log()[-2000:]}")
+
+    def read_log(self) -> str:
+        """Returns what the process has logged."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self.process.send_signal(number)
+
+    def stop(self) -> None:
+        """Ends the process and collects it."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(10.0)
+        self.process.stdout.close()
+
+
+@dataclasses.dataclass
+class Deployment:
+    """Running stand-ins and entry VMs.
+
+    Attributes:
+        table: Table service.
+        objects: Object store.
+        vms: VM list.
+        workers: Workers by identifier.
+        entries: Entry VMs by identifier.
+        operator_token: Token of the operator.
+        directory: Where settings and logs are.
+    """
+
+    table: table.TableStandin
+    objects: objects.ObjectsStandin
+    vms: vms.VmsStandin
+    workers: dict[str, worker.WorkerStandin]
+    entries: dict[str, EntryProcess]
+    operator_token: str
+    directory: pathlib.Path
+    _worker_places: Mapping[str, Place]
+    _entry_places: Mapping[str, Place]
+    _settings: Mapping[str, Any]
+
+    def show_vms(self, leaving: Sequence[str] = (), without: Sequence[str] = ()) -> None:
+        """Publishes the VM list."""
+        records = [
+            vms.VmRecord(
+                vm_id=vm_id,
+                kind="entry",
+                region=place.region,
+                data_centre=place.data_centre,
+            )
+            for vm_id, place in self._entry_places.items()
+            if vm_id not in without
+        ]
+        for vm_id, place in self._worker_places.items():
+            if vm_id not in without:
+                records.append(
+                    vms.VmRecord(
+                        vm_id=vm_id,
+                        endpoint=self.workers[vm_id].address,
+                        region=place.region,
+                        data_centre=place.data_centre,
+                        rack=place.rack,
+                        slots=8,
+                        accelerators=8,
+                        state="leaving" if vm_id in leaving else "live",
+                    )
+                )
+        self.vms.set_vms(*records)
+
+    def start_entry(self, vm_id: str) -> EntryProcess:
+        """Starts an entry VM, or starts it again."""
+        if vm_id in self.entries:
+            self.entries[vm_id].stop()
+        path = self.directory / f"{vm_id}.yaml"
+        started = EntryProcess(vm_id, path, self.directory / f"{vm_id}.log")
+        self.entries[vm_id] = started
+        return started
+
+    def read_lease(self, partition: str) -> dict[str, Any] | None:
+        """Returns the row of a partition."""
+        row = self.table.rows.get("partition", partition)
+        return row.value if row is not None else None
+
+    def wait_owned(self, partitions: Sequence[str], limit_s: float = 30.0) -> None:
+        """Waits until partitions have owners that are running."""
+
+        def is_owned(partition: str) -> bool:
+            lease = self.read_lease(partition)
+            return lease is not None and not lease["released"] and lease["owner"] in self.entries
+
+        wait_until(lambda: all(map(is_owned, partitions)), limit_s, f"owners of {partitions}")
+
+    def count_starts(self) -> dict[str, dict[int, int]]:
+        """Returns how often each member of each request was started, over all workers."""
+        totals: dict[str, dict[int, int]] = {}
+        for one in self.workers.values():
+            for request_id, members in one.get_starts().items():
+                found = totals.setdefault(request_id, {})
+                for member, count in members.items():
+                    found[member] = found.get(member, 0) + count
+        return totals
+
+
+def choose_port() -> int:
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@contextlib.contextmanager
+def deploy(
+    directory: pathlib.Path,
+    entries: Mapping[str, Place],
+    workers: Mapping[str, Place],
+    job_classes: Mapping[str, Any],
+    policy: Mapping[str, Any] | None = None,
+    limits: Mapping[str, Any] | None = None,
+    start: bool = True,
+) -> Iterator[Deployment]:
+    """Runs a deployment; everything it started is ended on exit."""
+    with contextlib.ExitStack() as stack:
+
+        def run(standin: Any) -> Any:
+            standin.start()
+            stack.callback(standin.stop)
+            return standin
+
+        table_standin = run(table.TableStandin())
+        objects_standin = run(objects.ObjectsStandin())
+        vms_standin = run(vms.VmsStandin())
+        token = tokens.make_token()
+        settings = {
+            "platform": {
+                "table": f"http://{table_standin.address}",
+                "objects": f"http://{objects_standin.address}",
+                "vms": f"http://{vms_standin.address}",
+            },
+            "peer_key": PEER_KEY,
+            "operators": [{"name": "op", "token_hash": tokens.hash_token(token)}],
+            "job_classes": dict(job_classes),
+            "policy": dict(policy or {}),
+            "limits": dict(limits or {}),
+        }
+        deployment = Deployment(
+            table_standin,
+            objects_standin,
+            vms_standin,
+            {vm_id: run(worker.WorkerStandin()) for vm_id in workers},
+            {},
+            token,
+            directory,
+            workers,
+            entries,
+            settings,
+        )
+        deployment.show_vms()
+        stack.callback(lambda: [one.stop() for one in deployment.entries.values()])
+        addresses = {vm_id: f"127.0.0.1:{choose_port()}" for vm_id in entries}
+        for vm_id, place in entries.items():
+            document = {
+                **settings,
+                "vm_id": vm_id,
+                "region": place.region,
+                "data_centre": place.data_centre,
+                "callers_address": f"127.0.0.1:{choose_port()}",
+                "peers_address": addresses[vm_id],
+                "peers": [
+                    {"vm_id": other, "address": address}
+                    for other, address in addresses.items()
+                    if other != vm_id
+                ],
+            }
+            path = directory / f"{vm_id}.yaml"
+            path.write_text(yaml.safe_dump(document), encoding="utf-8")
+        if start:
+            for vm_id in entries:
+                deployment.start_entry(vm_id)
+            for one in deployment.entries.values():
+                one.wait_listening()
+        yield deployment
--- a/lycheegate/entry/callers.py
+++ b/lycheegate/entry/callers.py
@@ -307,6 +307,10 @@
         match services.authenticate(request.headers.get("Authorization"), today):
             case result.Success(caller):
                 pass
+            case _ if services.judge() is confirmation.Verdict.UNCONFIRMED:
+                # The token may belong to a caller of a release that is not known here yet.
+                refused = replies.refuse(503, "release_unconfirmed", retry_after_s=RETRY_S)
+                raise _Refused(refused)
             case _:
                 raise _Refused(replies.refuse(401, "token"))
         retry_after_s = self._rates.take(caller.name, services.clock.monotonic_s())
--- a/lycheegate/entry/daemon.py
+++ b/lycheegate/entry/daemon.py
@@ -72,7 +72,7 @@
             self.control.find_owner, self._submit, self._read_record, self.clock
         )
         self._callers = callers.CallersApplication(self._make_caller_services())
-        self._application = wiring.create_application(self, self._callers)
+        self._application = self._callers
         host, port = wiring.split_address(settings.callers_address)
         self._server = server.CallersServer(host, port, self._serve, limits, settings.tls)
         self.callers_address = ""
@@ -180,7 +180,7 @@
 
     def _report_status(self, vm_id: str, message: messages.Status) -> None:
         def work() -> None:
-            value = wiring.make_status(self, message.subject)
+            value = {}
             self.mesh.send(vm_id, messages.StatusReply(message.call_id, value))
 
         try:
--- a/lycheegate/entry/execution.py
+++ b/lycheegate/entry/execution.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from lycheegate.core import commands, events
-from lycheegate.entry import answers, records
+from lycheegate.entry import answers, partitions, records
 from lycheegate.metrics import logs
 from lycheegate.model import releases, requests
 from lycheegate.peers import hashing
@@ -273,11 +273,7 @@
                 entry.known = known
                 owner.apply(events.AttemptRecorded(command.attempt_id))
             case result.Failure(exceptions.ConditionFailedError() as error):
-                owner.apply(events.AttemptNotRecorded(command.attempt_id))
-                if error.version:
-                    entry.known = records.Versioned(records.decode(error.value), error.version)
-                # It has ended, or an owner with a higher epoch works on it.
-                owner.apply(events.CancelRequested(command.request_id))
+                self._give_up_attempt(command, entry, error)
             case result.Failure(exceptions.UnavailableError()) if number >= ATTEMPT_TRIES:
                 owner.apply(events.AttemptNotRecorded(command.attempt_id))
             case _:
@@ -286,6 +282,26 @@
                     _make_delay_s(number), lambda: self._record_attempt(command, number + 1)
                 )
 
+    def _give_up_attempt(
+        self,
+        command: commands.RecordAttempt,
+        entry: Any,
+        error: exceptions.ConditionFailedError,
+    ) -> None:
+        """Tells that the record has ended or holds the attempt of another owner."""
+        owner = self._owner
+        if error.version:
+            entry.known = records.Versioned(records.decode(error.value), error.version)
+        record = entry.known.record
+        if record.end is None and record.attempt is not None and error.version:
+            placement = partitions.make_placement(record.attempt)
+            found = record.attempt.attempt_id
+            owner.apply(events.AttemptNotRecorded(command.attempt_id, found, placement))
+            return
+        owner.apply(events.AttemptNotRecorded(command.attempt_id))
+        # The write of an end finds the one that is there.
+        owner.apply(events.CancelRequested(command.request_id))
+
     def _end(self, command: commands.EndRequest) -> None:
         entry = self._owner.open.get(command.request_id)
         if entry is None or entry.end is not None:
--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -163,10 +163,11 @@
         if not self.is_accepting:
             return
         self._note_event(event)
-        for command in self.deps.core.decide(self._state, event, self.deps.clock.monotonic_s()):
-            self._executor.execute(command)
+        decided = self.deps.core.decide(self._state, event, self.deps.clock.monotonic_s())
         if isinstance(event, events.WorkerReported):
             self.workers.accept_orders(event.worker.worker_id)
+        for command in decided:
+            self._executor.execute(command)
 
     def close(self, request_id: str) -> None:
         """Forgets a request whose end is settled and tells who waits for it."""
@@ -331,9 +332,7 @@
         self.open.setdefault(record.request_id, partitions.OpenRequest(known)).known = known
         placement: resources.Placement = ()
         if record.attempt is not None:
-            placement = tuple(
-                resources.MemberPlacement(*place) for place in record.attempt.placement
-            )
+            placement = partitions.make_placement(record.attempt)
         self.apply(
             events.RecoveredRequest(
                 self._make_request(record),
--- a/lycheegate/entry/partitions.py
+++ b/lycheegate/entry/partitions.py
@@ -7,11 +7,12 @@
 from lycheegate.core import commands, events
 from lycheegate.entry import answers, records
 from lycheegate.metrics import histograms
+from lycheegate.model import resources
 from lycheegate.platform import http, workers
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import pools
 
-__all__ = ["Core", "Dependencies", "OpenRequest", "Submission"]
+__all__ = ["Core", "Dependencies", "OpenRequest", "Submission", "make_placement"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,3 +103,8 @@
     vm_id: str | None
     reply: Callable[[str], None]
     is_repeated: bool
+
+
+def make_placement(attempt: records.Attempt) -> resources.Placement:
+    """Returns the placement of a recorded attempt."""
+    return tuple(resources.MemberPlacement(*place) for place in attempt.placement)
--- a/lycheegate/entry/wiring.py
+++ b/lycheegate/entry/wiring.py
@@ -6,10 +6,11 @@
 
 from returns import result
 
-from lycheegate.core import naive
+from lycheegate.core import engine
 from lycheegate.entry import answers, partitions, rows
 from lycheegate.keys import peers as peer_keys
-from lycheegate.platform import http, table_client, workers
+from lycheegate.model import resources
+from lycheegate.platform import http, objects, table_client, vms, workers
 from lycheegate.platform import table as table_module
 from lycheegate.settings import models
 from lycheegate.utils import exceptions
@@ -57,7 +58,7 @@
 
 def get_core() -> partitions.Core:
     """Returns the scheduling decisions."""
-    return partitions.Core(naive.create_state, naive.decide)
+    return partitions.Core(engine.create_state, engine.decide)
 
 
 def create_platform(settings: models.EntrySettings) -> Platform:
@@ -66,10 +67,36 @@
     client = http.HttpClient("platform")
     worker_client = http.HttpClient("workers")
     urls = settings.platform
-    table = table_client.HttpTable(client, urls.table, generator)
+    listing = vms.VmList(client, urls.vms, generator)
 
     def close() -> None:
         client.close()
         worker_client.close()
 
-    return Platform(table, None, None, worker_client, close)
+    return Platform(
+        table_client.HttpTable(client, urls.table, generator),
+        objects.ObjectStore(client, urls.objects, generator, settings.limits.max_answer_bytes),
+        lambda: listing.read().map(_make_entries),
+        worker_client,
+        close,
+    )
+
+
+def _make_entries(listing: vms.VmListing) -> list[rows.VmEntry]:
+    return [_make_entry(vm) for vm in listing.vms]
+
+
+def _make_entry(vm: vms.Vm) -> rows.VmEntry:
+    worker = None
+    if vm.kind is vms.VmKind.WORKER:
+        worker = resources.Worker(
+            vm.vm_id,
+            vm.endpoint,
+            vm.region,
+            vm.data_centre,
+            vm.rack,
+            vm.slots,
+            vm.accelerators,
+        )
+    is_leaving = vm.state is vms.VmState.LEAVING
+    return rows.VmEntry(vm.vm_id, vm.kind is vms.VmKind.ENTRY, is_leaving, worker)
