--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -176,6 +176,17 @@
 
         wait_until(lambda: all(map(is_owned, partitions)), limit_s, f"owners of {partitions}")
 
+    def collect_logs(self) -> str:
+        """Returns the ends of the logs, with the stacks of all threads that run."""
+        for one in self.entries.values():
+            if one.process.poll() is None:
+                one.send_signal(signal.SIGCONT)
+                one.send_signal(signal.SIGUSR1)
+        time.sleep(0.5)
+        return "\n".join(
+            f"== {vm_id}\n{one.read_log()[-6000:]}" for vm_id, one in self.entries.items()
+        )
+
     def count_starts(self) -> dict[str, dict[int, int]]:
         """Returns how often each member of each request was started, over all workers."""
         totals: dict[str, dict[int, int]] = {}
@@ -259,9 +270,13 @@
             }
             path = directory / f"{vm_id}.yaml"
             path.write_text(yaml.safe_dump(document), encoding="utf-8")
-        if start:
-            for vm_id in entries:
-                deployment.start_entry(vm_id)
-            for one in deployment.entries.values():
-                one.wait_listening()
-        yield deployment
+        try:
+            if start:
+                for vm_id in entries:
+                    deployment.start_entry(vm_id)
+                for one in deployment.entries.values():
+                    one.wait_listening()
+            yield deployment
+        except BaseException:
+            print(deployment.collect_logs(), file=sys.stderr)
+            raise
--- /dev/null
+++ b/lycheegate/entry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry daemon, with real processes where faults of processes matter."""
