Make the HTTP client cheaper and fix a lost wake-up

Under load, two table writes of 4,000 got no answer at all: a wake-up between clearing the flag and reading the socket lost its byte, and no later wake-up sent one. Change: epoll without the selectors layer, options that stay set on spare handles, headers parsed only when asked for. The wake-up socket is read before the flag is cleared.

--- a/lycheegate/platform/answers.py
+++ b/lycheegate/platform/answers.py
@@ -42,16 +42,16 @@
     """Returns the answer if it is whole and belongs to the request."""
     if response.status != 200:
         return result.Failure(exceptions.UnavailableError(f"status {response.status}"))
-    if response.headers.get("x-request-id") != request.request_id:
+    if response.get_header("x-request-id") != request.request_id:
         return result.Failure(exceptions.ProtocolError("answer of another request"))
     digest = hashlib.sha256(response.body).hexdigest()
-    stated = response.headers.get("x-sha256", "")
+    stated = response.get_header("x-sha256") or ""
     if not hmac.compare_digest(digest, stated.lower()):
         return result.Failure(exceptions.ProtocolError("wrong digest"))
     if request.sha256 is not None and request.sha256 != digest:
         return result.Failure(exceptions.ProtocolError("not the answer that was announced"))
     length = request.length
-    if "content-length" not in response.headers or length not in (None, len(response.body)):
+    if response.get_header("content-length") is None or length not in (None, len(response.body)):
         return result.Failure(exceptions.ProtocolError("wrong length"))
     return result.Success(response.body)
 
--- a/lycheegate/platform/http.py
+++ b/lycheegate/platform/http.py
@@ -5,7 +5,7 @@
 import dataclasses
 import heapq
 import itertools
-import selectors
+import select
 import socket
 import threading
 import time
@@ -25,13 +25,15 @@
 
 _log = logbook.Logger("platform.http")
 
-_SPARE_HANDLES = 64
-_MAX_HEADER_BYTES = 16_384
+# Spare handles of each kind; a handle with open buffers takes some 10 KB.
+_SPARE_HANDLES = 16
 _EVENT_BITS = {
-    pycurl.POLL_IN: selectors.EVENT_READ,
-    pycurl.POLL_OUT: selectors.EVENT_WRITE,
-    pycurl.POLL_INOUT: selectors.EVENT_READ | selectors.EVENT_WRITE,
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
 }
+# libcurl finds errors and hang-ups by reading.
+_READABLE = select.EPOLLIN | select.EPOLLERR | select.EPOLLHUP
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,12 +77,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """A complete answer; header names are in lower case."""
+    """A complete answer."""
 
     status: int
-    headers: dict[str, str]
+    header_lines: tuple[bytes, ...]
     body: bytes
 
+    def get_header(self, name: str) -> str | None:
+        """Returns the value of a header, or None; most callers need none of them."""
+        wanted = name.lower().encode()
+        for line in self.header_lines:
+            found, separator, value = line.partition(b":")
+            if separator and found.lower() == wanted:
+                return value.strip().decode("latin-1")
+        return None
+
 
 class Timer:
     """A function that is called later, unless it is cancelled."""
@@ -104,15 +115,15 @@
 class _Transfer:
     """A request on its way."""
 
-    __slots__ = ("body", "future", "header_bytes", "headers", "origin", "request", "sent", "size")
+    __slots__ = ("body", "future", "header_lines", "kind", "origin", "request", "sent", "size")
 
     def __init__(self, request: Request, origin: str):
         self.request = request
         self.origin = origin
+        self.kind = (request.method, request.body is not None)
         self.future: futures.Future[HttpResult] = futures.Future()
         self.sent = False
-        self.headers: dict[str, str] = {}
-        self.header_bytes = 0
+        self.header_lines: list[bytes] = []
         self.body: list[bytes] = []
         self.size = 0
 
@@ -127,18 +138,6 @@
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
-    def take_header(self, line: bytes) -> int | None:
-        """Takes a header line; a status line starts a new set of headers."""
-        self.header_bytes += len(line)
-        if self.header_bytes > _MAX_HEADER_BYTES:
-            return 0
-        if line.startswith(b"HTTP/"):
-            self.headers.clear()
-        name, separator, value = line.decode("latin-1").partition(":")
-        if separator:
-            self.headers[name.strip().lower()] = value.strip()
-        return None
-
     def take_body(self, data: bytes) -> int | None:
         """Takes a part of the body; refuses a body that is too large."""
         self.size += len(data)
@@ -147,10 +146,6 @@
         self.body.append(data)
         return None
 
-    def is_too_large(self) -> bool:
-        """Returns whether the answer went over a limit."""
-        return self.size > self.request.max_body_bytes or self.header_bytes > _MAX_HEADER_BYTES
-
 
 class HttpClient:
     """HTTP client with one thread.
@@ -180,13 +175,15 @@
         self._timer_numbers = itertools.count()
         self._closed = False
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
-        self._spare: list[pycurl.Curl] = []
-        self._selector = selectors.DefaultSelector()
+        # Spare handles by method and whether there is a body; these options stay set.
+        self._spare: dict[tuple[str, bool], list[pycurl.Curl]] = {}
+        self._epoll = select.epoll()
+        self._watched: set[int] = set()
         self._wake_in, self._wake_out = socket.socketpair()
         self._wake_in.setblocking(False)
         self._wake_out.setblocking(False)
         self._woken = False
-        self._selector.register(self._wake_in, selectors.EVENT_READ)
+        self._epoll.register(self._wake_in, select.EPOLLIN)
         self._curl_due_s: float | None = None
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -249,14 +246,16 @@
             self._wake_out.send(b"x")
 
     def _run(self) -> None:
+        wake_fd = self._wake_in.fileno()
         while not self._closed:
-            for key, mask in self._selector.select(self._compute_wait_s()):
-                if key.fileobj is self._wake_in:
+            for fd, mask in self._epoll.poll(self._compute_wait_s()):
+                if fd == wake_fd:
                     self._drain_wake()
-                else:
-                    bits = pycurl.CSELECT_IN if mask & selectors.EVENT_READ else 0
-                    bits |= pycurl.CSELECT_OUT if mask & selectors.EVENT_WRITE else 0
-                    self._multi.socket_action(key.fd, bits)
+                    continue
+                bits = pycurl.CSELECT_IN if mask & _READABLE else 0
+                if mask & select.EPOLLOUT:
+                    bits |= pycurl.CSELECT_OUT
+                self._multi.socket_action(fd, bits)
             self._start_submitted()
             if self._curl_due_s is not None and self._curl_due_s <= time.monotonic():
                 self._curl_due_s = None
@@ -266,10 +265,12 @@
         self._fail_all()
 
     def _drain_wake(self) -> None:
-        with self._lock:
-            self._woken = False
+        # The byte is taken first. In the other order, a wake-up in between sets the flag and has
+        # its byte taken, and then no later wake-up sends one.
         with contextlib.suppress(BlockingIOError):
             self._wake_in.recv(64)
+        with self._lock:
+            self._woken = False
 
     def _compute_wait_s(self) -> float | None:
         with self._lock:
@@ -281,18 +282,21 @@
         return None if due_s is None else max(0.0, due_s - time.monotonic())
 
     def _watch_socket(self, what: int, fd: int, _multi: object, _data: object) -> None:
-        known = fd in self._selector.get_map()
         if what == pycurl.POLL_REMOVE:
-            if known:
-                self._selector.unregister(fd)
+            if fd in self._watched:
+                self._watched.discard(fd)
+                # libcurl may have closed the socket already, which ends the watch as well.
+                with contextlib.suppress(OSError):
+                    self._epoll.unregister(fd)
             return
         events = _EVENT_BITS.get(what)
         if events is None:
             return
-        if known:
-            self._selector.modify(fd, events)
+        if fd in self._watched:
+            self._epoll.modify(fd, events)
         else:
-            self._selector.register(fd, events)
+            self._watched.add(fd)
+            self._epoll.register(fd, events)
 
     def _set_curl_timer(self, timeout_ms: int) -> None:
         self._curl_due_s = None if timeout_ms < 0 else time.monotonic() + timeout_ms / 1000.0
@@ -300,31 +304,40 @@
     def _start_submitted(self) -> None:
         while self._submitted:
             transfer = self._submitted.popleft()
-            handle = self._spare.pop() if self._spare else pycurl.Curl()
+            spare = self._spare.get(transfer.kind)
+            handle = spare.pop() if spare else self._make_handle(transfer.request)
             self._set_options(handle, transfer)
             self._transfers[handle] = transfer
             self._multi.add_handle(handle)
 
+    def _make_handle(self, request: Request) -> pycurl.Curl:
+        """Returns a handle with the options that do not change between requests."""
+        handle = pycurl.Curl()
+        if request.body is not None:
+            handle.setopt(pycurl.POST, 1)
+        if request.method != "GET":
+            handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.TCP_NODELAY, 1)
+        handle.setopt(pycurl.MAXAGE_CONN, self._limits.idle_connection_s)
+        return handle
+
     def _set_options(self, handle: pycurl.Curl, transfer: _Transfer) -> None:
         request = transfer.request
         handle.setopt(pycurl.URL, request.url)
         if request.body is not None:
             handle.setopt(pycurl.POSTFIELDS, request.body)
-        if request.method != "GET":
-            handle.setopt(pycurl.CUSTOMREQUEST, request.method)
         # Headers that libcurl adds by itself only cost bytes here.
         headers = ["Accept:", "User-Agent:", "Expect:", *request.headers]
         handle.setopt(pycurl.HTTPHEADER, headers)
-        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.PROXY, "")
-        handle.setopt(pycurl.TCP_NODELAY, 1)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
         connect_s = min(self._limits.connect_timeout_s, request.timeout_s)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_s * 1000)))
-        handle.setopt(pycurl.MAXAGE_CONN, self._limits.idle_connection_s)
         handle.setopt(pycurl.PREREQFUNCTION, transfer.begin)
-        handle.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
+        # libcurl itself bounds the headers of an answer to 300 KB.
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.header_lines.append)
         handle.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
 
     def _finish_transfers(self) -> None:
@@ -341,15 +354,15 @@
         transfer = self._transfers.pop(handle)
         self.requests_done += 1
         self.connections_made += handle.getinfo(pycurl.NUM_CONNECTS)
-        self.bytes_received += transfer.header_bytes + transfer.size
+        self.bytes_received += handle.getinfo(pycurl.HEADER_SIZE) + transfer.size
         if transfer.sent:
             self.bytes_sent += handle.getinfo(pycurl.REQUEST_SIZE)
             self.bytes_sent += int(handle.getinfo(pycurl.SIZE_UPLOAD_T))
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         self._multi.remove_handle(handle)
-        if len(self._spare) < _SPARE_HANDLES:
-            handle.reset()
-            self._spare.append(handle)
+        spare = self._spare.setdefault(transfer.kind, [])
+        if len(spare) < _SPARE_HANDLES:
+            spare.append(handle)
         else:
             handle.close()
         self._resolve(transfer, self._make_result(transfer, status, code, message))
@@ -357,10 +370,10 @@
     def _make_result(self, transfer: _Transfer, status: int, code: int, message: str) -> HttpResult:
         if code == 0:
             body = b"".join(transfer.body)
-            return result.Success(Response(status, transfer.headers, body))
+            return result.Success(Response(status, tuple(transfer.header_lines), body))
         request = transfer.request
         text = f"{request.method} {transfer.origin}: {message or code}"
-        if transfer.is_too_large():
+        if transfer.size > request.max_body_bytes:
             return result.Failure(exceptions.ProtocolError(f"answer too large: {text}"))
         if transfer.sent:
             return result.Failure(exceptions.OutcomeUnknownError(text))
@@ -395,6 +408,6 @@
         for transfer in self._submitted:
             self._resolve(transfer, self._make_result(transfer, 0, -1, "client closed"))
         self._multi.close()
-        self._selector.close()
+        self._epoll.close()
         self._wake_in.close()
         self._wake_out.close()
--- a/lycheegate/platform/objects.py
+++ b/lycheegate/platform/objects.py
@@ -78,7 +78,7 @@
             return result.Success(None)
         if response.status != 200:
             return Failure(exceptions.UnavailableError(f"status {response.status}"))
-        stated = response.headers.get("x-sha256")
+        stated = response.get_header("x-sha256")
         if stated is not None and stated != hashlib.sha256(response.body).hexdigest():
             return Failure(exceptions.ProtocolError("wrong digest"))
         return result.Success(response.body)
