Restore unprobed workers under waiting work; mark resubmitted requests

Cause: a quarantined worker was never probed when only work that may not probe it was waiting, so that work waited for ever. A request that an earlier owner had run could be refused as not_run when it was submitted again. Change: such a worker is restored 60 s after its probe was due. RequestSubmitted gets the optional field resubmitted. The machine draws bad workers, repeated reports, refused records and both orders of takeover. Conclusion: both faults are within the drawn space and stay guarded.

--- a/lycheegate/core/admission.py
+++ b/lycheegate/core/admission.py
@@ -20,13 +20,23 @@
 
 
 def submit_request(
-    state: states.PartitionState, request: requests.Request, out: list[commands.Command]
+    state: states.PartitionState,
+    request: requests.Request,
+    resubmitted: bool,
+    out: list[commands.Command],
 ) -> None:
-    """Queues a new request or refuses it at once."""
+    """Queues a new request or refuses it at once.
+
+    Args:
+        state: State, changed in place.
+        request: The request.
+        resubmitted: Whether another owner may have run it.
+        out: Commands, appended to.
+    """
     request_id = request.request_id
     if request_id in state.jobs or request_id in state.ended:
         return
-    job = states.Job(request)
+    job = states.Job(request, ran=resubmitted and request.idempotent)
     states.set_phase(state, job, states.Phase.DELAYED)
     if state.early_cancels.pop(request_id, None) is not None:
         retries.end_request(state, job, requests.End.CANCELLED, out)
--- a/lycheegate/core/engine.py
+++ b/lycheegate/core/engine.py
@@ -166,6 +166,7 @@
         actions = scheduling.plan(state.scheduling, state.now_s)
         scheduling.set_placeable(state.scheduling, worker_id, False)
         _apply(state, actions, out, probed=worker)
+        quarantine.restore_unprobed(state, worker, out)
 
 
 def _start_probe(
@@ -211,7 +212,7 @@
 
 
 def _on_submitted(state: PartitionState, event: events.RequestSubmitted, out: _Commands) -> None:
-    admission.submit_request(state, event.request, out)
+    admission.submit_request(state, event.request, event.resubmitted, out)
 
 
 def _on_cancel(state: PartitionState, event: events.CancelRequested, out: _Commands) -> None:
--- a/lycheegate/core/events.py
+++ b/lycheegate/core/events.py
@@ -95,9 +95,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSubmitted:
-    """A new request for this partition."""
+    """A new request for this partition.
+
+    Attributes:
+        request: The request.
+        resubmitted: Whether it was sent to another owner before, which may have run it. Only
+            idempotent requests without a recorded attempt are sent again.
+    """
 
     request: requests.Request
+    resubmitted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/core/quarantine.py
+++ b/lycheegate/core/quarantine.py
@@ -14,6 +14,7 @@
     "note_success",
     "refresh_placeable",
     "relieve",
+    "restore_unprobed",
 ]
 
 # At most one worker in four is in quarantine; beyond that a common cause is more likely than
@@ -21,6 +22,9 @@
 _MAX_SHARE = 4
 _MAX_PROBE_FACTOR = 16
 _MAX_FAILURES_KEPT = 64
+# A worker for which no idempotent request to probe it with came by for this time is restored if
+# work is waiting; that work may be what needs it.
+_MAX_PROBE_WAIT_S = 60.0
 
 
 def is_healthy(state: states.PartitionState, worker_id: str, request_id: str) -> bool:
@@ -171,6 +175,18 @@
     ]
 
 
+def restore_unprobed(
+    state: states.PartitionState, worker: states.WorkerState, out: list[commands.Command]
+) -> None:
+    """Restores a worker that could not be probed for long while work was waiting."""
+    if (
+        worker.probe_attempt_id is None
+        and state.waiting_total
+        and state.now_s >= worker.probe_at_s + _MAX_PROBE_WAIT_S
+    ):
+        _restore(state, worker, out)
+
+
 def is_probe_candidate(job: states.Job) -> bool:
     """Returns whether a request may test a quarantined worker."""
     request: requests.Request = job.request
--- a/lycheegate/core/tests/fakes.py
+++ b/lycheegate/core/tests/fakes.py
@@ -102,6 +102,7 @@
         self.steps = 0
         self.table_epoch = 0
         self.store_up = True
+        self.refused_records = 0
         self.records: dict[str, Record] = {}
         self.workers = {f"w{n}": FakeWorker(make_worker(f"w{n}")) for n in range(workers)}
         self.fates: collections.deque[str] = collections.deque()
@@ -123,7 +124,7 @@
 
     # Owners.
 
-    def take_over(self) -> None:
+    def take_over(self, requests_first: bool = False) -> None:
         """Starts a new owner; the one before goes on until a worker refuses it."""
         self.old = self.owner
         self.table_epoch += 1
@@ -138,9 +139,17 @@
         self.send(self.owner, events.EpochGained(self.table_epoch))
         if self.release is not None:
             self.send(self.owner, self.release)
+        if requests_first:
+            self.send_recovered()
         for worker in self.workers.values():
             worker.known_lost = False
             self.fence(worker)
+        if not requests_first:
+            self.send_recovered()
+        self.send(self.owner, events.Tick())
+
+    def send_recovered(self) -> None:
+        """Tells the owner which requests have not ended."""
         for record in list(self.records.values()):
             if record.end is None:
                 self.send(
@@ -152,7 +161,6 @@
                         record.cancel_requested,
                     ),
                 )
-        self.send(self.owner, events.Tick())
 
     def fence(self, worker: FakeWorker) -> None:
         """Tells a worker the epoch and reports its tasks, if it can be reached."""
@@ -352,6 +360,9 @@
             if isinstance(command, commands.EndRequest):
                 assert record.end is None, f"second end of {command.request_id}"
                 record.end = command
+            elif record.end is None and self.refused_records:
+                self.refused_records -= 1
+                self.send(owner, events.AttemptNotRecorded(command.attempt_id))
             elif record.end is None:
                 record.attempt_id, record.placement = command.attempt_id, command.placement
                 self.send(owner, events.AttemptRecorded(command.attempt_id))
@@ -496,7 +507,7 @@
         self.run_s[request.request_id] = run_s
         if also_old:
             self.send(self.old, events.RequestSubmitted(request))
-        self.send(self.owner, events.RequestSubmitted(request))
+        self.send(self.owner, events.RequestSubmitted(request, also_old))
 
     def cancel(self, request_id: str) -> None:
         """Asks for a request to be cancelled."""
--- a/lycheegate/core/tests/test_engine_machine.py
+++ b/lycheegate/core/tests/test_engine_machine.py
@@ -30,6 +30,7 @@
         copies=st.sampled_from([1, 1, 3]),
         client_account=st.sampled_from(["hanbok-studio", "atelier"]),
         also_old=st.booleans(),
+        then_s=st.sampled_from([0.0, 0.5, 1.5, 4.0]),
     )
     def submit(
         self,
@@ -42,6 +43,7 @@
         copies,
         client_account,
         also_old,
+        then_s,
     ):
         """Submits requests whose declared run time is untrue."""
         world = self.world
@@ -60,6 +62,8 @@
             if is_bad:
                 world.bad_jobs.add(request.request_id)
             world.submit(request, run_s, also_old)
+        if then_s:
+            world.advance(then_s)
 
     @stateful.rule(duration_s=st.sampled_from([0.25, 0.5, 1.0, 3.0, 7.0]))
     def advance(self, duration_s):
@@ -121,10 +125,32 @@
         self.world.store_up = store_up
 
     @stateful.precondition(lambda self: self.world.store_up)
-    @stateful.rule()
-    def take_over(self):
+    @stateful.rule(requests_first=st.booleans(), cut=st.none() | _WORKERS, also_old=st.booleans())
+    def take_over(self, requests_first, cut, also_old):
         """Starts a second owner while the first goes on sending orders."""
-        self.world.take_over()
+        if cut is not None:
+            self.world.pause(cut, also_old)
+        self.world.take_over(requests_first)
+
+    @stateful.rule(worker_id=_WORKERS)
+    def report_again(self, worker_id):
+        """Fences a worker again, so that its report meets what is known already."""
+        self.world.fence(self.world.workers[worker_id])
+
+    @stateful.rule(count=st.integers(1, 3))
+    def refuse_records(self, count):
+        """Refuses the next attempt records."""
+        self.world.refused_records = count
+
+    @stateful.rule(worker_id=_WORKERS)
+    def send_to_bad_worker(self, worker_id):
+        """Sends small requests while one worker fails them all."""
+        self.world.workers[worker_id].fails_all = True
+        for _ in range(10):
+            self.count += 1
+            request = fakes.make_request(f"r-{self.count}", submitted_at_s=self.world.now_s)
+            self.world.submit(request, 0.25)
+        self.world.advance(2.0)
 
     @stateful.rule(
         units=st.integers(0, 3),
