Add fault tables and a differential test; let a seen start outweigh a denial

Cause: a worker that was lost and came back could say that a task never started although its start had been seen; the request then ran again. Change: attempts note that a member was seen to have started.

--- a/lycheegate/core/attempts.py
+++ b/lycheegate/core/attempts.py
@@ -223,7 +223,7 @@
     status = attempt.statuses[member]
     if status in _NOT_SEEN_RUNNING or status is states.Status.RELEASING:
         attempt.statuses[member] = states.Status.RUNNING
-        attempt.start_ordered = True
+        attempt.has_started = True
         if attempt.started_at_s is None:
             attempt.started_at_s = state.now_s
         gangs.check_running(state, attempt)
@@ -239,7 +239,7 @@
     if not states.Status.PLANNED < attempt.statuses[member] < states.Status.FINISHED:
         return
     attempt.statuses[member] = states.Status.FINISHED
-    attempt.start_ordered = True
+    attempt.has_started = True
     if attempt.step is states.Step.CLOSING:
         closing.settle(state, attempt, out)
     elif all(status is states.Status.FINISHED for status in attempt.statuses):
@@ -259,7 +259,7 @@
     if not states.Status.PLANNED < attempt.statuses[member] < states.Status.FINISHED:
         return
     attempt.statuses[member] = states.Status.FAILED
-    attempt.start_ordered = True
+    attempt.has_started = True
     job = closing.find_job(state, attempt)
     place = attempt.placement[member]
     if place is not None:
@@ -339,7 +339,7 @@
     if not states.Status.PLANNED < status < states.Status.FINISHED:
         return
     if started or status is states.Status.RUNNING:
-        attempt.start_ordered = True
+        attempt.has_started = True
         attempt.statuses[member] = states.Status.RELEASED
     else:
         attempt.statuses[member] = states.Status.NOT_STARTED
--- a/lycheegate/core/closing.py
+++ b/lycheegate/core/closing.py
@@ -148,7 +148,13 @@
 
 
 def is_proven_not_started(attempt: states.Attempt) -> bool:
-    """Returns whether no member of an attempt can have started."""
+    """Returns whether no member of an attempt can have started.
+
+    A start that was seen outweighs a worker that says that nothing started, since the worker may
+    have lost its memory in between.
+    """
+    if attempt.has_started:
+        return False
     return not attempt.start_ordered or all(status in _NEVER_STARTED for status in attempt.statuses)
 
 
--- a/lycheegate/core/reports.py
+++ b/lycheegate/core/reports.py
@@ -223,6 +223,9 @@
         events.TaskState.FAILED: states.Status.FAILED,
         events.TaskState.STOPPED: states.Status.STOPPED,
     }[task.state]
+    if task.state is not events.TaskState.HELD:
+        # A stopped task may have run before.
+        attempt.has_started = True
     if attempt.step is states.Step.CLOSING:
         if attempt.statuses[member] is states.Status.RUNNING:
             closing.order_release(state, attempt, member, out)
--- a/lycheegate/core/state.py
+++ b/lycheegate/core/state.py
@@ -161,7 +161,8 @@
         since_s: When the step began.
         due_s: When its timer fires, or None.
         start_ordered: Whether any order was given that lets a member start.
-        started_at_s: When the first member started, or None.
+        has_started: Whether some member was seen to have started.
+        started_at_s: When the first member started, or None if that is not known.
         repeats: Repeated orders in this step.
         occupies: Whether it has an allocation in the scheduling state.
         after: What follows when it is closed.
@@ -178,6 +179,7 @@
     since_s: float
     due_s: float | None = None
     start_ordered: bool = False
+    has_started: bool = False
     started_at_s: float | None = None
     repeats: int = 0
     occupies: bool = True
--- /dev/null
+++ b/lycheegate/core/tests/test_engine.py
@@ -0,0 +1,350 @@
+"""Fault tables of the engine, one row per sequence of events."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lycheegate.core import commands, engine, events, naive, policy, scheduling
+from lycheegate.core.tests import fakes, world
+from lycheegate.model import releases, requests, resources
+from lycheegate.utils import exceptions
+
+_End = requests.End
+_WORKERS = tuple(fakes.make_worker(f"w{number}", 8, 8) for number in range(4))
+
+
+def _start(workers: int = 1, now_s: float = 0.0, **settings) -> engine.PartitionState:
+    """Returns a state that is past its takeover, at 10 s."""
+    state = engine.create_state("suwon/0", policy.PolicySettings(**settings), seed=1)
+    engine.decide(state, events.EpochGained(1), now_s)
+    for worker in _WORKERS[:workers]:
+        engine.decide(state, events.WorkerReported(worker), now_s)
+    engine.decide(state, events.Tick(), 10.0)
+    return state
+
+
+def _run(state: engine.PartitionState, steps) -> list[commands.Command]:
+    """Feeds events; a number is a time at which a tick is sent."""
+    out = []
+    for step in steps:
+        event, now_s = (step, 0.0) if not isinstance(step, float) else (events.Tick(), step)
+        out += engine.decide(state, event, now_s)
+    return out
+
+
+def _list(out, kind):
+    return [command for command in out if isinstance(command, kind)]
+
+
+def _report(*tasks, restarted=False):
+    reported = tuple(
+        events.TaskReport(task_id, task_id.split("-")[0], 0, task_state, 0, 1)
+        for task_id, task_state in tasks
+    )
+    return events.WorkerReported(_WORKERS[0], reported, restarted=restarted)
+
+
+_TASK = "r-1-1.0"
+_LOST = events.WorkerLost("w0")
+_CANCEL = events.CancelRequested("r")
+_FINISHED = events.TaskFinished(_TASK)
+_STORED = events.AnswerStored("r-1-1")
+_NOT_STARTED = events.TaskReleased(_TASK, False)
+_RUNNING = events.TaskState.RUNNING
+
+
+@pytest.mark.parametrize(
+    ("steps", "ends", "records"),
+    [
+        ([_FINISHED, _STORED], [_End.ANSWERED], 0),
+        ([_FINISHED, _FINISHED, _STORED, _STORED, _LOST], [_End.ANSWERED], 0),
+        ([_FINISHED, events.TaskStarted(_TASK), _STORED], [_End.ANSWERED], 0),
+        ([events.TaskFailed(_TASK, "x")], [_End.ANSWERED], 0),
+        ([_FINISHED, events.AnswerBroken("r-1-1")], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, 39.0], [], 0),
+        ([_LOST, 40.5], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, 40.5, _report((_TASK, _RUNNING)), _FINISHED], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, _report((_TASK, _RUNNING)), _FINISHED, _STORED], [_End.ANSWERED], 0),
+        ([_LOST, _report((_TASK, events.TaskState.FINISHED)), _STORED], [_End.ANSWERED], 0),
+        ([_LOST, _report((_TASK, events.TaskState.STOPPED))], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, _report(), 12.0], [], 0),
+        ([_LOST, _report(), _NOT_STARTED, 12.0], [], 1),
+        ([_LOST, _report(), events.TaskReleased(_TASK, True)], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, _report(restarted=True)], [_End.MAY_HAVE_RUN], 0),
+        ([events.TaskRefused(_TASK, events.Refusal.CAPACITY), 12.0], [], 1),
+        ([events.TaskRefused(_TASK, events.Refusal.UNREACHABLE), 12.0], [], 0),
+        ([events.TaskRefused(_TASK, events.Refusal.TOMBSTONE), _NOT_STARTED, 12.0], [], 1),
+        ([_CANCEL], [], 0),
+        ([_CANCEL, _NOT_STARTED], [_End.CANCELLED], 0),
+        ([_CANCEL, _FINISHED, _STORED], [_End.ANSWERED], 0),
+        ([_CANCEL, _LOST, 40.5], [_End.MAY_HAVE_RUN], 0),
+        ([events.TaskStarted(_TASK), _CANCEL, events.TaskStopped(_TASK, False)], ["cancelled"], 0),
+        ([events.TaskStopped(_TASK, False)], [_End.MAY_HAVE_RUN], 0),
+        ([events.TaskStarted(_TASK), _LOST, _report(), _NOT_STARTED], [_End.MAY_HAVE_RUN], 0),
+        ([_LOST, _report((_TASK, _RUNNING)), _LOST, _report(), _NOT_STARTED], ["may_have_run"], 0),
+    ],
+)
+def test_end_non_idempotent_request(steps, ends, records):
+    """Guards against a second run, a false not-run report, and a missing or second end."""
+    state = _start()
+    request = fakes.make_request("r", idempotent=False)
+    out = _run(state, [events.RequestSubmitted(request), events.AttemptRecorded("r-1-1")])
+    assert [type(command) for command in out] == [commands.RecordAttempt, commands.HoldTask]
+    out = _run(state, steps)
+    assert [end.end for end in _list(out, commands.EndRequest)] == ends
+    assert len(_list(out, commands.RecordAttempt)) == records
+
+
+@pytest.mark.parametrize(
+    ("steps", "end"),
+    [
+        ([_CANCEL], _End.CANCELLED),
+        ([_LOST], None),
+        ([events.AttemptNotRecorded("r-1-1")], None),
+        ([events.AttemptNotRecorded("r-1-1", "r-0-1"), 45.0], _End.MAY_HAVE_RUN),
+        ([11.0, _CANCEL, events.AttemptRecorded("r-1-1")], _End.CANCELLED),
+        ([events.WorkerLeaving("w0"), events.AttemptRecorded("r-1-1")], None),
+        ([60.0], _End.NOT_RUN),
+    ],
+)
+def test_order_nothing_without_record(steps, end):
+    """Guards against an order for an attempt that is not, or not any more, to be started."""
+    state = _start()
+    request = fakes.make_request("r", idempotent=False, deadline_at_s=50.0)
+    _run(state, [events.RequestSubmitted(request)])
+    out = _run(state, steps)
+    assert [command.end for command in _list(out, commands.EndRequest)] == ([end] if end else [])
+    assert not _list(out, commands.HoldTask)
+
+
+_UNKNOWN = [
+    events.CancelRequested("unknown"),
+    events.AttemptRecorded("x-1-1"),
+    events.AttemptNotRecorded("x-1-1"),
+    events.WorkerLeaving("w9"),
+    events.WorkerLost("w9"),
+    events.EpochGained(1),
+    events.EpochGained(0),
+    events.AnswerStored("r-1-1"),
+    events.AnswerBroken("x"),
+    events.RequestSubmitted(fakes.make_request("r")),
+    events.RecoveredRequest(fakes.make_request("r"), "r-0-1"),
+    *(
+        make(task_id)
+        for task_id in ("x-1-1.0", "r-1-1.7", "r-1-1.x", "", "r-1-1.-1")
+        for make in (
+            events.TaskHeld,
+            events.TaskStarted,
+            events.TaskFinished,
+            lambda task_id: events.TaskFailed(task_id, "x"),
+            lambda task_id: events.TaskStopped(task_id, True),
+            lambda task_id: events.TaskReleased(task_id, True),
+            lambda task_id: events.TaskRefused(task_id, events.Refusal.LEAVING),
+        )
+    ),
+]
+
+
+@pytest.mark.parametrize("event", _UNKNOWN, ids=repr)
+def test_ignore_unknown_event(event):
+    """Guards against late, repeated or unknown events that change decisions."""
+    state = _start()
+    _run(state, [events.RequestSubmitted(fakes.make_request("r"))])
+    assert engine.decide(state, event, 10.0) == []
+    assert [end.end for end in _run(state, [_FINISHED, _STORED]) if hasattr(end, "end")] == [
+        _End.ANSWERED
+    ]
+
+
+_GANG = fakes.make_request("g", 3, 8)
+
+
+@pytest.mark.parametrize(
+    ("steps", "starts", "stops", "releases"),
+    [
+        ([], 0, 0, 0),
+        (["held"], 3, 0, 0),
+        (["held", "started", events.WorkerLost("w0")], 3, 2, 0),
+        (["held", "started", events.TaskFailed("g-1-1.2", "x"), "stopped"], 3, 2, 3),
+        (["held", events.TaskStarted("g-1-1.0"), 11.5], 3, 3, 0),
+        ([events.TaskHeld("g-1-1.0"), 12.5], 0, 0, 3),
+        ([events.TaskHeld("g-1-1.0"), events.WorkerLost("w1")], 0, 0, 2),
+        ([events.TaskHeld("g-1-1.0"), events.WorkerLeaving("w0")], 0, 0, 3),
+        ([events.TaskHeld("g-1-1.0"), events.CancelRequested("g")], 0, 0, 3),
+        ([events.TaskRefused("g-1-1.1", events.Refusal.CAPACITY)], 0, 0, 2),
+    ],
+)
+def test_start_gang_whole_or_not(steps, starts, stops, releases):
+    """Guards against a gang that goes on with some of its members."""
+    state = _start(3)
+    _run(state, [events.RequestSubmitted(_GANG)])
+    makes = {
+        "held": events.TaskHeld,
+        "started": events.TaskStarted,
+        "stopped": lambda task_id: events.TaskStopped(task_id, True),
+    }
+    expanded = []
+    for step in steps:
+        if isinstance(step, str):
+            expanded += [makes[step](f"g-1-1.{member}") for member in range(3)]
+        else:
+            expanded.append(step)
+    out = _run(state, expanded)
+    assert len(_list(out, commands.StartTask)) == starts
+    assert len(_list(out, commands.StopTask)) == stops
+    assert len(_list(out, commands.ReleaseTask)) == releases
+
+
+def test_preempt_with_grace():
+    """Guards against work that is stopped without grace, or counted as failed."""
+    state = _start(1)
+    _run(state, [events.RequestSubmitted(fakes.make_request("r", 1, 8)), events.TaskStarted(_TASK)])
+    urgent = fakes.make_request("u", 1, 8, urgency=requests.Urgency.URGENT, preemptible=False)
+    (stop,) = _run(state, [events.RequestSubmitted(urgent)])
+    assert stop == commands.StopTask(_TASK, "w0", commands.StopMode.CHECKPOINT, 2.0)
+    out = _run(state, [events.TaskStopped(_TASK, True)])
+    assert [hold.request_id for hold in _list(out, commands.HoldTask)] == ["u"]
+    assert state.jobs["r"].attempts == 0
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason", "retry_after_s"),
+    [
+        ({"shape": resources.Shape(1, 9)}, "worker", None),
+        ({"shape": resources.Shape(5, 8)}, "data_centre", None),
+        ({"client_account": "small", "shape": resources.Shape(1, 4)}, "quota", None),
+        ({"deadline_at_s": 9.0}, "deadline", None),
+        ({"client_account": "full"}, "overload", 10.0),
+        ({"caller": "slow", "deadline_at_s": 30.0}, "deadline", None),
+        ({"client_account": "other"}, None, None),
+    ],
+)
+def test_refuse_at_once(changes, reason, retry_after_s):
+    """Guards against accepting work that cannot run, is too late, or exceeds the fair share."""
+    state = _start(2, max_queued=40)
+    accounts = (
+        releases.ClientAccount("small", 2),
+        releases.ClientAccount("full"),
+        releases.ClientAccount("other"),
+    )
+    state.estimates["slow", "hero-shot"] = [5.0] * 9
+    _run(state, [events.ReleaseApplied(1, accounts, ())])
+    for number in range(40):
+        request = fakes.make_request(f"f{number}", 1, 8, client_account="full")
+        _run(state, [events.RequestSubmitted(request)])
+    request = dataclasses.replace(fakes.make_request("r"), **changes)
+    ends = _list(_run(state, [events.RequestSubmitted(request)]), commands.EndRequest)
+    assert [(end.end, end.reason, end.retry_after_s) for end in ends] == (
+        [(_End.NOT_RUN, reason, retry_after_s)] if reason else []
+    )
+
+
+def test_remember_early_cancellation():
+    """Guards against running a request whose cancellation overtook its submission."""
+    state = _start()
+    out = _run(state, [_CANCEL, events.RequestSubmitted(fakes.make_request("r"))])
+    assert [end.end for end in out] == [_End.CANCELLED]
+
+
+@pytest.mark.parametrize(
+    ("guaranteed", "healthy", "expected"), [(0, True, True), (0, False, False), (4, True, False)]
+)
+def test_quarantine_bad_worker(guaranteed, healthy, expected):
+    """Guards against a bad worker that attracts all work, and against quarantine of a good one."""
+    state = _start(4)
+    shape = resources.Shape(1, 8)
+    guarantee = releases.Guarantee("atelier", "block", shape, guaranteed, "suwon")
+    accounts = (releases.ClientAccount("hanbok-studio"), releases.ClientAccount("atelier"))
+    _run(state, [events.ReleaseApplied(1, accounts, (guarantee,) if guaranteed else ())])
+    quarantined = []
+    for number in range(60):
+        request = fakes.make_request(f"q{number}", 1, 4)
+        out = _run(state, [events.RequestSubmitted(request), 10.0 + number])
+        while holds := _list(out, commands.HoldTask):
+            results = []
+            for hold in holds:
+                fails = hold.place.worker_id == "w0" or not healthy
+                task_id, attempt_id = hold.task_id, hold.task_id.rpartition(".")[0]
+                results += (
+                    [events.TaskFailed(task_id, "x")]
+                    if fails
+                    else [events.TaskFinished(task_id), events.AnswerStored(attempt_id)]
+                )
+            out = _run(state, results)
+            quarantined += _list(out, commands.QuarantineWorker)
+    assert bool(quarantined) is expected
+    assert {command.worker_id for command in quarantined} <= {"w0"}
+    assert not scheduling.list_short_guarantees(state.scheduling)
+
+
+def test_end_bad_job():
+    """Guards against a job that fails everywhere and is tried for ever."""
+    state = _start(4)
+    out = _run(state, [events.RequestSubmitted(fakes.make_request("r"))])
+    workers, now_s = [], 10.0
+    while holds := _list(out, commands.HoldTask):
+        workers.append(holds[0].place.worker_id)
+        now_s += 5.0
+        out = _run(state, [events.TaskFailed(holds[0].task_id, "no such file"), now_s])
+    (end,) = _list(out, commands.EndRequest)
+    assert (end.end, end.outcome, end.detail) == (_End.ANSWERED, "failed", "no such file")
+    assert len(set(workers)) == 3
+
+
+def test_adopt_running_task_and_release_orphan():
+    """Guards against running adopted work again, and against placing work beside an orphan."""
+    state = engine.create_state("suwon/0")
+    out = _run(
+        state, [events.EpochGained(4), _report(("r-3-1.0", _RUNNING), ("x-3-2.0", _RUNNING))]
+    )
+    out += _run(state, [events.RecoveredRequest(fakes.make_request("r")), 0.1])
+    assert out == [commands.ReleaseTask("x-3-2.0", "w0")]
+    assert _run(state, [events.RequestSubmitted(fakes.make_request("n"))]) == []
+    out = _run(state, [events.TaskReleased("x-3-2.0", True), events.TaskFinished("r-3-1.0")])
+    assert [type(command) for command in out] == [commands.HoldTask, commands.CollectAnswer]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"x" * 100,
+        b"LYCHEEG" + (2).to_bytes(2, "big") + b"\0" * 40,
+        engine.make_snapshot(engine.create_state("a"))[:-1],
+    ],
+)
+def test_refuse_unknown_snapshot(data):
+    """Guards against going on from a snapshot of another format or from damaged data."""
+    with pytest.raises(exceptions.SnapshotFormatError):
+        engine.restore_snapshot(data)
+
+
+_SHAPES = st.sampled_from([(1, 0), (1, 1), (1, 4), (2, 2), (3, 4), (2, 1)])
+
+
+@hypothesis.given(
+    drawn=st.lists(st.tuples(_SHAPES, st.booleans(), st.booleans(), st.booleans()), max_size=12)
+)
+def test_agree_with_baseline(drawn):
+    """Guards against ends and runs that differ from the baseline's without faults of workers."""
+    worlds = []
+    for core in (engine, naive):
+        run = world.World(workers=4, core=core)
+        run.advance(4.0)
+        for number, (shape, idempotent, is_bad, pause) in enumerate(drawn):
+            request = fakes.make_request(f"r{number}", *shape, idempotent=idempotent)
+            if is_bad and not idempotent:
+                run.bad_jobs.add(request.request_id)
+            run.submit(request, 1.0)
+            run.advance(0.5 if pause else 0.0)
+        run.advance(60.0)
+        run.check()
+        worlds.append(run)
+    for request_id, record in worlds[0].records.items():
+        other = worlds[1].records[request_id]
+        assert record.end is not None
+        assert other.end is not None
+        assert (record.end.end, record.end.outcome) == (other.end.end, other.end.outcome)
+        assert len(worlds[0].runs[request_id]) == len(worlds[1].runs[request_id]) == 1
--- a/lycheegate/core/tests/test_engine_machine.py
+++ b/lycheegate/core/tests/test_engine_machine.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from lycheegate.core import engine, events, scheduling
-from lycheegate.core.tests import fakes
+from lycheegate.core.tests import fakes, world
 from lycheegate.model import releases, requests, resources
 
 _WORKERS = st.sampled_from(["w0", "w1", "w2", "w3"])
@@ -16,7 +16,7 @@
 
     def __init__(self):
         super().__init__()
-        self.world = fakes.World(workers=4)
+        self.world = world.World(workers=4)
         self.count = 0
         self.release = 0
 
@@ -46,7 +46,7 @@
         then_s,
     ):
         """Submits requests whose declared run time is untrue."""
-        world = self.world
+        run = self.world
         for _ in range(copies):
             self.count += 1
             request = fakes.make_request(
@@ -55,15 +55,15 @@
                 client_account=client_account,
                 idempotent=idempotent,
                 urgency=urgency,
-                submitted_at_s=world.now_s,
-                deadline_at_s=None if deadline_s is None else world.now_s + deadline_s,
+                submitted_at_s=run.now_s,
+                deadline_at_s=None if deadline_s is None else run.now_s + deadline_s,
                 declared_run_s=0.01,
             )
             if is_bad:
-                world.bad_jobs.add(request.request_id)
-            world.submit(request, run_s, also_old)
+                run.bad_jobs.add(request.request_id)
+            run.submit(request, run_s, also_old)
         if then_s:
-            world.advance(then_s)
+            run.advance(then_s)
 
     @stateful.rule(duration_s=st.sampled_from([0.25, 0.5, 1.0, 3.0, 7.0]))
     def advance(self, duration_s):
