Add reservations for large jobs and moves of small work

Small preemptible work is moved where it fits elsewhere. Bit masks, records and allocations are modules of their own.

--- a/lycheegate/core/guarantees.py
+++ b/lycheegate/core/guarantees.py
@@ -6,10 +6,10 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from lycheegate.core import capacity, policy, topology
 from lycheegate.core import placement as placements
-from lycheegate.core import policy, topology
 from lycheegate.model import releases, resources
 
 __all__ = [
@@ -63,18 +63,18 @@
         short: Units without a home.
     """
 
-    units: dict[tuple[str, str, int], topology.Unit] = dataclasses.field(default_factory=dict)
-    idle: dict[str, dict[resources.Shape, dict[tuple[str, str, int], topology.Unit]]] = (
+    units: dict[tuple[str, str, int], capacity.Unit] = dataclasses.field(default_factory=dict)
+    idle: dict[str, dict[resources.Shape, dict[tuple[str, str, int], capacity.Unit]]] = (
         dataclasses.field(default_factory=dict)
     )
-    short: dict[tuple[str, str, int], topology.Unit] = dataclasses.field(default_factory=dict)
+    short: dict[tuple[str, str, int], capacity.Unit] = dataclasses.field(default_factory=dict)
 
 
 def set_units(
     state: GuaranteeState,
-    top: topology.Topology,
+    top: capacity.Topology,
     guarantees: Iterable[releases.Guarantee],
-) -> tuple[list[topology.Unit], list[topology.Unit]]:
+) -> tuple[list[capacity.Unit], list[capacity.Unit]]:
     """Replaces the units; a unit whose shape is unchanged keeps its home and its user.
 
     Returns:
@@ -95,7 +95,7 @@
     added = []
     for key, shape in wanted.items():
         if key not in state.units:
-            unit = state.units[key] = state.short[key] = topology.Unit(key, shape)
+            unit = state.units[key] = state.short[key] = capacity.Unit(key, shape)
             added.append(unit)
     return added, removed
 
@@ -111,7 +111,7 @@
 
 def find_exact_unit(
     state: GuaranteeState, client_account: str, shape: resources.Shape
-) -> topology.Unit | None:
+) -> capacity.Unit | None:
     """Returns a unit of exactly this shape that has a home and no user."""
     units = state.idle.get(client_account, {}).get(shape)
     return next(iter(units.values())) if units else None
@@ -119,7 +119,7 @@
 
 def find_fitting_unit(
     state: GuaranteeState, client_account: str, shape: resources.Shape
-) -> topology.Unit | None:
+) -> capacity.Unit | None:
     """Returns a unit with a home and no user of the smallest shape that holds the given one."""
     shapes = [outer for outer in state.idle.get(client_account, ()) if _holds(outer, shape)]
     if not shapes:
@@ -130,7 +130,7 @@
 
 def find_short_unit(
     state: GuaranteeState, client_account: str, shape: resources.Shape
-) -> topology.Unit | None:
+) -> capacity.Unit | None:
     """Returns a unit of exactly this shape that has no home and no user."""
     for unit in state.short.values():
         if unit.client_account == client_account and unit.shape == shape and unit.user is None:
@@ -148,8 +148,8 @@
 
 def set_home(
     state: GuaranteeState,
-    top: topology.Topology,
-    unit: topology.Unit,
+    top: capacity.Topology,
+    unit: capacity.Unit,
     home: resources.Placement | None,
 ) -> None:
     """Moves a unit's home, or takes it away if ``home`` is None."""
@@ -163,14 +163,14 @@
 
 
 def use_unit(
-    state: GuaranteeState, top: topology.Topology, unit: topology.Unit, user: str | None
+    state: GuaranteeState, top: capacity.Topology, unit: capacity.Unit, user: str | None
 ) -> None:
     """Marks a unit as used by a request, or as unused."""
     topology.mark_unit(top, unit, user)
     _index(state, unit)
 
 
-def _index(state: GuaranteeState, unit: topology.Unit) -> None:
+def _index(state: GuaranteeState, unit: capacity.Unit) -> None:
     shapes = state.idle.setdefault(unit.client_account, {})
     units = shapes.setdefault(unit.shape, {})
     if unit.user is None and unit.home is not None:
@@ -204,14 +204,14 @@
     )
 
 
-def release_unit(state: GuaranteeState, top: topology.Topology, unit: topology.Unit) -> None:
+def release_unit(state: GuaranteeState, top: capacity.Topology, unit: capacity.Unit) -> None:
     """Marks a unit as unused, and takes its home away if it can no longer be reclaimed."""
     use_unit(state, top, unit, None)
     if unit.home is not None and not _is_usable(top, unit.home):
         set_home(state, top, unit, None)
 
 
-def _is_usable(top: topology.Topology, home: resources.Placement) -> bool:
+def _is_usable(top: capacity.Topology, home: resources.Placement) -> bool:
     for worker_id, (mask, _) in topology.group_by_worker(home).items():
         node = top.nodes.get(worker_id)
         if node is None or not node.usable or mask >> node.worker.accelerators:
@@ -223,8 +223,8 @@
 
 
 def rehome(
-    state: GuaranteeState, top: topology.Topology, settings: policy.PolicySettings
-) -> list[topology.Unit]:
+    state: GuaranteeState, top: capacity.Topology, settings: policy.PolicySettings
+) -> list[capacity.Unit]:
     """Gives homes to short units, larger shapes first.
 
     Returns:
@@ -237,7 +237,7 @@
     for unit in sorted(state.short.values(), key=_order_by_size):
         if unit.shape in failed:
             continue
-        home = placements.find_placement(top, topology.View.HOME, unit.shape, settings)
+        home = placements.find_placement(top, capacity.View.HOME, unit.shape, settings)
         if home is None:
             failed.add(unit.shape)
             continue
@@ -246,14 +246,14 @@
     return found
 
 
-def _order_by_size(unit: topology.Unit) -> tuple:
+def _order_by_size(unit: capacity.Unit) -> tuple:
     shape = unit.shape
     return (-shape.accelerators, -shape.members, unit.key)
 
 
 def yield_homes(
-    state: GuaranteeState, top: topology.Topology, placement: resources.Placement
-) -> list[tuple[topology.Unit, resources.Placement]]:
+    state: GuaranteeState, top: capacity.Topology, placement: resources.Placement
+) -> list[tuple[capacity.Unit, resources.Placement]]:
     """Takes unused homes away that are in the way of work that cannot be preempted there.
 
     Args:
@@ -283,12 +283,12 @@
     return yielded
 
 
-def count_hard_slots(node: topology.Node) -> int:
+def count_hard_slots(node: capacity.Node) -> int:
     """Returns the slots of work outside homes that cannot be preempted."""
     return sum(
         members
         for allocation, _, members in node.members.values()
-        if allocation.state is not topology.AllocationState.STOPPING
+        if allocation.state is not capacity.AllocationState.STOPPING
         and allocation.unit is None
         and not allocation.request.preemptible
     )
@@ -296,37 +296,47 @@
 
 def make_room(
     state: GuaranteeState,
-    top: topology.Topology,
-    allocation: topology.Allocation,
+    top: capacity.Topology,
+    place: resources.Placement,
+    attach: Callable[[], None],
+    detach: Callable[[], None],
     settings: policy.PolicySettings,
 ) -> bool:
-    """Attaches work that cannot be preempted and moves unused homes out of its way.
+    """Moves unused homes off a place that work which cannot be preempted is to get.
+
+    Args:
+        state: Units.
+        top: Capacity.
+        place: The place.
+        attach: Occupies or reserves the place.
+        detach: Undoes ``attach``.
+        settings: Weights of packing.
 
     Returns:
         Whether that was possible; if not, nothing has changed.
     """
-    yielded = yield_homes(state, top, allocation.placement)
-    topology.attach(top, allocation)
+    yielded = yield_homes(state, top, place)
+    attach()
     moved = rehome(state, top, settings)
     if all(unit.home is not None for unit, _ in yielded):
         return True
     for unit in moved:
         set_home(state, top, unit, None)
-    topology.detach(top, allocation)
+    detach()
     for unit, home in yielded:
         set_home(state, top, unit, home)
     return False
 
 
-def list_short(state: GuaranteeState, top: topology.Topology) -> list[ShortGuarantee]:
+def list_short(state: GuaranteeState, top: capacity.Topology) -> list[ShortGuarantee]:
     """Returns guarantees with units that have no home, in order of name."""
-    counts: dict[tuple[str, str], list[topology.Unit]] = {}
+    counts: dict[tuple[str, str], list[capacity.Unit]] = {}
     for unit in state.short.values():
         counts.setdefault(unit.key[:2], []).append(unit)
     topology.refresh(top)
     needed = sum(unit.shape.total_accelerators for unit in state.units.values())
     reason = (
-        "capacity_lost" if needed > top.totals[topology.Total.ACCELERATORS] else "capacity_held"
+        "capacity_lost" if needed > top.totals[capacity.Total.ACCELERATORS] else "capacity_held"
     )
     return [
         ShortGuarantee(account, name, len(units), reason)
--- a/lycheegate/core/placement.py
+++ b/lycheegate/core/placement.py
@@ -4,17 +4,18 @@
 accelerators that fits, at the end of the run that keeps larger aligned blocks whole.
 """
 
-import functools
-
-from lycheegate.core import policy, topology
+from lycheegate.core import blocks, capacity, policy, topology
 from lycheegate.model import resources
 
-__all__ = ["choose_first", "find_placement"]
+__all__ = ["find_cheapest", "find_placement"]
+
+_CANDIDATE_RACKS = 8
+"""Racks that are searched for the block with the least work in it."""
 
 
 def find_placement(
-    top: topology.Topology,
-    view: topology.View,
+    top: capacity.Topology,
+    view: capacity.View,
     shape: resources.Shape,
     settings: policy.PolicySettings,
 ) -> resources.Placement | None:
@@ -52,13 +53,13 @@
     return None
 
 
-def _find_rack(top: topology.Topology, index, members: int) -> topology.Rack | None:
+def _find_rack(top: capacity.Topology, index, members: int) -> capacity.Rack | None:
     position = index.bisect_left((members, ""))
     return top.racks[index[position][1]] if position < len(index) else None
 
 
 def _place_single(
-    top: topology.Topology, view: topology.View, size: int, settings: policy.PolicySettings
+    top: capacity.Topology, view: capacity.View, size: int, settings: policy.PolicySettings
 ) -> resources.Placement | None:
     spread = settings.completion_weight > settings.fragmentation_weight
     for length in range(size, top.width + 1):
@@ -82,11 +83,11 @@
 def _has_run(mask: int, length: int) -> bool:
     if length == 0:
         return mask == 0
-    return any(run == length for _, run in topology.list_runs(mask))
+    return any(run == length for _, run in blocks.list_runs(mask))
 
 
 def _take_in_rack(
-    rack: topology.Rack, view: topology.View, size: int, members: int
+    rack: capacity.Rack, view: capacity.View, size: int, members: int
 ) -> list[resources.MemberPlacement]:
     nodes = [node for node in rack.nodes.values() if node.counts[view][size]]
     nodes.sort(key=lambda n: (n.counts[view][size], n.worker.worker_id))
@@ -99,51 +100,58 @@
 
 
 def _take(
-    node: topology.Node, view: topology.View, size: int, members: int
+    node: capacity.Node, view: capacity.View, size: int, members: int
 ) -> list[resources.MemberPlacement]:
     worker_id = node.worker.worker_id
     mask = node.masks[view]
     places = []
     for _ in range(members):
-        first = choose_first(mask, size)
+        first = blocks.choose_first(mask, size)
         mask &= ~(((1 << size) - 1) << first)
         places.append(resources.MemberPlacement(worker_id, first, size))
     return places
 
 
-@functools.lru_cache(maxsize=65536)
-def choose_first(mask: int, size: int) -> int:
-    """Returns the first accelerator of the best block of ``size`` in ``mask``.
-
-    Only the ends of runs are candidates, so that no run loses more than one block of ``size``.
+def find_cheapest(
+    top: capacity.Topology, view: capacity.View, shape: resources.Shape
+) -> resources.Placement | None:
+    """Returns the place with the least work in it among the racks with most room.
 
-    Raises:
-        ValueError: No run is long enough.
+    Only places within one rack are considered. Work that may not be stopped for large jobs counts
+    four times, because it has to end by itself.
     """
-    if size == 0:
-        return 0
-    block = (1 << size) - 1
-    candidates = []
-    for first, length in topology.list_runs(mask):
-        if length >= size:
-            for start in (first, first + length - size):
-                aligned = _count_aligned(mask & ~(block << start))
-                candidates.append((length, tuple(-count for count in aligned), start))
-    if not candidates:
-        raise ValueError(f"no run of {size} in {mask:b}")
-    return min(candidates)[2]
-
-
-@functools.lru_cache(maxsize=65536)
-def _count_aligned(mask: int) -> tuple[int, ...]:
-    """Returns the free aligned blocks of 64, 32, ... 2 accelerators."""
-    counts = []
-    for size in (64, 32, 16, 8, 4, 2):
-        block = (1 << size) - 1
-        counts.append(
-            sum(
-                mask >> first & block == block
-                for first in range(0, max(mask.bit_length() - size + 1, 0), size)
-            )
-        )
-    return tuple(counts)
+    topology.refresh(top)
+    size, members = shape.accelerators, shape.members
+    if size > top.width:
+        return None
+    is_single = members == 1 or shape.adjacency is resources.Adjacency.WORKER
+    best: tuple[int, list[resources.MemberPlacement]] | None = None
+    racks = [name for _, name in top.counts[capacity.View.CLEAR][size][-_CANDIDATE_RACKS:]]
+    racks += [name for _, name in top.counts[view][size][-_CANDIDATE_RACKS:]]
+    for name in dict.fromkeys(racks):
+        per_node = [
+            _list_costs(node, view, size)
+            for node in top.racks[name].nodes.values()
+            if node.counts[view][size]
+        ]
+        choices = per_node if is_single else [[cost for costs in per_node for cost in costs]]
+        for costs in choices:
+            if len(costs) < members:
+                continue
+            chosen = sorted(costs, key=lambda entry: entry[0])[:members]
+            total = sum(cost for cost, _ in chosen)
+            if best is None or total < best[0]:
+                best = (total, [place for _, place in chosen])
+    return None if best is None else tuple(best[1])
+
+
+def _list_costs(
+    node: capacity.Node, view: capacity.View, size: int
+) -> list[tuple[int, resources.MemberPlacement]]:
+    """Returns disjoint places of a worker, each with the amount of work in it."""
+    free, clear = node.masks[capacity.View.BORROW], node.masks[capacity.View.CLEAR]
+    costs = []
+    for place in _take(node, view, size, node.counts[view][size]):
+        mask = ((1 << size) - 1) << place.first
+        costs.append(((mask & ~free).bit_count() + 3 * (mask & ~free & ~clear).bit_count(), place))
+    return costs
--- a/lycheegate/core/queueing.py
+++ b/lycheegate/core/queueing.py
@@ -14,6 +14,7 @@
 __all__ = [
     "AccountState",
     "GroupKey",
+    "LargeWait",
     "QueueState",
     "add_request",
     "compute_share",
@@ -22,6 +23,7 @@
     "get_request",
     "list_heads",
     "remove_request",
+    "track_large",
     "use_capacity",
 ]
 
@@ -68,6 +70,23 @@
     )
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class LargeWait:
+    """How long a large job has waited.
+
+    Attributes:
+        serial: Order among large jobs.
+        since_s: When it was queued.
+        starts: Starts of the partition at that time.
+        reserved_at_s: When it first got a reservation, or None.
+    """
+
+    serial: int
+    since_s: float
+    starts: int
+    reserved_at_s: float | None = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class QueueState:
     """All waiting requests.
@@ -78,6 +97,9 @@
         accounts: Client accounts that have or had work.
         active: For each urgency, client accounts with waiting requests.
         serial: Number of the next request.
+        waits: Large jobs that have not started.
+        large: Those of them that are in the queue, by serial number.
+        starts: Requests started so far.
     """
 
     groups: dict[GroupKey, sortedcontainers.SortedDict] = dataclasses.field(default_factory=dict)
@@ -87,6 +109,11 @@
         default_factory=lambda: {urgency: set() for urgency in requests.Urgency}
     )
     serial: int = 0
+    waits: dict[str, LargeWait] = dataclasses.field(default_factory=dict)
+    large: sortedcontainers.SortedDict = dataclasses.field(
+        default_factory=sortedcontainers.SortedDict
+    )
+    starts: int = 0
 
 
 def get_account(queue: QueueState, name: str) -> AccountState:
@@ -113,6 +140,15 @@
     queue.serial += 1
     group[position] = request
     queue.places[request.request_id] = (key, position)
+    wait = queue.waits.get(request.request_id)
+    if wait is not None:
+        queue.large[wait.serial] = request.request_id
+
+
+def track_large(queue: QueueState, request_id: str, now_s: float) -> None:
+    """Starts to measure the wait of a large job, before it is added."""
+    if request_id not in queue.waits:
+        queue.waits[request_id] = LargeWait(queue.serial, now_s, queue.starts)
 
 
 def remove_request(queue: QueueState, request_id: str) -> requests.Request | None:
@@ -120,6 +156,9 @@
     place = queue.places.pop(request_id, None)
     if place is None:
         return None
+    wait = queue.waits.get(request_id)
+    if wait is not None:
+        queue.large.pop(wait.serial, None)
     key, position = place
     group = queue.groups[key]
     request = group.pop(position)
--- /dev/null
+++ b/lycheegate/core/starting.py
@@ -0,0 +1,117 @@
+"""Ways to start a waiting request, in order of preference."""
+
+from lycheegate.core import allocations, capacity, guarantees, placement, queueing, topology
+from lycheegate.model import requests, resources
+
+__all__ = ["try_start"]
+
+_MAX_TRIALS = 4
+"""Attempts to move small work in one pass; each takes about as long as several starts."""
+
+
+def try_start(
+    s: allocations.SchedulingState,
+    request: requests.Request,
+    key: queueing.GroupKey,
+    now_s: float,
+    out: list[allocations.Start | allocations.Preempt],
+) -> bool:
+    """Starts a request, or stops work for it; returns whether it has left the queue."""
+    if not allocations.is_within_quota(s, key):
+        return False
+    exact = guarantees.find_exact_unit(s.guaranteed, key.client_account, key.shape)
+    if exact is not None and allocations.is_free(s, exact.home):
+        return allocations.occupy(s, request, key, exact.home, exact, now_s, out)
+    in_reserve = allocations.is_within_reserve(s, key)
+    if in_reserve or exact is not None:
+        place = _find_free(s, key)
+        if place is not None:
+            if exact is None or key.preemptible:
+                return allocations.occupy(s, request, key, place, None, now_s, out)
+            guarantees.set_home(s.guaranteed, s.top, exact, place)
+            return allocations.occupy(s, request, key, place, exact, now_s, out)
+    unit = exact or guarantees.find_fitting_unit(s.guaranteed, key.client_account, key.shape)
+    if unit is not None:
+        place = guarantees.cut_home(unit.home, key.shape)
+        if allocations.occupy(s, request, key, place, unit, now_s, out):
+            return True
+    if in_reserve and not key.preemptible and allocations.move_homes(s, request, key, now_s, out):
+        return True
+    if key.urgency is requests.Urgency.URGENT:
+        place = allocations.find(s, capacity.View.URGENT, key.shape)
+        if place is not None:
+            return allocations.occupy(s, request, key, place, None, now_s, out)
+    return in_reserve and _move_small_work(s, request, key, now_s, out)
+
+
+def _find_free(
+    s: allocations.SchedulingState, key: queueing.GroupKey
+) -> resources.Placement | None:
+    if key.preemptible and not key.immune:
+        return allocations.find(s, capacity.View.BORROW, key.shape)
+    place = allocations.find(s, capacity.View.OPEN, key.shape)
+    if place is None and key.preemptible:
+        # Work that nothing but a guarantee stops must not enter reserved blocks.
+        place = allocations.find(s, capacity.View.MOVABLE, key.shape)
+    return place
+
+
+def _move_small_work(
+    s: allocations.SchedulingState,
+    request: requests.Request,
+    key: queueing.GroupKey,
+    now_s: float,
+    out: list[allocations.Start | allocations.Preempt],
+) -> bool:
+    """Stops small preemptible work that fits elsewhere, if that opens room and pays.
+
+    It pays if the work is at most ``fragmentation_weight`` of the accelerators that the request
+    gets.
+    """
+    limit = s.settings.fragmentation_weight * key.shape.total_accelerators
+    if limit < 1 or s.trials >= _MAX_TRIALS:
+        return False
+    allocations.refresh(s)
+    if key.shape in s.failed[capacity.View.CLEAR]:
+        return False
+    s.trials += 1
+    place = placement.find_cheapest(s.top, capacity.View.CLEAR, key.shape)
+    if place is not None:
+        clear = capacity.Stopping.CLEAR
+        victims = allocations.collect_victims(s, place, clear)
+        size = sum(max(1, victim.request.shape.total_accelerators) for victim in victims)
+        if size <= limit and _fit_elsewhere(s, request, place, victims):
+            return allocations.occupy(s, request, key, place, None, now_s, out, clear)
+    s.failed[capacity.View.CLEAR].add(key.shape)
+    return False
+
+
+def _fit_elsewhere(
+    s: allocations.SchedulingState,
+    request: requests.Request,
+    place: resources.Placement,
+    victims: list[capacity.Allocation],
+) -> bool:
+    """Returns whether all victims fit into free capacity once the request has its place."""
+    trials = [allocations.create_allocation(s, request, place, False)]
+    topology.attach(s.top, trials[0])
+    fits = True
+    for victim in victims:
+        other = placement.find_placement(
+            s.top, capacity.View.BORROW, victim.request.shape, s.settings
+        )
+        if other is None:
+            fits = False
+            break
+        # Stands for the victim at its new place; the old place stays occupied for now.
+        moved = allocations.create_allocation(s, victim.request, other, False)
+        trials.append(moved)
+        for worker_id, (mask, members) in topology.group_by_worker(other).items():
+            s.top.nodes[worker_id].members[f"{moved.serial}"] = (moved, mask, members)
+            s.top.dirty.add(worker_id)
+    topology.detach(s.top, trials[0])
+    for moved in trials[1:]:
+        for worker_id in topology.group_by_worker(moved.placement):
+            del s.top.nodes[worker_id].members[f"{moved.serial}"]
+            s.top.dirty.add(worker_id)
+    return fits
