Group waiting requests as objects and skip groups that cannot have found room

Change: versions of capacity, quota, guarantees and reserve show which groups may succeed now; only the oldest large job of each client account is looked at.

--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -3,10 +3,11 @@
 import dataclasses
 import functools
 
-from lycheegate.core import capacity, guarantees, placement, policy, queueing, topology
+from lycheegate.core import blocks, capacity, guarantees, placement, policy, queueing, topology
 from lycheegate.model import requests, resources
 
 __all__ = [
+    "compute_room",
     "Claims",
     "Preempt",
     "SchedulingState",
@@ -17,6 +18,7 @@
     "drop_blocks",
     "drop_reservation",
     "find",
+    "forget_growth",
     "free",
     "is_free",
     "is_large",
@@ -25,6 +27,7 @@
     "is_within_reserve",
     "may_stop",
     "move_homes",
+    "note_failure",
     "occupy",
     "record",
     "refresh",
@@ -89,7 +92,13 @@
         reservations: Blocks being cleared for large jobs, by request.
         claims: What large jobs that waited too long hold back from other work.
         trials: Attempts to move small work in the current pass.
-        failed: For each view, shapes that had no room when last tried.
+        failed: For each view and block size, shapes that had no room when last tried.
+        unmovable: Shapes for which moving small work was tried in vain since ``unmovable_at_s``.
+        unmovable_at_s: When these were last forgotten.
+        size_versions: For each block size, a number that grows with the room for such blocks.
+        version: Grows whenever every group may find room again.
+        room: Slots and accelerators that the urgent reserve left in the last pass.
+        reserve_version: Grows whenever the urgent reserve leaves more room.
         serial: Number of the next allocation.
     """
 
@@ -105,9 +114,15 @@
     reservations: dict[str, capacity.Reservation] = dataclasses.field(default_factory=dict)
     claims: Claims = dataclasses.field(default_factory=Claims)
     trials: int = 0
-    failed: list[set[resources.Shape]] = dataclasses.field(
-        default_factory=lambda: [set() for _ in capacity.View]
+    failed: list[dict[int, set[resources.Shape]]] = dataclasses.field(
+        default_factory=lambda: [{} for _ in capacity.View]
     )
+    unmovable: set[resources.Shape] = dataclasses.field(default_factory=set)
+    unmovable_at_s: float = 0.0
+    size_versions: dict[int, int] = dataclasses.field(default_factory=dict)
+    version: int = 0
+    room: tuple[int, int] = (0, 0)
+    reserve_version: int = 0
     serial: int = 0
 
 
@@ -190,23 +205,41 @@
 ) -> resources.Placement | None:
     """Returns a placement in a view, or None; failures are remembered until the view grows."""
     refresh(s)
-    if shape in s.failed[view]:
+    failed = s.failed[view].get(shape.accelerators)
+    if failed and shape in failed:
         return None
     place = placement.find_placement(s.top, view, shape, s.settings)
     if place is None:
-        s.failed[view].add(shape)
+        note_failure(s, view, shape)
     return place
 
 
+def note_failure(s: SchedulingState, view: capacity.View, shape: resources.Shape) -> None:
+    """Remembers that a shape has no room in a view until the view grows."""
+    s.failed[view].setdefault(shape.accelerators, set()).add(shape)
+
+
 def refresh(s: SchedulingState) -> None:
     """Brings the topology up to date and forgets failures that may no longer hold."""
     topology.refresh(s.top)
-    for view in s.top.grown:
-        s.failed[view].clear()
+    if not s.top.grown:
+        return
+    for view, sizes in s.top.grown.items():
+        for size in blocks.list_bits(sizes):
+            s.failed[view].pop(size, None)
+            s.size_versions[size] = s.size_versions.get(size, 0) + 1
     if capacity.View.HOME in s.top.grown:
         # Homes that could not be moved before may now find a place.
-        s.failed[capacity.View.MOVABLE].clear()
-        s.failed[capacity.View.RESERVABLE].clear()
+        for view in (capacity.View.MOVABLE, capacity.View.RESERVABLE):
+            if s.failed[view]:
+                s.failed[view].clear()
+                s.version += 1
+    s.top.grown.clear()
+
+
+def forget_growth(s: SchedulingState) -> None:
+    """Brings the topology up to date after a trial that was undone, which opened no room."""
+    topology.refresh(s.top)
     s.top.grown.clear()
 
 
@@ -222,64 +255,72 @@
     return True
 
 
-def is_within_quota(s: SchedulingState, key: queueing.GroupKey) -> bool:
+def is_within_quota(s: SchedulingState, group: queueing.Group) -> bool:
     """Returns whether the client account's quota has room beside the claims of large jobs."""
-    account = s.queue.accounts[key.client_account]
+    account = s.queue.accounts[group.client_account]
     if account.quota is None:
         return True
-    is_urgent = key.urgency is requests.Urgency.URGENT
+    is_urgent = group.urgency is requests.Urgency.URGENT
     claims = s.claims.urgent_quota if is_urgent else s.claims.quota
-    claimed = claims.get(key.client_account, 0)
-    return account.in_use + key.shape.total_accelerators + claimed <= account.quota
+    claimed = claims.get(group.client_account, 0)
+    return account.in_use + group.size + claimed <= account.quota
 
 
-def is_within_reserve(s: SchedulingState, key: queueing.GroupKey, alone: bool = False) -> bool:
+def is_within_reserve(s: SchedulingState, group: queueing.Group, alone: bool = False) -> bool:
     """Returns whether enough capacity outside homes remains for urgent work.
 
     Args:
         s: State.
-        key: Kind of request.
+        group: Kind of request.
         alone: Whether to leave out the work and the claims of others.
     """
-    if key.urgency is requests.Urgency.URGENT or (key.preemptible and not key.immune):
+    if not group.is_limited:
         return True
     refresh(s)
-    totals, ratio = s.top.totals, s.settings.urgent_reserve_ratio
-    total = capacity.Total
+    slots, accelerators = compute_room(s)
+    if alone:
+        slots += s.top.totals[capacity.Total.TAKEN_SLOTS]
+        accelerators += s.top.totals[capacity.Total.TAKEN_ACCELERATORS]
+    else:
+        slots -= s.claims.slots
+        accelerators -= s.claims.accelerators
+    return group.shape.members <= slots and (group.size == 0 or group.size <= accelerators)
+
+
+def compute_room(s: SchedulingState) -> tuple[int, int]:
+    """Returns slots and accelerators that the urgent reserve leaves to other work."""
+    totals, ratio, total = s.top.totals, s.settings.urgent_reserve_ratio, capacity.Total
     slots = totals[total.OUTSIDE_SLOTS] - int(totals[total.SLOTS] * ratio)
     accelerators = totals[total.OUTSIDE_ACCELERATORS] - int(totals[total.ACCELERATORS] * ratio)
-    size = key.shape.total_accelerators
-    if not alone:
-        slots -= totals[total.TAKEN_SLOTS] + s.claims.slots
-        accelerators -= totals[total.TAKEN_ACCELERATORS] + s.claims.accelerators
-    return key.shape.members <= slots and (size == 0 or size <= accelerators)
+    return slots - totals[total.TAKEN_SLOTS], accelerators - totals[total.TAKEN_ACCELERATORS]
 
 
 def move_homes(
     s: SchedulingState,
     request: requests.Request,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     now_s: float,
     out: list[Start | Preempt],
 ) -> bool:
     """Starts work that cannot be preempted where homes can be moved away for it."""
-    place = find(s, capacity.View.MOVABLE, key.shape)
+    place = find(s, capacity.View.MOVABLE, group.shape)
     if place is None:
         return False
-    trial = create_allocation(s, request, place, key.immune)
+    trial = create_allocation(s, request, place, group.immune)
     attach = functools.partial(topology.attach, s.top, trial)
     detach = functools.partial(topology.detach, s.top, trial)
     if not guarantees.make_room(s.guaranteed, s.top, place, attach, detach, s.settings):
-        s.failed[capacity.View.MOVABLE].add(key.shape)
+        forget_growth(s)
+        note_failure(s, capacity.View.MOVABLE, group.shape)
         return False
     detach()
-    return occupy(s, request, key, place, None, now_s, out)
+    return occupy(s, request, group, place, None, now_s, out)
 
 
 def occupy(
     s: SchedulingState,
     request: requests.Request,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     place: resources.Placement,
     unit: capacity.Unit | None,
     now_s: float,
@@ -300,7 +341,7 @@
         return False
     queueing.remove_request(s.queue, request.request_id)
     drop_reservation(s, request.request_id)
-    allocation = create_allocation(s, request, place, key.immune)
+    allocation = create_allocation(s, request, place, group.immune)
     for victim in victims:
         if victim.state is _PENDING:
             cancel_pending(s, victim)
--- a/lycheegate/core/capacity.py
+++ b/lycheegate/core/capacity.py
@@ -222,7 +222,8 @@
         runs: For each view and run length, racks that have such a run, by free capacity.
         dirty: Workers whose views are out of date.
         totals: Sums over workers, indexed by ``Total``.
-        grown: Views in which some rack can hold more than before.
+        grown: For each view in which some rack can hold more than before, a bit for each block
+            size of which it can.
     """
 
     nodes: dict[str, Node] = dataclasses.field(default_factory=dict)
@@ -233,4 +234,4 @@
     runs: list[Index] = dataclasses.field(default_factory=lambda: [Index() for _ in View])
     dirty: set[str] = dataclasses.field(default_factory=set)
     totals: list[int] = dataclasses.field(default_factory=lambda: [0] * len(Total))
-    grown: set[View] = dataclasses.field(default_factory=set)
+    grown: dict[View, int] = dataclasses.field(default_factory=dict)
--- a/lycheegate/core/guarantees.py
+++ b/lycheegate/core/guarantees.py
@@ -61,6 +61,7 @@
         units: Units by key.
         idle: Units with a home and no user, by client account and shape.
         short: Units without a home.
+        versions: For each client account, a number that grows when a unit becomes idle.
     """
 
     units: dict[tuple[str, str, int], capacity.Unit] = dataclasses.field(default_factory=dict)
@@ -68,6 +69,7 @@
         dataclasses.field(default_factory=dict)
     )
     short: dict[tuple[str, str, int], capacity.Unit] = dataclasses.field(default_factory=dict)
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def set_units(
@@ -175,6 +177,8 @@
     units = shapes.setdefault(unit.shape, {})
     if unit.user is None and unit.home is not None:
         units[unit.key] = unit
+        versions = state.versions
+        versions[unit.client_account] = versions.get(unit.client_account, 0) + 1
     else:
         units.pop(unit.key, None)
         if not units:
--- a/lycheegate/core/invariants.py
+++ b/lycheegate/core/invariants.py
@@ -20,7 +20,8 @@
     for request_id in s.reservations:
         if request_id not in s.queue.places:
             found.append(f"request {request_id} has a reservation and does not wait")
-    if set(s.queue.large.values()) != s.queue.waits.keys() & s.queue.places.keys():
+    large = [rid for account in s.queue.accounts.values() for rid in account.large.values()]
+    if set(large) != s.queue.waits.keys() & s.queue.places.keys():
         found.append("the list of large waiting jobs is wrong")
     for request_id, allocation in s.allocations.items():
         if request_id in s.queue.places:
--- a/lycheegate/core/queueing.py
+++ b/lycheegate/core/queueing.py
@@ -13,7 +13,7 @@
 
 __all__ = [
     "AccountState",
-    "GroupKey",
+    "Group",
     "LargeWait",
     "QueueState",
     "add_request",
@@ -21,7 +21,7 @@
     "count_waiting",
     "get_account",
     "get_request",
-    "list_heads",
+    "list_large_heads",
     "remove_request",
     "track_large",
     "use_capacity",
@@ -34,15 +34,33 @@
 """Running work counts with this much future use, so that starts in one pass alternate."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupKey:
-    """What requests of a group have in common."""
+@dataclasses.dataclass(slots=True, eq=False)
+class Group:
+    """Waiting requests that placement cannot tell apart.
+
+    Attributes:
+        urgency: Their urgency.
+        client_account: Their client account.
+        shape: Their shape.
+        preemptible: Whether they may be preempted.
+        immune: Whether they were preempted too often.
+        size: Accelerators of each request.
+        is_limited: Whether the urgent reserve limits them.
+        requests: The requests by arrival and serial number.
+        failed_at: Versions of what a start depends on when the head last found no place.
+    """
 
     urgency: requests.Urgency
     client_account: str
     shape: resources.Shape
     preemptible: bool
     immune: bool
+    size: int
+    is_limited: bool
+    requests: sortedcontainers.SortedDict = dataclasses.field(
+        default_factory=sortedcontainers.SortedDict
+    )
+    failed_at: tuple[int, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -56,7 +74,9 @@
         rate: Accelerators charged for running work; see ``charge_rate`` for other work.
         usage: Accelerator seconds used, decayed, up to ``usage_at_s``.
         usage_at_s: Time of ``usage``.
-        groups: For each urgency, keys of the groups that have requests.
+        version: Grows whenever the account gives capacity back.
+        groups: For each urgency, the groups that have requests.
+        large: Large jobs in the queue, by serial number.
     """
 
     weight: float = 1.0
@@ -65,8 +85,12 @@
     rate: float = 0.0
     usage: float = 0.0
     usage_at_s: float = 0.0
-    groups: dict[requests.Urgency, set[GroupKey]] = dataclasses.field(
-        default_factory=lambda: {urgency: set() for urgency in requests.Urgency}
+    version: int = 0
+    groups: dict[requests.Urgency, dict[tuple, Group]] = dataclasses.field(
+        default_factory=lambda: {urgency: {} for urgency in requests.Urgency}
+    )
+    large: sortedcontainers.SortedDict = dataclasses.field(
+        default_factory=sortedcontainers.SortedDict
     )
 
 
@@ -92,27 +116,23 @@
     """All waiting requests.
 
     Attributes:
-        groups: Requests of each group by arrival and serial number.
+        groups: Groups by what their requests have in common.
         places: Group and position of each request.
         accounts: Client accounts that have or had work.
         active: For each urgency, client accounts with waiting requests.
         serial: Number of the next request.
         waits: Large jobs that have not started.
-        large: Those of them that are in the queue, by serial number.
         starts: Requests started so far.
     """
 
-    groups: dict[GroupKey, sortedcontainers.SortedDict] = dataclasses.field(default_factory=dict)
-    places: dict[str, tuple[GroupKey, tuple[float, int]]] = dataclasses.field(default_factory=dict)
+    groups: dict[tuple, Group] = dataclasses.field(default_factory=dict)
+    places: dict[str, tuple[Group, tuple[float, int]]] = dataclasses.field(default_factory=dict)
     accounts: dict[str, AccountState] = dataclasses.field(default_factory=dict)
     active: dict[requests.Urgency, set[str]] = dataclasses.field(
         default_factory=lambda: {urgency: set() for urgency in requests.Urgency}
     )
     serial: int = 0
     waits: dict[str, LargeWait] = dataclasses.field(default_factory=dict)
-    large: sortedcontainers.SortedDict = dataclasses.field(
-        default_factory=sortedcontainers.SortedDict
-    )
     starts: int = 0
 
 
@@ -128,21 +148,23 @@
     """Adds a waiting request in order of its arrival."""
     if request.request_id in queue.places:
         return
-    key = GroupKey(
-        request.urgency, request.client_account, request.shape, request.preemptible, immune
-    )
+    account = get_account(queue, request.client_account)
+    key = (request.urgency, request.client_account, request.shape, request.preemptible, immune)
     group = queue.groups.get(key)
     if group is None:
-        group = queue.groups[key] = sortedcontainers.SortedDict()
-        get_account(queue, key.client_account).groups[key.urgency].add(key)
-        queue.active[key.urgency].add(key.client_account)
+        is_limited = request.urgency is not requests.Urgency.URGENT and (
+            immune or not request.preemptible
+        )
+        group = queue.groups[key] = Group(*key, request.shape.total_accelerators, is_limited)
+        account.groups[request.urgency][key] = group
+        queue.active[request.urgency].add(request.client_account)
     position = (request.submitted_at_s, queue.serial)
     queue.serial += 1
-    group[position] = request
-    queue.places[request.request_id] = (key, position)
+    group.requests[position] = request
+    queue.places[request.request_id] = (group, position)
     wait = queue.waits.get(request.request_id)
     if wait is not None:
-        queue.large[wait.serial] = request.request_id
+        account.large[wait.serial] = request.request_id
 
 
 def track_large(queue: QueueState, request_id: str, now_s: float) -> None:
@@ -156,25 +178,26 @@
     place = queue.places.pop(request_id, None)
     if place is None:
         return None
+    group, position = place
+    account = queue.accounts[group.client_account]
     wait = queue.waits.get(request_id)
     if wait is not None:
-        queue.large.pop(wait.serial, None)
-    key, position = place
-    group = queue.groups[key]
-    request = group.pop(position)
-    if not group:
+        account.large.pop(wait.serial, None)
+    request = group.requests.pop(position)
+    if not group.requests:
+        key = (group.urgency, group.client_account, group.shape, group.preemptible, group.immune)
         del queue.groups[key]
-        account_groups = queue.accounts[key.client_account].groups[key.urgency]
-        account_groups.discard(key)
-        if not account_groups:
-            queue.active[key.urgency].discard(key.client_account)
+        groups = account.groups[group.urgency]
+        del groups[key]
+        if not groups:
+            queue.active[group.urgency].discard(group.client_account)
     return request
 
 
 def get_request(queue: QueueState, request_id: str) -> requests.Request | None:
     """Returns a waiting request, or None."""
     place = queue.places.get(request_id)
-    return None if place is None else queue.groups[place[0]][place[1]]
+    return None if place is None else place[0].requests[place[1]]
 
 
 def count_waiting(queue: QueueState) -> int:
@@ -182,15 +205,9 @@
     return len(queue.places)
 
 
-def list_heads(
-    queue: QueueState, urgency: requests.Urgency, client_account: str, tried: set[GroupKey]
-) -> list[tuple[tuple[float, int], GroupKey]]:
-    """Returns position and key of the account's groups that were not tried, oldest head first."""
-    groups = queue.accounts[client_account].groups[urgency]
-    return sorted(
-        ((queue.groups[key].keys()[0], key) for key in groups if key not in tried),
-        key=lambda entry: entry[0],
-    )
+def list_large_heads(queue: QueueState) -> list[tuple[int, str]]:
+    """Returns serial number and id of each account's oldest large job, oldest first."""
+    return sorted(account.large.peekitem(0) for account in queue.accounts.values() if account.large)
 
 
 def use_capacity(account: AccountState, accelerators: int, rate: float, now_s: float) -> None:
@@ -205,6 +222,8 @@
     account.usage = _project(account, now_s)
     account.usage_at_s = max(now_s, account.usage_at_s)
     account.in_use += accelerators
+    if accelerators < 0:
+        account.version += 1
     account.rate += rate
 
 
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -1,8 +1,8 @@
 """Blocks of capacity that are cleared for large jobs which were passed over too long.
 
-Jobs are served in the order in which they were queued, so the oldest is never passed over by a
-later large one. A block is held until the work in it that cannot be stopped has ended; no decision
-rests on a run time.
+The oldest large job of each client account is served, in the order in which they were queued, so
+none is passed over for ever by later large ones. A block is held until the work in it that cannot
+be stopped has ended; no decision rests on a run time.
 """
 
 import functools
@@ -32,28 +32,30 @@
 
     Leaves in ``s.claims`` what other work must not take.
     """
-    s.claims = allocations.Claims()
+    old_claims, s.claims = s.claims, allocations.Claims()
     may_reserve = True
-    for request_id in list(s.queue.large.values()):
+    for _, request_id in queueing.list_large_heads(s.queue):
         wait = s.queue.waits[request_id]
         if not _is_due(s, wait, now_s):
             break
         request = queueing.get_request(s.queue, request_id)
-        key = s.queue.places[request_id][0]
-        if allocations.is_within_quota(s, key):
-            if starting.try_start(s, request, key, now_s, out):
+        group = s.queue.places[request_id][0]
+        if allocations.is_within_quota(s, group):
+            if starting.try_start(s, request, group, now_s, out):
                 continue
             reservation = s.reservations.get(request_id)
             if reservation is not None:
-                if _advance(s, reservation, key, wait, now_s, out):
+                if _advance(s, reservation, group, wait, now_s, out):
                     continue
-            elif may_reserve and allocations.is_within_reserve(s, key, alone=True):
-                is_started, may_reserve = _reserve(s, request, key, wait, now_s, out)
+            elif may_reserve and allocations.is_within_reserve(s, group, alone=True):
+                is_started, may_reserve = _reserve(s, request, group, wait, now_s, out)
                 if is_started:
                     continue
         else:
             allocations.drop_reservation(s, request_id)
-        _claim(s, key, request_id, wait, now_s)
+        _claim(s, group, request_id, wait, now_s)
+    if s.claims != old_claims:
+        s.version += 1
 
 
 def _is_due(s: allocations.SchedulingState, wait: queueing.LargeWait, now_s: float) -> bool:
@@ -65,36 +67,35 @@
 
 def _claim(
     s: allocations.SchedulingState,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     request_id: str,
     wait: queueing.LargeWait,
     now_s: float,
 ) -> None:
     """Holds back quota and the urgent reserve's limits for a large job."""
-    claims, account, size = s.claims, key.client_account, key.shape.total_accelerators
+    claims, account, size = s.claims, group.client_account, group.size
     claims.due.add(request_id)
     claims.quota[account] = claims.quota.get(account, 0) + size
     patience_s = s.settings.max_bypass_s + s.settings.max_reservation_wait_s
-    if now_s - wait.since_s >= patience_s or key.urgency is requests.Urgency.URGENT:
+    if now_s - wait.since_s >= patience_s or group.urgency is requests.Urgency.URGENT:
         claims.urgent_quota[account] = claims.urgent_quota.get(account, 0) + size
-    is_limited = key.urgency is not requests.Urgency.URGENT and (not key.preemptible or key.immune)
-    if is_limited and allocations.is_within_reserve(s, key, alone=True):
-        claims.slots += key.shape.members
+    if group.is_limited and allocations.is_within_reserve(s, group, alone=True):
+        claims.slots += group.shape.members
         claims.accelerators += size
 
 
 def _advance(
     s: allocations.SchedulingState,
     reservation: capacity.Reservation,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     wait: queueing.LargeWait,
     now_s: float,
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
     """Starts the job of a reservation whose block is clear, or closes an old block."""
-    if allocations.is_within_reserve(s, key) and _is_clear(s, reservation):
+    if allocations.is_within_reserve(s, group) and _is_clear(s, reservation):
         request, block = reservation.request, reservation.block
-        return allocations.occupy(s, request, key, block, None, now_s, out, _CLEAR)
+        return allocations.occupy(s, request, group, block, None, now_s, out, _CLEAR)
     if now_s - wait.reserved_at_s < s.settings.max_reservation_wait_s:
         return False
     if not reservation.closed:
@@ -131,7 +132,7 @@
 def _reserve(
     s: allocations.SchedulingState,
     request: requests.Request,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     wait: queueing.LargeWait,
     now_s: float,
     out: list[allocations.Start | allocations.Preempt],
@@ -142,23 +143,24 @@
         Whether the job has left the queue, and whether later jobs may reserve. They may not while
         this job waits for earlier reservations to be used.
     """
-    shape = key.shape
-    if allocations.is_within_reserve(s, key):
-        place = _find_block(s, capacity.View.CLEAR, key)
+    shape = group.shape
+    if allocations.is_within_reserve(s, group):
+        place = _find_block(s, capacity.View.CLEAR, group)
         if place is not None and allocations.occupy(
-            s, request, key, place, None, now_s, out, _CLEAR
+            s, request, group, place, None, now_s, out, _CLEAR
         ):
             return True, True
     for view in (capacity.View.OUTSIDE, capacity.View.RESERVABLE):
-        block = _find_block(s, view, key)
+        block = _find_block(s, view, group)
         if block is None:
             continue
         reservation = capacity.Reservation(request, block, now_s)
-        if view is capacity.View.RESERVABLE and not key.preemptible:
+        if view is capacity.View.RESERVABLE and not group.preemptible:
             attach = functools.partial(topology.attach_block, s.top, reservation)
             detach = functools.partial(topology.detach_block, s.top, reservation)
             if not guarantees.make_room(s.guaranteed, s.top, block, attach, detach, s.settings):
-                s.failed[view].add(shape)
+                allocations.forget_growth(s)
+                allocations.note_failure(s, view, shape)
                 continue
         else:
             topology.attach_block(s.top, reservation)
@@ -169,9 +171,9 @@
     return False, not s.reservations
 
 
-def _find_block(s: allocations.SchedulingState, view: capacity.View, key: queueing.GroupKey):
+def _find_block(s: allocations.SchedulingState, view: capacity.View, group: queueing.Group):
     """Returns the block with the least work in it among some racks, or any block, or None."""
-    if allocations.find(s, view, key.shape) is None:
+    if allocations.find(s, view, group.shape) is None:
         return None
-    cheapest = placement.find_cheapest(s.top, view, key.shape)
-    return cheapest or allocations.find(s, view, key.shape)
+    cheapest = placement.find_cheapest(s.top, view, group.shape)
+    return cheapest or allocations.find(s, view, group.shape)
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -51,6 +51,10 @@
 _STOPPING = capacity.AllocationState.STOPPING
 
 
+_MOVE_INTERVAL_S = 1.0
+"""Time between attempts to move small work for the same shape; each searches many places."""
+
+
 def create_scheduling_state(settings: policy.PolicySettings) -> SchedulingState:
     """Returns a state without workers, guarantees and requests."""
     return SchedulingState(settings)
@@ -106,6 +110,7 @@
     for client_account in client_accounts:
         account = queueing.get_account(s.queue, client_account.name)
         account.weight, account.quota = client_account.weight, client_account.quota_accelerators
+    s.version += 1
     added, removed = guarantees.set_units(s.guaranteed, s.top, new_guarantees)
     for unit in removed:
         if unit.user is not None:
@@ -240,33 +245,77 @@
     out: list[Start | Preempt] = []
     for allocation in list(s.pending.values()):
         allocations.start_if_free(s, allocation, out)
+    _note_versions(s, now_s)
     reservations.plan_large(s, now_s, out)
     s.trials = 0
     for urgency in requests.Urgency:
         _plan_urgency(s, urgency, now_s, out)
+    s.room = tuple(map(min, s.room, allocations.compute_room(s)))
     return out
 
 
+def _note_versions(s: SchedulingState, now_s: float) -> None:
+    """Notes whether groups that failed in the last pass may succeed in this one."""
+    allocations.refresh(s)
+    room = allocations.compute_room(s)
+    if room[0] > s.room[0] or room[1] > s.room[1]:
+        s.reserve_version += 1
+    s.room = room
+    if s.unmovable and now_s - s.unmovable_at_s >= _MOVE_INTERVAL_S:
+        s.unmovable.clear()
+        s.unmovable_at_s = now_s
+        s.version += 1
+
+
+def _get_versions(s: SchedulingState, group: queueing.Group) -> tuple[int, ...]:
+    """Returns versions of all that the start of a group's head depends on."""
+    return (
+        s.size_versions.get(group.shape.accelerators, 0),
+        s.queue.accounts[group.client_account].version,
+        s.guaranteed.versions.get(group.client_account, 0),
+        s.reserve_version if group.is_limited else 0,
+        s.version,
+    )
+
+
 def _plan_urgency(
     s: SchedulingState, urgency: requests.Urgency, now_s: float, out: list[Start | Preempt]
 ) -> None:
-    tried: set[queueing.GroupKey] = set()
-    shares = [
-        (queueing.compute_share(s.queue.accounts[name], now_s), name)
-        for name in s.queue.active[urgency]
-    ]
+    shares = []
+    open_groups: dict[str, list[queueing.Group]] = {}
+    for name in s.queue.active[urgency]:
+        groups = s.queue.accounts[name].groups[urgency].values()
+        untried = [group for group in groups if group.failed_at != _get_versions(s, group)]
+        if untried:
+            open_groups[name] = untried
+            shares.append((queueing.compute_share(s.queue.accounts[name], now_s), name))
     heapq.heapify(shares)
     while shares:
         _, name = heapq.heappop(shares)
-        for _, key in queueing.list_heads(s.queue, urgency, name, tried):
-            request = s.queue.groups[key].peekitem(0)[1]
-            # Large jobs that waited too long had their turn before.
-            is_due = request.request_id in s.claims.due
-            if not is_due and starting.try_start(s, request, key, now_s, out):
-                account = s.queue.accounts[name]
-                heapq.heappush(shares, (queueing.compute_share(account, now_s), name))
-                break
-            tried.add(key)
+        if _start_one(s, open_groups[name], now_s, out):
+            share = queueing.compute_share(s.queue.accounts[name], now_s)
+            heapq.heappush(shares, (share, name))
+
+
+def _start_one(
+    s: SchedulingState,
+    groups: list[queueing.Group],
+    now_s: float,
+    out: list[Start | Preempt],
+) -> bool:
+    """Starts the oldest head that finds a place; removes the groups tried in vain."""
+    groups.sort(key=lambda group: group.requests.keys()[0])
+    for index, group in enumerate(groups):
+        request = group.requests.peekitem(0)[1]
+        # Large jobs that waited too long had their turn before.
+        is_due = request.request_id in s.claims.due
+        if not is_due and starting.try_start(s, request, group, now_s, out):
+            del groups[: index if group.requests else index + 1]
+            return True
+        if s.trials < starting.MAX_TRIALS:
+            group.failed_at = _get_versions(s, group)
+    groups.clear()
+    return False
 
 
 def find_impossible(s: SchedulingState, request: requests.Request) -> str | None:
--- a/lycheegate/core/starting.py
+++ b/lycheegate/core/starting.py
@@ -3,63 +3,65 @@
 from lycheegate.core import allocations, capacity, guarantees, placement, queueing, topology
 from lycheegate.model import requests, resources
 
-__all__ = ["try_start"]
+__all__ = ["MAX_TRIALS", "try_start"]
 
-_MAX_TRIALS = 4
+MAX_TRIALS = 4
 """Attempts to move small work in one pass; each takes about as long as several starts."""
 
 
 def try_start(
     s: allocations.SchedulingState,
     request: requests.Request,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     now_s: float,
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
     """Starts a request, or stops work for it; returns whether it has left the queue."""
-    if not allocations.is_within_quota(s, key):
+    if not allocations.is_within_quota(s, group):
         return False
-    exact = guarantees.find_exact_unit(s.guaranteed, key.client_account, key.shape)
+    exact = guarantees.find_exact_unit(s.guaranteed, group.client_account, group.shape)
     if exact is not None and allocations.is_free(s, exact.home):
-        return allocations.occupy(s, request, key, exact.home, exact, now_s, out)
-    in_reserve = allocations.is_within_reserve(s, key)
+        return allocations.occupy(s, request, group, exact.home, exact, now_s, out)
+    in_reserve = allocations.is_within_reserve(s, group)
     if in_reserve or exact is not None:
-        place = _find_free(s, key)
+        place = _find_free(s, group)
         if place is not None:
-            if exact is None or key.preemptible:
-                return allocations.occupy(s, request, key, place, None, now_s, out)
+            if exact is None or group.preemptible:
+                return allocations.occupy(s, request, group, place, None, now_s, out)
             guarantees.set_home(s.guaranteed, s.top, exact, place)
-            return allocations.occupy(s, request, key, place, exact, now_s, out)
-    unit = exact or guarantees.find_fitting_unit(s.guaranteed, key.client_account, key.shape)
+            return allocations.occupy(s, request, group, place, exact, now_s, out)
+    unit = exact or guarantees.find_fitting_unit(s.guaranteed, group.client_account, group.shape)
     if unit is not None:
-        place = guarantees.cut_home(unit.home, key.shape)
-        if allocations.occupy(s, request, key, place, unit, now_s, out):
+        place = guarantees.cut_home(unit.home, group.shape)
+        if allocations.occupy(s, request, group, place, unit, now_s, out):
             return True
-    if in_reserve and not key.preemptible and allocations.move_homes(s, request, key, now_s, out):
+    if (
+        in_reserve
+        and not group.preemptible
+        and allocations.move_homes(s, request, group, now_s, out)
+    ):
         return True
-    if key.urgency is requests.Urgency.URGENT:
-        place = allocations.find(s, capacity.View.URGENT, key.shape)
+    if group.urgency is requests.Urgency.URGENT:
+        place = allocations.find(s, capacity.View.URGENT, group.shape)
         if place is not None:
-            return allocations.occupy(s, request, key, place, None, now_s, out)
-    return in_reserve and _move_small_work(s, request, key, now_s, out)
+            return allocations.occupy(s, request, group, place, None, now_s, out)
+    return in_reserve and _move_small_work(s, request, group, now_s, out)
 
 
-def _find_free(
-    s: allocations.SchedulingState, key: queueing.GroupKey
-) -> resources.Placement | None:
-    if key.preemptible and not key.immune:
-        return allocations.find(s, capacity.View.BORROW, key.shape)
-    place = allocations.find(s, capacity.View.OPEN, key.shape)
-    if place is None and key.preemptible:
+def _find_free(s: allocations.SchedulingState, group: queueing.Group) -> resources.Placement | None:
+    if group.preemptible and not group.immune:
+        return allocations.find(s, capacity.View.BORROW, group.shape)
+    place = allocations.find(s, capacity.View.OPEN, group.shape)
+    if place is None and group.preemptible:
         # Work that nothing but a guarantee stops must not enter reserved blocks.
-        place = allocations.find(s, capacity.View.MOVABLE, key.shape)
+        place = allocations.find(s, capacity.View.MOVABLE, group.shape)
     return place
 
 
 def _move_small_work(
     s: allocations.SchedulingState,
     request: requests.Request,
-    key: queueing.GroupKey,
+    group: queueing.Group,
     now_s: float,
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
@@ -68,21 +70,21 @@
     It pays if the work is at most ``fragmentation_weight`` of the accelerators that the request
     gets.
     """
-    limit = s.settings.fragmentation_weight * key.shape.total_accelerators
-    if limit < 1 or s.trials >= _MAX_TRIALS:
+    limit = s.settings.fragmentation_weight * group.size
+    if limit < 1 or s.trials >= MAX_TRIALS:
         return False
-    allocations.refresh(s)
-    if key.shape in s.failed[capacity.View.CLEAR]:
+    if group.shape in s.unmovable:
         return False
     s.trials += 1
-    place = placement.find_cheapest(s.top, capacity.View.CLEAR, key.shape)
+    allocations.refresh(s)
+    place = placement.find_cheapest(s.top, capacity.View.CLEAR, group.shape)
     if place is not None:
         clear = capacity.Stopping.CLEAR
         victims = allocations.collect_victims(s, place, clear)
         size = sum(max(1, victim.request.shape.total_accelerators) for victim in victims)
         if size <= limit and _fit_elsewhere(s, request, place, victims):
-            return allocations.occupy(s, request, key, place, None, now_s, out, clear)
-    s.failed[capacity.View.CLEAR].add(key.shape)
+            return allocations.occupy(s, request, group, place, None, now_s, out, clear)
+    s.unmovable.add(group.shape)
     return False
 
 
@@ -114,4 +116,5 @@
         for worker_id in topology.group_by_worker(moved.placement):
             del s.top.nodes[worker_id].members[f"{moved.serial}"]
             s.top.dirty.add(worker_id)
+    allocations.forget_growth(s)
     return fits
--- a/lycheegate/core/topology.py
+++ b/lycheegate/core/topology.py
@@ -301,10 +301,10 @@
                 else:
                     runs |= 1
         name = rack.name
-        if _update(topology.counts[view], name, rack.counts[view], counts):
-            topology.grown.add(capacity.View(view))
-        if _update(topology.largest[view], name, rack.largest[view], largest):
-            topology.grown.add(capacity.View(view))
+        grown = _update(topology.counts[view], name, rack.counts[view], counts)
+        grown |= _update(topology.largest[view], name, rack.largest[view], largest)
+        if grown:
+            topology.grown[view] = topology.grown.get(view, 0) | grown
         _update_runs(topology.runs[view], name, (rack.runs[view], rack.free[view]), (runs, free))
         rack.counts[view], rack.largest[view] = counts, largest
         rack.runs[view], rack.free[view] = runs, free
@@ -314,10 +314,11 @@
     return row if len(row) == sizes else row + (0,) * (sizes - len(row))
 
 
-def _update(index: capacity.Index, name: str, old: tuple[int, ...], new: tuple[int, ...]) -> bool:
+def _update(index: capacity.Index, name: str, old: tuple[int, ...], new: tuple[int, ...]) -> int:
+    """Updates an index for a rack; returns a bit for each block size that grew."""
     if old == new:
-        return False
-    grew = False
+        return 0
+    grown = 0
     for size in range(max(len(old), len(new))):
         before = old[size] if size < len(old) else 0
         after = new[size] if size < len(new) else 0
@@ -327,8 +328,9 @@
             index[size].remove((before, name))
         if after:
             index[size].add((after, name))
-        grew = grew or after > before
-    return grew
+        if after > before:
+            grown |= 1 << size
+    return grown
 
 
 def _update_runs(
