Limit reserved blocks, compare claims by value

Cause: claims of large jobs counted as changed in every pass, so all groups were tried again, and 42 blocks were reserved at once. Change: claims compare by value; at most a quarter of the partition is reserved; failed moves of homes are tried again once a second.

--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -58,7 +58,7 @@
     for_request_id: str
 
 
-@dataclasses.dataclass(slots=True, eq=False)
+@dataclasses.dataclass(slots=True)
 class Claims:
     """Limits that other work must leave room in for large jobs that waited too long.
 
@@ -93,8 +93,9 @@
         claims: What large jobs that waited too long hold back from other work.
         trials: Attempts to move small work in the current pass.
         failed: For each view and block size, shapes that had no room when last tried.
-        unmovable: Shapes for which moving small work was tried in vain since ``unmovable_at_s``.
-        unmovable_at_s: When these were last forgotten.
+        unmovable: Shapes for which moving small work was tried in vain since ``retried_at_s``.
+        homes_grown: Whether homes may find room since then that they did not find before.
+        retried_at_s: When moves of small work and of homes that failed were last allowed again.
         size_versions: For each block size, a number that grows with the room for such blocks.
         version: Grows whenever every group may find room again.
         room: Slots and accelerators that the urgent reserve left in the last pass.
@@ -118,7 +119,8 @@
         default_factory=lambda: [{} for _ in capacity.View]
     )
     unmovable: set[resources.Shape] = dataclasses.field(default_factory=set)
-    unmovable_at_s: float = 0.0
+    homes_grown: bool = False
+    retried_at_s: float = 0.0
     size_versions: dict[int, int] = dataclasses.field(default_factory=dict)
     version: int = 0
     room: tuple[int, int] = (0, 0)
@@ -228,12 +230,7 @@
         for size in blocks.list_bits(sizes):
             s.failed[view].pop(size, None)
             s.size_versions[size] = s.size_versions.get(size, 0) + 1
-    if capacity.View.HOME in s.top.grown:
-        # Homes that could not be moved before may now find a place.
-        for view in (capacity.View.MOVABLE, capacity.View.RESERVABLE):
-            if s.failed[view]:
-                s.failed[view].clear()
-                s.version += 1
+    s.homes_grown = s.homes_grown or capacity.View.HOME in s.top.grown
     s.top.grown.clear()
 
 
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -20,6 +20,9 @@
 
 __all__ = ["plan_large"]
 
+_RESERVED_RATIO = 0.25
+"""Share of the partition that may be reserved at once, as reserved room stays partly idle."""
+
 _CLEAR = capacity.Stopping.CLEAR
 
 
@@ -47,7 +50,11 @@
             if reservation is not None:
                 if _advance(s, reservation, group, wait, now_s, out):
                     continue
-            elif may_reserve and allocations.is_within_reserve(s, group, alone=True):
+            elif (
+                may_reserve
+                and _is_within_share(s, group)
+                and allocations.is_within_reserve(s, group, alone=True)
+            ):
                 is_started, may_reserve = _reserve(s, request, group, wait, now_s, out)
                 if is_started:
                     continue
@@ -58,6 +65,20 @@
         s.version += 1
 
 
+def _is_within_share(s: allocations.SchedulingState, group: queueing.Group) -> bool:
+    """Returns whether another block may be reserved; one always may."""
+    if not s.reservations:
+        return True
+    shapes = [reservation.request.shape for reservation in s.reservations.values()]
+    shapes.append(group.shape)
+    totals, total = s.top.totals, capacity.Total
+    return (
+        sum(shape.members for shape in shapes) <= _RESERVED_RATIO * totals[total.SLOTS]
+        and sum(shape.total_accelerators for shape in shapes)
+        <= _RESERVED_RATIO * totals[total.ACCELERATORS]
+    )
+
+
 def _is_due(s: allocations.SchedulingState, wait: queueing.LargeWait, now_s: float) -> bool:
     return (
         now_s - wait.since_s >= s.settings.max_bypass_s
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -52,7 +52,7 @@
 
 
 _MOVE_INTERVAL_S = 1.0
-"""Time between attempts to move small work for the same shape; each searches many places."""
+"""Time between attempts to move work or homes for the same shape; each searches many places."""
 
 
 def create_scheduling_state(settings: policy.PolicySettings) -> SchedulingState:
@@ -261,9 +261,15 @@
     if room[0] > s.room[0] or room[1] > s.room[1]:
         s.reserve_version += 1
     s.room = room
-    if s.unmovable and now_s - s.unmovable_at_s >= _MOVE_INTERVAL_S:
+    if now_s - s.retried_at_s < _MOVE_INTERVAL_S:
+        return
+    s.retried_at_s = now_s
+    if s.unmovable or s.homes_grown:
         s.unmovable.clear()
-        s.unmovable_at_s = now_s
+        if s.homes_grown:
+            s.homes_grown = False
+            s.failed[capacity.View.MOVABLE].clear()
+            s.failed[capacity.View.RESERVABLE].clear()
         s.version += 1
 
 
