Remember failures by kind of demand

Cause: one failed search was repeated for each client account. Change: groups of the same shape and urgency class share the memory of the failure.

--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -303,6 +303,7 @@
     place = find(s, capacity.View.MOVABLE, group.shape)
     if place is None:
         return False
+    s.trials += 1
     trial = create_allocation(s, request, place, group.immune)
     attach = functools.partial(topology.attach, s.top, trial)
     detach = functools.partial(topology.detach, s.top, trial)
--- a/lycheegate/core/queueing.py
+++ b/lycheegate/core/queueing.py
@@ -14,6 +14,7 @@
 __all__ = [
     "AccountState",
     "Group",
+    "Kind",
     "LargeWait",
     "QueueState",
     "add_request",
@@ -34,6 +35,29 @@
 """Running work counts with this much future use, so that starts in one pass alternate."""
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Kind:
+    """Demand that is the same for all client accounts, apart from quotas and guarantees.
+
+    Attributes:
+        shape: What is asked for.
+        is_urgent: Whether the work is urgent.
+        preemptible: Whether it may be preempted.
+        immune: Whether it was preempted too often.
+        is_limited: Whether the urgent reserve limits it.
+        failed_at: Versions of what a start depends on when no place was found last.
+        is_blocked: Whether these versions have not changed, as of the current pass.
+    """
+
+    shape: resources.Shape
+    is_urgent: bool
+    preemptible: bool
+    immune: bool
+    is_limited: bool
+    failed_at: tuple[int, ...] | None = None
+    is_blocked: bool = False
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Group:
     """Waiting requests that placement cannot tell apart.
@@ -45,6 +69,7 @@
         preemptible: Whether they may be preempted.
         immune: Whether they were preempted too often.
         size: Accelerators of each request.
+        kind: The same for all client accounts.
         is_limited: Whether the urgent reserve limits them.
         requests: The requests by arrival and serial number.
         failed_at: Versions of what a start depends on when the head last found no place.
@@ -56,6 +81,7 @@
     preemptible: bool
     immune: bool
     size: int
+    kind: Kind
     is_limited: bool
     requests: sortedcontainers.SortedDict = dataclasses.field(
         default_factory=sortedcontainers.SortedDict
@@ -117,6 +143,7 @@
 
     Attributes:
         groups: Groups by what their requests have in common.
+        kinds: Kinds of demand seen so far, as few as there are shapes in use.
         places: Group and position of each request.
         accounts: Client accounts that have or had work.
         active: For each urgency, client accounts with waiting requests.
@@ -126,6 +153,7 @@
     """
 
     groups: dict[tuple, Group] = dataclasses.field(default_factory=dict)
+    kinds: dict[tuple, Kind] = dataclasses.field(default_factory=dict)
     places: dict[str, tuple[Group, tuple[float, int]]] = dataclasses.field(default_factory=dict)
     accounts: dict[str, AccountState] = dataclasses.field(default_factory=dict)
     active: dict[requests.Urgency, set[str]] = dataclasses.field(
@@ -152,10 +180,9 @@
     key = (request.urgency, request.client_account, request.shape, request.preemptible, immune)
     group = queue.groups.get(key)
     if group is None:
-        is_limited = request.urgency is not requests.Urgency.URGENT and (
-            immune or not request.preemptible
-        )
-        group = queue.groups[key] = Group(*key, request.shape.total_accelerators, is_limited)
+        kind = _get_kind(queue, request, immune)
+        size = request.shape.total_accelerators
+        group = queue.groups[key] = Group(*key, size, kind, kind.is_limited)
         account.groups[request.urgency][key] = group
         queue.active[request.urgency].add(request.client_account)
     position = (request.submitted_at_s, queue.serial)
@@ -167,6 +194,16 @@
         account.large[wait.serial] = request.request_id
 
 
+def _get_kind(queue: QueueState, request: requests.Request, immune: bool) -> Kind:
+    is_urgent = request.urgency is requests.Urgency.URGENT
+    key = (request.shape, is_urgent, request.preemptible, immune)
+    kind = queue.kinds.get(key)
+    if kind is None:
+        is_limited = not is_urgent and (immune or not request.preemptible)
+        kind = queue.kinds[key] = Kind(*key, is_limited)
+    return kind
+
+
 def track_large(queue: QueueState, request_id: str, now_s: float) -> None:
     """Starts to measure the wait of a large job, before it is added."""
     if request_id not in queue.waits:
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -246,8 +246,10 @@
     for allocation in list(s.pending.values()):
         allocations.start_if_free(s, allocation, out)
     _note_versions(s, now_s)
-    reservations.plan_large(s, now_s, out)
+    for kind in s.queue.kinds.values():
+        kind.is_blocked = kind.failed_at == starting.get_versions(s, kind)
     s.trials = 0
+    reservations.plan_large(s, now_s, out)
     for urgency in requests.Urgency:
         _plan_urgency(s, urgency, now_s, out)
     s.room = tuple(map(min, s.room, allocations.compute_room(s)))
@@ -276,11 +278,9 @@
 def _get_versions(s: SchedulingState, group: queueing.Group) -> tuple[int, ...]:
     """Returns versions of all that the start of a group's head depends on."""
     return (
-        s.size_versions.get(group.shape.accelerators, 0),
         s.queue.accounts[group.client_account].version,
         s.guaranteed.versions.get(group.client_account, 0),
-        s.reserve_version if group.is_limited else 0,
-        s.version,
+        *starting.get_versions(s, group.kind),
     )
 
 
@@ -291,7 +291,10 @@
     open_groups: dict[str, list[queueing.Group]] = {}
     for name in s.queue.active[urgency]:
         groups = s.queue.accounts[name].groups[urgency].values()
-        untried = [group for group in groups if group.failed_at != _get_versions(s, group)]
+        if name in s.guaranteed.idle:
+            untried = [group for group in groups if group.failed_at != _get_versions(s, group)]
+        else:
+            untried = [group for group in groups if not group.kind.is_blocked]
         if untried:
             open_groups[name] = untried
             shares.append((queueing.compute_share(s.queue.accounts[name], now_s), name))
--- a/lycheegate/core/starting.py
+++ b/lycheegate/core/starting.py
@@ -3,10 +3,10 @@
 from lycheegate.core import allocations, capacity, guarantees, placement, queueing, topology
 from lycheegate.model import requests, resources
 
-__all__ = ["MAX_TRIALS", "try_start"]
+__all__ = ["MAX_TRIALS", "get_versions", "try_start"]
 
 MAX_TRIALS = 4
-"""Attempts to move small work in one pass; each takes about as long as several starts."""
+"""Attempts to move homes or small work in one pass; each takes as long as many starts."""
 
 
 def try_start(
@@ -19,9 +19,13 @@
     """Starts a request, or stops work for it; returns whether it has left the queue."""
     if not allocations.is_within_quota(s, group):
         return False
-    exact = guarantees.find_exact_unit(s.guaranteed, group.client_account, group.shape)
-    if exact is not None and allocations.is_free(s, exact.home):
-        return allocations.occupy(s, request, group, exact.home, exact, now_s, out)
+    exact = None
+    if group.client_account in s.guaranteed.idle:
+        exact = guarantees.find_exact_unit(s.guaranteed, group.client_account, group.shape)
+        if exact is not None and allocations.is_free(s, exact.home):
+            return allocations.occupy(s, request, group, exact.home, exact, now_s, out)
+    if exact is None and group.kind.is_blocked:
+        return _reclaim(s, request, group, now_s, out)
     in_reserve = allocations.is_within_reserve(s, group)
     if in_reserve or exact is not None:
         place = _find_free(s, group)
@@ -30,18 +34,54 @@
                 return allocations.occupy(s, request, group, place, None, now_s, out)
             guarantees.set_home(s.guaranteed, s.top, exact, place)
             return allocations.occupy(s, request, group, place, exact, now_s, out)
-    unit = exact or guarantees.find_fitting_unit(s.guaranteed, group.client_account, group.shape)
-    if unit is not None:
-        place = guarantees.cut_home(unit.home, group.shape)
-        if allocations.occupy(s, request, group, place, unit, now_s, out):
-            return True
-    if (
-        in_reserve
-        and not group.preemptible
-        and allocations.move_homes(s, request, group, now_s, out)
-    ):
+    if _reclaim(s, request, group, now_s, out):
         return True
-    if group.urgency is requests.Urgency.URGENT:
+    if _make_room(s, request, group, in_reserve, now_s, out):
+        return True
+    if s.trials < MAX_TRIALS:
+        group.kind.failed_at = get_versions(s, group.kind)
+        group.kind.is_blocked = True
+    return False
+
+
+def get_versions(s: allocations.SchedulingState, kind: queueing.Kind) -> tuple[int, ...]:
+    """Returns versions of all that a start depends on apart from the client account."""
+    reserve = s.reserve_version if kind.is_limited else 0
+    return s.size_versions.get(kind.shape.accelerators, 0), reserve, s.version
+
+
+def _reclaim(
+    s: allocations.SchedulingState,
+    request: requests.Request,
+    group: queueing.Group,
+    now_s: float,
+    out: list[allocations.Start | allocations.Preempt],
+) -> bool:
+    """Starts a request in the home of an idle unit, stopping the work that borrows it."""
+    if group.client_account not in s.guaranteed.idle:
+        return False
+    unit = guarantees.find_exact_unit(
+        s.guaranteed, group.client_account, group.shape
+    ) or guarantees.find_fitting_unit(s.guaranteed, group.client_account, group.shape)
+    if unit is None:
+        return False
+    place = guarantees.cut_home(unit.home, group.shape)
+    return allocations.occupy(s, request, group, place, unit, now_s, out)
+
+
+def _make_room(
+    s: allocations.SchedulingState,
+    request: requests.Request,
+    group: queueing.Group,
+    in_reserve: bool,
+    now_s: float,
+    out: list[allocations.Start | allocations.Preempt],
+) -> bool:
+    """Starts a request by moving homes, by preemption, or by moving small work."""
+    may_move_homes = in_reserve and not group.preemptible and s.trials < MAX_TRIALS
+    if may_move_homes and allocations.move_homes(s, request, group, now_s, out):
+        return True
+    if group.kind.is_urgent:
         place = allocations.find(s, capacity.View.URGENT, group.shape)
         if place is not None:
             return allocations.occupy(s, request, group, place, None, now_s, out)
