Skip blocked kinds of demand once the trials of a pass are used up

Cause: after four trials of moving work, 900 groups were tried again in the same pass. Change: a kind that found no place is blocked for the rest of the pass in any case.

--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -315,6 +315,8 @@
     """Starts the oldest head that finds a place; removes the groups tried in vain."""
     groups.sort(key=lambda group: group.requests.keys()[0])
     for index, group in enumerate(groups):
+        if group.kind.is_blocked and group.client_account not in s.guaranteed.idle:
+            continue
         request = group.requests.peekitem(0)[1]
         # Large jobs that waited too long had their turn before.
         is_due = request.request_id in s.claims.due
--- a/lycheegate/core/starting.py
+++ b/lycheegate/core/starting.py
@@ -38,9 +38,9 @@
         return True
     if _make_room(s, request, group, in_reserve, now_s, out):
         return True
+    group.kind.is_blocked = True
     if s.trials < MAX_TRIALS:
         group.kind.failed_at = get_versions(s, group.kind)
-        group.kind.is_blocked = True
     return False
 
 
