Place homes anew when units are short; test placement and rules

Cause: scattered homes of small units kept a large unit short although there was room. Change: a release, a lost worker or one taken out of use places idle homes anew if that leaves less short; otherwise this is tried every 30 s while units are short. Measured: test_short_unit_gets_home_by_moving_smaller_ones failed before and passes now. Conclusion: each rule has a test.

--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -32,6 +32,7 @@
     "record",
     "refresh",
     "rehome",
+    "repack",
     "start_if_free",
     "stop",
     "touch",
@@ -95,6 +96,7 @@
         failed: For each view and block size, shapes that had no room when last tried.
         unmovable: Shapes for which moving small work was tried in vain since ``retried_at_s``.
         homes_grown: Whether homes may find room since then that they did not find before.
+        repacked_at_s: When homes were last placed anew because some were short.
         retried_at_s: When moves of small work and of homes that failed were last allowed again.
         size_versions: For each block size, a number that grows with the room for such blocks.
         version: Grows whenever every group may find room again.
@@ -121,6 +123,7 @@
     unmovable: set[resources.Shape] = dataclasses.field(default_factory=set)
     homes_grown: bool = False
     retried_at_s: float = 0.0
+    repacked_at_s: float = 0.0
     size_versions: dict[int, int] = dataclasses.field(default_factory=dict)
     version: int = 0
     room: tuple[int, int] = (0, 0)
@@ -138,13 +141,19 @@
     return s.preemptions.get(request_id, 0) >= s.settings.max_preemptions
 
 
-def rehome(s: SchedulingState, drop_reservations: bool = False) -> None:
-    """Gives homes to short units, if need be in place of reserved blocks."""
+def rehome(s: SchedulingState) -> None:
+    """Gives homes to short units where there is room."""
     guarantees.rehome(s.guaranteed, s.top, s.settings)
-    if drop_reservations and s.guaranteed.short and s.reservations:
+
+
+def repack(s: SchedulingState) -> None:
+    """Gives homes to short units, if need be in place of reserved blocks and other homes."""
+    guarantees.rehome(s.guaranteed, s.top, s.settings)
+    if s.guaranteed.short and s.reservations:
         for request_id in list(s.reservations):
             drop_reservation(s, request_id)
         guarantees.rehome(s.guaranteed, s.top, s.settings)
+    guarantees.repack(s.guaranteed, s.top, s.settings)
 
 
 def cancel_pending(s: SchedulingState, allocation: capacity.Allocation) -> None:
--- a/lycheegate/core/guarantees.py
+++ b/lycheegate/core/guarantees.py
@@ -25,6 +25,7 @@
     "make_room",
     "rehome",
     "release_unit",
+    "repack",
     "set_home",
     "set_units",
     "total_guaranteed",
@@ -250,6 +251,28 @@
     return found
 
 
+def repack(state: GuaranteeState, top: capacity.Topology, settings: policy.PolicySettings) -> None:
+    """Places all homes not in use anew, if that leaves less of the guarantees short."""
+    if not state.short:
+        return
+    idle = [unit for unit in state.units.values() if unit.home is not None and unit.user is None]
+    homes = [(unit, unit.home) for unit in idle]
+    short_before = _sum_short(state)
+    for unit in idle:
+        set_home(state, top, unit, None)
+    found = rehome(state, top, settings)
+    if _sum_short(state) < short_before:
+        return
+    for unit in found:
+        set_home(state, top, unit, None)
+    for unit, home in homes:
+        set_home(state, top, unit, home)
+
+
+def _sum_short(state: GuaranteeState) -> int:
+    return sum(max(1, unit.shape.total_accelerators) for unit in state.short.values())
+
+
 def _order_by_size(unit: capacity.Unit) -> tuple:
     shape = unit.shape
     return (-shape.accelerators, -shape.members, unit.key)
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -55,6 +55,10 @@
 """Time between attempts to move work or homes for the same shape; each searches many places."""
 
 
+_REPACK_INTERVAL_S = 30.0
+"""Time between attempts to place all homes anew while some are short."""
+
+
 def create_scheduling_state(settings: policy.PolicySettings) -> SchedulingState:
     """Returns a state without workers, guarantees and requests."""
     return SchedulingState(settings)
@@ -64,7 +68,7 @@
     """Adds a worker, or replaces what is known of it."""
     remove_worker(s, worker.worker_id)
     topology.add_node(s.top, worker)
-    allocations.rehome(s, drop_reservations=True)
+    allocations.rehome(s)
 
 
 def remove_worker(s: SchedulingState, worker_id: str) -> None:
@@ -74,7 +78,7 @@
         return
     _clear_node(s, node)
     topology.remove_node(s.top, worker_id)
-    allocations.rehome(s, drop_reservations=True)
+    allocations.repack(s)
 
 
 def set_placeable(s: SchedulingState, worker_id: str, placeable: bool) -> None:
@@ -85,7 +89,7 @@
     if not placeable:
         _clear_node(s, node)
     topology.set_placeable(s.top, worker_id, placeable)
-    allocations.rehome(s, drop_reservations=True)
+    allocations.repack(s)
 
 
 def _clear_node(s: SchedulingState, node: capacity.Node) -> None:
@@ -118,7 +122,7 @@
             allocations.touch(s, s.allocations[unit.user].placement)
     if added:
         _adopt(s, added)
-    allocations.rehome(s, drop_reservations=True)
+    allocations.repack(s)
     return list_short_guarantees(s)
 
 
@@ -229,7 +233,7 @@
         elif old_home is not None:
             guarantees.set_home(s.guaranteed, s.top, unit, old_home)
     allocations.record(s, allocation, now_s)
-    allocations.rehome(s, drop_reservations=True)
+    allocations.rehome(s)
 
 
 def plan(s: SchedulingState, now_s: float) -> list[Start | Preempt]:
@@ -266,6 +270,9 @@
     if now_s - s.retried_at_s < _MOVE_INTERVAL_S:
         return
     s.retried_at_s = now_s
+    if s.guaranteed.short and now_s - s.repacked_at_s >= _REPACK_INTERVAL_S:
+        s.repacked_at_s = now_s
+        allocations.repack(s)
     if s.unmovable or s.homes_grown:
         s.unmovable.clear()
         if s.homes_grown:
--- /dev/null
+++ b/lycheegate/core/tests/test_scheduling.py
@@ -0,0 +1,308 @@
+"""Tests of homes, queue order, quotas, the urgent reserve, preemption and moves."""
+
+import pytest
+
+from lycheegate.core import policy, scheduling
+from lycheegate.core.tests import driver
+from lycheegate.model import releases, requests, resources
+
+_URGENT, _NORMAL, _BATCH = requests.Urgency
+_RACK = resources.Adjacency.RACK
+_SETTINGS = policy.PolicySettings(urgent_reserve_ratio=0.0)
+
+
+def _run(workers=1, accelerators=8, settings=_SETTINGS, accounts=(), guarantees=()):
+    """Returns a driver with equal workers, two to a rack, and a release in force."""
+    nodes = [
+        driver.make_worker(f"w{n}", f"rack{n // 2}", accelerators, 2 * accelerators)
+        for n in range(workers)
+    ]
+    run = driver.Driver(settings, nodes)
+    scheduling.apply_release(run.s, accounts, guarantees)
+    return run
+
+
+def _guarantee(shape, count=1, account="a", name="g"):
+    return releases.Guarantee(account, name, shape, count, "dc")
+
+
+def _submit(run, request_id, shape, account="a", urgency=_NORMAL, preemptible=False):
+    run.now_s += 0.001
+    request = driver.make_request(request_id, shape, account, urgency, preemptible, run.now_s)
+    run.submit(request)
+
+
+def _plan(run):
+    orders = run.plan()
+    assert scheduling.check_invariants(run.s) == []
+    return orders
+
+
+def test_home_stays_clear_of_firm_work():
+    """Guards against work of others that cannot be preempted in the home of a unit."""
+    run = _run(guarantees=(_guarantee(resources.Shape(1, 4)),))
+    for number in range(8):
+        _submit(run, f"b{number}", resources.Shape(1, 1), "b")
+    assert len(_plan(run)[0]) == 4
+    _submit(run, "a", resources.Shape(1, 4))
+    assert _plan(run) == (["a"], [])
+
+
+def test_home_keeps_slots():
+    """Guards against a home whose accelerators are free while its slots are taken."""
+    run = _run(guarantees=(_guarantee(resources.Shape(2, 1)),))
+    for number in range(20):
+        _submit(run, f"b{number}", resources.Shape(1, 0), "b")
+    assert len(_plan(run)[0]) == 14
+    _submit(run, "a", resources.Shape(2, 1))
+    assert _plan(run) == (["a"], [])
+
+
+def test_reclaim_stops_borrowers():
+    """Guards against a guarantee that waits for the work that borrows its home."""
+    run = _run(guarantees=(_guarantee(resources.Shape(1, 8)),))
+    for number in range(8):
+        urgency = _URGENT if number else _BATCH
+        _submit(run, f"b{number}", resources.Shape(1, 1), "b", urgency, True)
+    assert len(_plan(run)[0]) == 8
+    _submit(run, "a", resources.Shape(1, 8), urgency=_BATCH)
+    assert sorted(_plan(run)[1]) == [f"b{n}" for n in range(8)]
+    run.advance(driver.STOP_S)
+    assert _plan(run) == (["a"], [])
+
+
+def test_smaller_request_uses_unit():
+    """Guards against a unit that only requests of exactly its shape can reclaim."""
+    run = _run(guarantees=(_guarantee(resources.Shape(1, 8)),))
+    _submit(run, "b", resources.Shape(1, 8), "b", _NORMAL, True)
+    _plan(run)
+    _submit(run, "a", resources.Shape(1, 2))
+    assert _plan(run)[1] == ["b"]
+
+
+@pytest.mark.parametrize(("size", "started"), [(4, ["b"]), (8, [])])
+def test_home_moves_for_firm_work(size, started):
+    """Guards against work that waits for a home that could move, and against a lost home."""
+    run = _run(2, guarantees=(_guarantee(resources.Shape(1, size)),))
+    home = next(iter(run.s.guaranteed.units.values())).home[0].worker_id
+    other = "w1" if home == "w0" else "w0"
+    request = driver.make_request("old", resources.Shape(1, 1), "b")
+    scheduling.restore(run.s, request, (resources.MemberPlacement(other, 0, 1),), 0.0)
+    _submit(run, "b", resources.Shape(1, 8), "b")
+    assert _plan(run) == (started, [])
+    assert scheduling.list_short_guarantees(run.s) == []
+
+
+def test_use_elsewhere_takes_home_along():
+    """Guards against a client account that has its guarantee twice."""
+    run = _run(2, guarantees=(_guarantee(resources.Shape(1, 8)),))
+    _submit(run, "b", resources.Shape(1, 8), "b", _NORMAL, True)
+    _plan(run)
+    _submit(run, "a", resources.Shape(1, 8))
+    assert _plan(run) == (["a"], [])
+    unit = next(iter(run.s.guaranteed.units.values()))
+    assert unit.user == "a"
+    assert unit.home == run.running["a"]
+
+
+@pytest.mark.parametrize("change", ["remove", "unplaceable"])
+def test_homes_move_off_lost_workers(change):
+    """Guards against homes on workers that get no work, and against silent shortness."""
+    run = _run(2, guarantees=(_guarantee(resources.Shape(1, 8)),))
+    for _ in range(2):
+        assert scheduling.list_short_guarantees(run.s) == []
+        home = next(iter(run.s.guaranteed.units.values())).home[0].worker_id
+        if change == "remove":
+            scheduling.remove_worker(run.s, home)
+        else:
+            scheduling.set_placeable(run.s, home, False)
+    (short,) = scheduling.list_short_guarantees(run.s)
+    assert (short.guarantee, short.short_units, short.reason) == ("g", 1, "capacity_lost")
+    if change == "remove":
+        scheduling.add_worker(run.s, driver.make_worker(home))
+    else:
+        scheduling.set_placeable(run.s, home, True)
+    assert scheduling.list_short_guarantees(run.s) == []
+
+
+def test_short_unit_gets_home_by_moving_smaller_ones():
+    """Guards against a large unit that stays short because small homes are scattered."""
+    run = _run(2, guarantees=(_guarantee(resources.Shape(1, 2), 2, name="small"),))
+    for n, unit in enumerate(list(run.s.guaranteed.units.values())):
+        place = (resources.MemberPlacement(f"w{n}", 3, 2),)
+        request = driver.make_request(f"r{n}", resources.Shape(1, 2), "a")
+        scheduling.restore(run.s, request, place, 0.0)
+        scheduling.vacate(run.s, f"r{n}", 0.0)
+        assert unit.home == place
+    small = _guarantee(resources.Shape(1, 2), 2, name="small")
+    large = _guarantee(resources.Shape(1, 8), name="large")
+    assert scheduling.apply_release(run.s, (), (small, large)) == []
+    assert scheduling.check_invariants(run.s) == []
+
+
+def test_homes_lie_in_few_racks():
+    """Guards against homes that are scattered, so that any lost rack moves some."""
+    run = _run(8, guarantees=(_guarantee(resources.Shape(1, 4), 4),))
+    units = run.s.guaranteed.units.values()
+    assert len({run.s.top.nodes[u.home[0].worker_id].worker.rack for u in units}) == 1
+
+
+@pytest.mark.parametrize(
+    ("ratio", "urgency", "preemptible", "started"),
+    [
+        (0.25, _NORMAL, False, 6),
+        (0.25, _BATCH, False, 6),
+        (0.25, _NORMAL, True, 8),
+        (0.25, _URGENT, False, 8),
+        (0.0, _NORMAL, False, 8),
+    ],
+)
+def test_urgent_reserve(ratio, urgency, preemptible, started):
+    """Guards against a partition so full of firm work that urgent work must wait."""
+    run = _run(settings=policy.PolicySettings(urgent_reserve_ratio=ratio))
+    for number in range(10):
+        _submit(run, f"r{number}", resources.Shape(1, 1), "a", urgency, preemptible)
+    assert len(_plan(run)[0]) == started
+
+
+@pytest.mark.parametrize(
+    ("urgency", "preemptible", "stopped"),
+    [(_BATCH, True, 1), (_NORMAL, True, 1), (_URGENT, True, 0), (_BATCH, False, 0)],
+)
+def test_urgent_work_preempts(urgency, preemptible, stopped):
+    """Guards against urgent work that waits for lower work, or stops what must not be."""
+    run = _run()
+    _submit(run, "r", resources.Shape(1, 8), "b", urgency, preemptible)
+    _plan(run)
+    _submit(run, "u", resources.Shape(1, 1), "a", _URGENT)
+    assert len(_plan(run)[1]) == stopped
+
+
+def test_capacity_is_kept_for_preemptor():
+    """Guards against later work that takes the room that was made for urgent work."""
+    run = _run()
+    _submit(run, "r", resources.Shape(1, 8), "b", _BATCH, True)
+    _plan(run)
+    _submit(run, "u", resources.Shape(1, 8), "a", _URGENT)
+    _plan(run)
+    for number in range(8):
+        _submit(run, f"v{number}", resources.Shape(1, 1), "c", _URGENT)
+    run.end("r")
+    assert _plan(run) == (["u"], [])
+
+
+def test_left_alone_after_preemptions():
+    """Guards against a request that is preempted for ever."""
+    run = _run(settings=policy.PolicySettings(urgent_reserve_ratio=0.0, max_preemptions=2))
+    _submit(run, "r", resources.Shape(1, 8), "b", _BATCH, True)
+    for number in range(3):
+        _plan(run)
+        assert "r" in run.running
+        _submit(run, f"u{number}", resources.Shape(1, 8), "a", _URGENT)
+        assert _plan(run)[1] == (["r"] if number < 2 else [])
+        if number < 2:
+            run.advance(driver.STOP_S)
+            assert _plan(run) == ([f"u{number}"], [])
+            run.end(f"u{number}")
+
+
+def test_quota_limits_borrowing():
+    """Guards against a client account that borrows beyond its quota."""
+    run = _run(accounts=(releases.ClientAccount("a", 3),))
+    for number in range(5):
+        _submit(run, f"a{number}", resources.Shape(1, 1), "a", _NORMAL, bool(number % 2))
+    assert len(_plan(run)[0]) == 3
+    run.end("a0")
+    assert len(_plan(run)[0]) == 1
+
+
+def test_order_by_urgency_share_and_arrival():
+    """Guards against a queue order other than urgency, weighted share, arrival."""
+    accounts = (releases.ClientAccount("a", weight=3.0), releases.ClientAccount("b"))
+    run = _run(accounts=accounts)
+    for number in range(8):
+        _submit(run, f"batch{number}", resources.Shape(1, 1), "c", _BATCH)
+    for number in range(8):
+        _submit(run, f"a{number}", resources.Shape(1, 1), "a")
+    for number in range(8):
+        _submit(run, f"b{number}", resources.Shape(1, 1), "b")
+    started, _ = _plan(run)
+    assert [name for name in started if name[0] == "a"] == [f"a{n}" for n in range(6)]
+    assert [name for name in started if name[0] == "b"] == ["b0", "b1"]
+
+
+def test_past_use_counts_and_decays():
+    """Guards against a share that forgets at once, or never, what an account has used."""
+    run = _run()
+    _submit(run, "a", resources.Shape(1, 8), "a")
+    _plan(run)
+    run.now_s += 3600.0
+    run.end("a")
+    for name in ("a1", "b1"):
+        _submit(run, name, resources.Shape(1, 8), name[0])
+    assert _plan(run)[0] == ["b1"]
+    run.now_s += 100 * 3600.0
+    run.end("b1")
+    _submit(run, "b2", resources.Shape(1, 8), "b")
+    assert _plan(run)[0] == ["a1"]
+
+
+@pytest.mark.parametrize(("weight", "stopped"), [(0.5, 1), (0.0, 0)])
+def test_move_small_work(weight, stopped):
+    """Guards against a block that stays split by one small task which fits elsewhere."""
+    settings = policy.PolicySettings(urgent_reserve_ratio=0.0, fragmentation_weight=weight)
+    run = _run(2, 4, settings=settings)
+    for number in range(8):
+        _submit(run, f"s{number}", resources.Shape(1, 1), "b", _NORMAL, True)
+    _plan(run)
+    kept = {}
+    for name, place in run.running.items():
+        kept.setdefault(place[0].worker_id, name)
+    for name in set(run.running) - set(kept.values()):
+        run.end(name)
+    _submit(run, "block", resources.Shape(1, 4))
+    assert len(_plan(run)[1]) == stopped
+    run.advance(driver.STOP_S)
+    assert len(_plan(run)[0]) == 2 * stopped
+    assert ("block" in run.running) == bool(stopped)
+
+
+@pytest.mark.parametrize(
+    ("shape", "account", "preemptible", "reason"),
+    [
+        (resources.Shape(1, 8), "a", False, None),
+        (resources.Shape(1, 9), "a", True, "worker"),
+        (resources.Shape(3, 8, _RACK), "a", True, "rack"),
+        (resources.Shape(2, 5, resources.Adjacency.WORKER), "a", True, "worker"),
+        (resources.Shape(4, 8), "a", True, None),
+        (resources.Shape(5, 8), "a", True, "data_centre"),
+        (resources.Shape(2, 8), "small", True, "quota"),
+        (resources.Shape(4, 8), "a", False, "guarantees"),
+        (resources.Shape(2, 8), "a", False, "urgent_reserve"),
+        (resources.Shape(2, 8), "b", False, None),
+    ],
+)
+def test_find_impossible(shape, account, preemptible, reason):
+    """Guards against requests that wait for ever, and against refusing possible ones."""
+    run = _run(
+        4,
+        settings=policy.PolicySettings(urgent_reserve_ratio=0.1),
+        accounts=(releases.ClientAccount("small", 8),),
+        guarantees=(_guarantee(resources.Shape(2, 8), account="b"),),
+    )
+    request = driver.make_request("r", shape, account, preemptible=preemptible)
+    assert scheduling.find_impossible(run.s, request) == reason
+
+
+def test_withdraw_while_capacity_is_cleared():
+    """Guards against capacity that stays kept for a cancelled request."""
+    run = _run()
+    _submit(run, "r", resources.Shape(1, 8), "b", _BATCH, True)
+    _plan(run)
+    _submit(run, "u", resources.Shape(1, 8), "a", _URGENT)
+    _plan(run)
+    assert scheduling.withdraw(run.s, "u")
+    assert not scheduling.withdraw(run.s, "u")
+    run.end("r")
+    _submit(run, "n", resources.Shape(1, 8), "b")
+    assert _plan(run)[0] == ["n"]
