--- a/lycheegate/core/guarantees.py
+++ b/lycheegate/core/guarantees.py
@@ -123,8 +123,16 @@
 def find_fitting_unit(
     state: GuaranteeState, client_account: str, shape: resources.Shape
 ) -> capacity.Unit | None:
-    """Returns a unit with a home and no user of the smallest shape that holds the given one."""
-    shapes = [outer for outer in state.idle.get(client_account, ()) if _holds(outer, shape)]
+    """Returns a unit with a home and no user of the smallest shape that holds the given one.
+
+    A request that needs less than half of a unit does not use it: its client account would lose
+    a guaranteed block to a small task that may not be stoppable.
+    """
+    shapes = [
+        outer
+        for outer in state.idle.get(client_account, ())
+        if _holds(outer, shape) and 2 * shape.total_accelerators >= outer.total_accelerators
+    ]
     if not shapes:
         return None
     smallest = min(shapes, key=lambda s: (s.total_accelerators, s.members, s.adjacency))
