Count reserved blocks towards the urgent reserve

Cause: a block reserved for a large job was not held back from the urgent reserve, so that batches filled everything outside the block and urgent work had no room once the block was closed. Change: a reservation claims its accelerators, and a block is closed only when the urgent reserve remains outside it.

--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -100,7 +100,13 @@
     patience_s = s.settings.max_bypass_s + s.settings.max_reservation_wait_s
     if now_s - wait.since_s >= patience_s or group.urgency is requests.Urgency.URGENT:
         claims.urgent_quota[account] = claims.urgent_quota.get(account, 0) + size
-    if group.is_limited and allocations.is_within_reserve(s, group, alone=True):
+    reservation = s.reservations.get(request_id)
+    if reservation is not None:
+        # Hard work that is still in the block is counted as taken already.
+        hard_slots, hard_accelerators = _measure_hard(s, reservation)
+        claims.slots += group.shape.members - hard_slots
+        claims.accelerators += size - hard_accelerators
+    elif group.is_limited and allocations.is_within_reserve(s, group, alone=True):
         claims.slots += group.shape.members
         claims.accelerators += size
 
@@ -120,6 +126,8 @@
     if now_s - wait.reserved_at_s < s.settings.max_reservation_wait_s:
         return False
     if not reservation.closed:
+        if not _leaves_urgent_reserve(s, reservation):
+            return False
         reservation.closed = True
         allocations.touch(s, reservation.block)
     for worker_id, (mask, _) in topology.group_by_worker(reservation.block).items():
@@ -133,6 +141,42 @@
     return False
 
 
+def _leaves_urgent_reserve(
+    s: allocations.SchedulingState, reservation: capacity.Reservation
+) -> bool:
+    """Returns whether urgent work finds room outside the block once it is closed.
+
+    If the block and the urgent reserve do not fit into the partition together, the block is
+    closed as soon as nothing but it holds work that cannot be stopped.
+    """
+    slots, accelerators = allocations.compute_room(s)
+    hard_slots, hard_accelerators = _measure_hard(s, reservation)
+    shape = reservation.request.shape
+    if (
+        shape.members - hard_slots <= slots
+        and shape.total_accelerators - hard_accelerators <= accelerators
+    ):
+        return True
+    totals, total = s.top.totals, capacity.Total
+    return (
+        totals[total.TAKEN_SLOTS] <= hard_slots
+        and totals[total.TAKEN_ACCELERATORS] <= hard_accelerators
+    )
+
+
+def _measure_hard(
+    s: allocations.SchedulingState, reservation: capacity.Reservation
+) -> tuple[int, int]:
+    """Returns slots and accelerators of a block held by work that may not be stopped."""
+    slots = accelerators = 0
+    for worker_id, (mask, _) in topology.group_by_worker(reservation.block).items():
+        for allocation, held, count in s.top.nodes[worker_id].members.values():
+            if held & mask and not allocations.may_stop(allocation, _CLEAR):
+                slots += count
+                accelerators += (held & mask).bit_count()
+    return slots, accelerators
+
+
 def _is_clear(s: allocations.SchedulingState, reservation: capacity.Reservation) -> bool:
     """Returns whether only work that may be stopped is left in a block."""
     for worker_id, (mask, members) in topology.group_by_worker(reservation.block).items():
