Keep later large jobs from reserving before an older one; complete the rule tests

Cause: a job too large for the share that may be reserved was skipped, so smaller large jobs of other client accounts could reserve before it for ever. Change: no later job reserves while the oldest waits for earlier reservations to be used.

--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -50,11 +50,7 @@
             if reservation is not None:
                 if _advance(s, reservation, group, wait, now_s, out):
                     continue
-            elif (
-                may_reserve
-                and _is_within_share(s, group)
-                and allocations.is_within_reserve(s, group, alone=True)
-            ):
+            elif may_reserve and allocations.is_within_reserve(s, group, alone=True):
                 is_started, may_reserve = _reserve(s, request, group, wait, now_s, out)
                 if is_started:
                     continue
@@ -171,6 +167,8 @@
             s, request, group, place, None, now_s, out, _CLEAR
         ):
             return True, True
+    if not _is_within_share(s, group):
+        return False, False
     for view in (capacity.View.OUTSIDE, capacity.View.RESERVABLE):
         block = _find_block(s, view, group)
         if block is None:
--- a/lycheegate/core/tests/test_reservations.py
+++ b/lycheegate/core/tests/test_reservations.py
@@ -1,5 +1,6 @@
 """Tests that large jobs are not passed over beyond the limits."""
 
+import dataclasses
 import random
 
 import pytest
@@ -32,13 +33,13 @@
 }
 
 
-def _simulate(mix, shapes, seed, quota=None, guarantees=(), large=(_NORMAL, False)):
+def _simulate(mix, shapes, seed, quota=None, large=(_NORMAL, False), settings=_SETTINGS):
     """Returns how long each large job waited beside a stream of small work."""
     rng = random.Random(seed)
     workers = [driver.make_worker(f"w{n}", f"rack{n // 2}") for n in range(4)]
-    run = driver.Driver(_SETTINGS, workers)
+    run = driver.Driver(settings, workers)
     accounts = (releases.ClientAccount("large", quota), releases.ClientAccount("a"))
-    scheduling.apply_release(run.s, accounts, guarantees)
+    scheduling.apply_release(run.s, accounts, ())
     small = 0
     for step in range(int(_LIMIT_S * (1 + len(shapes))) + 20):
         if step == 10:
@@ -83,10 +84,56 @@
     assert _simulate(mix, [resources.Shape(1, 8)], 0, quota=10)[0] <= _LIMIT_S
 
 
+def test_start_large_job_beside_reserve():
+    """Guards against small work that keeps the room which the urgent reserve leaves."""
+    settings = dataclasses.replace(_SETTINGS, urgent_reserve_ratio=0.25)
+    shape = resources.Shape(2, 8)
+    assert _simulate("normal", [shape], 0, settings=settings)[0] <= _LIMIT_S
+
+
 def test_start_large_job_beside_homes():
     """Guards against a large job that waits for ever for room that homes could leave."""
-    guarantees = (releases.Guarantee("a", "g", resources.Shape(1, 2), 6, "dc"),)
-    assert _simulate("normal", [resources.Shape(1, 8)], 0, guarantees=guarantees)[0] <= _LIMIT_S
+    settings = policy.PolicySettings(max_bypass_s=1.0, urgent_reserve_ratio=0.0)
+    run = driver.Driver(settings, [driver.make_worker(f"w{n}") for n in range(2)])
+    guarantee = releases.Guarantee("g", "g", resources.Shape(1, 2), 2, "dc")
+    scheduling.apply_release(run.s, (), (guarantee,))
+    for number in range(2):
+        worker = f"w{number}"
+        for name, account, first in ((f"g{number}", "g", 3), (f"b{number}", "b", 0)):
+            request = driver.make_request(name, resources.Shape(1, 2), account)
+            place = (resources.MemberPlacement(worker, first, 2),)
+            scheduling.restore(run.s, request, place, 0.0)
+    for number in range(2):
+        scheduling.vacate(run.s, f"g{number}", 0.0)
+    run.submit(driver.make_request("large", resources.Shape(1, 8)))
+    run.plan()
+    run.advance(2.0)
+    run.plan()
+    assert "large" in run.s.reservations
+    assert scheduling.check_invariants(run.s) == []
+    scheduling.vacate(run.s, f"b{run.s.reservations['large'].block[0].worker_id[1:]}", 0.0)
+    assert run.plan()[0] == ["large"]
+
+
+@pytest.mark.parametrize("members", [2, 8])
+def test_later_large_job_does_not_reserve_first(members):
+    """Guards against small reservations that keep a job from reserving many workers."""
+    settings = policy.PolicySettings(max_bypass_s=0.0, urgent_reserve_ratio=0.0)
+    run = driver.Driver(settings, [driver.make_worker(f"w{n}") for n in range(8)])
+    for number in range(8):
+        run.submit(driver.make_request(f"old{number}", resources.Shape(1, 1)))
+    run.plan()
+    for number in range(8):
+        place = (resources.MemberPlacement(f"w{number}", 0, 1),)
+        scheduling.restore(run.s, run.requests[f"old{number}"], place, 0.0)
+    for account, shape in (
+        ("b", resources.Shape(1, 8)),
+        ("c", resources.Shape(members, 8)),
+        ("d", resources.Shape(1, 8)),
+    ):
+        run.submit(driver.make_request(account, shape, account))
+        run.plan()
+    assert list(run.s.reservations) == ["b"]
 
 
 def test_start_several_large_jobs_in_turn():
@@ -96,6 +143,27 @@
     assert all(wait <= _LIMIT_S + number * _LONGEST_S * 2 for number, wait in enumerate(waits))
 
 
+def test_later_large_job_does_not_reserve_while_block_is_taken():
+    """Guards against later jobs that reserve while an older one waits for a reserved block."""
+    settings = policy.PolicySettings(
+        max_bypass_s=0.0, urgent_reserve_ratio=0.0, large_accelerators=4
+    )
+    workers = [driver.make_worker(f"w{n}", accelerators=4 if n == 0 else 2) for n in range(31)]
+    run = driver.Driver(settings, workers)
+    for number in range(31):
+        place = (resources.MemberPlacement(f"w{number}", 0, 1),)
+        request = driver.make_request(f"old{number}", resources.Shape(1, 1))
+        scheduling.restore(run.s, request, place, 0.0)
+    for name, shape in (
+        ("b", resources.Shape(1, 4)),
+        ("c", resources.Shape(1, 4)),
+        ("d", resources.Shape(2, 2)),
+    ):
+        run.submit(driver.make_request(name, shape, name))
+        run.plan()
+    assert list(run.s.reservations) == ["b"]
+
+
 def test_reserve_after_count_of_starts():
     """Guards against a limit on starts that has no effect before the limit on time."""
     settings = policy.PolicySettings(max_bypass_count=5, max_bypass_s=1e9)
--- a/lycheegate/core/tests/test_scheduling.py
+++ b/lycheegate/core/tests/test_scheduling.py
@@ -50,14 +50,25 @@
 
 def test_home_keeps_slots():
     """Guards against a home whose accelerators are free while its slots are taken."""
-    run = _run(guarantees=(_guarantee(resources.Shape(2, 1)),))
-    for number in range(20):
+    run = _run(2, guarantees=(_guarantee(resources.Shape(2, 1)),))
+    for number in range(40):
         _submit(run, f"b{number}", resources.Shape(1, 0), "b")
-    assert len(_plan(run)[0]) == 14
+    assert len(_plan(run)[0]) == 30
     _submit(run, "a", resources.Shape(2, 1))
     assert _plan(run) == (["a"], [])
 
 
+def test_restored_work_takes_slots_of_home():
+    """Guards against a home that stays on a worker whose slots are taken by restored work."""
+    run = _run(2, 1, guarantees=(_guarantee(resources.Shape(1, 1)),))
+    home = next(iter(run.s.guaranteed.units.values())).home[0].worker_id
+    for number in range(2):
+        request = driver.make_request(f"r{number}", resources.Shape(1, 0), "b")
+        scheduling.restore(run.s, request, (resources.MemberPlacement(home, 0, 0),), 0.0)
+    assert scheduling.check_invariants(run.s) == []
+    assert scheduling.list_short_guarantees(run.s) == []
+
+
 def test_reclaim_stops_borrowers():
     """Guards against a guarantee that waits for the work that borrows its home."""
     run = _run(guarantees=(_guarantee(resources.Shape(1, 8)),))
@@ -83,16 +94,33 @@
 @pytest.mark.parametrize(("size", "started"), [(4, ["b"]), (8, [])])
 def test_home_moves_for_firm_work(size, started):
     """Guards against work that waits for a home that could move, and against a lost home."""
-    run = _run(2, guarantees=(_guarantee(resources.Shape(1, size)),))
+    run = _run(3, guarantees=(_guarantee(resources.Shape(1, size)),))
     home = next(iter(run.s.guaranteed.units.values())).home[0].worker_id
-    other = "w1" if home == "w0" else "w0"
-    request = driver.make_request("old", resources.Shape(1, 1), "b")
-    scheduling.restore(run.s, request, (resources.MemberPlacement(other, 0, 1),), 0.0)
+    for number in range(3):
+        if f"w{number}" != home:
+            request = driver.make_request(f"old{number}", resources.Shape(1, 1), "b")
+            place = (resources.MemberPlacement(f"w{number}", 0, 1),)
+            scheduling.restore(run.s, request, place, 0.0)
     _submit(run, "b", resources.Shape(1, 8), "b")
     assert _plan(run) == (started, [])
     assert scheduling.list_short_guarantees(run.s) == []
 
 
+@pytest.mark.parametrize("change", ["remove", "unplaceable"])
+def test_home_moves_after_use_on_lost_worker(change):
+    """Guards against a home that is left on a lost worker when its user ends."""
+    run = _run(2, guarantees=(_guarantee(resources.Shape(1, 8)),))
+    _submit(run, "a", resources.Shape(1, 8))
+    _plan(run)
+    lost = run.running["a"][0].worker_id
+    if change == "remove":
+        scheduling.remove_worker(run.s, lost)
+    else:
+        scheduling.set_placeable(run.s, lost, False)
+    run.end("a")
+    assert next(iter(run.s.guaranteed.units.values())).home[0].worker_id != lost
+
+
 def test_use_elsewhere_takes_home_along():
     """Guards against a client account that has its guarantee twice."""
     run = _run(2, guarantees=(_guarantee(resources.Shape(1, 8)),))
@@ -191,6 +219,22 @@
     assert _plan(run) == (["u"], [])
 
 
+def test_cleared_part_is_kept():
+    """Guards against later work that takes the part of a block that is cleared first."""
+    run = _run()
+    for name in ("r1", "r2"):
+        _submit(run, name, resources.Shape(1, 4), "b", _BATCH, True)
+    _plan(run)
+    _submit(run, "u", resources.Shape(1, 8), "a", _URGENT)
+    assert len(_plan(run)[1]) == 2
+    run.end("r1")
+    for name in ("v1", "v2"):
+        _submit(run, name, resources.Shape(1, 1), "c", _URGENT, name == "v2")
+    assert _plan(run) == ([], [])
+    run.end("r2")
+    assert _plan(run) == (["u"], [])
+
+
 def test_left_alone_after_preemptions():
     """Guards against a request that is preempted for ever."""
     run = _run(settings=policy.PolicySettings(urgent_reserve_ratio=0.0, max_preemptions=2))
@@ -231,6 +275,15 @@
     assert [name for name in started if name[0] == "b"] == ["b0", "b1"]
 
 
+@pytest.mark.parametrize("sizes", [(8, 4), (4, 8)])
+def test_oldest_shape_first(sizes):
+    """Guards against an order by shape among requests of one client account."""
+    run = _run()
+    for size in sizes:
+        _submit(run, f"r{size}", resources.Shape(1, size))
+    assert _plan(run)[0] == [f"r{sizes[0]}"]
+
+
 def test_past_use_counts_and_decays():
     """Guards against a share that forgets at once, or never, what an account has used."""
     run = _run()
@@ -247,13 +300,16 @@
     assert _plan(run)[0] == ["a1"]
 
 
-@pytest.mark.parametrize(("weight", "stopped"), [(0.5, 1), (0.0, 0)])
-def test_move_small_work(weight, stopped):
-    """Guards against a block that stays split by one small task which fits elsewhere."""
+@pytest.mark.parametrize(
+    ("weight", "size", "workers", "stopped"),
+    [(0.5, 1, 2, 1), (0.0, 1, 2, 0), (0.5, 2, 2, 1), (0.25, 2, 2, 0), (0.5, 1, 1, 0)],
+)
+def test_move_small_work(weight, size, workers, stopped):
+    """Guards against a block that stays split by a task that fits elsewhere, and bad moves."""
     settings = policy.PolicySettings(urgent_reserve_ratio=0.0, fragmentation_weight=weight)
-    run = _run(2, 4, settings=settings)
-    for number in range(8):
-        _submit(run, f"s{number}", resources.Shape(1, 1), "b", _NORMAL, True)
+    run = _run(workers, 4, settings=settings)
+    for number in range(workers * 4 // size):
+        _submit(run, f"s{number}", resources.Shape(1, size), "b", _NORMAL, True)
     _plan(run)
     kept = {}
     for name, place in run.running.items():
