Let urgent work stop work of its own account at the quota; split off limits

Cause: an account whose batch work filled its quota kept its own urgent work waiting, and a release looked at every running task. Change: preemptible work of lower urgency is stopped within the account; allocations are listed by account; kinds of demand that no request has are dropped. Conclusion: a release costs no more than the tasks of the accounts that it gives new units.

--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -7,7 +7,6 @@
 from lycheegate.model import requests, resources
 
 __all__ = [
-    "compute_room",
     "Claims",
     "Preempt",
     "SchedulingState",
@@ -22,9 +21,7 @@
     "free",
     "is_free",
     "is_large",
-    "is_within_quota",
     "is_immune",
-    "is_within_reserve",
     "may_stop",
     "move_homes",
     "note_failure",
@@ -171,6 +168,9 @@
     s.pending.pop(request.request_id, None)
     topology.detach(s.top, allocation)
     account = queueing.get_account(s.queue, request.client_account)
+    del account.held[request.request_id]
+    if allocation.state is _STOPPING:
+        account.stopping -= request.shape.total_accelerators
     queueing.use_capacity(account, -request.shape.total_accelerators, -allocation.rate, now_s)
     if allocation.unit is not None:
         unit, allocation.unit = allocation.unit, None
@@ -200,6 +200,7 @@
     topology.attach(s.top, allocation)
     allocation.rate = _compute_rate(s, request.shape)
     account = queueing.get_account(s.queue, request.client_account)
+    account.held[request.request_id] = allocation
     queueing.use_capacity(account, request.shape.total_accelerators, allocation.rate, now_s)
 
 
@@ -261,46 +262,6 @@
     return True
 
 
-def is_within_quota(s: SchedulingState, group: queueing.Group) -> bool:
-    """Returns whether the client account's quota has room beside the claims of large jobs."""
-    account = s.queue.accounts[group.client_account]
-    if account.quota is None:
-        return True
-    is_urgent = group.urgency is requests.Urgency.URGENT
-    claims = s.claims.urgent_quota if is_urgent else s.claims.quota
-    claimed = claims.get(group.client_account, 0)
-    return account.in_use + group.size + claimed <= account.quota
-
-
-def is_within_reserve(s: SchedulingState, group: queueing.Group, alone: bool = False) -> bool:
-    """Returns whether enough capacity outside homes remains for urgent work.
-
-    Args:
-        s: State.
-        group: Kind of request.
-        alone: Whether to leave out the work and the claims of others.
-    """
-    if not group.is_limited:
-        return True
-    refresh(s)
-    slots, accelerators = compute_room(s)
-    if alone:
-        slots += s.top.totals[capacity.Total.TAKEN_SLOTS]
-        accelerators += s.top.totals[capacity.Total.TAKEN_ACCELERATORS]
-    else:
-        slots -= s.claims.slots
-        accelerators -= s.claims.accelerators
-    return group.shape.members <= slots and (group.size == 0 or group.size <= accelerators)
-
-
-def compute_room(s: SchedulingState) -> tuple[int, int]:
-    """Returns slots and accelerators that the urgent reserve leaves to other work."""
-    totals, ratio, total = s.top.totals, s.settings.urgent_reserve_ratio, capacity.Total
-    slots = totals[total.OUTSIDE_SLOTS] - int(totals[total.SLOTS] * ratio)
-    accelerators = totals[total.OUTSIDE_ACCELERATORS] - int(totals[total.ACCELERATORS] * ratio)
-    return slots - totals[total.TAKEN_SLOTS], accelerators - totals[total.TAKEN_ACCELERATORS]
-
-
 def move_homes(
     s: SchedulingState,
     request: requests.Request,
@@ -380,6 +341,8 @@
     """Marks an allocation as being stopped for another request."""
     request_id = victim.request.request_id
     victim.state = _STOPPING
+    account = s.queue.accounts[victim.request.client_account]
+    account.stopping += victim.request.shape.total_accelerators
     victim.for_request_id = for_request_id
     touch(s, victim.placement)
     s.preemptions[request_id] = s.preemptions.get(request_id, 0) + 1
--- a/lycheegate/core/invariants.py
+++ b/lycheegate/core/invariants.py
@@ -121,5 +121,10 @@
     for name, account in s.queue.accounts.items():
         held = [a for a in s.allocations.values() if a.request.client_account == name]
         in_use = sum(a.request.shape.total_accelerators for a in held)
+        stopping = [a for a in held if a.state is _STOPPING]
+        if sum(a.request.shape.total_accelerators for a in stopping) != account.stopping:
+            found.append(f"client account {name} has {account.stopping} being stopped")
+        if {a.request.request_id for a in held} != account.held.keys():
+            found.append(f"client account {name} lists other allocations than it has")
         if in_use != account.in_use:
             found.append(f"client account {name} has {account.in_use} in use, not {in_use}")
--- a/lycheegate/core/queueing.py
+++ b/lycheegate/core/queueing.py
@@ -9,6 +9,7 @@
 
 import sortedcontainers
 
+from lycheegate.core import capacity
 from lycheegate.model import requests, resources
 
 __all__ = [
@@ -47,6 +48,7 @@
         is_limited: Whether the urgent reserve limits it.
         failed_at: Versions of what a start depends on when no place was found last.
         is_blocked: Whether these versions have not changed, as of the current pass.
+        groups: Number of groups of this kind.
     """
 
     shape: resources.Shape
@@ -56,6 +58,7 @@
     is_limited: bool
     failed_at: tuple[int, ...] | None = None
     is_blocked: bool = False
+    groups: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -97,6 +100,10 @@
         weight: Share relative to other client accounts.
         quota: Most accelerators in use, or None.
         in_use: Accelerators in use or kept.
+        stopping: Those of them whose work is being stopped.
+        held: Allocations by request.
+        firm_at: ``in_use``, ``version`` and size of a request when stopping work of the account
+            itself would not have made room for it in the quota.
         rate: Accelerators charged for running work; see ``charge_rate`` for other work.
         usage: Accelerator seconds used, decayed, up to ``usage_at_s``.
         usage_at_s: Time of ``usage``.
@@ -108,6 +115,9 @@
     weight: float = 1.0
     quota: int | None = None
     in_use: int = 0
+    stopping: int = 0
+    held: dict[str, capacity.Allocation] = dataclasses.field(default_factory=dict)
+    firm_at: tuple[int, int, int] | None = None
     rate: float = 0.0
     usage: float = 0.0
     usage_at_s: float = 0.0
@@ -143,7 +153,7 @@
 
     Attributes:
         groups: Groups by what their requests have in common.
-        kinds: Kinds of demand seen so far, as few as there are shapes in use.
+        kinds: Kinds of the groups.
         places: Group and position of each request.
         accounts: Client accounts that have or had work.
         active: For each urgency, client accounts with waiting requests.
@@ -182,6 +192,7 @@
     if group is None:
         kind = _get_kind(queue, request, immune)
         size = request.shape.total_accelerators
+        kind.groups += 1
         group = queue.groups[key] = Group(*key, size, kind, kind.is_limited)
         account.groups[request.urgency][key] = group
         queue.active[request.urgency].add(request.client_account)
@@ -224,6 +235,10 @@
     if not group.requests:
         key = (group.urgency, group.client_account, group.shape, group.preemptible, group.immune)
         del queue.groups[key]
+        kind = group.kind
+        kind.groups -= 1
+        if not kind.groups:
+            del queue.kinds[kind.shape, kind.is_urgent, kind.preemptible, kind.immune]
         groups = account.groups[group.urgency]
         del groups[key]
         if not groups:
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -11,6 +11,7 @@
     allocations,
     capacity,
     guarantees,
+    limits,
     placement,
     queueing,
     starting,
@@ -43,14 +44,14 @@
             break
         request = queueing.get_request(s.queue, request_id)
         group = s.queue.places[request_id][0]
-        if allocations.is_within_quota(s, group):
+        if limits.is_within_quota(s, group):
             if starting.try_start(s, request, group, now_s, out):
                 continue
             reservation = s.reservations.get(request_id)
             if reservation is not None:
                 if _advance(s, reservation, group, wait, now_s, out):
                     continue
-            elif may_reserve and allocations.is_within_reserve(s, group, alone=True):
+            elif may_reserve and limits.is_within_reserve(s, group, alone=True):
                 is_started, may_reserve = _reserve(s, request, group, wait, now_s, out)
                 if is_started:
                     continue
@@ -96,7 +97,7 @@
     patience_s = s.settings.max_bypass_s + s.settings.max_reservation_wait_s
     if now_s - wait.since_s >= patience_s or group.urgency is requests.Urgency.URGENT:
         claims.urgent_quota[account] = claims.urgent_quota.get(account, 0) + size
-    if group.is_limited and allocations.is_within_reserve(s, group, alone=True):
+    if group.is_limited and limits.is_within_reserve(s, group, alone=True):
         claims.slots += group.shape.members
         claims.accelerators += size
 
@@ -110,7 +111,7 @@
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
     """Starts the job of a reservation whose block is clear, or closes an old block."""
-    if allocations.is_within_reserve(s, group) and _is_clear(s, reservation):
+    if limits.is_within_reserve(s, group) and _is_clear(s, reservation):
         request, block = reservation.request, reservation.block
         return allocations.occupy(s, request, group, block, None, now_s, out, _CLEAR)
     if now_s - wait.reserved_at_s < s.settings.max_reservation_wait_s:
@@ -161,7 +162,7 @@
         this job waits for earlier reservations to be used.
     """
     shape = group.shape
-    if allocations.is_within_reserve(s, group):
+    if limits.is_within_reserve(s, group):
         place = _find_block(s, capacity.View.CLEAR, group)
         if place is not None and allocations.occupy(
             s, request, group, place, None, now_s, out, _CLEAR
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -12,6 +12,7 @@
     capacity,
     guarantees,
     invariants,
+    limits,
     placement,
     policy,
     queueing,
@@ -135,7 +136,12 @@
     wanted: dict[tuple[str, resources.Shape], list[capacity.Unit]] = {}
     for unit in added:
         wanted.setdefault((unit.client_account, unit.shape), []).append(unit)
-    running = [a for a in s.allocations.values() if a.state is _RUNNING and a.unit is None]
+    running = [
+        allocation
+        for name in {unit.client_account for unit in added}
+        for allocation in queueing.get_account(s.queue, name).held.values()
+        if allocation.state is _RUNNING and allocation.unit is None
+    ]
     running.sort(key=lambda a: (a.request.preemptible, a.serial))
     for allocation in running:
         request = allocation.request
@@ -260,14 +266,14 @@
     reservations.plan_large(s, now_s, out)
     for urgency in requests.Urgency:
         _plan_urgency(s, urgency, now_s, out)
-    s.room = tuple(map(min, s.room, allocations.compute_room(s)))
+    s.room = tuple(map(min, s.room, limits.compute_room(s)))
     return out
 
 
 def _note_versions(s: SchedulingState, now_s: float) -> None:
     """Notes whether groups that failed in the last pass may succeed in this one."""
     allocations.refresh(s)
-    room = allocations.compute_room(s)
+    room = limits.compute_room(s)
     if room[0] > s.room[0] or room[1] > s.room[1]:
         s.reserve_version += 1
     s.room = room
--- a/lycheegate/core/starting.py
+++ b/lycheegate/core/starting.py
@@ -1,6 +1,6 @@
 """Ways to start a waiting request, in order of preference."""
 
-from lycheegate.core import allocations, capacity, guarantees, placement, queueing, topology
+from lycheegate.core import allocations, capacity, guarantees, limits, placement, queueing, topology
 from lycheegate.model import requests, resources
 
 __all__ = ["MAX_TRIALS", "get_versions", "try_start"]
@@ -17,7 +17,9 @@
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
     """Starts a request, or stops work for it; returns whether it has left the queue."""
-    if not allocations.is_within_quota(s, group):
+    if not limits.is_within_quota(s, group):
+        if group.kind.is_urgent:
+            limits.clear_quota(s, request, group, out)
         return False
     exact = None
     if group.client_account in s.guaranteed.idle:
@@ -26,7 +28,7 @@
             return allocations.occupy(s, request, group, exact.home, exact, now_s, out)
     if exact is None and group.kind.is_blocked:
         return _reclaim(s, request, group, now_s, out)
-    in_reserve = allocations.is_within_reserve(s, group)
+    in_reserve = limits.is_within_reserve(s, group)
     if in_reserve or exact is not None:
         place = _find_free(s, group)
         if place is not None:
--- a/lycheegate/core/tests/test_scheduling.py
+++ b/lycheegate/core/tests/test_scheduling.py
@@ -260,6 +260,20 @@
     assert len(_plan(run)[0]) == 1
 
 
+@pytest.mark.parametrize(("preemptible", "stopped"), [(True, 1), (False, 0)])
+def test_urgent_work_preempts_within_quota(preemptible, stopped):
+    """Guards against urgent work that waits because its own account's batch fills the quota."""
+    run = _run(2, accounts=(releases.ClientAccount("a", 4),))
+    for number in range(4):
+        _submit(run, f"r{number}", resources.Shape(1, 1), "a", _BATCH, preemptible)
+    _plan(run)
+    _submit(run, "u", resources.Shape(1, 1), "a", _URGENT)
+    assert len(_plan(run)[1]) == stopped
+    assert _plan(run) == ([], [])
+    run.advance(driver.STOP_S)
+    assert _plan(run)[0] == (["u"] if stopped else [])
+
+
 def test_lower_quota_holds_for_waiting_capacity():
     """Guards against a start beyond a quota that was lowered while capacity was cleared."""
     run = _run()
