--- a/lycheegate/core/capacity.py
+++ b/lycheegate/core/capacity.py
@@ -42,7 +42,9 @@
     """A reserved block: capacity outside homes and other blocks, whatever occupies it."""
     RESERVABLE = 7
     """A reserved block, if homes not in use are moved out of its way."""
-    TOTAL = 8
+    URGENT_HOME = 8
+    """Urgent work that can be preempted: as ``URGENT``, homes and closed blocks included."""
+    TOTAL = 9
     """Everything that the workers have, whatever occupies it."""
 
 
--- a/lycheegate/core/starting.py
+++ b/lycheegate/core/starting.py
@@ -1,6 +1,6 @@
 """Ways to start a waiting request, in order of preference."""
 
-from lycheegate.core import allocations, capacity, guarantees, placement, queueing, topology
+from lycheegate.core import allocations, capacity, guarantees, limits, placement, queueing, topology
 from lycheegate.model import requests, resources
 
 __all__ = ["MAX_TRIALS", "get_versions", "try_start"]
@@ -17,7 +17,9 @@
     out: list[allocations.Start | allocations.Preempt],
 ) -> bool:
     """Starts a request, or stops work for it; returns whether it has left the queue."""
-    if not allocations.is_within_quota(s, group):
+    if not limits.is_within_quota(s, group):
+        if group.kind.is_urgent:
+            limits.clear_quota(s, request, group, out)
         return False
     exact = None
     if group.client_account in s.guaranteed.idle:
@@ -26,7 +28,7 @@
             return allocations.occupy(s, request, group, exact.home, exact, now_s, out)
     if exact is None and group.kind.is_blocked:
         return _reclaim(s, request, group, now_s, out)
-    in_reserve = allocations.is_within_reserve(s, group)
+    in_reserve = limits.is_within_reserve(s, group)
     if in_reserve or exact is not None:
         place = _find_free(s, group)
         if place is not None:
@@ -82,13 +84,19 @@
     if may_move_homes and allocations.move_homes(s, request, group, now_s, out):
         return True
     if group.kind.is_urgent:
-        place = allocations.find(s, capacity.View.URGENT, group.shape)
+        view = capacity.View.URGENT_HOME if group.preemptible else capacity.View.URGENT
+        place = allocations.find(s, view, group.shape)
         if place is not None:
             return allocations.occupy(s, request, group, place, None, now_s, out)
     return in_reserve and _move_small_work(s, request, group, now_s, out)
 
 
 def _find_free(s: allocations.SchedulingState, group: queueing.Group) -> resources.Placement | None:
+    if group.kind.is_urgent and group.preemptible:
+        # Keeps homes and reserved blocks clear while there is other room.
+        place = allocations.find(s, capacity.View.OPEN, group.shape)
+        if place is not None:
+            return place
     if group.preemptible and not group.immune:
         return allocations.find(s, capacity.View.BORROW, group.shape)
     place = allocations.find(s, capacity.View.OPEN, group.shape)
--- a/lycheegate/core/topology.py
+++ b/lycheegate/core/topology.py
@@ -253,6 +253,7 @@
         full & ~home & ~firm & ~solid & ~block,
         full & ~home & ~block,
         full & ~used & ~block,
+        full & ~firm,
         full,
     )
     node.slots = (
@@ -264,6 +265,7 @@
         max(0, min(worker.slots - firm_slots - solid_slots, spare_slots) - block_slots),
         max(0, worker.slots - home_slots - block_slots),
         max(0, worker.slots - used_slots - block_slots),
+        max(0, worker.slots - firm_slots),
         worker.slots,
     )
     node.totals = (
