Route to idle guarantees instead of always to their data centre

Cause: hero-shot jobs of one account all went to the data centre of its guarantee, whose queue grew while others were idle. Change: owners publish which guaranteed units are idle; only those attract a request.

--- a/lycheegate/core/engine.py
+++ b/lycheegate/core/engine.py
@@ -14,16 +14,25 @@
     reports,
     retries,
     scheduling,
+    summary,
 )
 from lycheegate.core import state as states
 from lycheegate.model import resources
 
-__all__ = ["PartitionState", "create_state", "decide", "make_snapshot", "restore_snapshot"]
+__all__ = [
+    "PartitionState",
+    "create_state",
+    "decide",
+    "make_snapshot",
+    "restore_snapshot",
+    "summarize",
+]
 
 PartitionState = states.PartitionState
 create_state = states.create_state
 make_snapshot = states.make_snapshot
 restore_snapshot = states.restore_snapshot
+summarize = summary.summarize
 
 _Commands = list[commands.Command]
 
--- a/lycheegate/core/routing.py
+++ b/lycheegate/core/routing.py
@@ -8,9 +8,9 @@
 import dataclasses
 import hashlib
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
-from lycheegate.model import releases, requests
+from lycheegate.model import requests, resources
 
 __all__ = ["PartitionSummary", "assign_rack", "choose_partition"]
 
@@ -31,6 +31,7 @@
         free_accelerators: Accelerators that are free.
         queued: Requests that wait.
         queued_accelerators: Accelerators that the waiting requests ask for.
+        idle_guarantees: Client account and shape of guaranteed units that nobody uses.
     """
 
     partition: str
@@ -44,25 +45,24 @@
     free_accelerators: int
     queued: int = 0
     queued_accelerators: int = 0
+    idle_guarantees: frozenset[tuple[str, resources.Shape]] = frozenset()
 
 
 def choose_partition(
     request: requests.Request,
     summaries: Sequence[PartitionSummary],
-    guarantees: Iterable[releases.Guarantee],
     home_data_centre: str,
     rng: random.Random,
 ) -> str | None:
     """Returns the partition for a request, or None if no partition could ever hold it.
 
-    A request that matches a guaranteed shape goes to the data centre of the guarantee while that
-    has an owner. Other requests go to the less loaded of two candidates drawn at random; the
-    entry VM's own data centre is one of the two.
+    A request goes where a guaranteed unit of its shape is idle, since that can be reclaimed at
+    once. Other requests go to the less loaded of two candidates drawn at random; the entry VM's
+    own data centre is one of the two.
 
     Args:
         request: The request.
         summaries: One for each partition.
-        guarantees: Guarantees in force.
         home_data_centre: Data centre of the entry VM.
         rng: Source of the random draw.
     """
@@ -70,12 +70,8 @@
     live = [s for s in able if s.has_owner] or able
     if not live:
         return None
-    guaranteed = {
-        g.data_centre
-        for g in guarantees
-        if g.client_account == request.client_account and g.shape == request.shape
-    }
-    preferred = [s for s in live if s.data_centre in guaranteed]
+    unit = (request.client_account, request.shape)
+    preferred = [s for s in live if unit in s.idle_guarantees]
     if preferred:
         return min(preferred, key=_measure_load(request)).partition
     home = [s for s in live if s.data_centre == home_data_centre]
