Search at most four reserved blocks in one pass

Cause: after a release gave up the reserved blocks for homes, one pass searched 34 new ones in 17 ms. Change: later jobs reserve in the next passes.

--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -24,6 +24,9 @@
 _RESERVED_RATIO = 0.25
 """Share of the partition that may be reserved at once, as reserved room stays partly idle."""
 
+_MAX_SEARCHES = 4
+"""Blocks searched in one pass; after a loss of capacity all large jobs may need new ones."""
+
 _CLEAR = capacity.Stopping.CLEAR
 
 
@@ -37,7 +40,7 @@
     Leaves in ``s.claims`` what other work must not take.
     """
     old_claims, s.claims = s.claims, allocations.Claims()
-    may_reserve = True
+    may_reserve, searches = True, 0
     for _, request_id in queueing.list_large_heads(s.queue):
         wait = s.queue.waits[request_id]
         if not _is_due(s, wait, now_s):
@@ -52,7 +55,9 @@
                 if _advance(s, reservation, group, wait, now_s, out):
                     continue
             elif may_reserve and limits.is_within_reserve(s, group, alone=True):
+                searches += 1
                 is_started, may_reserve = _reserve(s, request, group, wait, now_s, out)
+                may_reserve = may_reserve and searches < _MAX_SEARCHES
                 if is_started:
                     continue
         else:
