--- a/lycheegate/core/capacity.py
+++ b/lycheegate/core/capacity.py
@@ -144,12 +144,14 @@
         block: The capacity.
         since_s: When the block was reserved.
         closed: Whether preemptible and urgent work may no longer enter.
+        checked_at_s: When a better block was last looked for.
     """
 
     request: requests.Request
     block: resources.Placement
     since_s: float
     closed: bool = False
+    checked_at_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/lycheegate/core/placement.py
+++ b/lycheegate/core/placement.py
@@ -7,7 +7,7 @@
 from lycheegate.core import blocks, capacity, policy, topology
 from lycheegate.model import resources
 
-__all__ = ["find_cheapest", "find_placement"]
+__all__ = ["find_cheapest", "find_placement", "measure_work"]
 
 _CANDIDATE_RACKS = 8
 """Racks that are searched for the block with the least work in it."""
@@ -145,13 +145,28 @@
     return None if best is None else tuple(best[1])
 
 
+def measure_work(top: capacity.Topology, place: resources.Placement) -> int:
+    """Returns the amount of work in a place, as ``find_cheapest`` counts it."""
+    topology.refresh(top)
+    work = 0
+    for worker_id, (mask, _) in topology.group_by_worker(place).items():
+        node = top.nodes.get(worker_id)
+        if node is not None:
+            work += _count_work(node, mask)
+    return work
+
+
+def _count_work(node: capacity.Node, mask: int) -> int:
+    busy = mask & ~node.masks[capacity.View.BORROW]
+    return busy.bit_count() + 3 * (busy & ~node.masks[capacity.View.CLEAR]).bit_count()
+
+
 def _list_costs(
     node: capacity.Node, view: capacity.View, size: int
 ) -> list[tuple[int, resources.MemberPlacement]]:
     """Returns disjoint places of a worker, each with the amount of work in it."""
-    free, clear = node.masks[capacity.View.BORROW], node.masks[capacity.View.CLEAR]
     costs = []
     for place in _take(node, view, size, node.counts[view][size]):
         mask = ((1 << size) - 1) << place.first
-        costs.append(((mask & ~free).bit_count() + 3 * (mask & ~free & ~clear).bit_count(), place))
+        costs.append((_count_work(node, mask), place))
     return costs
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -27,6 +27,9 @@
 _MAX_SEARCHES = 4
 """Blocks searched in one pass; after a loss of capacity all large jobs may need new ones."""
 
+_IMPROVE_INTERVAL_S = 1.0
+"""Time between searches for a better block; each looks at several racks."""
+
 _CLEAR = capacity.Stopping.CLEAR
 
 
@@ -52,6 +55,8 @@
                 continue
             reservation = s.reservations.get(request_id)
             if reservation is not None:
+                if _improve(s, reservation, group, now_s, out):
+                    continue
                 if _advance(s, reservation, group, wait, now_s, out):
                     continue
             elif may_reserve and limits.is_within_reserve(s, group, alone=True):
@@ -113,6 +118,39 @@
         claims.accelerators += size
 
 
+def _improve(
+    s: allocations.SchedulingState,
+    reservation: capacity.Reservation,
+    group: queueing.Group,
+    now_s: float,
+    out: list[allocations.Start | allocations.Preempt],
+) -> bool:
+    """Starts the job where its own block no longer hides room, or moves to an emptier block.
+
+    A block is chosen before it is known which work ends last. A single long task would otherwise
+    hold the whole block while other workers of the rack become free.
+    """
+    if now_s - reservation.checked_at_s < _IMPROVE_INTERVAL_S:
+        return False
+    reservation.checked_at_s = now_s
+    request = reservation.request
+    del s.reservations[request.request_id]
+    topology.detach_block(s.top, reservation)
+    if starting.try_start(s, request, group, now_s, out):
+        return True
+    best, work = reservation.block, placement.measure_work(s.top, reservation.block)
+    for view in (capacity.View.OUTSIDE, capacity.View.RESERVABLE):
+        if view is capacity.View.RESERVABLE and not group.preemptible:
+            continue
+        other = placement.find_cheapest(s.top, view, group.shape)
+        if other is not None and placement.measure_work(s.top, other) < work:
+            best, work = other, placement.measure_work(s.top, other)
+    reservation.block = best
+    s.reservations[request.request_id] = reservation
+    topology.attach_block(s.top, reservation)
+    return False
+
+
 def _advance(
     s: allocations.SchedulingState,
     reservation: capacity.Reservation,
