--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -407,12 +407,12 @@
         return False
     if stopping is capacity.Stopping.RECLAIM:
         return True
-    if stopping is capacity.Stopping.CLEAR and allocation.large:
+    if stopping in (capacity.Stopping.CLEAR, capacity.Stopping.CLOSED) and allocation.large:
         return False
     return (
         allocation.state is _RUNNING
         and not allocation.immune
-        and request.urgency is not requests.Urgency.URGENT
+        and (stopping is capacity.Stopping.CLOSED or request.urgency is not requests.Urgency.URGENT)
     )
 
 
--- a/lycheegate/core/capacity.py
+++ b/lycheegate/core/capacity.py
@@ -74,6 +74,8 @@
     """For urgent work: preemptible work that is not urgent and not immune."""
     CLEAR = "clear"
     """For large work, and to move small work: the same, but not large work."""
+    CLOSED = "closed"
+    """For large work whose block is closed: as ``CLEAR``, and urgent work that entered since."""
 
 
 class AllocationState(enum.Enum):
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -162,12 +162,11 @@
     """Starts the job of a reservation whose block is clear, or closes an old block."""
     if limits.is_within_reserve(s, group) and _is_clear(s, reservation):
         request, block = reservation.request, reservation.block
-        return allocations.occupy(s, request, group, block, None, now_s, out, _CLEAR)
+        stopping = _get_stopping(reservation)
+        return allocations.occupy(s, request, group, block, None, now_s, out, stopping)
     if now_s - wait.reserved_at_s < s.settings.max_reservation_wait_s:
         return False
     if not reservation.closed:
-        if not _leaves_urgent_reserve(s, reservation):
-            return False
         reservation.closed = True
         allocations.touch(s, reservation.block)
     for worker_id, (mask, _) in topology.group_by_worker(reservation.block).items():
@@ -181,17 +180,8 @@
     return False
 
 
-def _leaves_urgent_reserve(
-    s: allocations.SchedulingState, reservation: capacity.Reservation
-) -> bool:
-    """Returns whether urgent work finds room outside the block once it is closed."""
-    slots, accelerators = limits.compute_room(s)
-    hard_slots, hard_accelerators = _measure_hard(s, reservation)
-    shape = reservation.request.shape
-    return (
-        shape.members - hard_slots <= slots
-        and shape.total_accelerators - hard_accelerators <= accelerators
-    )
+def _get_stopping(reservation: capacity.Reservation) -> capacity.Stopping:
+    return capacity.Stopping.CLOSED if reservation.closed else _CLEAR
 
 
 def _measure_hard(
@@ -215,7 +205,7 @@
         for allocation, held, count in node.members.values():
             if allocation.state is capacity.AllocationState.STOPPING:
                 continue
-            if not allocations.may_stop(allocation, _CLEAR):
+            if not allocations.may_stop(allocation, _get_stopping(reservation)):
                 slots -= count
                 if held & mask:
                     return False
