Try moves for every kind of demand before any is tried again; load the tests of limits

Cause: kinds of demand late in the order might never get a trial of moving homes or small work, and the tests of large jobs queued them before small work had filled the partition. Change: failed moves are forgotten only after a pass that did not use up its trials; the tests queue large jobs after 60 s of heavier load.

--- a/lycheegate/core/__init__.py
+++ b/lycheegate/core/__init__.py
@@ -6,13 +6,20 @@
 """
 
 __all__ = [
+    "allocations",
+    "blocks",
+    "capacity",
     "commands",
     "events",
     "guarantees",
+    "invariants",
+    "limits",
     "naive",
     "placement",
     "policy",
     "queueing",
+    "reservations",
     "scheduling",
+    "starting",
     "topology",
 ]
--- a/lycheegate/core/allocations.py
+++ b/lycheegate/core/allocations.py
@@ -92,6 +92,7 @@
         trials: Attempts to move small work in the current pass.
         failed: For each view and block size, shapes that had no room when last tried.
         unmovable: Shapes for which moving small work was tried in vain since ``retried_at_s``.
+        fixed_homes: Shapes for which moving homes was tried in vain since then.
         homes_grown: Whether homes may find room since then that they did not find before.
         repacked_at_s: When homes were last placed anew because some were short.
         retried_at_s: When moves of small work and of homes that failed were last allowed again.
@@ -118,6 +119,7 @@
         default_factory=lambda: [{} for _ in capacity.View]
     )
     unmovable: set[resources.Shape] = dataclasses.field(default_factory=set)
+    fixed_homes: set[resources.Shape] = dataclasses.field(default_factory=set)
     homes_grown: bool = False
     retried_at_s: float = 0.0
     repacked_at_s: float = 0.0
@@ -270,6 +272,8 @@
     out: list[Start | Preempt],
 ) -> bool:
     """Starts work that cannot be preempted where homes can be moved away for it."""
+    if group.shape in s.fixed_homes:
+        return False
     place = find(s, capacity.View.MOVABLE, group.shape)
     if place is None:
         return False
@@ -279,7 +283,7 @@
     detach = functools.partial(topology.detach, s.top, trial)
     if not guarantees.make_room(s.guaranteed, s.top, place, attach, detach, s.settings):
         forget_growth(s)
-        note_failure(s, capacity.View.MOVABLE, group.shape)
+        s.fixed_homes.add(group.shape)
         return False
     detach()
     return occupy(s, request, group, place, None, now_s, out)
--- a/lycheegate/core/capacity.py
+++ b/lycheegate/core/capacity.py
@@ -140,13 +140,11 @@
     Attributes:
         request: The large job.
         block: The capacity.
-        since_s: When the block was reserved.
         closed: Whether preemptible and urgent work may no longer enter.
     """
 
     request: requests.Request
     block: resources.Placement
-    since_s: float
     closed: bool = False
 
 
--- a/lycheegate/core/queueing.py
+++ b/lycheegate/core/queueing.py
@@ -20,7 +20,6 @@
     "QueueState",
     "add_request",
     "compute_share",
-    "count_waiting",
     "get_account",
     "get_request",
     "list_large_heads",
@@ -252,11 +251,6 @@
     return None if place is None else place[0].requests[place[1]]
 
 
-def count_waiting(queue: QueueState) -> int:
-    """Returns the number of waiting requests."""
-    return len(queue.places)
-
-
 def list_large_heads(queue: QueueState) -> list[tuple[int, str]]:
     """Returns serial number and id of each account's oldest large job, oldest first."""
     return sorted(account.large.peekitem(0) for account in queue.accounts.values() if account.large)
--- a/lycheegate/core/reservations.py
+++ b/lycheegate/core/reservations.py
@@ -179,7 +179,7 @@
         block = _find_block(s, view, group)
         if block is None:
             continue
-        reservation = capacity.Reservation(request, block, now_s)
+        reservation = capacity.Reservation(request, block)
         if view is capacity.View.RESERVABLE and not group.preemptible:
             attach = functools.partial(topology.attach_block, s.top, reservation)
             detach = functools.partial(topology.detach_block, s.top, reservation)
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -66,7 +66,7 @@
 
 
 def add_worker(s: SchedulingState, worker: resources.Worker) -> None:
-    """Adds a worker, or replaces what is known of it."""
+    """Adds a worker, or replaces what is known of it; it may then get new work."""
     remove_worker(s, worker.worker_id)
     topology.add_node(s.top, worker)
     allocations.rehome(s)
@@ -277,17 +277,18 @@
     if room[0] > s.room[0] or room[1] > s.room[1]:
         s.reserve_version += 1
     s.room = room
-    if now_s - s.retried_at_s < _MOVE_INTERVAL_S:
+    # Moves are tried for every kind of demand before any is tried again.
+    if now_s - s.retried_at_s < _MOVE_INTERVAL_S or s.trials >= starting.MAX_TRIALS:
         return
     s.retried_at_s = now_s
     if s.guaranteed.short and now_s - s.repacked_at_s >= _REPACK_INTERVAL_S:
         s.repacked_at_s = now_s
         allocations.repack(s)
-    if s.unmovable or s.homes_grown:
+    if s.unmovable or s.fixed_homes or s.homes_grown:
         s.unmovable.clear()
+        s.fixed_homes.clear()
         if s.homes_grown:
             s.homes_grown = False
-            s.failed[capacity.View.MOVABLE].clear()
             s.failed[capacity.View.RESERVABLE].clear()
         s.version += 1
 
--- a/lycheegate/core/tests/test_reservations.py
+++ b/lycheegate/core/tests/test_reservations.py
@@ -10,6 +10,9 @@
 from lycheegate.model import releases, requests, resources
 
 _LONGEST_S = 40.0
+_FULL_S = 60
+"""Time after which small work has filled the partition."""
+
 _SETTINGS = policy.PolicySettings(max_bypass_s=30.0, max_reservation_wait_s=30.0)
 _LIMIT_S = (
     _SETTINGS.max_bypass_s + _SETTINGS.max_reservation_wait_s + _LONGEST_S + 2 * driver.STOP_S + 2.0
@@ -41,14 +44,14 @@
     accounts = (releases.ClientAccount("large", quota), releases.ClientAccount("a"))
     scheduling.apply_release(run.s, accounts, ())
     small = 0
-    for step in range(int(_LIMIT_S * (1 + len(shapes))) + 20):
-        if step == 10:
+    for step in range(int(_LIMIT_S * (1 + len(shapes))) + _FULL_S + 10):
+        if step == _FULL_S:
             for number, shape in enumerate(shapes):
                 request = driver.make_request(
                     f"large{number}", shape, "large", large[0], large[1], run.now_s
                 )
                 run.submit(request, _LONGEST_S)
-        for _ in range(rng.randrange(4)):
+        for _ in range(rng.randrange(6)):
             urgency, preemptible, account = rng.choice(_MIXES[mix])
             shape = resources.Shape(1, rng.choice([0, 1, 1, 1, 2]))
             request = driver.make_request(
@@ -62,11 +65,13 @@
                 if request_id.startswith("s") and rng.random() < 0.7:
                     scheduling.withdraw(run.s, request_id)
         run.plan()
+        if all(f"large{number}" in run.starts for number in range(len(shapes))):
+            break
         if step % 50 == 0:
             assert scheduling.check_invariants(run.s) == []
         run.advance(1.0)
     assert small > 100
-    return [run.starts.get(f"large{n}", float("inf")) - 10.0 for n in range(len(shapes))]
+    return [run.starts.get(f"large{n}", float("inf")) - _FULL_S for n in range(len(shapes))]
 
 
 @pytest.mark.parametrize("shape", _LARGE)
