--- a/lycheegate/core/__init__.py
+++ b/lycheegate/core/__init__.py
@@ -6,14 +6,21 @@
 """
 
 __all__ = [
+    "allocations",
+    "blocks",
+    "capacity",
     "commands",
     "engine",
     "events",
     "guarantees",
+    "invariants",
+    "limits",
     "naive",
     "placement",
     "policy",
     "queueing",
+    "reservations",
     "scheduling",
+    "starting",
     "topology",
 ]
