--- a/lycheegate/core/attempts.py
+++ b/lycheegate/core/attempts.py
@@ -213,7 +213,7 @@
         attempt.statuses[member] = states.Status.HELD
         if all(status is states.Status.HELD for status in attempt.statuses):
             if _is_usable(state, attempt):
-                gangs.start_if_held(state, attempt, out)
+                gangs.start_members(state, attempt, out)
             else:
                 closing.close(state, attempt, states.After.RETRY, out, "worker_leaving")
 
--- a/lycheegate/core/gangs.py
+++ b/lycheegate/core/gangs.py
@@ -13,7 +13,7 @@
     "compute_loss_grace_s",
     "fire_timer",
     "lose_member",
-    "start_if_held",
+    "start_members",
 ]
 
 # Time for all members to confirm their start. A gang with a member that has not started by then
@@ -24,14 +24,10 @@
 _LOSS_GRACE_S = 1.0
 
 
-def start_if_held(
+def start_members(
     state: states.PartitionState, attempt: states.Attempt, out: list[commands.Command]
 ) -> None:
-    """Starts all members once all of them are held."""
-    if attempt.step is not states.Step.ORDERING or any(
-        status is not states.Status.HELD for status in attempt.statuses
-    ):
-        return
+    """Starts all members, which are all held."""
     attempt.step = states.Step.STARTING
     attempt.since_s = state.now_s
     attempt.start_ordered = True
--- a/lycheegate/core/tests/test_engine.py
+++ b/lycheegate/core/tests/test_engine.py
@@ -6,7 +6,16 @@
 import pytest
 from hypothesis import strategies as st
 
-from lycheegate.core import commands, engine, events, naive, policy, scheduling
+from lycheegate.core import (
+    commands,
+    engine,
+    events,
+    naive,
+    policy,
+    quarantine,
+    retries,
+    scheduling,
+)
 from lycheegate.core.tests import fakes, world
 from lycheegate.model import releases, requests, resources
 from lycheegate.utils import exceptions
@@ -52,6 +61,7 @@
 _FINISHED = events.TaskFinished(_TASK)
 _STORED = events.AnswerStored("r-1-1")
 _NOT_STARTED = events.TaskReleased(_TASK, False)
+_UNREACHABLE = events.TaskRefused(_TASK, events.Refusal.UNREACHABLE)
 _RUNNING = events.TaskState.RUNNING
 
 
@@ -74,7 +84,8 @@
         ([_LOST, _report(), events.TaskReleased(_TASK, True)], [_End.MAY_HAVE_RUN], 0),
         ([_LOST, _report(restarted=True)], [_End.MAY_HAVE_RUN], 0),
         ([events.TaskRefused(_TASK, events.Refusal.CAPACITY), 12.0], [], 1),
-        ([events.TaskRefused(_TASK, events.Refusal.UNREACHABLE), 12.0], [], 0),
+        ([_UNREACHABLE, 12.0], [], 0),
+        ([_UNREACHABLE, 11.0, events.TaskRefused(_TASK, events.Refusal.CAPACITY), 14.0], [], 0),
         ([events.TaskRefused(_TASK, events.Refusal.TOMBSTONE), _NOT_STARTED, 12.0], [], 1),
         ([_CANCEL], [], 0),
         ([_CANCEL, _NOT_STARTED], [_End.CANCELLED], 0),
@@ -293,6 +304,64 @@
     assert len(set(workers)) == 3
 
 
+def test_end_after_last_attempt():
+    """Guards against a request that is tried for ever, and against one that gets no end."""
+    state = _start()
+    out = _run(state, [events.RequestSubmitted(fakes.make_request("r"))])
+    for number in range(4):
+        out = _run(state, [_LOST, events.WorkerReported(_WORKERS[0]), 20.0 + 10 * number])
+    assert [(end.end, end.reason) for end in out] == [(_End.ANSWERED, "attempts_exhausted")]
+
+
+def test_delay_retries():
+    """Guards against retries without backoff, and against a burst of them after a loss."""
+    state = _start(workers=4)
+    for number in range(30):
+        request = fakes.make_request(f"r{number}", 1, 1)
+        _run(state, [events.RequestSubmitted(request)])
+    state.retry_free_s["hanbok-studio"] = 10.0
+    _run(state, [events.WorkerLost(f"w{number}") for number in range(4)])
+    delays = sorted(job.delayed_until_s for job in state.jobs.values())
+    assert delays[0] > 10.0
+    assert delays[-1] > 12.99
+    state.retry_free_s.clear()
+    first = [retries.compute_backoff_s(state, f"r{number}", 0) for number in range(20)]
+    assert len(set(first)) == 20
+    assert max(first) <= 0.2 < retries.compute_backoff_s(state, "r0", 9)
+
+
+def test_recovered_request_may_have_run():
+    """Guards against a not-run report for a request that an earlier owner may have run."""
+    state = engine.create_state("suwon/0")
+    _run(state, [events.EpochGained(2)])
+    request = fakes.make_request("r", deadline_at_s=20.0)
+    out = _run(state, [events.RecoveredRequest(request), 1.0, 21.0])
+    assert [(end.end, end.outcome) for end in out] == [(_End.ANSWERED, requests.Outcome.FAILED)]
+
+
+def test_order_nothing_to_leaving_worker():
+    """Guards against new or repeated orders to a worker that leaves."""
+    state = _start()
+    _run(state, [events.RequestSubmitted(fakes.make_request("r")), _UNREACHABLE])
+    out = _run(state, [events.WorkerLeaving("w0"), 11.0])
+    out += _run(state, [events.RequestSubmitted(fakes.make_request("n")), 12.0])
+    assert not _list(out, commands.HoldTask)
+    assert state.attempt_number == 1
+
+
+def test_restore_unprobed_worker():
+    """Guards against a quarantine that no waiting request may end."""
+    state = _start()
+    worker = state.workers["w0"]
+    worker.quarantined_at_s, worker.probe_at_s = 10.0, 20.0
+    state.quarantined["w0"] = None
+    quarantine.refresh_placeable(state, worker)
+    request = fakes.make_request("r", idempotent=False)
+    assert _run(state, [events.RequestSubmitted(request), 79.0]) == []
+    out = _run(state, [80.5])
+    assert [type(command) for command in out] == [commands.RestoreWorker, commands.RecordAttempt]
+
+
 def test_adopt_running_task_and_release_orphan():
     """Guards against running adopted work again, and against placing work beside an orphan."""
     state = engine.create_state("suwon/0")
@@ -306,13 +375,17 @@
     assert [type(command) for command in out] == [commands.HoldTask, commands.CollectAnswer]
 
 
+_SNAPSHOT = engine.make_snapshot(engine.create_state("a"))
+
+
 @pytest.mark.parametrize(
     "data",
     [
         b"",
         b"x" * 100,
-        b"LYCHEEG" + (2).to_bytes(2, "big") + b"\0" * 40,
-        engine.make_snapshot(engine.create_state("a"))[:-1],
+        _SNAPSHOT[:8] + bytes([_SNAPSHOT[8] + 1]) + _SNAPSHOT[9:],
+        _SNAPSHOT[:9] + bytes([_SNAPSHOT[9] ^ 1]) + _SNAPSHOT[10:],
+        _SNAPSHOT[:-1],
     ],
 )
 def test_refuse_unknown_snapshot(data):
