Test probes and the precedence of guarantees over quarantine

Cause: the end of a quarantine by a probe or by a short guarantee had no test of its own. Conclusion: no change of behaviour.

--- a/lycheegate/core/tests/test_engine.py
+++ b/lycheegate/core/tests/test_engine.py
@@ -349,6 +349,44 @@
     assert state.attempt_number == 1
 
 
+@pytest.mark.parametrize("succeeds", [True, False])
+def test_probe_quarantined_worker(succeeds):
+    """Guards against a quarantine that a good probe does not end, or a bad one ends."""
+    state = _start()
+    worker = state.workers["w0"]
+    worker.quarantined_at_s, worker.probe_at_s, worker.probe_interval_s = 10.0, 20.0, 30.0
+    state.quarantined["w0"] = None
+    quarantine.refresh_placeable(state, worker)
+    for number in range(2):
+        _run(state, [events.RequestSubmitted(fakes.make_request(f"r{number}"))])
+    (probe,) = _run(state, [19.0, 21.0])
+    result = events.TaskFinished if succeeds else lambda task_id: events.TaskFailed(task_id, "x")
+    out = _run(state, [result(probe.task_id)])
+    kinds = [commands.RestoreWorker, commands.CollectAnswer, commands.HoldTask]
+    assert [type(command) for command in out] == (kinds if succeeds else [commands.ReleaseTask])
+    if not succeeds:
+        assert _run(state, [22.0, 80.0]) == []
+        assert len(_list(_run(state, [82.0]), commands.HoldTask)) == 1
+
+
+def test_give_way_to_guarantee():
+    """Guards against a guarantee that is short because a worker is in quarantine."""
+    state = _start(2)
+    worker = state.workers["w0"]
+    worker.quarantined_at_s, worker.probe_at_s = 10.0, 99.0
+    state.quarantined["w0"] = None
+    quarantine.refresh_placeable(state, worker)
+    shape = resources.Shape(1, 8)
+    guarantee = releases.Guarantee("atelier", "block", shape, 2, "suwon")
+    account = releases.ClientAccount("atelier")
+    assert _run(state, [events.ReleaseApplied(1, (account,), (guarantee,))]) == [
+        commands.RestoreWorker("w0")
+    ]
+    assert _run(state, [_LOST]) == [
+        commands.ReportShortGuarantee("atelier", "block", 1, "capacity_lost")
+    ]
+
+
 def test_restore_unprobed_worker():
     """Guards against a quarantine that no waiting request may end."""
     state = _start()
