--- a/lycheegate/core/tests/test_engine_machine.py
+++ b/lycheegate/core/tests/test_engine_machine.py
@@ -109,6 +109,24 @@
         """Brings it back."""
         self.world.restart(worker_id)
 
+    @stateful.rule(
+        worker_id=_WORKERS,
+        away_s=st.sampled_from([1.0, 4.0, 12.0]),
+        crashes=st.booleans(),
+        takes_over=st.booleans(),
+    )
+    def lose_and_return(self, worker_id, away_s, crashes, takes_over):
+        """Lets a worker be away for a while, with a takeover in between."""
+        lose = self.world.crash if crashes else self.world.pause
+        lose(worker_id)
+        self.world.advance(away_s)
+        if takes_over:
+            self.world.take_over()
+            self.world.advance(0.5)
+        self.world.resume(worker_id)
+        self.world.restart(worker_id)
+        self.world.advance(0.5)
+
     @stateful.rule(worker_id=_WORKERS)
     def leave(self, worker_id):
         """Lets a worker leave."""
