--- a/lycheegate/platform/http.py
+++ b/lycheegate/platform/http.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from concurrent import futures
 
+import logbook
 import pycurl
 from returns import result
 
@@ -22,6 +23,8 @@
 
 HttpResult = result.Result["Response", exceptions.LycheegateError]
 
+_log = logbook.Logger("platform.http")
+
 _SPARE_HANDLES = 64
 _MAX_HEADER_BYTES = 16_384
 _EVENT_BITS = {
@@ -159,12 +162,14 @@
 
     Attributes:
         requests_done: Requests that ended so far.
+        connections_made: Connections opened so far.
         bytes_sent: Bytes of request lines, headers and bodies sent so far.
         bytes_received: Bytes of status lines, headers and bodies received so far.
     """
 
     def __init__(self, name: str = "http", limits: HttpLimits | None = None):
         self.requests_done = 0
+        self.connections_made = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self._limits = limits or HttpLimits()
@@ -335,6 +340,7 @@
     def _finish(self, handle: pycurl.Curl, code: int, message: str) -> None:
         transfer = self._transfers.pop(handle)
         self.requests_done += 1
+        self.connections_made += handle.getinfo(pycurl.NUM_CONNECTS)
         self.bytes_received += transfer.header_bytes + transfer.size
         if transfer.sent:
             self.bytes_sent += handle.getinfo(pycurl.REQUEST_SIZE)
@@ -374,7 +380,11 @@
                 if not self._timers or self._timers[0][0] > time.monotonic():
                     return
                 timer = heapq.heappop(self._timers)[2]
-            timer.run()
+            try:
+                timer.run()
+            except Exception:
+                # A defect in one timer must not end the thread that serves all clients.
+                _log.exception("timer_failed")
 
     def _fail_all(self) -> None:
         """Ends what is still under way when the client is closed."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -41,6 +41,8 @@
             shutdown_timeout=1,
         )
         self._server.gateway = _Gateway
+        # cheroot's default of 10 idle connections makes clients with more connect again and again.
+        self._server.keep_alive_conn_limit = 1000
         self._server.error_log = _ignore_log
         self._thread: threading.Thread | None = None
         self.address = ""
@@ -48,16 +50,28 @@
     def start(self) -> None:
         """Binds the port and serves in a thread."""
         self._server.prepare()
+        # cheroot leaves this out for a port that the system chose. Connections inherit it, so that
+        # a restarted stand-in can bind the same port.
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
         self._thread = threading.Thread(target=self._server.serve, name="standin", daemon=True)
         self._thread.start()
 
     def stop(self) -> None:
         """Closes the port and all connections."""
+        # cheroot looks for the stop at each connection or after 0.5 s; this connection saves that.
+        touch = threading.Timer(0.01, self._touch)
+        touch.start()
         self._server.stop()
+        touch.join()
         if self._thread is not None:
             self._thread.join(5.0)
 
+    def _touch(self) -> None:
+        host, _, port = self.address.partition(":")
+        with contextlib.suppress(OSError, ValueError):
+            socket.create_connection((host, int(port)), 1.0).close()
+
 
 class Startable(Protocol):
     """A stand-in that can be started and stopped."""
