Add the command line of operators

Cause: operators work with the system from a shell and from scripts. Change: commands with cleo that ask an entry VM over HTTP, print tables or JSON, and end with documented exit codes. A refused, an unreached, an outdated and an unknown outcome have different codes. Tokens come from files or the environment, are sent to the named server only, and control characters in free text do not reach the terminal. A note with faults of form is now checked against the release as well when it is applied, so that all findings come together. Conclusion: the commands work against the interface on loopback; TLS was not tried here.

--- a/lycheegate/cli/__init__.py
+++ b/lycheegate/cli/__init__.py
@@ -1,3 +1,3 @@
 """Command line of operators."""
 
-__all__: list[str] = []
+__all__ = ["base", "client", "exits", "main"]
--- /dev/null
+++ b/lycheegate/cli/release.py
@@ -0,0 +1,201 @@
+"""Checks, plans and applies release notes, and shows releases."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from cleo import helpers
+from returns import result
+
+from lycheegate.cli import base, exits
+
+__all__ = ["COMMANDS"]
+
+_NOTE = helpers.argument("note", "Release note in YAML; - reads standard input.")
+
+
+class _NoteCommand(base.OperatorCommand):
+    arguments = [_NOTE]
+
+    def send_note(self, name: str) -> tuple[dict[str, Any] | None, int]:
+        """Sends the note to the entry VM."""
+        path = self.argument("note")
+        data = base.read_input(path)
+        if isinstance(data, result.Failure):
+            self.write_error(data.failure())
+            return None, exits.Exit.REFUSED
+        return self.ask("POST", f"release/{name}", data.unwrap(), {"file": path})
+
+    def write_changes(self, body: Mapping[str, Any]) -> None:
+        """Writes what changes."""
+        rows = [[c["kind"], c["subject"], c["name"], c["detail"]] for c in body["changes"]]
+        self.write_table(["change", "subject", "name", "detail"], rows)
+
+
+class CheckCommand(_NoteCommand):
+    """Checks a note."""
+
+    name = "release check"
+    description = "Checks a release note and reports all findings."
+    help = """\
+Exit code 2: the note has errors. Nothing is changed in any case.
+
+Examples:
+  lycheegate release check spring.yaml
+  generate-note | lycheegate release check - --json
+"""
+
+    def handle(self) -> int:
+        """Writes the findings to standard output."""
+        body, exit_code = self.send_note("check")
+        if body is None:
+            return exit_code
+        if not self.option("json"):
+            self.write_findings(body["findings"], to_error=False)
+            state = "can be applied" if body["ok"] else "has errors"
+            self.write(f"the note {state}; newest release: {body['checked_against']}")
+        return exits.Exit.OK if body["ok"] else exits.Exit.FINDINGS
+
+
+class PlanCommand(_NoteCommand):
+    """Shows what a note would change."""
+
+    name = "release plan"
+    description = "Shows what a release note would change and which guarantees it moves."
+    help = """\
+Exit code 2: the note has errors. Nothing is changed in any case.
+
+Example:
+  lycheegate release plan spring.yaml
+"""
+
+    def handle(self) -> int:
+        """Writes changes and moved guarantees."""
+        body, exit_code = self.send_note("plan")
+        if body is None or self.option("json"):
+            return exit_code
+        self.write_findings(body["findings"])
+        self.write(f"release {body['number']} would make these changes:")
+        self.write_changes(body)
+        if body["moves"]:
+            self.write("\nit would move the homes of these guarantees:")
+            rows = [[m["client_account"], m["name"], m["old"], m["new"]] for m in body["moves"]]
+            self.write_table(["client account", "guarantee", "from", "to"], rows)
+        return exits.Exit.OK
+
+
+class ApplyCommand(_NoteCommand):
+    """Applies a note."""
+
+    name = "release apply"
+    description = "Applies a release note."
+    help = """\
+The note is applied as a whole or not at all. Applying it again is harmless.
+Exit code 2: the note has errors. 4: nothing was applied; try again. 5: another release was
+accepted first; what it changed is shown. 6: the outcome is not known; apply the same note again.
+
+Example:
+  lycheegate release apply spring.yaml
+"""
+
+    def handle(self) -> int:
+        """Writes the number of the release."""
+        body, exit_code = self.send_note("apply")
+        if body is None or self.option("json"):
+            return exit_code
+        self.write_findings(body["findings"])
+        if body["already"]:
+            self.write(f"release {body['number']} has these changes already")
+            return exits.Exit.OK
+        self.write(f"release {body['number']} is accepted")
+        self.write_changes(body)
+        return exits.Exit.OK
+
+
+class HistoryCommand(base.OperatorCommand):
+    """Lists releases."""
+
+    name = "release history"
+    description = "Lists releases, newest first."
+    options = [
+        *base.OperatorCommand.options,
+        helpers.option("limit", None, "Number of releases, at most 100.", flag=False, default="20"),
+    ]
+    help = """\
+Example:
+  lycheegate release history --limit 5
+"""
+
+    def handle(self) -> int:
+        """Writes one line for each release."""
+        body, exit_code = self.ask(
+            "GET", "release/history", parameters={"limit": self.option("limit")}
+        )
+        if body is None or self.option("json"):
+            return exit_code
+        rows = []
+        for release in body["releases"]:
+            changes = "; ".join(
+                f"{c['kind']} {c['subject']} {c['name']}" for c in release["changes"]
+            )
+            rows.append(
+                [release["number"], release["accepted_at"], release["operator"], release["note"]]
+                + [changes]
+            )
+        self.write_table(["release", "accepted at", "operator", "note", "changes"], rows)
+        return exits.Exit.OK
+
+
+class ShowCommand(base.OperatorCommand):
+    """Shows a release."""
+
+    name = "release show"
+    description = "Shows the release in force, or an earlier one."
+    arguments = [helpers.argument("number", "Number of the release.", optional=True)]
+    help = """\
+Documents of the newest 64 releases are kept; older ones are in `release history` only.
+
+Examples:
+  lycheegate release show
+  lycheegate release show 12 --json
+"""
+
+    def handle(self) -> int:
+        """Writes client accounts, guarantees and callers."""
+        body, exit_code = self.ask(
+            "GET", "release/show", parameters={"number": self.argument("number")}
+        )
+        if body is None or self.option("json"):
+            return exit_code
+        self.write(
+            f"release {body['number']} by {body['operator'] or '-'} at "
+            f"{body['accepted_at'] or '-'}: {body['note']}\n"
+        )
+        self.write_table(
+            ["client account", "quota", "weight", "since"],
+            [
+                [a["name"], a["quota_accelerators"], a["weight"], a["since_release"]]
+                for a in body["client_accounts"]
+            ],
+        )
+        self.write("")
+        self.write_table(
+            ["client account", "guarantee", "count", "members", "accelerators"]
+            + ["adjacency", "data centre", "since"],
+            [
+                [g["client_account"], g["name"], g["count"], *g["shape"].values()]
+                + [g["data_centre"], g["since_release"]]
+                for g in body["guarantees"]
+            ],
+        )
+        self.write("")
+        self.write_table(
+            ["client account", "brand or desk", "caller", "since"],
+            [
+                [c["client_account"], c["brand_desk"], c["name"], c["since_release"]]
+                for c in body["callers"]
+            ],
+        )
+        return exits.Exit.OK
+
+
+COMMANDS = (CheckCommand, PlanCommand, ApplyCommand, HistoryCommand, ShowCommand)
--- /dev/null
+++ b/lycheegate/cli/tests/test_cli.py
@@ -0,0 +1,291 @@
+"""Tests of the command line against the operators' interface on loopback."""
+
+import json
+import socket
+import sys
+import threading
+import types
+
+import pytest
+from cleo.io.outputs import buffered_output
+from returns import result
+from werkzeug import test as werkzeug_test
+
+from lycheegate.cli import exits, main
+from lycheegate.entry import operators, services
+from lycheegate.keys import tokens
+from lycheegate.release import store
+from lycheegate.utils import clock
+from standins import entry_services, serving
+
+_NOTE = """\
+base: {base}
+note: First <info>release
+client_accounts:
+  added: [{{name: {account}, quota_accelerators: 16}}]
+callers:
+  added:
+    - {{name: {caller}, client_account: {account}, brand_desk: "colour <b>desk",
+       token_hash: "{token_hash}", classes: [preview]}}
+"""
+
+
+def _write_note(path, account="studio", base=0):
+    token_hash = tokens.hash_token(tokens.make_token())
+    caller = f"{account}-stylist"
+    text = _NOTE.format(base=base, account=account, caller=caller, token_hash=token_hash)
+    path.write_text(text)
+    return str(path)
+
+
+class Cli:
+    """Runs commands in this process."""
+
+    def run(self, *arguments):
+        """Returns the exit code, standard output and standard error."""
+        out, err = buffered_output.BufferedOutput(), buffered_output.BufferedOutput()
+        exit_code = main.run(list(arguments), out, err)
+        return exit_code, out.fetch(), err.fetch()
+
+
+@pytest.fixture(scope="module")
+def server():
+    """A server on loopback; ``application`` is replaced for each test."""
+    holder = types.SimpleNamespace(application=None)
+    http_server = serving.Server(lambda *arguments: holder.application(*arguments))
+    http_server.start()
+    holder.url = f"http://{http_server.address}"
+    yield holder
+    http_server.stop()
+
+
+@pytest.fixture
+def entry_vm(server):
+    """An entry VM without peers, served on loopback."""
+    fake = entry_services.FakeServices()
+    server.application = operators.OperatorApplication(
+        fake,
+        clock.FakeClock(),
+        lambda table, plan: store.accept(table, plan, sleep=lambda _: None),
+    )
+    return fake
+
+
+@pytest.fixture
+def cli(server, entry_vm, monkeypatch):
+    """A command line with the address and the token of an operator."""
+    monkeypatch.setenv("LYCHEEGATE_SERVER", server.url)
+    monkeypatch.setenv("LYCHEEGATE_TOKEN", entry_services.TOKEN)
+    monkeypatch.delenv("LYCHEEGATE_TOKEN_FILE", raising=False)
+    return Cli()
+
+
+def test_morning_question_is_answered(cli, tmp_path):
+    """Guards against a list from which an operator cannot tell whose a caller is."""
+    cli.run("release", "apply", _write_note(tmp_path / "a.yaml"))
+    cli.run("release", "apply", _write_note(tmp_path / "b.yaml", "label", 1))
+    exit_code, out, _ = cli.run("callers", "list")
+    lines = [line.split() for line in out.splitlines()]
+    assert exit_code == 0
+    assert lines[0][:6] == ["client", "account", "brand", "or", "desk", "caller"]
+    assert ["label", "colour", "<b>desk", "label-stylist", "preview", "never", "2"] in lines
+    assert ["studio", "colour", "<b>desk", "studio-stylist", "preview", "never", "1"] in lines
+    _, out, _ = cli.run("callers", "list", "--client-account", "label", "--json")
+    assert [c["name"] for c in json.loads(out)["callers"]] == ["label-stylist"]
+    exit_code, out, _ = cli.run("callers", "show", "studio-stylist")
+    assert (exit_code, "colour <b>desk" in out) == (0, True)
+    exit_code, _, err = cli.run("callers", "show", "nobody")
+    assert (exit_code, "does not exist in release 2" in err) == (exits.Exit.REFUSED, True)
+
+
+def test_note_is_checked_planned_applied_and_repeated(cli, entry_vm, tmp_path):
+    """Guards against commands that change something they should not, or hide what they did."""
+    note = _write_note(tmp_path / "a.yaml")
+    assert cli.run("release", "check", note)[0] == 0
+    exit_code, out, _ = cli.run("release", "plan", note)
+    assert (exit_code, "studio" in out, entry_vm.holder.get().number) == (0, True, 0)
+    exit_code, out, _ = cli.run("release", "apply", note)
+    assert (exit_code, out.splitlines()[0]) == (0, "release 1 is accepted")
+    exit_code, out, _ = cli.run("release", "apply", note)
+    assert (exit_code, out) == (0, "release 1 has these changes already\n")
+    _, out, _ = cli.run("release", "history")
+    assert "First <info>release" in out
+    _, out, _ = cli.run("release", "show", "1", "--json")
+    assert json.loads(out)["client_accounts"][0]["name"] == "studio"
+
+
+def test_findings_are_written_with_their_place_and_code_2(cli, entry_vm, tmp_path):
+    """Guards against a wrong note that is applied or whose mistakes are not shown."""
+    path = tmp_path / "wrong.yaml"
+    path.write_text("base: 3\ncolour: red\nclient_accounts: {withdrawn: [nobody]}\n")
+    expected = [(1, 7, "base_unknown"), (2, 1, "unknown_field"), (3, 31, "account_unknown")]
+    for command in ("check", "plan", "apply"):
+        exit_code, out, err = cli.run("release", command, str(path))
+        places = [line.split(": ")[0:3:2] for line in (out + err).splitlines() if ".yaml:" in line]
+        assert exit_code == exits.Exit.FINDINGS
+        assert places == [[f"{path}:{line}:{column}", code] for line, column, code in expected]
+    assert entry_vm.table.write_count == 0
+
+
+def test_loser_of_a_race_sees_what_changed(cli, tmp_path):
+    """Guards against an operator who cannot tell why a note was refused."""
+    cli.run("release", "apply", _write_note(tmp_path / "a.yaml"))
+    exit_code, _, err = cli.run("release", "apply", _write_note(tmp_path / "b.yaml", "label"))
+    assert exit_code == exits.Exit.LOST_RACE
+    assert "release 1 by kim at 2026-01-01T00:00:00+00:00" in err
+    assert "added client account studio: quota 16, weight 1" in err
+
+
+@pytest.mark.parametrize(
+    ("faults", "prepared", "expected"),
+    [
+        ({"down": True}, None, exits.Exit.UNREACHABLE),
+        ({"lose_requests": 99}, None, exits.Exit.UNKNOWN),
+        ({}, services.NoMajority(1, 2, ("entry-2",)), exits.Exit.UNREACHABLE),
+    ],
+)
+def test_outcome_decides_the_exit_code(cli, entry_vm, tmp_path, faults, prepared, expected):
+    """Guards against scripts that take an unknown outcome for a refusal."""
+    entry_vm.table.faults.set(**faults)
+    if prepared is not None:
+        entry_vm.prepared = result.Failure(prepared)
+    note = _write_note(tmp_path / "a.yaml")
+    assert cli.run("release", "apply", note)[0] == expected
+
+
+@pytest.mark.parametrize(
+    ("token", "arguments", "expected"),
+    [
+        (entry_services.EXPIRED_TOKEN, ["status"], exits.Exit.REFUSED),
+        (entry_services.TOKEN + "x", ["status"], exits.Exit.REFUSED),
+        ("", ["status"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["status", "--timeout", "nan"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["status", "--server", "entry-1"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["status", "--token-file", "/nonexistent"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["status", "--wrong"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["stauts"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["release", "show", "9"], exits.Exit.REFUSED),
+        (entry_services.TOKEN, ["release", "check", "/nonexistent"], exits.Exit.REFUSED),
+        (entry_services.TOKEN, ["drain", "entry-9"], exits.Exit.REFUSED),
+        (entry_services.TOKEN, ["jobs", "--limit", "0"], exits.Exit.REFUSED),
+        (entry_services.TOKEN, ["report", "--from", "/nonexistent"], exits.Exit.REFUSED),
+    ],
+)
+def test_refusals_and_wrong_usage_have_their_codes(cli, monkeypatch, token, arguments, expected):
+    """Guards against a failure that a script takes for success."""
+    monkeypatch.setenv("LYCHEEGATE_TOKEN", token)
+    exit_code, out, err = cli.run(*arguments)
+    assert (exit_code, out) == (expected, "")
+    assert err
+    assert entry_services.TOKEN not in err
+
+
+@pytest.mark.parametrize(
+    ("name", "expected"),
+    [(["status"], exits.Exit.UNREACHABLE), (["drain", "entry-1"], exits.Exit.UNKNOWN)],
+)
+def test_lost_answer_is_told_apart_from_no_connection(cli, monkeypatch, name, expected):
+    """Guards against 'nothing was applied' after a connection that was cut."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        monkeypatch.setenv("LYCHEEGATE_SERVER", f"http://127.0.0.1:{server.getsockname()[1]}")
+
+        def cut():
+            connection, _ = server.accept()
+            connection.recv(65536)
+            connection.close()
+
+        thread = threading.Thread(target=cut, daemon=True)
+        thread.start()
+        assert cli.run(*name)[0] == expected
+        thread.join(10.0)
+    assert cli.run(*name)[0] == exits.Exit.UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    ("arguments", "text"),
+    [
+        (["accounts"], "capacity_lost"),
+        (["workers", "--state", "lost"], "w1"),
+        (["jobs", "--state", "running", "--limit", "1"], "1 of 2 jobs"),
+        (["status"], "is in force at entry-1"),
+        (["drain", "entry-1"], "entry-1 is draining"),
+        (["report"], "queueing"),
+        (["release", "show"], "brand or desk"),
+    ],
+)
+def test_lists_are_tables_or_json(cli, tmp_path, arguments, text):
+    """Guards against commands that fail on an ordinary answer."""
+    note = _write_note(tmp_path / "a.yaml")
+    text_note = (tmp_path / "a.yaml").read_text()
+    guarantee = "guarantees: {added: [{client_account: studio, name: hero, accelerators: 8}]}\n"
+    (tmp_path / "a.yaml").write_text(text_note + guarantee)
+    assert cli.run("release", "apply", note)[0] == 0
+    exit_code, out, err = cli.run(*arguments)
+    assert (exit_code, text in out) == (0, True)
+    if arguments[0] == "jobs":
+        assert err == "the answer is incomplete: no answer from entry-2\n"
+    exit_code, out, _ = cli.run(*arguments, "--json")
+    assert exit_code == 0
+    assert isinstance(json.loads(out), dict)
+
+
+def test_report_is_drawn_from_a_saved_answer(cli, tmp_path):
+    """Guards against a saved report that cannot be read again."""
+    _, out, _ = cli.run("report", "--json")
+    (tmp_path / "monday.json").write_text(out)
+    arguments = ["report", "--from", str(tmp_path / "monday.json")]
+    exit_code, out, _ = cli.run(*arguments)
+    assert (exit_code, "preview" in out) == (0, True)
+    assert cli.run(*arguments, "--picture", str(tmp_path / "monday.png"))[0] == 0
+    assert (tmp_path / "monday.png").stat().st_size > 1000
+    (tmp_path / "monday.json").write_text('{"histograms": {"a": 1}}')
+    assert cli.run(*arguments)[0] == exits.Exit.REFUSED
+
+
+def test_entry_starts_nothing_with_wrong_settings(cli, tmp_path, monkeypatch):
+    """Guards against a daemon that runs with settings it did not understand."""
+    started = []
+    module = types.SimpleNamespace(run=lambda settings: started.append(settings) or 0)
+    monkeypatch.setitem(sys.modules, "lycheegate.entry.daemon", module)
+    monkeypatch.setattr(sys.modules["lycheegate.entry"], "daemon", module, raising=False)
+    path = tmp_path / "entry.yaml"
+    path.write_text(entry_services.SETTINGS + "colour: red\n")
+    exit_code, _, err = cli.run("entry", "--settings", str(path))
+    assert (exit_code, "unknown_field" in err, started) == (exits.Exit.FINDINGS, True, [])
+    path.write_text(entry_services.SETTINGS)
+    assert cli.run("entry", "--settings", str(path), "--check")[0] == 0
+    assert started == []
+    assert cli.run("entry", "--settings", str(path))[0] == 0
+    assert started[0].vm_id == "entry-1"
+
+
+def test_new_keys_are_usable():
+    """Guards against a printed hash that does not belong to the printed token."""
+    _, out, _ = Cli().run("keys", "new", "--json")
+    pair = json.loads(out)
+    assert tokens.hash_token(pair["token"]) == pair["token_hash"]
+    _, out, _ = Cli().run("keys", "new", "--peer")
+    assert len(out.strip()) >= 32
+
+
+def test_control_characters_do_not_reach_the_terminal(cli, entry_vm):
+    """Guards against free text of one operator that rewrites the terminal of another."""
+    note = 'base: 0\nnote: "a\\x1b[2Jb"\nclient_accounts: {added: [{name: studio}]}\n'
+    application = operators.OperatorApplication(entry_vm, clock.FakeClock())
+    response = werkzeug_test.Client(application).post(
+        operators.PREFIX + "release/apply",
+        data=note,
+        headers={"Authorization": f"Bearer {entry_services.TOKEN}"},
+    )
+    assert response.status_code == 200
+    _, out, _ = cli.run("release", "history")
+    assert "\x1b" not in out
+    assert "[2Jb" in out
+
+
+def test_every_command_has_help_with_an_example():
+    """Guards against commands that operators cannot use without reading the source."""
+    for command in main.make_application().all().values():
+        if command.name not in ("completions", "help", "list"):
+            assert "Example" in command.help, command.name
+            assert f"lycheegate {command.name}" in command.help
--- a/lycheegate/entry/operators.py
+++ b/lycheegate/entry/operators.py
@@ -155,10 +155,9 @@
         if isinstance(newest, result.Failure):
             return _refuse_unavailable(newest.failure())
         document, context = self._read_note(request, newest.unwrap())
-        if findings.has_errors(document.collected):
-            return _refuse_note(findings.sort_findings(document.collected))
         note = document.value
-        if note.base < newest.unwrap().number:
+        is_readable = not findings.has_errors(document.collected)
+        if is_readable and note.base < newest.unwrap().number:
             digest = notes.compute_digest(note)
             return self._answer_apply(store.settle_base(table, note.base, digest), operator)
         found = checks.check_note(document, context)
--- a/lycheegate/release/notes.py
+++ b/lycheegate/release/notes.py
@@ -36,7 +36,14 @@
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=1000)]
 _Members = Annotated[int, msgspec.Meta(ge=1, le=64)]
 _Accelerators = Annotated[int, msgspec.Meta(ge=0, le=64)]
-_Desk = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+# Control characters, which YAML can write as escapes, would reach the terminals of operators.
+_Desk = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[^\x00-\x1f\x7f-\x9f]{1,100}\Z",
+        extra={"allowed": "1 to 100 characters without control characters"},
+    ),
+]
 _Hash = Annotated[
     str,
     msgspec.Meta(
--- a/lycheegate/release/tests/test_checks.py
+++ b/lycheegate/release/tests/test_checks.py
@@ -84,6 +84,10 @@
             _CALLER + "  changed:\n    - {name: stylist-9, token_hash: secret}\n",
             [(4, 37, "out_of_range")],
         ),
+        (
+            _CALLER + '  changed:\n    - {name: stylist-9, brand_desk: "a\\x1b[2J"}\n',
+            [(4, 37, "out_of_range")],
+        ),
         # Base.
         (
             "base: 6\ncallers: {withdrawn: [stylist-9]}\n",
--- a/standins/entry_services.py
+++ b/standins/entry_services.py
@@ -9,11 +9,11 @@
 from lycheegate.settings import loader
 from standins import memory
 
-__all__ = ["EXPIRED_TOKEN", "TOKEN", "FakeServices"]
+__all__ = ["EXPIRED_TOKEN", "SETTINGS", "TOKEN", "FakeServices"]
 
 TOKEN = "lyg_00112233aabbccdd_" + "x" * 43
 EXPIRED_TOKEN = "lyg_ffffffffaabbccdd_" + "x" * 43
-_SETTINGS = f"""\
+SETTINGS = f"""\
 vm_id: entry-1
 region: kr
 data_centre: suwon
@@ -63,7 +63,7 @@
 
     def get_settings(self):
         """Returns settings with one valid and one expired operator."""
-        return loader.parse_settings(_SETTINGS, "entry.yaml").unwrap()
+        return loader.parse_settings(SETTINGS, "entry.yaml").unwrap()
 
     def get_release(self):
         """Returns the release in force."""
