Give each contract test its own stand-in

A request that an earlier test had given up went on in the shared stand-in after its delay, and took the fault of this test, so that the write took effect. Change: the stand-in of a test lives as long as the test; nothing in the test itself changed. Conclusion: the client was right, the tests shared state.

--- a/lycheegate/platform/tests/test_http.py
+++ b/lycheegate/platform/tests/test_http.py
@@ -17,7 +17,7 @@
 _PROTOCOL = exceptions.ProtocolError
 
 
-@pytest.fixture(name="standin", scope="module")
+@pytest.fixture(name="standin")
 def _standin():
     standin = objects_standin.ObjectsStandin(threads=120)
     standin.start()
@@ -27,13 +27,10 @@
 
 @pytest.fixture(name="client")
 def _client(standin):
-    standin.faults.clear()
-    standin.objects.clear()
     standin.objects["k"] = b"content"
     client = http.HttpClient(limits=http.HttpLimits(connections_per_origin=4))
     yield client
     client.close()
-    standin.faults.clear()
 
 
 def _make_request(standin, method="GET", body=None, **fields):
--- a/lycheegate/platform/tests/test_objects.py
+++ b/lycheegate/platform/tests/test_objects.py
@@ -15,7 +15,7 @@
 _PROTOCOL = exceptions.ProtocolError
 
 
-@pytest.fixture(name="standin", scope="module")
+@pytest.fixture(name="standin")
 def _standin():
     standin = objects_standin.ObjectsStandin()
     standin.start()
@@ -25,13 +25,10 @@
 
 @pytest.fixture(name="store")
 def _store(standin):
-    standin.faults.clear()
-    standin.objects.clear()
     client = http.HttpClient()
     yield objects.ObjectStore(
         client, f"http://{standin.address}", random.Random(3), max_object_bytes=1000
     )
-    standin.faults.clear()
     client.close()
 
 
--- a/lycheegate/platform/tests/test_table.py
+++ b/lycheegate/platform/tests/test_table.py
@@ -42,7 +42,9 @@
     return {name: part for name, part in value.items() if name != table_client.WRITE_ID_FIELD}
 
 
-@pytest.fixture(name="standin", scope="module")
+# One for each test: a request that a test gave up goes on in the stand-in, and would take a fault
+# that the next test sets.
+@pytest.fixture(name="standin")
 def _standin():
     standin = table_standin.TableStandin()
     standin.start()
@@ -58,11 +60,8 @@
 
 
 def _make_http_subject(standin, client):
-    standin.faults.clear()
-    standin.rows = memory.MemoryTable()
     table = table_client.HttpTable(client, f"http://{standin.address}", random.Random(7))
-    first = standin.request_count
-    return _Subject(table, standin.rows, standin.faults, lambda: standin.request_count - first)
+    return _Subject(table, standin.rows, standin.faults, lambda: standin.request_count)
 
 
 @pytest.fixture(name="subject", params=["memory", "http"])
