--- a/benchmarks/platform_clients.py
+++ b/benchmarks/platform_clients.py
@@ -17,7 +17,7 @@
 
 from lycheegate.core import events
 from lycheegate.model import resources
-from lycheegate.platform import http, table_client, workers
+from lycheegate.platform import batching, http, table_client, workers
 from lycheegate.platform import table as table_module
 
 __all__ = ["main"]
@@ -68,14 +68,16 @@
     )
 
 
-def measure_writes(address: str, writes: int, threads: int) -> None:
-    """Measures transactions a second of the table client."""
+def measure_writes(address: str, writes: int, threads: int, batched: bool) -> None:
+    """Measures transactions a second of the table client, merged or one by one."""
     client = http.HttpClient()
     table = table_client.HttpTable(client, f"http://{address}", random.Random(1))
+    if batched:
+        table = batching.BatchingTable(table)
 
     def write(thread: int) -> None:
         for number in range(writes // threads):
-            key = f"{threads}/{thread}/{number}"
+            key = f"{threads}/{batched}/{thread}/{number}"
             put = table_module.Operation(table_module.OperationKind.PUT, "b", key, {"n": number}, 0)
             table.transact([put], 10.0).unwrap()
 
@@ -90,7 +92,9 @@
     _print(
         measurement="table_writes",
         threads=threads,
+        batched=batched,
         writes=writes,
+        requests=client.requests_done,
         writes_per_s=writes / elapsed_s,
         cpu_us_per_write=used_s / writes * 1e6,
     )
@@ -137,8 +141,9 @@
     with _run_standins("table", 1) as addresses:
         for concurrency in (1, 16, 64):
             measure_requests(addresses[0], arguments.requests, concurrency)
-        for threads in (1, 16):
-            measure_writes(addresses[0], arguments.writes, threads)
+        for threads in (1, 16, 64):
+            for batched in (False, True):
+                measure_writes(addresses[0], arguments.writes, threads, batched)
     for count in arguments.workers:
         options = ("--count", str(count), "--threads", "3")
         with _run_standins("worker", count, *options) as addresses:
--- a/lycheegate/platform/http.py
+++ b/lycheegate/platform/http.py
@@ -183,7 +183,8 @@
         self._wake_in.setblocking(False)
         self._wake_out.setblocking(False)
         self._woken = False
-        self._epoll.register(self._wake_in, select.EPOLLIN)
+        self._wake_fd = self._wake_in.fileno()
+        self._epoll.register(self._wake_fd, select.EPOLLIN)
         self._curl_due_s: float | None = None
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -246,23 +247,30 @@
             self._wake_out.send(b"x")
 
     def _run(self) -> None:
-        wake_fd = self._wake_in.fileno()
-        while not self._closed:
-            for fd, mask in self._epoll.poll(self._compute_wait_s()):
-                if fd == wake_fd:
-                    self._drain_wake()
-                    continue
-                bits = pycurl.CSELECT_IN if mask & _READABLE else 0
-                if mask & select.EPOLLOUT:
-                    bits |= pycurl.CSELECT_OUT
-                self._multi.socket_action(fd, bits)
-            self._start_submitted()
-            if self._curl_due_s is not None and self._curl_due_s <= time.monotonic():
-                self._curl_due_s = None
-                self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-            self._finish_transfers()
-            self._run_timers()
-        self._fail_all()
+        try:
+            while not self._closed:
+                self._run_once()
+        finally:
+            # After a defect, too, nobody may wait for this thread.
+            with self._lock:
+                self._closed = True
+            self._fail_all()
+
+    def _run_once(self) -> None:
+        for fd, mask in self._epoll.poll(self._compute_wait_s()):
+            if fd == self._wake_fd:
+                self._drain_wake()
+                continue
+            bits = pycurl.CSELECT_IN if mask & _READABLE else 0
+            if mask & select.EPOLLOUT:
+                bits |= pycurl.CSELECT_OUT
+            self._multi.socket_action(fd, bits)
+        self._start_submitted()
+        if self._curl_due_s is not None and self._curl_due_s <= time.monotonic():
+            self._curl_due_s = None
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_transfers()
+        self._run_timers()
 
     def _drain_wake(self) -> None:
         # The byte is taken first. In the other order, a wake-up in between sets the flag and has
--- a/lycheegate/platform/tests/test_workers.py
+++ b/lycheegate/platform/tests/test_workers.py
@@ -24,7 +24,7 @@
 class _Owner:
     """Pool of one worker, with the events it has emitted."""
 
-    def __init__(self, standin, epoch=1, settings=_FAST):
+    def __init__(self, standin, epoch=1, settings=_FAST, monotonic_s=time.monotonic):
         self.standin = standin
         self.client = http.HttpClient()
         self.emitted: queue.Queue = queue.Queue()
@@ -38,6 +38,7 @@
             self.fenced.put,
             random.Random(5),
             settings,
+            monotonic_s,
         )
         self.pool.add(resources.Worker("w1", standin.address, "r", "dc", "rack", 1, 1))
         self.report = self.take(events.WorkerReported)
@@ -271,6 +272,17 @@
     owner.take(events.TaskStarted, task_id="d.0")
 
 
+def test_own_pause_loses_no_worker(standin):
+    """Guards against an owner that takes all workers for lost after it was paused itself."""
+    skipped = [0.0]
+    owner = _Owner(standin, monotonic_s=lambda: time.monotonic() + skipped[0])
+    owner.hold("a.0", {"run_s": 0.5})
+    skipped[0] = 60.0
+    owner.take(events.TaskFinished, task_id="a.0")
+    assert not any(isinstance(event, events.WorkerLost) for event in owner.seen)
+    owner.close()
+
+
 def test_delete_unsettled_order_before_the_report(owner):
     """Guards against a report that omits a task which starts later.
 
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -25,6 +25,10 @@
 # after 3 s, so a longer one would leave few repetitions.
 _ORDER_BACKOFF_CAP_S = 0.5
 
+# A check that comes later than this means that this process was paused. Answers may have waited
+# for it meanwhile, so the pause is no sign that workers are lost.
+_MAX_DELAY_S = 0.5
+
 
 class WorkerPool:
     """The workers of a partition, as seen by its owner under one epoch.
@@ -64,6 +68,7 @@
             monotonic_s,
         )
         self._links: dict[str, WorkerLink] = {}
+        self._checked_at_s = monotonic_s()
         self._check_timer = client.call_later(
             self._context.settings.check_interval_s, self._check_losses
         )
@@ -305,8 +310,13 @@
         with context.lock:
             if context.closed:
                 return
-            oldest_s = context.monotonic_s() - context.settings.loss_timeout_s
+            now_s = context.monotonic_s()
+            pause_s = now_s - self._checked_at_s - context.settings.check_interval_s
+            self._checked_at_s = now_s
+            oldest_s = now_s - context.settings.loss_timeout_s
             for link in list(self._links.values()):
+                if pause_s > _MAX_DELAY_S:
+                    link.last_answer_s = min(now_s, link.last_answer_s + pause_s)
                 silent = link.last_answer_s <= oldest_s
                 if silent and link.was_reported and link.state is not LinkState.LOST:
                     link.lose()
