--- a/lycheegate/cli/release.py
+++ b/lycheegate/cli/release.py
@@ -77,7 +77,7 @@
         self.write(f"release {body['number']} would make these changes:")
         self.write_changes(body)
         if body["moves"]:
-            self.write("\nit would move the homes of these guarantees:")
+            self.write("\nthe homes of these guarantees would change:")
             rows = [[m["client_account"], m["name"], m["old"], m["new"]] for m in body["moves"]]
             self.write_table(["client account", "guarantee", "from", "to"], rows)
         return exits.Exit.OK
--- a/lycheegate/release/plans.py
+++ b/lycheegate/release/plans.py
@@ -251,8 +251,8 @@
     if guarantee is None:
         return ""
     shape = guarantee.shape
-    unit = f"{shape.members} x {shape.accelerators} accelerators"
-    return f"{guarantee.count} x ({unit} in one {shape.adjacency}) at {guarantee.data_centre}"
+    unit = f"{shape.members} x {shape.accelerators} accelerators in one {_show(shape.adjacency)}"
+    return f"{guarantee.count} x ({unit}) at {guarantee.data_centre}"
 
 
 def _describe_difference(before: Any, after: Any) -> str:
@@ -271,12 +271,14 @@
 
 
 def _show_shape(shape: resources.Shape) -> str:
-    return f"{shape.members} x {shape.accelerators} in one {shape.adjacency}"
+    return f"{shape.members} x {shape.accelerators} in one {_show(shape.adjacency)}"
 
 
 def _show(value: Any) -> str:
     if value is None:
         return "none"
+    if isinstance(value, resources.Adjacency):
+        return value.replace("_", " ")
     if isinstance(value, tuple):
         return "+".join(value) or "all"
     return f"{value:g}" if isinstance(value, float) else str(value)
