Verify the server of the command line in a test; refuse unusable tokens, URLs and CA files

Cause: a CA file that cannot be read, a token with a line break and a URL with a wrong port were reported as a lost answer, which for apply and drain has the exit code for an unknown outcome. Change: all three are refused before anything is sent, with the exit code for wrong usage. A test serves TLS with its own certificate and checks that the token is not sent to a server that cannot be verified. Conclusion: an unknown outcome is reported only after a request was sent.

--- a/lycheegate/cli/client.py
+++ b/lycheegate/cli/client.py
@@ -67,7 +67,7 @@
     token = os.environ.get("LYCHEEGATE_TOKEN", "")
     if not server:
         return _fail("give --server or set LYCHEEGATE_SERVER")
-    if urllib.parse.urlsplit(server).scheme not in ("http", "https"):
+    if not _is_url(server):
         return _fail(f"{server!r} is no URL with http or https")
     if token_file:
         try:
@@ -77,6 +77,8 @@
             return _fail(f"cannot read {token_file}: {reason}")
     if not token.strip():
         return _fail("give --token-file or set LYCHEEGATE_TOKEN_FILE or LYCHEEGATE_TOKEN")
+    if not token.isascii() or len(token.split()) != 1:
+        return _fail("the token has characters that no token has")
     return result.Success(Connection(server.rstrip("/"), token.strip(), ca_file, timeout_s))
 
 
@@ -102,7 +104,12 @@
     request = urllib.request.Request(url, body, headers, method=method)
     lost = exits.Exit.UNKNOWN if name in ("release/apply", "drain") else exits.Exit.UNREACHABLE
     try:
-        with _make_opener(connection).open(request, timeout=connection.timeout_s) as response:
+        opener = _make_opener(connection)
+    except OSError as error:
+        message = f"cannot use {connection.ca_file}: {error.strerror or error}"
+        return result.Failure(Problem(message, exits.Exit.USAGE))
+    try:
+        with opener.open(request, timeout=connection.timeout_s) as response:
             return result.Success(_read_answer(response.read(_MAX_ANSWER_BYTES), 200))
     except urllib.error.HTTPError as error:
         # An answer of another status; the method of the opener raises it.
@@ -118,6 +125,14 @@
         return result.Failure(Problem(f"{connection.server} did not answer with JSON", lost))
 
 
+def _is_url(text: str) -> bool:
+    try:
+        parts = urllib.parse.urlsplit(text)
+        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
 def _make_opener(connection: Connection) -> urllib.request.OpenerDirector:
     context = ssl.create_default_context(cafile=connection.ca_file)
     # No proxies and no redirects: the token goes to the named server only.
--- a/lycheegate/cli/tests/test_cli.py
+++ b/lycheegate/cli/tests/test_cli.py
@@ -1,5 +1,7 @@
 """Tests of the command line against the operators' interface on loopback."""
 
+import datetime
+import ipaddress
 import json
 import socket
 import sys
@@ -7,6 +9,11 @@
 import types
 
 import pytest
+from cheroot import wsgi
+from cheroot.ssl import builtin
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 from returns import result
 from werkzeug import test as werkzeug_test
 
@@ -117,6 +124,9 @@
         ("", ["status"], exits.Exit.USAGE),
         (entry_services.TOKEN, ["status", "--timeout", "nan"], exits.Exit.USAGE),
         (entry_services.TOKEN, ["status", "--server", "entry-1"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["drain", "a", "--server", "http://a:b"], exits.Exit.USAGE),
+        (entry_services.TOKEN, ["drain", "a", "--ca-file", "/nonexistent"], exits.Exit.USAGE),
+        (entry_services.TOKEN + "\nx", ["drain", "a"], exits.Exit.USAGE),
         (entry_services.TOKEN, ["status", "--token-file", "/nonexistent"], exits.Exit.USAGE),
         (entry_services.TOKEN, ["status", "--wrong"], exits.Exit.USAGE),
         (entry_services.TOKEN, ["stauts"], exits.Exit.USAGE),
@@ -215,6 +225,56 @@
     assert started[0].vm_id == "entry-1"
 
 
+def _write_certificate(directory) -> tuple[str, str]:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "entry-1")])
+    now = datetime.datetime.now(datetime.UTC)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder(name, name, key.public_key(), x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    certificate_file, key_file = directory / "ca.pem", directory / "key.pem"
+    certificate_file.write_bytes(certificate.public_bytes(pem))
+    plain = serialization.NoEncryption()
+    key_bytes = key.private_bytes(pem, serialization.PrivateFormat.PKCS8, plain)
+    key_file.write_bytes(key_bytes)
+    return str(certificate_file), str(key_file)
+
+
+def test_server_is_verified_before_the_token_is_sent(entry_vm, cli, tmp_path, monkeypatch):
+    """Guards against a token that is given to somebody who poses as an entry VM."""
+    certificate_file, key_file = _write_certificate(tmp_path)
+    headers = []
+    application = operators.OperatorApplication(entry_vm, clock.FakeClock())
+
+    def record(environ, start_response):
+        headers.append(environ.get("HTTP_AUTHORIZATION"))
+        return application(environ, start_response)
+
+    server = wsgi.Server(("127.0.0.1", 0), record, numthreads=2, shutdown_timeout=1)
+    server.ssl_adapter = builtin.BuiltinSSLAdapter(certificate_file, key_file)
+    server.error_log = lambda *_, **__: None
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        monkeypatch.setenv("LYCHEEGATE_SERVER", f"https://127.0.0.1:{server.bind_addr[1]}")
+        exit_code, _, err = cli.run("status")
+        assert (exit_code, "CERTIFICATE_VERIFY_FAILED" in err) == (exits.Exit.UNREACHABLE, True)
+        assert headers == []
+        assert cli.run("status", "--ca-file", certificate_file)[0] == 0
+        assert headers == [f"Bearer {entry_services.TOKEN}"]
+    finally:
+        server.stop()
+        thread.join(10.0)
+
+
 def test_new_keys_are_usable(cli):
     """Guards against a printed hash that does not belong to the printed token."""
     _, out, _ = cli.run("keys", "new", "--json")
