Send no write of a release after the window of its acknowledgements

Cause: members that acknowledged a release take it as not accepted when a read of the head 10 s later does not show it. Four tries with time-outs of 2 s and the reads between them could send the write up to 16 s after the acknowledgement, and a paused process at any time. Change: acceptance has a deadline, 6 s after the round of acknowledgements began, from which no write is sent. Without a write in doubt the operator is told that nothing was written. Conclusion: a write that was sent in time can still be delivered late by the network; that is not excluded here.

--- a/lycheegate/cli/tests/conftest.py
+++ b/lycheegate/cli/tests/conftest.py
@@ -40,7 +40,7 @@
     server.application = operators.OperatorApplication(
         fake,
         clock.FakeClock(),
-        lambda table, plan: store.accept(table, plan, sleep=lambda _: None),
+        lambda *args, **options: store.accept(*args, sleep=lambda _: None, **options),
     )
     return fake
 
--- a/lycheegate/entry/operators.py
+++ b/lycheegate/entry/operators.py
@@ -24,12 +24,15 @@
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import documents, exceptions, findings
 
-__all__ = ["PREFIX", "OperatorApplication"]
+__all__ = ["PREFIX", "WRITE_WINDOW_S", "OperatorApplication"]
 
 PREFIX = "/v1/operator/"
 # A guarantee may not rely on workers in these states: they are gone or about to be.
 _UNUSABLE = frozenset({"leaving", "lost"})
 _MAX_JOBS = 1000
+# Members forget an acknowledged release whose write they cannot see after 10 s. A write that is
+# sent within 6 s and has its time-out of 2 s ends before that.
+WRITE_WINDOW_S = 6.0
 _log = logs.Log("operators")
 
 
@@ -170,6 +173,7 @@
             accepted_at=self._clock.now().isoformat(timespec="seconds"),
         )
         plan = dataclasses.replace(plan, release=release)
+        deadline_s = self._clock.monotonic_s() + WRITE_WINDOW_S
         prepared = self._services.prepare_release(release)
         if isinstance(prepared, result.Failure):
             problem = prepared.failure()
@@ -186,7 +190,10 @@
                 f"{problem.needed} are needed; nothing was written"
             )
             return _make_error(503, "no_majority", message, missing=problem.missing)
-        return self._answer_apply(self._accept(table, plan), operator, plan, found)
+        outcome = self._accept(
+            table, plan, deadline_s=deadline_s, monotonic_s=self._clock.monotonic_s
+        )
+        return self._answer_apply(outcome, operator, plan, found)
 
     def _answer_apply(
         self,
--- a/lycheegate/entry/tests/test_operators.py
+++ b/lycheegate/entry/tests/test_operators.py
@@ -29,11 +29,12 @@
     def __init__(self, token=_TOKEN):
         self.services = entry_services.FakeServices()
         self.token = token
+        self.clock = clock.FakeClock()
         self.client = werkzeug_test.Client(
             operators.OperatorApplication(
                 self.services,
-                clock.FakeClock(),
-                lambda table, plan: store.accept(table, plan, sleep=lambda _: None),
+                self.clock,
+                lambda *args, **options: store.accept(*args, sleep=lambda _: None, **options),
             )
         )
 
@@ -144,6 +145,21 @@
     assert client.services.table.write_count == 0
 
 
+def test_no_write_follows_a_majority_that_took_too_long():
+    """Guards against a write after the members gave up on what they acknowledged."""
+    client = _Client()
+    prepare = client.services.prepare_release
+
+    def pause(release):
+        client.clock.advance(operators.WRITE_WINDOW_S)
+        return prepare(release)
+
+    client.services.prepare_release = pause
+    status, body = client.apply()
+    assert (status, body["error"]) == (503, "unavailable")
+    assert client.services.table.write_count == 0
+
+
 def test_outcome_of_lost_answers_is_reported_truthfully():
     """Guards against an operator who is told that nothing was written when it may have been."""
     client = _Client()
--- a/lycheegate/release/store.py
+++ b/lycheegate/release/store.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 import secrets
 import time
 from collections.abc import Callable, Sequence
@@ -169,6 +170,8 @@
     plan: plans.Plan,
     write_id: str | None = None,
     sleep: Callable[[float], None] = time.sleep,
+    deadline_s: float = math.inf,
+    monotonic_s: Callable[[], float] = time.monotonic,
 ) -> result.Result[Accepted, Outdated | Unsettled | exceptions.LycheegateError]:
     """Makes a plan the newest release by one conditional write.
 
@@ -177,6 +180,10 @@
         plan: The plan; its release says who accepts it and when.
         write_id: Recognises this write; a new one by default.
         sleep: Waits between tries after a lost answer.
+        deadline_s: Time on ``monotonic_s`` from which no write is sent. Members that acknowledged
+            a release take it as not accepted if the head does not show it some time later, so a
+            write must not follow after that.
+        monotonic_s: Clock of the deadline.
 
     Returns:
         The accepted release. Failures are ``Outdated`` (nothing written), ``Unsettled``, or the
@@ -196,6 +203,8 @@
     for delay_s in (0.0, *_RETRY_DELAYS_S):
         if delay_s:
             sleep(delay_s)
+        if monotonic_s() >= deadline_s:
+            break
         match table.transact(operations):
             case result.Success(_):
                 return result.Success(Accepted(plan.release))
@@ -209,6 +218,8 @@
             case result.Failure(error):
                 if not in_doubt:
                     return result.Failure(error)
+    if not in_doubt:
+        return result.Failure(exceptions.UnavailableError("the time for the write is over"))
     return result.Failure(Unsettled(plan.release.number))
 
 
--- a/lycheegate/release/tests/test_store.py
+++ b/lycheegate/release/tests/test_store.py
@@ -11,7 +11,7 @@
 from lycheegate.model import releases, resources
 from lycheegate.platform import table as table_module
 from lycheegate.release import encoding, holder, plans, store
-from lycheegate.utils import exceptions
+from lycheegate.utils import clock, exceptions
 from standins import memory
 
 
@@ -138,6 +138,33 @@
     assert store.read_head(table).unwrap().number == 1 + follow
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "writes", "error"),
+    [(0.0, 0, exceptions.UnavailableError), (5.0, 3, store.Unsettled)],
+)
+def test_no_write_is_sent_after_the_deadline(deadline_s, writes, error):
+    """Guards against a write that takes effect after members gave up on the release."""
+    table = memory.MemoryTable()
+    sent_s = []
+    now = clock.FakeClock()
+
+    class Slow:
+        read, scan = table.read, table.scan
+
+        def transact(self, operations, timeout_s=2.0):
+            sent_s.append(now.monotonic_s())
+            now.advance(timeout_s)
+            return result.Failure(exceptions.OutcomeUnknownError("time-out"))
+
+    plan = _make_plan(releases.Release(), "a")
+    outcome = store.accept(
+        Slow(), plan, None, lambda _: None, deadline_s=deadline_s, monotonic_s=now.monotonic_s
+    )
+    assert isinstance(outcome.failure(), error)
+    assert len(sent_s) == writes
+    assert all(at_s < deadline_s for at_s in sent_s)
+
+
 def test_unsettled_is_told_apart_from_refused():
     """Guards against 'nothing was written' after a write that may have taken effect."""
     table = memory.MemoryTable()
