--- a/lycheegate/entry/operators.py
+++ b/lycheegate/entry/operators.py
@@ -24,12 +24,15 @@
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import documents, exceptions, findings
 
-__all__ = ["PREFIX", "OperatorApplication"]
+__all__ = ["PREFIX", "WRITE_WINDOW_S", "OperatorApplication"]
 
 PREFIX = "/v1/operator/"
 # A guarantee may not rely on workers in these states: they are gone or about to be.
 _UNUSABLE = frozenset({"leaving", "lost"})
 _MAX_JOBS = 1000
+# Members forget an acknowledged release whose write they cannot see after 10 s. A write that is
+# sent within 6 s and has its time-out of 2 s ends before that.
+WRITE_WINDOW_S = 6.0
 _log = logs.Log("operators")
 
 
@@ -155,10 +158,9 @@
         if isinstance(newest, result.Failure):
             return _refuse_unavailable(newest.failure())
         document, context = self._read_note(request, newest.unwrap())
-        if findings.has_errors(document.collected):
-            return _refuse_note(findings.sort_findings(document.collected))
         note = document.value
-        if note.base < newest.unwrap().number:
+        is_readable = not findings.has_errors(document.collected)
+        if is_readable and note.base < newest.unwrap().number:
             digest = notes.compute_digest(note)
             return self._answer_apply(store.settle_base(table, note.base, digest), operator)
         found = checks.check_note(document, context)
@@ -171,6 +173,7 @@
             accepted_at=self._clock.now().isoformat(timespec="seconds"),
         )
         plan = dataclasses.replace(plan, release=release)
+        deadline_s = self._clock.monotonic_s() + WRITE_WINDOW_S
         prepared = self._services.prepare_release(release)
         if isinstance(prepared, result.Failure):
             problem = prepared.failure()
@@ -187,7 +190,10 @@
                 f"{problem.needed} are needed; nothing was written"
             )
             return _make_error(503, "no_majority", message, missing=problem.missing)
-        return self._answer_apply(self._accept(table, plan), operator, plan, found)
+        outcome = self._accept(
+            table, plan, deadline_s=deadline_s, monotonic_s=self._clock.monotonic_s
+        )
+        return self._answer_apply(outcome, operator, plan, found)
 
     def _answer_apply(
         self,
--- a/lycheegate/release/tests/test_checks.py
+++ b/lycheegate/release/tests/test_checks.py
@@ -84,6 +84,10 @@
             _CALLER + "  changed:\n    - {name: stylist-9, token_hash: secret}\n",
             [(4, 37, "out_of_range")],
         ),
+        (
+            _CALLER + '  changed:\n    - {name: stylist-9, brand_desk: "a\\x1b[2J"}\n',
+            [(4, 37, "out_of_range")],
+        ),
         # Base.
         (
             "base: 6\ncallers: {withdrawn: [stylist-9]}\n",
@@ -252,7 +256,7 @@
             "added",
             "guarantee",
             "atelier/small",
-            "2 x (1 x 4 accelerators in one data_centre) at suwon",
+            "2 x (1 x 4 accelerators in one data centre) at suwon",
         ),
         ("changed", "guarantee", "studio/hero", "data_centre suwon -> goyang"),
         ("changed", "caller", "retoucher-1", "new token, classes all -> preview"),
