Strengthen tests of worker client and stand-in that missed broken rules

Cause: each rule was broken once on purpose on a scratch copy. Of 55 breaks, 4 went unnoticed: a restarted worker, an own pause, a release that is not repeated, and a stand-in that tells a wrong 'started' for a deleted task. Change: the tests of these rules force the case. New test for a gap in the event numbers. Proof: all 55 breaks now fail a test, and were put back: 10 of http, 5 of the retry rules (one shown by the outage test), 5 of backoff, 5 of the table client, 3 of merging, 2 each of objects and VM list, 3 of answers, 12 of workers, 8 of the stand-ins. Two of them show as a test that does not end (requests served one at a time; broken poll ignored).

--- a/lycheegate/platform/__init__.py
+++ b/lycheegate/platform/__init__.py
@@ -1,3 +1,15 @@
 """Clients of the outside systems: table service, object store, VM list and workers."""
 
-__all__: list[str] = []
+__all__ = [
+    "answers",
+    "batching",
+    "guards",
+    "http",
+    "objects",
+    "table",
+    "table_client",
+    "vms",
+    "worker_links",
+    "worker_protocol",
+    "workers",
+]
--- a/lycheegate/platform/tests/test_workers.py
+++ b/lycheegate/platform/tests/test_workers.py
@@ -276,13 +276,34 @@
     """Guards against an owner that takes all workers for lost after it was paused itself."""
     skipped = [0.0]
     owner = _Owner(standin, monotonic_s=lambda: time.monotonic() + skipped[0])
-    owner.hold("a.0", {"run_s": 0.5})
-    skipped[0] = 60.0
-    owner.take(events.TaskFinished, task_id="a.0")
+    with owner.pool._context.lock:
+        # Nothing that arrives after the pause is taken before the check.
+        skipped[0] = 60.0
+        owner.pool._check_losses()
+    owner.hold("a.0")
+    owner.take(events.TaskStarted, task_id="a.0")
     assert not any(isinstance(event, events.WorkerLost) for event in owner.seen)
     owner.close()
 
 
+def test_repeat_release(standin):
+    """Guards against a release that is given up, so that the task identifier stays usable."""
+    settings = workers.WorkerSettings(poll_wait_s=0.2, loss_timeout_s=15.0, order_timeout_s=0.2)
+    owner = _Owner(standin, settings=settings)
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    standin.faults.set(refused=True)
+    owner.pool.release(commands.ReleaseTask("a.0", "w1"))
+    while owner.pool._links["w1"].pending:
+        time.sleep(0.01)
+    standin.faults.clear()
+    # The poll has met the refusals as well, so the worker is reported first.
+    assert [task.task_id for task in owner.take(events.WorkerReported).tasks] == ["a.0"]
+    owner.pool.accept_orders("w1")
+    owner.take(events.TaskReleased, task_id="a.0", started=True)
+    owner.close()
+
+
 def test_delete_unsettled_order_before_the_report(owner):
     """Guards against a report that omits a task which starts later.
 
@@ -301,10 +322,12 @@
     assert owner.standin.get_starts() == {}
 
 
-def test_restarted_worker(standin, owner):
+@pytest.mark.parametrize("busy", [True, False])
+def test_restarted_worker(standin, owner, busy):
     """Guards against a worker that has lost its tasks in a restart and still counts as running."""
-    owner.hold("a.0")
-    owner.take(events.TaskStarted)
+    if busy:
+        owner.hold("a.0")
+        owner.take(events.TaskStarted)
     port = int(standin.address.rpartition(":")[2])
     standin.stop()
     fresh = worker_standin.WorkerStandin(port=port)
@@ -314,6 +337,15 @@
     owner.take(events.WorkerLost)
 
 
+def test_event_gap(standin, owner):
+    """Guards against events that were dropped by the worker and are never made up for."""
+    owner.hold("a.0")
+    owner.take(events.TaskStarted)
+    with standin._changed:
+        standin._state.last_seq += 3
+    assert [task.task_id for task in owner.take(events.WorkerReported).tasks] == ["a.0"]
+
+
 def test_remove(owner):
     """Guards against a worker that is gone from the VM list and still counts."""
     owner.pool.remove("w1")
--- a/standins/tests/test_worker.py
+++ b/standins/tests/test_worker.py
@@ -11,8 +11,10 @@
 
 from standins import tasks, worker
 
-_TASK_IDS = st.sampled_from(["a.0", "b.0", "b.1"])
-_EPOCHS = st.integers(1, 4)
+_TASK_IDS = st.sampled_from([f"{name}.0" for name in "abcdefgh"])
+# Relative to the highest epoch so far. With absolute epochs nearly all orders were fenced, and no
+# started task was ever deleted.
+_EPOCH_STEPS = st.sampled_from([0, 0, 0, 0, -1, 1])
 
 
 class Fencing(stateful.RuleBasedStateMachine):
@@ -20,9 +22,10 @@
 
     def __init__(self):
         super().__init__()
-        self.state = tasks.WorkerState(slots=2, accelerators=8)
+        self.state = tasks.WorkerState(slots=4, accelerators=8)
         self.now_s = 0.0
-        self.highest = 0
+        self.highest = 1
+        self.state.fence("p", 1, 20.0, 0.0)
         self.deleted: dict[str, bool] = {}
         self.started: set[str] = set()
 
@@ -38,12 +41,13 @@
 
     @stateful.rule(
         task_id=_TASK_IDS,
-        epoch=_EPOCHS,
+        epoch_step=_EPOCH_STEPS,
         state=st.sampled_from(["held", "running"]),
         run_s=st.sampled_from([0.0, 5.0]),
     )
-    def put(self, task_id, epoch, state, run_s):
+    def put(self, task_id, epoch_step, state, run_s):
         """Orders a task; the request identifier is that of the task."""
+        epoch = self.highest + epoch_step
         order = tasks.Order(
             request_id=task_id,
             partition="p",
@@ -65,9 +69,10 @@
             if reply.status == 201 and state == "running":
                 self.started.add(task_id)
 
-    @stateful.rule(task_id=_TASK_IDS, epoch=_EPOCHS)
-    def start(self, task_id, epoch):
+    @stateful.rule(task_id=_TASK_IDS, epoch_step=_EPOCH_STEPS)
+    def start(self, task_id, epoch_step):
         """Starts a task."""
+        epoch = self.highest + epoch_step
         known = task_id in self.state.tasks
         reply = self.state.start_task(task_id, epoch, self.now_s)
         if not known:
@@ -75,25 +80,30 @@
         elif self._check_fencing(epoch, reply) and reply.status == 200:
             self.started.add(task_id)
 
-    @stateful.rule(task_id=_TASK_IDS, epoch=_EPOCHS, mode=st.sampled_from(["checkpoint", "kill"]))
-    def stop(self, task_id, epoch, mode):
+    @stateful.rule(
+        task_id=_TASK_IDS, epoch_step=_EPOCH_STEPS, mode=st.sampled_from(["checkpoint", "kill"])
+    )
+    def stop(self, task_id, epoch_step, mode):
         """Stops a task."""
+        epoch = self.highest + epoch_step
         known = task_id in self.state.tasks
         reply = self.state.stop_task(task_id, epoch, mode, 1.0, self.now_s)
         if known and self._check_fencing(epoch, reply):
             assert self.state.tasks[task_id].state not in ("held", "running")
 
-    @stateful.rule(task_id=_TASK_IDS, epoch=_EPOCHS)
-    def delete(self, task_id, epoch):
+    @stateful.rule(task_id=_TASK_IDS, epoch_step=_EPOCH_STEPS)
+    def delete(self, task_id, epoch_step):
         """Deletes a task; the reply must say truthfully whether it ever started."""
+        epoch = self.highest + epoch_step
         reply = self.state.delete_task(task_id, epoch, "p", self.now_s)
         if self._check_fencing(epoch, reply):
             assert reply.body == {"started": task_id in self.started}
             self.deleted[task_id] = task_id in self.started
 
-    @stateful.rule(epoch=_EPOCHS)
-    def fence(self, epoch):
+    @stateful.rule(epoch_step=_EPOCH_STEPS)
+    def fence(self, epoch_step):
         """Fences the worker and compares the list of tasks."""
+        epoch = self.highest + epoch_step
         reply = self.state.fence("p", epoch, 20.0, self.now_s)
         if self._check_fencing(epoch, reply):
             assert {task["task_id"] for task in reply.body["tasks"]} == set(self.state.tasks)
