--- a/lycheegate/peers/ownership.py
+++ b/lycheegate/peers/ownership.py
@@ -39,8 +39,12 @@
 READ_INTERVAL_S = 0.25
 """Time between reads of a row that this process does not own; bounds the takeover after lapse."""
 
-RANK_DELAY_S = 0.15
-"""Extra wait of a candidate for each better one, so that rivals seldom write at once."""
+RANK_DELAY_S = 0.4
+"""Extra wait of a candidate for each better one.
+
+Longer than the read interval: with 0.15 s, an owner that had handed over took the partition back
+before the preferred candidate had read the row.
+"""
 
 SETTLE_S = 3.0
 """Time for which another member must be preferred before the owner hands over to it."""
