Let the operating system choose the ports of test deployments

Cause: one of ten trial runs of the demo failed because a port chosen in advance was taken. Change: entry VMs bind port 0 and find each other through their member rows.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -198,13 +197,6 @@
         return totals
 
 
-def choose_port() -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 @contextlib.contextmanager
 def deploy(
     directory: pathlib.Path,
@@ -253,20 +245,15 @@
         )
         deployment.show_vms()
         stack.callback(lambda: [one.stop() for one in deployment.entries.values()])
-        addresses = {vm_id: f"127.0.0.1:{choose_port()}" for vm_id in entries}
         for vm_id, place in entries.items():
             document = {
                 **settings,
                 "vm_id": vm_id,
                 "region": place.region,
                 "data_centre": place.data_centre,
-                "callers_address": f"127.0.0.1:{choose_port()}",
-                "peers_address": addresses[vm_id],
-                "peers": [
-                    {"vm_id": other, "address": address}
-                    for other, address in addresses.items()
-                    if other != vm_id
-                ],
+                # The operating system chooses the ports; peers find each other in the table.
+                "callers_address": "127.0.0.1:0",
+                "peers_address": "127.0.0.1:0",
             }
             path = directory / f"{vm_id}.yaml"
             path.write_text(yaml.safe_dump(document), encoding="utf-8")
