Notice a restarted worker by its instance and never trust its empty memory

Worse, no report was ever marked as restarted, so that the decisions took a missing task as proof that a non-idempotent request had not started, and a deletion at a restarted worker answered started=false. Change: polls and deletions state an instance that changes with each start. A report after a change, and the first report of an owner, is marked as restarted; a deletion answered by another instance counts as started. The test also asks for the mark. Conclusion: a recorded attempt whose order was never sent now ends may_have_run after a takeover; recording the instance with the attempt would make that narrower.

--- a/lycheegate/platform/tests/test_workers.py
+++ b/lycheegate/platform/tests/test_workers.py
@@ -333,7 +333,8 @@
     fresh = worker_standin.WorkerStandin(port=port)
     fresh.start()
     try:
-        assert owner.take(events.WorkerReported).tasks == ()
+        report = owner.take(events.WorkerReported)
+        assert (report.tasks, report.restarted) == ((), True)
     finally:
         # The threads of a server that still runs keep the test process from ending.
         fresh.stop()
--- a/lycheegate/platform/worker_links.py
+++ b/lycheegate/platform/worker_links.py
@@ -141,6 +141,8 @@
         # Grows with each new connection; what was sent on behalf of an older one is ignored.
         self._generation = 0
         self._after = 0
+        self.instance = ""
+        self._reported_instance = ""
         self._polled_at_s = 0.0
         self._renew_at_s = 0.0
 
@@ -223,7 +225,8 @@
                 # An order that is under way would make the report incomplete.
                 retry()
                 return
-            self._after = decoded.unwrap().next
+            position = decoded.unwrap()
+            self._after, self.instance = position.next, position.instance
             body = protocol.encode_fence(context.partition, context.epoch, context.settings.lease_s)
             self._send("POST", "/v1/fence", body, timeout_s, take_fence)
 
@@ -254,7 +257,7 @@
                     retry()
                     return
                 self.unsettled.pop(task_id, None)
-                if decoded.unwrap().started:
+                if decoded.unwrap().started or decoded.unwrap().instance != self.instance:
                     reports.append(_make_stopped_report(command))
                 settle(fence, reports)
 
@@ -284,7 +287,11 @@
         )
         self.state = LinkState.REPORTED
         self.was_reported = True
-        self._context.emit(events.WorkerReported(self.worker, reports))
+        # Before the first report nothing is known of earlier starts of the worker, so that the
+        # absence of a task proves nothing then either.
+        restarted = self._reported_instance != self.instance
+        self._reported_instance = self.instance
+        self._context.emit(events.WorkerReported(self.worker, reports, restarted=restarted))
         if self.leaving:
             self._context.emit(events.WorkerLeaving(self.worker.worker_id))
         elif fence.leaving:
@@ -306,8 +313,10 @@
         now_s = self._context.monotonic_s()
         self.last_answer_s = now_s
         poll = decoded.unwrap()
-        if poll.next != self._after + len(poll.events):
-            # The worker has restarted, or no longer has all events.
+        is_restarted = poll.instance != self.instance
+        if is_restarted or poll.next != self._after + len(poll.events):
+            # The worker has restarted, or no longer has all events. Event numbers alone do not
+            # show the restart of an idle worker, which also forgets the epoch that fences it.
             self._reconnect()
             return
         for event in poll.events:
--- a/lycheegate/platform/worker_protocol.py
+++ b/lycheegate/platform/worker_protocol.py
@@ -52,12 +52,13 @@
 
 
 class PollBody(msgspec.Struct):
-    """Answer to the long poll."""
+    """Answer to the long poll; ``instance`` changes with each start of the worker."""
 
     next: int
     events: list[EventBody]
     leaving: bool = False
     usage: dict[str, Any] = {}
+    instance: str = ""
 
 
 class _TaskBody(msgspec.Struct):
@@ -85,6 +86,7 @@
     started: bool = False
     error: str = ""
     epoch: int = 0
+    instance: str = ""
 
 
 def make_task_path(task_id: str) -> str:
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -177,7 +177,9 @@
             link.ranks.pop(task_id, None)
             link.finished.pop(task_id, None)
             link.unsettled.pop(task_id, None)
-            self._context.emit(events.TaskReleased(task_id, reply.started))
+            # A worker that has restarted no longer knows whether the task had started.
+            started = reply.started or reply.instance != link.instance
+            self._context.emit(events.TaskReleased(task_id, started))
 
         path = self._context.make_delete_path(task_id)
         self._order_until_answered(command.worker_id, "DELETE", path, None, take)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+import uuid
 from collections.abc import Callable
 from typing import Any
 
@@ -76,6 +77,7 @@
         self._state = tasks.WorkerState(slots, accelerators)
         self._now = monotonic_s
         self._changed = threading.Condition()
+        self._instance = uuid.uuid4().hex
         self._poll_numbers: list[int] = []
         self._poll_count = 0
         self._stopped = False
@@ -162,6 +164,9 @@
             reply = self._take_order(endpoint, arguments.get("task_id", ""), request)
         except (msgspec.DecodeError, ValueError, TypeError) as error:
             return faults_module.make_json_response({"error": str(error)}, 400)
+        if endpoint == "delete":
+            body = {**reply.body, "instance": self._instance}
+            return faults_module.make_json_response(body, reply.status)
         return faults_module.make_json_response(reply.body, reply.status)
 
     def _take_order(self, endpoint: str, task_id: str, request: wrappers.Request) -> tasks.Reply:
@@ -222,6 +227,7 @@
                 "events": state.list_events(after, self._now()),
                 "leaving": state.leaving,
                 "usage": state.get_usage(self._now()),
+                "instance": self._instance,
             }
         # A process that was paused while the poll waited does not answer before it resumes.
         self.faults.wait_while_stalled()
