Key the guard of a prepared release by proposal

Cause: two operators may propose the same release number at once. The guard that keeps an entry VM from serving without a confirmed release was lifted by number alone, so that the withdrawal of the losing proposal also lifted it for the accepted one; after a loss of the store, a member could then go on under the old release. Change: prepare and withdraw carry a proposal identifier; a number stays prepared until all of its proposals are withdrawn or it is decided. Measured: test_withdraw_one_of_two_proposals fails on the former confirmation.py and passes now. Conclusion: kept; an accepted release cannot lose its guard to another operator's refusal.

--- a/lycheegate/entry/control.py
+++ b/lycheegate/entry/control.py
@@ -156,9 +156,11 @@
         for vm_id in self._mesh.list_connected():
             self._mesh.send(vm_id, push)
 
-    def prepare(self, number: int, withdrawn: bool, reply: Callable[[bool], None]) -> None:
+    def prepare(
+        self, number: int, withdrawn: bool, reply: Callable[[bool], None], proposal: str = ""
+    ) -> None:
         """Acknowledges a release that is about to be accepted, or its withdrawal."""
-        self.call(lambda: self._prepare(number, withdrawn, reply))
+        self.call(lambda: self._prepare(number, withdrawn, reply, proposal))
 
     def start_drain(self) -> None:
         """Announces that this entry VM is about to exit and hands its partitions over."""
@@ -295,13 +297,17 @@
         _log.info("release_in_force", number=release.number)
         self._hooks.on_release(release)
 
-    def _prepare(self, number: int, withdrawn: bool, reply: Callable[[bool], None]) -> None:
+    def _prepare(
+        self, number: int, withdrawn: bool, reply: Callable[[bool], None], proposal: str
+    ) -> None:
         if withdrawn:
-            self.confirmation = confirmation.withdraw(self.confirmation, number)
+            self.confirmation = confirmation.withdraw(self.confirmation, number, proposal)
             reply(True)
             return
         now_s = self._clock.monotonic_s()
-        self.confirmation, accepted = confirmation.prepare(self.confirmation, number, now_s)
+        self.confirmation, accepted = confirmation.prepare(
+            self.confirmation, number, now_s, proposal
+        )
         reply(accepted)
 
     def _start_read_head(self) -> None:
--- a/lycheegate/entry/daemon.py
+++ b/lycheegate/entry/daemon.py
@@ -173,7 +173,7 @@
                     ack = messages.ReleaseAck(message.call_id, message.number, accepted)
                     self.mesh.send(vm_id, ack)
 
-                self.control.prepare(message.number, message.withdrawn, reply)
+                self.control.prepare(message.number, message.withdrawn, reply, message.proposal)
             case messages.ReleaseAck():
                 self.calls.resolve(message.call_id, message)
             case messages.Status():
--- a/lycheegate/entry/operating.py
+++ b/lycheegate/entry/operating.py
@@ -1,6 +1,7 @@
 """What the operators' interface needs of the daemon: releases, views, drain."""
 
 import time
+import uuid
 from collections.abc import Callable, Sequence
 from concurrent import futures
 from typing import Any
@@ -123,10 +124,14 @@
         number = release.number
         members = control.confirmation.members | {self._daemon.settings.vm_id}
         needed = len(members) // 2 + 1
+        proposal = uuid.uuid4().hex
         own: futures.Future[bool] = futures.Future()
-        control.prepare(number, False, own.set_result)
+        control.prepare(number, False, own.set_result, proposal)
         pending = {
-            vm_id: self._ask(vm_id, lambda call_id: messages.ReleasePrepare(call_id, number))
+            vm_id: self._ask(
+                vm_id,
+                lambda call_id: messages.ReleasePrepare(call_id, number, proposal=proposal),
+            )
             for vm_id in members - {self._daemon.settings.vm_id}
         }
         ends_s = time.monotonic() + PREPARE_LIMIT_S
@@ -139,7 +144,7 @@
                 acknowledged.add(vm_id)
         if len(acknowledged) >= needed:
             return result.Success(len(acknowledged))
-        self._withdraw(number, members)
+        self._withdraw(number, proposal, members)
         missing = tuple(sorted(members - acknowledged))
         return result.Failure(services.NoMajority(len(acknowledged), needed, missing))
 
@@ -310,10 +315,11 @@
             future.set_result(None)
         return future
 
-    def _withdraw(self, number: int, members: Sequence[str]) -> None:
-        self._daemon.control.prepare(number, True, lambda accepted: None)
+    def _withdraw(self, number: int, proposal: str, members: Sequence[str]) -> None:
+        self._daemon.control.prepare(number, True, lambda accepted: None, proposal)
+        message = messages.ReleasePrepare("", number, withdrawn=True, proposal=proposal)
         for vm_id in members:
-            self._daemon.mesh.send(vm_id, messages.ReleasePrepare("", number, withdrawn=True))
+            self._daemon.mesh.send(vm_id, message)
 
 
 def _wait(future: futures.Future, ends_s: float) -> Any:
--- a/lycheegate/peers/confirmation.py
+++ b/lycheegate/peers/confirmation.py
@@ -83,6 +83,7 @@
         confirmed_at_s: Latest time at which ``release`` was certainly the newest.
         table_ok_at_s: Start of the latest successful read of the head from the table.
         prepared: Highest release acknowledged here and not seen decided.
+        proposals: Proposals of that release; operators may propose the same number at once.
         prepared_at_s: When it was acknowledged.
         members: Known members, this entry VM included.
         reports: Latest statement of each peer.
@@ -95,6 +96,7 @@
     confirmed_at_s: float | None = None
     table_ok_at_s: float | None = None
     prepared: int = 0
+    proposals: frozenset[str] = frozenset()
     prepared_at_s: float = 0.0
     members: frozenset[str] = frozenset()
     reports: Mapping[str, PeerReport] = dataclasses.field(default_factory=dict)
@@ -158,7 +160,9 @@
     return dataclasses.replace(state, members=frozenset(members) | {state.vm_id})
 
 
-def prepare(state: ConfirmationState, number: int, now_s: float) -> tuple[ConfirmationState, bool]:
+def prepare(
+    state: ConfirmationState, number: int, now_s: float, proposal: str = ""
+) -> tuple[ConfirmationState, bool]:
     """Acknowledges a release that is about to be accepted.
 
     Returns:
@@ -166,15 +170,23 @@
     """
     if number <= state.release:
         return state, False
+    proposals = frozenset() if number > state.prepared else state.proposals
+    if number >= state.prepared:
+        proposals |= {proposal}
     prepared = max(state.prepared, number)
-    return dataclasses.replace(state, prepared=prepared, prepared_at_s=now_s), True
+    state = dataclasses.replace(state, prepared=prepared, proposals=proposals, prepared_at_s=now_s)
+    return state, True
 
 
-def withdraw(state: ConfirmationState, number: int) -> ConfirmationState:
-    """Notes that a prepared release will certainly not be accepted."""
+def withdraw(state: ConfirmationState, number: int, proposal: str = "") -> ConfirmationState:
+    """Notes that a proposal of a release will certainly not be accepted.
+
+    Another proposal of the same number may still be, so that the number stays prepared for it.
+    """
     if state.prepared != number:
         return state
-    return dataclasses.replace(state, prepared=0)
+    proposals = state.proposals - {proposal}
+    return dataclasses.replace(state, proposals=proposals, prepared=number if proposals else 0)
 
 
 def judge(state: ConfirmationState, now_s: float) -> Verdict:
--- a/lycheegate/peers/messages.py
+++ b/lycheegate/peers/messages.py
@@ -106,6 +106,7 @@
     call_id: str
     number: int
     withdrawn: bool = False
+    proposal: str = ""
 
 
 class ReleaseAck(msgspec.Struct, frozen=True):
--- a/lycheegate/peers/tests/test_confirmation.py
+++ b/lycheegate/peers/tests/test_confirmation.py
@@ -178,3 +178,24 @@
 TestConfirmationMachine.settings = hypothesis.settings(
     stateful_step_count=50, max_examples=150, derandomize=True
 )
+
+
+@pytest.mark.parametrize(
+    ("withdrawals", "prepared"),
+    [
+        ([(5, "b")], 5),
+        ([(5, "a")], 5),
+        ([(5, "a"), (5, "b")], 0),
+        ([(5, "b"), (5, "b")], 5),
+        ([(4, "a"), (4, "b")], 5),
+    ],
+)
+def test_withdraw_one_of_two_proposals(withdrawals, prepared):
+    """Guards against a losing operator who lifts the guard of the release that is accepted."""
+    state = confirmation.ConfirmationState("vm", 0.0, release=4, known=True)
+    for proposal in ("a", "b"):
+        state, accepted = confirmation.prepare(state, 5, 1.0, proposal)
+        assert accepted
+    for number, proposal in withdrawals:
+        state = confirmation.withdraw(state, number, proposal)
+    assert state.prepared == prepared
