--- a/lycheegate/peers/ownership.py
+++ b/lycheegate/peers/ownership.py
@@ -39,6 +39,10 @@
 READ_INTERVAL_S = 0.25
 """Time between reads of a row that this process does not own; bounds the takeover after lapse."""
 
+LIVE_READ_INTERVAL_S = 0.5
+"""The same while the owner is heard. 8 entry VMs that read 16 rows each 0.25 s make 512 reads a
+second; a released lease is then seen up to this much later."""
+
 RANK_DELAY_S = 0.4
 """Extra wait of a candidate for each better one.
 
@@ -88,6 +92,7 @@
         is_writing: Whether a claim, renewal or release is under way.
         next_write_s: When the lease is renewed next.
         next_read_s: When the row is read next.
+        is_owner_live: Whether the owner was heard lately.
         preferred_since_s: Since when another member has been preferred, or None.
         draining: Whether this process is about to exit.
     """
@@ -106,6 +111,7 @@
     is_writing: bool = False
     next_write_s: float = 0.0
     next_read_s: float = 0.0
+    is_owner_live: bool = False
     preferred_since_s: float | None = None
     draining: bool = False
 
@@ -311,7 +317,9 @@
     if state.row is not None and (row is None or row.version < state.row.version):
         return state, []
     state = _see(state, row, now_s)
-    state = dataclasses.replace(state, next_read_s=now_s + READ_INTERVAL_S, is_uncertain=False)
+    state = dataclasses.replace(
+        state, next_read_s=now_s + _get_read_interval_s(state), is_uncertain=False
+    )
     is_ours = row is not None and (row.owner, row.boot_id) == (state.vm_id, state.boot_id)
     if state.owned_epoch is None:
         if is_ours and not row.released and not state.is_writing and row.epoch > state.lost_epoch:
@@ -329,9 +337,13 @@
     state = dataclasses.replace(state, draining=tick.draining)
     if state.owned_epoch is not None:
         return _tick_owner(state, tick, now_s)
+    is_owner_live = state.row is not None and state.row.owner in tick.live
+    if state.is_owner_live and not is_owner_live:
+        state = dataclasses.replace(state, next_read_s=now_s)
+    state = dataclasses.replace(state, is_owner_live=is_owner_live)
     actions: list[Action] = []
     if now_s >= state.next_read_s:
-        state = dataclasses.replace(state, next_read_s=now_s + READ_INTERVAL_S)
+        state = dataclasses.replace(state, next_read_s=now_s + _get_read_interval_s(state))
         actions.append(ReadRow())
     if state.is_read and not state.is_writing and not state.draining:
         ranked = rank_candidates(state.partition, tick.live)
@@ -344,6 +356,11 @@
     return state, actions
 
 
+def _get_read_interval_s(state: OwnershipState) -> float:
+    is_quiet = state.owned_epoch is None and state.is_owner_live
+    return LIVE_READ_INTERVAL_S if is_quiet else READ_INTERVAL_S
+
+
 def _is_free_for(state: OwnershipState, position: int, now_s: float) -> bool:
     waited_s = now_s - state.seen_at_s - position * RANK_DELAY_S
     if state.row is None or state.row.released:
--- a/lycheegate/peers/tests/test_ownership.py
+++ b/lycheegate/peers/tests/test_ownership.py
@@ -218,3 +218,18 @@
     world.run(8.0)
     assert [started for started in world.started if started[1] == epoch] == [(failed, epoch)]
     assert world.row.epoch > epoch
+
+
+@pytest.mark.parametrize(("live", "most"), [(("owner", "vm"), 21), (("vm",), 41)])
+def test_read_seldom_while_the_owner_is_heard(live, most):
+    """Guards against reads of lease rows that use up the store and the link of an entry VM."""
+    state = ownership.create_state("dc/0", "vm", "boot")
+    reads = 0
+    for step in range(200):
+        now_s = step * 0.05
+        state, actions = ownership.decide(state, ownership.Tick(dict.fromkeys(live, "dc")), now_s)
+        if ownership.ReadRow() in actions:
+            reads += 1
+            row = ownership.LeaseRow("owner", "other", 1, False, step + 1)
+            state, _ = ownership.decide(state, ownership.RowRead(row), now_s)
+    assert most / 2 < reads <= most
