Refuse work that only several own guarantees together could hold

Cause: find_impossible counted a client account's own homes as usable for any of its work, but a request lies within one unit or outside all homes. A batch of two members of 2 accelerators waited for ever on four idle workers of 4, three of them homes of its own account. Change: work that no unit serves has to fit outside all homes; the same rule (at least half the unit) now decides in the search and in the check.

--- a/lycheegate/core/guarantees.py
+++ b/lycheegate/core/guarantees.py
@@ -103,13 +103,9 @@
     return added, removed
 
 
-def total_guaranteed(state: GuaranteeState, client_account: str) -> int:
-    """Returns the accelerators guaranteed to all client accounts but the given one."""
-    return sum(
-        unit.shape.total_accelerators
-        for unit in state.units.values()
-        if unit.client_account != client_account
-    )
+def total_guaranteed(state: GuaranteeState) -> int:
+    """Returns the accelerators of all guaranteed units."""
+    return sum(unit.shape.total_accelerators for unit in state.units.values())
 
 
 def find_exact_unit(
@@ -128,11 +124,7 @@
     A request that needs less than half of a unit does not use it: its client account would lose
     a guaranteed block to a small task that may not be stoppable.
     """
-    shapes = [
-        outer
-        for outer in state.idle.get(client_account, ())
-        if _holds(outer, shape) and 2 * shape.total_accelerators >= outer.total_accelerators
-    ]
+    shapes = [outer for outer in state.idle.get(client_account, ()) if _serves(outer, shape)]
     if not shapes:
         return None
     smallest = min(shapes, key=lambda s: (s.total_accelerators, s.members, s.adjacency))
@@ -150,9 +142,9 @@
 
 
 def has_fitting_unit(state: GuaranteeState, client_account: str, shape: resources.Shape) -> bool:
-    """Returns whether some unit of the client account, used or not, holds the shape."""
+    """Returns whether some unit of the client account, used or not, serves the shape."""
     return any(
-        unit.client_account == client_account and _holds(unit.shape, shape)
+        unit.client_account == client_account and _serves(unit.shape, shape)
         for unit in state.units.values()
     )
 
@@ -196,6 +188,10 @@
                 del state.idle[unit.client_account]
 
 
+def _serves(outer: resources.Shape, inner: resources.Shape) -> bool:
+    return _holds(outer, inner) and 2 * inner.total_accelerators >= outer.total_accelerators
+
+
 def _holds(outer: resources.Shape, inner: resources.Shape) -> bool:
     return (
         inner.members <= outer.members
--- a/lycheegate/core/scheduling.py
+++ b/lycheegate/core/scheduling.py
@@ -363,7 +363,8 @@
         return None
     totals, ratio = s.top.totals, s.settings.urgent_reserve_ratio
     accelerators = totals[capacity.Total.PRESENT_ACCELERATORS]
-    free = accelerators - guarantees.total_guaranteed(s.guaranteed, account)
+    # Work that no unit serves stays outside all homes, those of its own client account included.
+    free = accelerators - guarantees.total_guaranteed(s.guaranteed)
     if shape.total_accelerators > free:
         return "guarantees"
     if request.urgency is not requests.Urgency.URGENT:
--- a/lycheegate/core/tests/test_scheduling.py
+++ b/lycheegate/core/tests/test_scheduling.py
@@ -389,3 +389,29 @@
     run.end("r")
     _submit(run, "n", resources.Shape(1, 8), "b")
     assert _plan(run)[0] == ["n"]
+
+
+@pytest.mark.parametrize(
+    ("shape", "reason"),
+    [
+        (resources.Shape(2, 2), "urgent_reserve"),
+        (resources.Shape(1, 1), None),
+        (resources.Shape(1, 4), None),
+        (resources.Shape(1, 2), None),
+    ],
+)
+def test_refuse_work_that_only_several_own_homes_could_hold(shape, reason):
+    """Guards against a request that waits for ever beside the idle guarantees of its account."""
+    s = scheduling.create_scheduling_state(policy.PolicySettings())
+    for number in range(4):
+        worker = resources.Worker(f"w{number}", "", "r", "dc", "rack", 4, 4)
+        scheduling.add_worker(s, worker)
+    guarantee = releases.Guarantee("a", "g", resources.Shape(1, 4), 3, "dc")
+    scheduling.apply_release(s, (releases.ClientAccount("a"),), (guarantee,))
+    request = requests.Request(
+        "r", "a", "c", "batch", requests.Urgency.BATCH, shape, False, False, 0.0
+    )
+    assert scheduling.find_impossible(s, request) == reason
+    if reason is None:
+        scheduling.enqueue(s, request, 0.0)
+        assert len(scheduling.plan(s, 1.0)) == 1
