Keep one function that assigns racks to partitions

Cause: core.routing.assign_rack repeated what peers.hashing.partition_of_rack does, with another hash, and nothing but its own test called it; the daemon assigns racks by partition_of_rack.

--- a/lycheegate/core/routing.py
+++ b/lycheegate/core/routing.py
@@ -6,13 +6,12 @@
 """
 
 import dataclasses
-import hashlib
 import random
 from collections.abc import Callable, Sequence
 
 from lycheegate.model import requests, resources
 
-__all__ = ["PartitionSummary", "assign_rack", "choose_partition"]
+__all__ = ["PartitionSummary", "choose_partition"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,15 +106,3 @@
         return used / total, summary.queued / max(1, summary.total_slots), summary.partition
 
     return measure
-
-
-def assign_rack(rack: str, partitions: int) -> int:
-    """Returns the partition number of a rack within its data centre.
-
-    Rendezvous hashing: when the number of partitions changes, only the racks move that the new
-    partition takes, or that the removed one held.
-    """
-    return max(
-        range(partitions),
-        key=lambda number: hashlib.sha256(f"{rack}/{number}".encode()).digest(),
-    )
