Move the clients of the project's own services to lycheegate.clients

Cause: lycheegate.platform is to hold only the translation between the users' platform and the product, but held 2,360 lines of clients for services that this project defined itself. Change: the package is renamed without a change of behaviour; imports, tests and pages follow. Measured: tests of the package and of release pass as before.

--- a/benchmarks/platform_clients.py
+++ b/benchmarks/platform_clients.py
@@ -15,10 +15,10 @@
 import time
 from collections.abc import Iterator
 
+from lycheegate.clients import batching, http, table_client, workers
+from lycheegate.clients import table as table_module
 from lycheegate.core import events
 from lycheegate.model import resources
-from lycheegate.platform import batching, http, table_client, workers
-from lycheegate.platform import table as table_module
 
 __all__ = ["main"]
 
--- a/lycheegate/platform/answers.py
+++ b/lycheegate/clients/answers.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from lycheegate.platform import guards, http
+from lycheegate.clients import guards, http
 from lycheegate.utils import backoff, exceptions
 
 __all__ = ["AnswerRequest", "check_answer", "fetch_answer"]
--- a/lycheegate/platform/batching.py
+++ b/lycheegate/clients/batching.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from lycheegate.platform import table as table_module
+from lycheegate.clients import table as table_module
 from lycheegate.utils import exceptions
 
 __all__ = ["BatchingTable"]
--- a/lycheegate/platform/guards.py
+++ b/lycheegate/clients/guards.py
@@ -8,7 +8,7 @@
 
 from returns import result
 
-from lycheegate.platform import http
+from lycheegate.clients import http
 from lycheegate.utils import backoff, exceptions
 
 __all__ = ["Guard", "create_guard", "find_error", "send", "send_and_wait"]
--- a/lycheegate/platform/objects.py
+++ b/lycheegate/clients/objects.py
@@ -8,7 +8,7 @@
 
 from returns import result
 
-from lycheegate.platform import guards, http
+from lycheegate.clients import guards, http
 from lycheegate.utils import exceptions
 
 __all__ = ["ObjectStore"]
--- a/lycheegate/platform/table_client.py
+++ b/lycheegate/clients/table_client.py
@@ -11,8 +11,8 @@
 import msgspec
 from returns import result
 
-from lycheegate.platform import guards, http
-from lycheegate.platform import table as table_module
+from lycheegate.clients import guards, http
+from lycheegate.clients import table as table_module
 from lycheegate.utils import backoff, exceptions
 
 __all__ = ["WRITE_ID_FIELD", "HttpTable"]
@@ -63,7 +63,7 @@
 
 
 class HttpTable:
-    """Table service over HTTP; implements ``lycheegate.platform.table.Table``.
+    """Table service over HTTP; implements ``lycheegate.clients.table.Table``.
 
     A transaction whose answer was lost is settled by reading one of its rows back. Each value
     carries the identifier of the transaction that wrote it. A conditional transaction that has not
--- a/lycheegate/platform/tests/test_batching.py
+++ b/lycheegate/clients/tests/test_batching.py
@@ -6,8 +6,8 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import batching
-from lycheegate.platform import table as table_module
+from lycheegate.clients import batching
+from lycheegate.clients import table as table_module
 from lycheegate.utils import exceptions
 from standins import memory
 
--- a/lycheegate/platform/tests/test_docs_platform.py
+++ b/lycheegate/clients/tests/test_docs_clients.py
@@ -1,9 +1,9 @@
-"""Runs the worked example of docs/platform.md."""
+"""Runs the worked example of docs/clients.md."""
 
 import pathlib
 import re
 
-_PAGE = pathlib.Path(__file__).parents[3] / "docs" / "platform.md"
+_PAGE = pathlib.Path(__file__).parents[3] / "docs" / "clients.md"
 
 
 def test_worked_example():
--- a/lycheegate/platform/tests/test_guards.py
+++ b/lycheegate/clients/tests/test_guards.py
@@ -6,7 +6,7 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import guards, http
+from lycheegate.clients import guards, http
 from lycheegate.utils import backoff, clock, exceptions
 
 _UNAVAILABLE = exceptions.UnavailableError
--- a/lycheegate/platform/tests/test_http.py
+++ b/lycheegate/clients/tests/test_http.py
@@ -6,7 +6,7 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import guards, http, table_client
+from lycheegate.clients import guards, http, table_client
 from lycheegate.utils import exceptions
 from standins import objects as objects_standin
 from standins import table as table_standin
--- a/lycheegate/platform/tests/test_objects.py
+++ b/lycheegate/clients/tests/test_objects.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import http, objects
+from lycheegate.clients import http, objects
 from lycheegate.utils import exceptions
 from standins import objects as objects_standin
 
--- a/lycheegate/platform/tests/test_table.py
+++ b/lycheegate/clients/tests/test_table.py
@@ -6,8 +6,8 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import http, table_client
-from lycheegate.platform import table as table_module
+from lycheegate.clients import http, table_client
+from lycheegate.clients import table as table_module
 from lycheegate.utils import backoff, exceptions
 from standins import memory
 from standins import table as table_standin
--- a/lycheegate/platform/tests/test_vms.py
+++ b/lycheegate/clients/tests/test_vms.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from lycheegate.platform import http, vms
+from lycheegate.clients import http, vms
 from lycheegate.utils import exceptions
 from standins import vms as vms_standin
 
--- a/lycheegate/platform/tests/test_workers.py
+++ b/lycheegate/clients/tests/test_workers.py
@@ -7,9 +7,9 @@
 import pytest
 from returns import result
 
+from lycheegate.clients import http, workers
 from lycheegate.core import commands, events
 from lycheegate.model import resources
-from lycheegate.platform import http, workers
 from lycheegate.utils import exceptions
 from standins import worker as worker_standin
 
--- a/lycheegate/platform/vms.py
+++ b/lycheegate/clients/vms.py
@@ -10,8 +10,8 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import guards, http
 from lycheegate.model import resources
-from lycheegate.platform import guards, http
 from lycheegate.utils import exceptions
 
 __all__ = ["Vm", "VmKind", "VmList", "VmListing", "VmState", "list_workers"]
--- a/lycheegate/platform/worker_links.py
+++ b/lycheegate/clients/worker_links.py
@@ -11,10 +11,10 @@
 
 from returns import result
 
+from lycheegate.clients import guards, http
+from lycheegate.clients import worker_protocol as protocol
 from lycheegate.core import commands, events
 from lycheegate.model import resources
-from lycheegate.platform import guards, http
-from lycheegate.platform import worker_protocol as protocol
 from lycheegate.utils import backoff
 
 __all__ = ["JSON_HEADER", "LinkState", "PoolContext", "WorkerLink", "WorkerSettings"]
--- a/lycheegate/platform/worker_protocol.py
+++ b/lycheegate/clients/worker_protocol.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import guards, http
 from lycheegate.core import commands, events
-from lycheegate.platform import guards, http
 from lycheegate.utils import exceptions
 
 __all__ = [
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/clients/workers.py
@@ -9,10 +9,10 @@
 
 from returns import result
 
+from lycheegate.clients import answers, guards, http, worker_links
+from lycheegate.clients import worker_protocol as protocol
 from lycheegate.core import commands, events
 from lycheegate.model import resources
-from lycheegate.platform import answers, guards, http, worker_links
-from lycheegate.platform import worker_protocol as protocol
 from lycheegate.utils import backoff, exceptions
 
 __all__ = ["WorkerPool", "WorkerSettings"]
--- a/lycheegate/entry/control.py
+++ b/lycheegate/entry/control.py
@@ -13,11 +13,11 @@
 
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.entry import routing, rows
 from lycheegate.metrics import logs
 from lycheegate.model import releases
 from lycheegate.peers import confirmation, links, membership, messages, ownership
-from lycheegate.platform import table as table_module
 from lycheegate.release import encoding, holder, store
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import exceptions, pools
--- a/lycheegate/entry/operating.py
+++ b/lycheegate/entry/operating.py
@@ -9,11 +9,11 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.entry import owner, partitions, rows, services
 from lycheegate.metrics import histograms, logs
 from lycheegate.model import releases, requests
 from lycheegate.peers import confirmation, membership, messages
-from lycheegate.platform import table as table_module
 from lycheegate.settings import models
 from lycheegate.utils import exceptions
 
--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -18,11 +18,11 @@
 
 from returns import result
 
+from lycheegate.clients import workers as workers_module
 from lycheegate.core import commands, events
 from lycheegate.entry import execution, partitions, records
 from lycheegate.metrics import histograms, logs
 from lycheegate.model import releases, requests, resources
-from lycheegate.platform import workers as workers_module
 
 __all__ = ["PartitionOwner"]
 
--- a/lycheegate/entry/partitions.py
+++ b/lycheegate/entry/partitions.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from lycheegate.clients import http, workers
 from lycheegate.core import commands, events
 from lycheegate.entry import answers, records
 from lycheegate.metrics import histograms
 from lycheegate.model import resources
-from lycheegate.platform import http, workers
 from lycheegate.utils import clock as clock_module
 from lycheegate.utils import pools
 
--- a/lycheegate/entry/records.py
+++ b/lycheegate/entry/records.py
@@ -14,9 +14,9 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.core import commands
 from lycheegate.model import requests, resources
-from lycheegate.platform import table as table_module
 from lycheegate.utils import exceptions
 
 __all__ = [
--- a/lycheegate/entry/rows.py
+++ b/lycheegate/entry/rows.py
@@ -6,9 +6,9 @@
 
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.model import releases, resources
 from lycheegate.peers import links, ownership
-from lycheegate.platform import table as table_module
 from lycheegate.utils import exceptions
 
 __all__ = [
--- a/lycheegate/entry/services.py
+++ b/lycheegate/entry/services.py
@@ -11,8 +11,8 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import table
 from lycheegate.model import releases
-from lycheegate.platform import table
 from lycheegate.settings import models
 
 __all__ = [
--- a/lycheegate/entry/tests/test_owner.py
+++ b/lycheegate/entry/tests/test_owner.py
@@ -7,11 +7,11 @@
 import pytest
 
 from demo import deployment
+from lycheegate.clients import http, workers
 from lycheegate.core import commands, events, policy
 from lycheegate.entry import answers, owner, partitions, records
 from lycheegate.metrics import histograms
 from lycheegate.model import releases, requests, resources
-from lycheegate.platform import http, workers
 from lycheegate.utils import clock, pools
 from standins import memory
 
--- a/lycheegate/entry/wiring.py
+++ b/lycheegate/entry/wiring.py
@@ -6,12 +6,12 @@
 
 from returns import result
 
+from lycheegate.clients import http, objects, table_client, vms, workers
+from lycheegate.clients import table as table_module
 from lycheegate.core import engine
 from lycheegate.entry import answers, partitions, rows
 from lycheegate.keys import peers as peer_keys
 from lycheegate.model import resources
-from lycheegate.platform import http, objects, table_client, vms, workers
-from lycheegate.platform import table as table_module
 from lycheegate.settings import models
 from lycheegate.utils import exceptions
 
--- a/lycheegate/release/store.py
+++ b/lycheegate/release/store.py
@@ -16,8 +16,8 @@
 import msgspec
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.model import releases
-from lycheegate.platform import table as table_module
 from lycheegate.release import encoding, plans
 from lycheegate.utils import exceptions
 
--- a/lycheegate/release/tests/test_store.py
+++ b/lycheegate/release/tests/test_store.py
@@ -7,9 +7,9 @@
 from hypothesis import stateful, strategies
 from returns import result
 
+from lycheegate.clients import table as table_module
 from lycheegate.keys import tokens
 from lycheegate.model import releases, resources
-from lycheegate.platform import table as table_module
 from lycheegate.release import encoding, holder, plans, store
 from lycheegate.utils import clock, exceptions
 from standins import memory
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -1,4 +1,4 @@
-"""Table service in memory, with the interface of ``lycheegate.platform.table.Table``."""
+"""Table service in memory, with the interface of ``lycheegate.clients.table.Table``."""
 
 import threading
 import time
@@ -8,7 +8,7 @@
 import sortedcontainers
 from returns import result
 
-from lycheegate.platform import table as table_module
+from lycheegate.clients import table as table_module
 from lycheegate.utils import exceptions
 from standins import faults as faults_module
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -4,7 +4,7 @@
 from returns import result
 from werkzeug import routing, wrappers
 
-from lycheegate.platform import table as table_module
+from lycheegate.clients import table as table_module
 from standins import faults as faults_module
 from standins import memory, serving
 
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lycheegate.platform import table as table_module
+from lycheegate.clients import table as table_module
 from lycheegate.utils import exceptions
 from standins import memory, objects, table, vms
 
