Leave the runs of a restarted worker to its next report; test the scheduler under drawn faults

Cause: a start sent just before a restart was noticed was carried out by the new incarnation; the scheduler took the run for one of the old incarnation and started the task again elsewhere (drawn faults, seed 27: TWICE). Ruled out: a second holder; one epoch gave both orders. Change: a restart resets numbers and clock only; the next report proves runs present or absent. New stand-ins of store and workers on one event queue check TWICE, LIMIT, ORDER and UNASKED from the workers' view.

--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -187,26 +187,18 @@
 def forget_incarnation(
     current: state.SchedulerState, worker: state.WorkerState, born_ms: int, now_s: float
 ) -> list[commands.Command]:
-    """Handles a worker that has started anew: nothing of before runs there.
+    """Handles a worker that has started anew: its numbers, clock and fencing token are gone.
 
-    An order that was never confirmed may still arrive at the new incarnation, so its run is
-    stopped there before its task may run elsewhere.
+    Its runs are left to the next report. An order that was sent before the restart was noticed
+    may have been carried out by the new incarnation, so the restart alone proves no run absent.
     """
-    result: list[commands.Command] = [
-        commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})
-    ]
     worker.born_ms = born_ms
     worker.seen_end = worker.kept_end = 0
     worker.confirmed = False
     worker.clock_ms = worker.max_deadline_ms = 0
     _clear_strays(current, worker)
-    for run in list(worker.runs.values()):
-        if run.phase is state.RunPhase.ORDERED:
-            result += runs.stop_run(current, run, now_s)
-        elif run.phase is not state.RunPhase.INTENDED:
-            result += runs.end_run(current, run, runs.End.INTERRUPTED, "worker_restarted", now_s)
     current.schedule_due = True
-    return result
+    return [commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})]
 
 
 def _clear_strays(current: state.SchedulerState, worker: state.WorkerState) -> None:
--- /dev/null
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -0,0 +1,192 @@
+"""The scheduler over stand-ins of the store and the workers, under faults."""
+
+import pytest
+
+from lycheegate.jobs import model
+from lycheegate.node.tests import simulation
+
+_SMALL = model.Resources(1_000, 1_000, 1)
+_WHOLE = model.Resources(8_000, 8_000, 8)
+
+
+def _task(count: int = 1, need: model.Resources = _SMALL, **fields) -> model.Step:
+    return model.Step(count, need, 1.0, **fields)
+
+
+def _assert_all_succeed(world: simulation.World) -> None:
+    for job_id in world.fleet.specs:
+        assert world.read_status(job_id).outcome is model.Outcome.SUCCEEDED, job_id
+    assert world.fleet.violations == []
+
+
+@pytest.mark.parametrize(
+    ("steps", "occurrences"),
+    [
+        ((_task(),), 1),
+        ((_task(4), _task(2, depends_on=(0,))), 1),
+        ((_task(4, _WHOLE, gang=True, same_rack=False),), 1),
+        ((_task(2, _WHOLE, gang=True, same_rack=True),), 1),
+        ((_task(40, checkpoints=True),), 1),
+        ((_task(2, max_per_worker=1),), 1),
+        ((_task(2, near_rack="r1"),), 1),
+        ((_task(2),), 3),
+    ],
+)
+def test_calm_job(steps, occurrences):
+    """Guards against a kind of step that never ends on a calm day."""
+    world = simulation.World(1)
+    times = {"start_at_s": 101.0, "interval_s": 2.0} if occurrences > 1 else {}
+    world.submit(simulation.make_job("0" * 16, *steps, occurrences=occurrences, **times))
+    world.take_term("a")
+    world.run(30.0)
+    _assert_all_succeed(world)
+    assert sum(world.fleet.starts.values()) == occurrences * sum(step.count for step in steps)
+
+
+def test_cancel():
+    """Guards against tasks that run on, or start, after their job was cancelled."""
+    world = simulation.World(1)
+    world.fleet.work_s = 100.0
+    world.submit(simulation.make_job("0" * 16, _task(60)))
+    world.take_term("a")
+    world.run(2.0)
+    world.cancel("0" * 16)
+    world.run(0.5)
+    for worker in world.fleet.workers.values():
+        worker.advance()
+        assert worker.live == {}
+    assert world.read_status("0" * 16).outcome is model.Outcome.CANCELLED
+
+
+def test_attempts_are_bounded():
+    """Guards against a job that can never succeed and is started for ever."""
+    world = simulation.World(1)
+    world.fleet.failure_share = 1.0
+    world.submit(simulation.make_job("0" * 16, _task()))
+    world.take_term("a")
+    world.run(60.0)
+    assert world.read_status("0" * 16).outcome is model.Outcome.FAILED
+    assert sum(world.fleet.starts.values()) == world.route.max_attempts
+
+
+def test_take_over_keeps_runs():
+    """Guards against a new holder that starts again what still runs."""
+    world = simulation.World(1)
+    world.fleet.work_s = 4.0
+    world.submit(simulation.make_job("0" * 16, _task(8)))
+    first = world.take_term("a")
+    world.run(1.5)
+    first.stop("killed")
+    world.run(1.0)
+    world.take_term("b")
+    world.run(6.0)
+    _assert_all_succeed(world)
+    assert sum(world.fleet.starts.values()) == 8
+
+
+def test_take_over_waits_for_silent_worker():
+    """Guards against a second run of a task on a worker that the new holder cannot reach."""
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 9.0
+    world.submit(simulation.make_job("0" * 16, _task(4)))
+    first = world.take_term("a")
+    world.run(1.5)
+    first.stop("killed")
+    world.fleet.cut.add(next(w for w, f in world.fleet.workers.items() if f.live))
+    world.take_term("b")
+    world.run(60.0)
+    _assert_all_succeed(world)
+
+
+def test_deposed_holder_starts_nothing():
+    """Guards against two holders at once: the earlier one must not start another task."""
+    world = simulation.World(1)
+    world.take_term("a")
+    world.run(1.0)
+    world.take_term("b")
+    for number in range(5):
+        world.submit(simulation.make_job(f"{number:016x}", _task(3)))
+    world.run(20.0)
+    _assert_all_succeed(world)
+    assert sum(world.fleet.starts.values()) == 15
+
+
+def test_restarted_worker_loses_its_runs():
+    """Guards against waiting for runs that ended with the life of their worker."""
+    world = simulation.World(1, worker_count=1)
+    world.fleet.work_s = 3.0
+    world.submit(simulation.make_job("0" * 16, _task(2)))
+    world.take_term("a")
+    world.run(1.0)
+    world.fleet.workers["w0"].restart()
+    world.register("w0")
+    world.run(12.0)
+    _assert_all_succeed(world)
+
+
+def test_urgent_gang_preempts():
+    """Guards against urgent work that waits behind long work; replays a full fleet."""
+    world = simulation.World(1)
+    world.fleet.work_s = 60.0
+    world.submit(simulation.make_job("0" * 16, _task(48, checkpoints=True)))
+    world.take_term("a")
+    world.run(3.0)
+    job = simulation.make_job("1" * 16, _task(2, _WHOLE, gang=True), route="urgent")
+    world.submit(job, world.urgent)
+    accepted_s = world.loop.now_s
+    while not all(model.TaskKey("1" * 16, 0, 0, index) in world.fleet.starts for index in range(2)):
+        world.run(0.05)
+        assert world.loop.now_s - accepted_s < 2.7
+    assert world.fleet.violations == []
+
+
+def test_foreign_registrations_are_ignored():
+    """Guards against entries of another writer that stop the scheduler or name a worker."""
+    world = simulation.World(1)
+    for number, value in enumerate([b"\xff\x00", b"{}", b'{"service":1}', b"[]"]):
+        key = simulation.storage.RowKey("servers", "", f"bad{number}")
+        world.store.put(key, value)
+    world.submit(simulation.make_job("0" * 16, _task(4)))
+    world.take_term("a")
+    world.run(10.0)
+    _assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_drawn_faults(seed):
+    """Guards against broken promises when faults come together, with changes of the holder."""
+    world = simulation.World(seed)
+    draw = world.generator
+    world.fleet.failure_share = 0.02
+    world.fleet.work_s = 1.5
+    world.take_term("vm0")
+    for number in range(12):
+        steps = draw.choice(
+            [
+                (_task(draw.randint(1, 12), checkpoints=True),),
+                (_task(draw.randint(1, 3), _WHOLE, gang=True),),
+                (_task(draw.randint(1, 6)), _task(draw.randint(1, 3), depends_on=(0,))),
+            ]
+        )
+        world.submit(simulation.make_job(f"{number:016x}", *steps))
+        world.faults.lost_writes = draw.choice([0.0, 0.1, 0.3])
+        world.faults.late_writes = draw.choice([0.0, 0.1])
+        world.faults.lost_orders = draw.choice([0.0, 0.1])
+        world.faults.late_orders = draw.choice([0.0, 0.1])
+        world.faults.history_lost = draw.random() < 0.1
+        world.fleet.cut = {w for w in world.fleet.workers if draw.random() < 0.1}
+        world.run(draw.uniform(0.5, 4.0))
+        if draw.random() < 0.3:
+            world.take_term(f"vm{number + 1}")
+        if draw.random() < 0.2:
+            worker_id = draw.choice(sorted(world.fleet.workers))
+            world.fleet.workers[worker_id].restart()
+            world.register(worker_id)
+    world.faults.lost_writes = world.faults.late_writes = 0.0
+    world.faults.lost_orders = world.faults.late_orders = 0.0
+    world.faults.history_lost = False
+    world.fleet.cut = set()
+    world.run(90.0)
+    assert world.fleet.violations == []
+    for job_id in world.fleet.specs:
+        assert world.read_status(job_id).outcome is not None, job_id
