Do not renew the lease of a silent worker

Change: a worker whose last report is older than 2.5 s gets no new deadline; strays of a deleted worker are forgotten.

--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -110,6 +110,7 @@
         result += _apply_registration(current, registration, now_s)
     for worker in list(current.workers.values()):
         if not worker.listed and not worker.runs and now_s >= worker.lapses_at_s:
+            _clear_strays(current, worker)
             del current.workers[worker.worker_id]
     return result
 
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -34,6 +34,9 @@
 WRITE_RETRY_S = 0.15
 REPORT_WAIT_S = 1.0
 REPORT_RETRY_S = 0.3
+MAX_RENEWAL_AGE_S = 2.5
+"""Age of a worker's last report above which its lease is not renewed. Calls whose answers are
+lost may still arrive, so renewing a silent worker's lease would keep its runs alive unseen."""
 UNKEPT_END_PAUSE_S = 0.05
 MAX_UNKEPT_END_PAUSE_S = 0.4
 """Workers answer at once while they list ends, so a report waits until the ends are durable."""
@@ -246,7 +249,9 @@
             # The next holder counts on this holder to renew no lease for longer.
             self._call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
             return
-        deadline_ms = workers.compute_deadline_ms(self._state, worker, now_s)
+        deadline_ms = None
+        if now_s - worker.reported_at_s < MAX_RENEWAL_AGE_S:
+            deadline_ms = workers.compute_deadline_ms(self._state, worker, now_s)
         if deadline_ms is not None:
             workers.note_deadline(self._state, worker, deadline_ms)
         self._runtime.workers.report(
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -295,6 +295,8 @@
         self.violations: list[str] = []
         self.failure_share = 0.0
         self.cut: set[str] = set()
+        self.mute: set[str] = set()
+        """Workers that get calls but whose answers are lost."""
         self.work_s = 1.0
 
     def add(self, worker_id: str, rack: str, capacity: model.Resources) -> FakeWorker:
@@ -360,6 +362,10 @@
     def _send(self, carry_out: Callable, worker: FakeWorker, callback: Callable) -> None:
         fleet, loop = self._fleet, self._fleet.loop
         lost = worker_calls.OrderResult(worker_calls.StartOutcome.UNKNOWN)
+        if worker.worker_id in fleet.mute:
+            loop.call_later(WORKER_DELAY_S, carry_out)
+            loop.call_later(0.5, lambda: callback(lost))
+            return
         draw = fleet.generator.random()
         if worker.worker_id in fleet.cut:
             loop.call_later(0.5, lambda: callback(lost))
@@ -411,6 +417,10 @@
 
         def wait(end_s: float) -> None:
             worker.advance()
+            if worker_id in fleet.mute:
+                error = result.Failure(exceptions.OutcomeUnknownError("silent"))
+                loop.call_later(0.8, lambda: callback(error))
+                return
             if worker.ended or loop.now_s >= end_s:
                 loop.call_later(WORKER_DELAY_S, lambda: callback(result.Success(make_report())))
                 return
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -98,6 +98,32 @@
     _assert_all_succeed(world)
 
 
+def test_lost_worker():
+    """Guards against leases that calls to a silent worker extend for ever on paper."""
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 3.0
+    world.submit(simulation.make_job("0" * 16, _task(4)))
+    world.take_term("a")
+    world.run(1.5)
+    lost = next(w for w, f in world.fleet.workers.items() if f.live)
+    world.fleet.cut.add(lost)
+    world.unregister(lost)
+    world.run(simulation.MAX_LEASE_S + 6.0)
+    _assert_all_succeed(world)
+
+
+def test_one_way_cut():
+    """Guards against a lease renewed by calls whose answers are lost."""
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job("0" * 16, _task(4)))
+    world.take_term("a")
+    world.run(1.5)
+    world.fleet.mute = {w for w, f in world.fleet.workers.items() if f.live}
+    world.run(60.0)
+    _assert_all_succeed(world)
+
+
 def test_deposed_holder_starts_nothing():
     """Guards against two holders at once: the earlier one must not start another task."""
     world = simulation.World(1)
