Relay store calls through peers; claim the term of a holder that is long gone at once

After a loss of all VMs the first scheduler waited 1.9 s for a heartbeat that nobody could send. Ruled out: the scheduler; late matches were placed within 0.4 s of their acceptance. Change: a VM whose direct calls fail makes them through a peer, which makes them directly or refuses at once; heartbeats carry the store's clock, so a VM that has just started sees how old they are.

--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -16,7 +16,7 @@
 
 __all__ = ["CallerApplication", "View"]
 
-STORE_TIMEOUT_S = 1.5
+STORE_TIMEOUT_S = 0.7
 DEFAULT_DEADLINE_S = 3.0
 ANSWER_MARGIN_S = 0.3
 """Kept of a caller's time limit for the way back."""
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -13,7 +13,7 @@
 from lycheegate.clients import http
 from lycheegate.entry import server
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, feeds, scheduler, storage, tables, terms
+from lycheegate.node import callers, feeds, relay, scheduler, storage, tables, terms
 from lycheegate.platform import configuration as configurations
 from lycheegate.platform import settings as settings_
 from lycheegate.platform import store as stores
@@ -25,9 +25,12 @@
 
 CLAIM_CHECK_S = 0.15
 CLAIM_JITTER_S = 0.4
-CLAIM_TIMEOUT_S = 1.5
+CLAIM_TIMEOUT_S = 1.0
+ANNOUNCE_RETRY_S = 1.0
 FRONT_THREADS = 24
 READY_THREADS = 2
+RELAY_THREADS = 16
+MEMBERS_WAIT_S = 3.0
 CONFIGURATION_MARGIN_S = 1.5
 """Kept of the time in which withdrawn keys must be refused, for feeds that answer late."""
 STORE_STALE_S = 3.0
@@ -53,14 +56,17 @@
         self._client = http.HttpClient(
             limits=http.HttpLimits(connections_per_origin=8, connect_timeout_s=0.8)
         )
-        self._store = stores.PlatformStore(self._client, settings.store_address)
+        self._peers: dict[str, str] = {}
+        direct = stores.PlatformStore(self._client, settings.store_address)
+        self._store = relay.FallbackStore(
+            direct, self._client, self._list_peers, read_boottime_s, self._note_reachability
+        )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.View()
         self._scheduler: scheduler.Scheduler | None = None
         self._claiming = False
         self._stopped = threading.Event()
         self._claim_jitter_s = self._random.uniform(0.0, CLAIM_JITTER_S)
-        self._reachable = False
         application = callers.CallerApplication(
             self._store,
             self._view,
@@ -77,11 +83,17 @@
             self._answer_ready,
             models.LimitSettings(caller_threads=READY_THREADS),
         )
+        self._relay = server.CallersServer(
+            *settings.peer_address,
+            relay.RelayApplication(direct, self._store.reachability),
+            models.LimitSettings(caller_threads=RELAY_THREADS),
+        )
 
     def start(self) -> None:
         """Listens, and begins to follow the store."""
         self._client.call_later(0.0, self._start_feeds)
         self._ready.start()
+        self._relay.start()
         self._front.start()
         self._log.write("started", data_centre=self._settings.data_centre)
 
@@ -113,17 +125,50 @@
             self._take_term_rows,
             self._log_feed_error(tables.TERMS),
         ).start()
+        feeds.TableFeed(
+            self._store,
+            self._client.call_later,
+            tables.MEMBERS,
+            tables.PART,
+            self._take_member_rows,
+            self._log_feed_error(tables.MEMBERS),
+            wait_s=MEMBERS_WAIT_S,
+        ).start()
+        self._announce()
         self._check_claim()
 
+    def _announce(self) -> None:
+        """Writes where peers reach this VM."""
+        address = "{}:{}".format(*self._settings.peer_address)
+        key = storage.RowKey(tables.MEMBERS, tables.PART, self._settings.node_name)
+        transaction = storage.Transaction(writes=(storage.Write(key, address.encode()),))
+
+        def take(outcome: storage.StoreResult) -> None:
+            if not isinstance(outcome, result.Success):
+                self._client.call_later(ANNOUNCE_RETRY_S, self._announce)
+
+        self._store.transact(transaction, CLAIM_TIMEOUT_S, take)
+
+    def _take_member_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
+        for row in rows:
+            if row.key.key != self._settings.node_name and not row.deleted:
+                self._peers[row.key.key] = row.value.decode(errors="replace")
+
+    def _list_peers(self) -> list[str]:
+        return list(self._peers.values())
+
+    def _note_reachability(self, is_away: bool) -> None:
+        self._log.write("store_lost" if is_away else "store_reached")
+
     def _log_feed_error(self, table: str):
         def log(error: Exception) -> None:
-            self._reachable = False
-            self._log.write("store_lost", table=table, error=str(error))
+            self._log.write("feed_failed", table=table, error=str(error))
 
         return log
 
-    def _take_configuration_rows(self, rows: tuple[storage.Row, ...], is_whole: bool) -> None:
-        self._note_reachable()
+    def _take_configuration_rows(
+        self, rows: tuple[storage.Row, ...], is_whole: bool, _: int
+    ) -> None:
         for row in rows:
             if row.key.key != configurations.KEY or row.deleted:
                 continue
@@ -140,14 +185,9 @@
                     self._scheduler.set_configuration(found)
         self._view.confirmed_at_s = read_boottime_s()
 
-    def _note_reachable(self) -> None:
-        if not self._reachable:
-            self._reachable = True
-            self._log.write("store_reached")
-
-    def _take_term_rows(self, rows: tuple[storage.Row, ...], is_whole: bool) -> None:
+    def _take_term_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, clock_ms: int) -> None:
         try:
-            terms.observe(self._view.term, rows, read_boottime_s())
+            terms.observe(self._view.term, rows, read_boottime_s(), clock_ms)
         except exceptions.ProtocolError as error:
             self._log.write("term_unreadable", error=str(error))
         owner = self._view.term.owner
@@ -170,7 +210,7 @@
             return
         self._claiming = True
         claim_id = f"{self._settings.node_name}/{uuid.uuid4().hex[:12]}"
-        owner, transaction = terms.make_claim(self._view.term, claim_id)
+        owner, transaction = terms.make_claim(self._view.term, claim_id, now_s)
         self._store.transact(
             transaction, CLAIM_TIMEOUT_S, lambda outcome: self._take_claimed(owner, outcome)
         )
@@ -181,7 +221,7 @@
             self._log.write("claim_failed", epoch=owner.epoch, error=str(outcome.failure()))
             error = outcome.failure()
             if isinstance(error, storage.ConflictError):
-                self._take_term_rows(error.rows, False)
+                self._take_term_rows(error.rows, False, 0)
             return
         if self._view.is_draining:
             return
@@ -192,6 +232,7 @@
             self._client.call_later,
             read_boottime_s,
             time.time,
+            lambda: terms.estimate_clock_ms(self._view.term, read_boottime_s()),
             self._log,
         )
         self._scheduler = scheduler.Scheduler(
--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -22,7 +22,7 @@
         call_later: Runs a function after a delay in seconds.
         table: The table.
         part: Its part.
-        on_rows: Receives rows, and whether they are the whole table.
+        on_rows: Receives rows, whether they are the whole table, and the store's clock in ms.
         on_error: Receives errors, for the log.
         wait_s: How long one call waits for a change.
         pause_s: Delay between calls, which gathers frequent changes.
@@ -34,7 +34,7 @@
         call_later: Callable,
         table: str,
         part: str,
-        on_rows: Callable[[tuple[storage.Row, ...], bool], None],
+        on_rows: Callable[[tuple[storage.Row, ...], bool, int], None],
         on_error: Callable[[Exception], None],
         wait_s: float = 1.0,
         pause_s: float = 0.0,
@@ -89,7 +89,7 @@
             self._read_page(page.rows[-1].key.key + "\0")
             return
         rows, self._rows = tuple(self._rows), []
-        self._on_rows(rows, True)
+        self._on_rows(rows, True, page.clock_ms)
         self._follow()
 
     def _follow(self) -> None:
@@ -110,7 +110,7 @@
         self._failures = 0
         changes = outcome.unwrap()
         self._version = max(self._version, changes.version)
-        self._on_rows(changes.rows, False)
+        self._on_rows(changes.rows, False, changes.clock_ms)
         if self._pause_s:
             self._call_later(self._pause_s, self._follow)
         else:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -56,6 +56,7 @@
         call_later: Runs a function on the event thread after a delay in seconds.
         now_s: Clock that goes on while the VM is suspended.
         wall_s: Time of day, in seconds since 1970.
+        store_clock_ms: The store's clock, as estimated from its last answer.
         log: Log of decisions.
     """
 
@@ -64,6 +65,7 @@
     call_later: Callable
     now_s: Callable[[], float]
     wall_s: Callable[[], float]
+    store_clock_ms: Callable[[], int]
     log: jsonlog.JsonLog
 
 
@@ -201,7 +203,7 @@
             return None
         return state.JobState(accepted.job, accepted.route, version=row.version)
 
-    def _take_job_rows(self, rows: tuple[storage.Row, ...], is_whole: bool) -> None:
+    def _take_job_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
         now_s = self._runtime.now_s()
         for row in rows:
             job_id, is_cancel = tables.split_job_key(row.key.key)
@@ -216,7 +218,7 @@
                     self._runtime.log.write("job_seen", job=job_id, version=row.version)
         self._request_pass()
 
-    def _take_registry_rows(self, rows: tuple[storage.Row, ...], is_whole: bool) -> None:
+    def _take_registry_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
         found = {} if is_whole else dict(self._registrations)
         for row in rows:
             worker_id = row.key.key
@@ -388,7 +390,7 @@
         changes: list[storage.Write] = []
         if renew:
             pending = lifecycle.count_pending(self._state)
-            beat = tables.Beat(self.epoch, self._releasing, pending)
+            beat = tables.Beat(self.epoch, self._releasing, pending, self._runtime.store_clock_ms())
             changes.append(storage.Write(tables.BEAT, tables.encode_beat(beat)))
         for write in batch.writes if batch else ():
             key = tables.get_progress_key(write.job_id)
--- a/lycheegate/node/storage.py
+++ b/lycheegate/node/storage.py
@@ -86,19 +86,28 @@
         rows: The rows.
         is_truncated: Whether there are more.
         version: Newest version of the store.
+        clock_ms: The store's steady clock.
     """
 
     rows: tuple[Row, ...]
     is_truncated: bool
     version: int
+    clock_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changed rows in order; reading continues after ``version``."""
+    """Changed rows in order; reading continues after ``version``.
+
+    Attributes:
+        rows: The rows.
+        version: Version up to which changes are known.
+        clock_ms: The store's steady clock.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    clock_ms: int = 0
 
 
 @dataclasses.dataclass
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -14,6 +14,7 @@
 __all__ = [
     "BEAT",
     "JOBS",
+    "MEMBERS",
     "OWNER",
     "PART",
     "PROGRESS",
@@ -34,6 +35,8 @@
 JOBS = "jobs"
 PROGRESS = "progress"
 TERMS = "terms"
+MEMBERS = "members"
+"""Where VMs relay store calls for each other, by name of the VM."""
 OWNER = storage.RowKey(TERMS, PART, "owner")
 """Who holds the term; changes only when the term does, and is the condition of its writes."""
 BEAT = storage.RowKey(TERMS, PART, "beat")
@@ -62,11 +65,13 @@
         epoch: Its term.
         is_released: Whether it has given up the term.
         pending: Jobs that have not begun, by queue.
+        sent_at_ms: When it was sent, on the store's clock, or 0 if that was not known.
     """
 
     epoch: int
     is_released: bool
     pending: dict[str, int]
+    sent_at_ms: int = 0
 
 
 def get_job_key(job_id: str) -> storage.RowKey:
@@ -107,7 +112,7 @@
 
 def encode_beat(beat: Beat) -> bytes:
     """Returns the content of the heartbeat's row."""
-    return cbor2.dumps([beat.epoch, beat.is_released, beat.pending])
+    return cbor2.dumps([beat.epoch, beat.is_released, beat.pending, beat.sent_at_ms])
 
 
 def decode_beat(data: bytes) -> Beat:
@@ -116,7 +121,7 @@
     Raises:
         ProtocolError: The row cannot be read.
     """
-    return Beat(*_load(data, 3))
+    return Beat(*_load(data, 4))
 
 
 def _load(data: bytes, length: int) -> list:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -503,8 +503,8 @@
         """Lets a VM claim the next term and schedule."""
         view = terms.TermView()
         rows = tuple(r for k, r in self.store.rows.items() if k.table == tables.TERMS)
-        terms.observe(view, rows, self.loop.now_s)
-        owner, transaction = terms.make_claim(view, vm)
+        terms.observe(view, rows, self.loop.now_s, int(self.loop.now_s * 1000))
+        owner, transaction = terms.make_claim(view, vm, self.loop.now_s)
         version = self.store.apply(transaction).unwrap()
         runtime = scheduler.Runtime(
             self.store.connect(vm),
@@ -512,6 +512,7 @@
             self.loop.call_later,
             lambda: self.loop.now_s,
             lambda: self.loop.now_s,
+            lambda: int(self.loop.now_s * 1000),
             jsonlog.JsonLog(vm, lambda: self.loop.now_s, self._log),
         )
         found = scheduler.Scheduler(
--- /dev/null
+++ b/lycheegate/node/tests/test_relay.py
@@ -0,0 +1,133 @@
+"""Store calls through peers."""
+
+import dataclasses
+from concurrent import futures
+
+import cbor2
+import pytest
+from returns import result
+
+from lycheegate.clients import http
+from lycheegate.node import relay, storage
+from lycheegate.utils import exceptions
+
+_KEY = storage.RowKey("t", "p", "k")
+_ROW = storage.Row(_KEY, b"\x00v", 4)
+_AWAY = result.Failure(exceptions.UnavailableError("429"))
+_LOST = result.Failure(exceptions.OutcomeUnknownError("silent"))
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        result.Success(17),
+        result.Success(storage.Page((_ROW,), True, 9, 1000)),
+        result.Success(storage.Changes((dataclasses.replace(_ROW, deleted=True),), 9, 1000)),
+        result.Failure(storage.ConflictError((_ROW,))),
+    ],
+)
+def test_outcome_round_trip(outcome):
+    """Guards against an answer that changes on its way through a peer."""
+    found = relay.decode_outcome(relay.encode_outcome(outcome))
+    if isinstance(outcome, result.Success):
+        assert found.unwrap() == outcome.unwrap()
+    else:
+        assert found.failure() == outcome.failure()
+
+
+@pytest.mark.parametrize("failure", [_AWAY, _LOST])
+def test_failure_kind_is_kept(failure):
+    """Guards against a lost answer that a peer turns into a refusal: not run must be true."""
+    found = relay.decode_outcome(relay.encode_outcome(failure))
+    assert type(found.failure()) is type(failure.failure())
+
+
+class _Direct:
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.calls = 0
+
+    def _answer(self, callback):
+        self.calls += 1
+        callback(self.outcomes.pop(0))
+
+    def read(self, table, part, first, end, timeout_s, callback):
+        self._answer(callback)
+
+    def transact(self, transaction, timeout_s, callback):
+        self._answer(callback)
+
+
+class _Client:
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.sent = []
+        self.later = []
+
+    def send(self, request):
+        self.sent.append(request)
+        future = futures.Future()
+        future.set_result(self.answers.pop(0))
+        return future
+
+    def call_later(self, delay_s, function):
+        self.later.append(function)
+
+
+def _respond(outcome):
+    return result.Success(http.Response(200, (), relay.encode_outcome(outcome)))
+
+
+def _make_store(direct, client, peers=("10.0.0.2:7000", "10.0.0.3:7000")):
+    return relay.FallbackStore(direct, client, lambda: list(peers), lambda: 0.0, lambda away: None)
+
+
+def test_refusal_is_relayed():
+    """Guards against refusing callers while a peer reaches the store."""
+    client = _Client(_respond(result.Success(5)))
+    found = []
+    store = _make_store(_Direct(_AWAY), client)
+    store.transact(storage.Transaction(), 1.0, found.append)
+    assert found[0].unwrap() == 5
+    assert cbor2.loads(client.sent[0].body)[0] == "transact"
+
+
+def test_lost_answer_is_not_relayed():
+    """Guards against a second try that hides that the first may have taken effect."""
+    client = _Client()
+    found = []
+    store = _make_store(_Direct(_LOST), client)
+    store.transact(storage.Transaction(), 1.0, found.append)
+    assert isinstance(found[0].failure(), exceptions.OutcomeUnknownError)
+    assert client.sent == []
+
+
+def test_away_goes_to_peers_at_once_and_tries_another():
+    """Guards against waiting for a silent store with each call, and for one dead peer."""
+    client = _Client(_AWAY, _respond(result.Success(6)))
+    found = []
+    direct = _Direct(_LOST)
+    store = _make_store(direct, client)
+    store.read("t", "p", "", "", 1.0, found.append)
+    store.read("t", "p", "", "", 1.0, found.append)
+    assert found[1].unwrap() == 6
+    assert direct.calls == 1
+
+
+def test_no_peer_is_a_refusal():
+    """Guards against an answer that never comes when the store is away for all."""
+    client = _Client()
+    found = []
+    store = _make_store(_Direct(_AWAY), client, peers=())
+    store.read("t", "p", "", "", 1.0, found.append)
+    # The first later call is the probe of the direct way.
+    for function in client.later[1:]:
+        function()
+    assert isinstance(found[0].failure(), exceptions.UnavailableError)
+
+
+def test_peer_that_is_away_refuses():
+    """Guards against calls that go round among VMs without the store."""
+    reachability = relay.Reachability(is_away=True)
+    application = relay.RelayApplication(_Direct(), reachability)
+    assert application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0])).status_code == 503
--- a/lycheegate/platform/settings.py
+++ b/lycheegate/platform/settings.py
@@ -30,6 +30,7 @@
         data_centre: Where it is.
         front_address: Address for callers.
         ready_address: Address for readiness checks and metrics.
+        peer_address: Address for calls of other VMs.
         store_address: Address of the platform's store.
         policy: Limits of the scheduler.
         config_apply_s: Time within which a configuration must be in force.
@@ -43,6 +44,7 @@
     data_centre: str
     front_address: tuple[str, int]
     ready_address: tuple[str, int]
+    peer_address: tuple[str, int]
     store_address: str
     policy: state.Policy
     config_apply_s: float
@@ -78,6 +80,14 @@
             return default
         return number
 
+    def read_peer_address(self) -> tuple[str, int]:
+        first_port = self.read_text("port-range").partition(",")[0]
+        line = self._fields.get("port-range", (0, ""))[0]
+        if not first_port.isdigit() or not 0 < int(first_port) < 65536:
+            self.findings.append(f"line {line}: port-range: expected ports such as 7000,7015")
+            return ("", 0)
+        return (self.read_text("ip"), int(first_port))
+
     def read_address(self, name: str) -> tuple[str, int]:
         host, _, port = self.read_text(name).rpartition(":")
         line = self._fields.get(name, (0, ""))[0]
@@ -117,6 +127,7 @@
         data_centre=reader.read_text("zone"),
         front_address=reader.read_address("listen.front"),
         ready_address=reader.read_address("listen.ready"),
+        peer_address=reader.read_peer_address(),
         store_address=reader.read_text("platform.address"),
         policy=_read_policy(reader),
         config_apply_s=reader.read_number("bounds.config-apply-ms", 2000.0) / MS_PER_S,
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -27,10 +27,12 @@
     """Marks a row that was deleted."""
 
 
-class _Answer(msgspec.Struct):
+class _Answer(msgspec.Struct, rename={"now_ms": "now-ms"}):
     rows: list[_RowModel] = []
     ver: int = 0
     truncated: bool = False
+    now_ms: int = 0
+    """A steady clock; not the time of day."""
 
 
 class PlatformStore:
@@ -135,11 +137,11 @@
 
 
 def _make_page(answer: _Answer) -> storage.Page:
-    return storage.Page(_make_rows(answer), answer.truncated, answer.ver)
+    return storage.Page(_make_rows(answer), answer.truncated, answer.ver, answer.now_ms)
 
 
 def _make_changes(answer: _Answer) -> storage.Changes:
-    return storage.Changes(_make_rows(answer), answer.ver)
+    return storage.Changes(_make_rows(answer), answer.ver, answer.now_ms)
 
 
 def _make_rows(answer: _Answer) -> tuple[storage.Row, ...]:
