Notify the scheduler of accepted jobs; spare urgent victims; retry a failed task at once

Ruled out: room; long work was running that could be stopped. Change: the VM that accepts a job or a cancellation tells the scheduler's VM; stopping urgent work carries a cost; runs that end within 0.25 s by their reported progress are awaited; the first retry has no delay.

--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -18,7 +18,7 @@
 ]
 
 RETRY_BASE_S = 0.1
-"""Delay of the second run after a failure; it doubles with each further failure."""
+"""Delay after the second failure of a task; it doubles with each further failure."""
 RETRY_CAP_S = 2.0
 UNREACHABLE_S = 2.0
 """How long a worker that left an order unanswered gets no new work."""
@@ -182,7 +182,9 @@
     step.last_failed_number = run.number
     failures = step.failures[index] = step.failures.get(index, 0) + 1
     step.avoid.add(run.worker_id)
-    step.not_before_s = now_s + min(RETRY_CAP_S, RETRY_BASE_S * 2.0 ** min(failures - 1, 10))
+    # The first retry goes to another worker at once: most failures are the worker's.
+    delay_s = RETRY_BASE_S * 2.0 ** min(failures - 2, 10) if failures > 1 else 0.0
+    step.not_before_s = now_s + min(RETRY_CAP_S, delay_s)
     job.dirty = True
     limit = state.get_route(current, job).max_attempts
     if step.step.long_running or failures < limit or job.outcome is not None:
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -20,6 +20,13 @@
 """Blocked gangs that room is kept for; more would leave too many workers idle."""
 FAR_PATIENCE_RATIO = 1.0
 """How long a task waits for the rack of its data, as a multiple of its declared duration."""
+UNKNOWN_LEFT_S = 2.0
+"""Remaining time of a run that is overdue."""
+URGENT_VICTIM_COST = 5000.0
+"""Added to the cost of stopping urgent work, in core-seconds: it is short, so little of it would
+be lost, but it would miss its objective, which long work seldom does."""
+NEARLY_DONE_S = 0.25
+"""Urgent work waits for a run that ends within this time instead of stopping it."""
 GANG_KEY = -1
 
 
@@ -265,11 +272,13 @@
     )
     if found is None:
         return
-    for victim in found.victims:
+    stopped = [victim for victim in found.victims if victim.cost > 0.0]
+    for victim in stopped:
         work.result += _stop_victim(work, victim.key)
     fields = {
         "job": unit.job.job.job_id,
-        "victims": [":".join(map(str, victim.key)) for victim in found.victims],
+        "victims": [":".join(map(str, victim.key)) for victim in stopped],
+        "awaited": len(found.victims) - len(stopped),
         "lost_core_s": round(found.cost, 1),
         "level": unit.rank.level,
     }
@@ -295,8 +304,13 @@
         for step in job.steps.values():
             if step.is_done or step.step.long_running and step.step.may_miss:
                 continue
+            is_urgent = state.get_route(work.current, job).priority == 0
             for group in _group_runs(step):
                 victim = _make_victim(work, job, step, group)
+                if all(_is_nearly_done(run, work.now_s) for run in group):
+                    victim = dataclasses.replace(victim, cost=0.0)
+                elif is_urgent:
+                    victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
                 victims[victim.key] = victim
     return victims
 
@@ -368,8 +382,20 @@
     _claim(work, unit, found.placement, preempts=False)
 
 
+def _is_nearly_done(run: state.Run, now_s: float) -> bool:
+    """Returns whether a run's reported progress, not its declared duration, says it is ending."""
+    if run.percent <= 0 or run.advanced_at_s <= run.since_s:
+        return False
+    whole_s = (run.advanced_at_s - run.since_s) * 100.0 / run.percent
+    return 0.0 <= whole_s - (now_s - run.since_s) < NEARLY_DONE_S
+
+
 def _estimate_left_s(step: state.StepState, run: state.Run, now_s: float) -> float:
     """Returns how long a run will go on, from its reported progress or its declared duration."""
     if run.percent > 0 and run.advanced_at_s > run.since_s:
-        return (run.advanced_at_s - run.since_s) * (100 - run.percent) / run.percent
-    return max(0.1, step.step.estimate_s - (now_s - run.since_s))
+        whole_s = (run.advanced_at_s - run.since_s) * 100.0 / run.percent
+    else:
+        whole_s = step.step.estimate_s
+    # A run that goes on beyond its estimate tells nothing about its end.
+    left_s = whole_s - (now_s - run.since_s)
+    return left_s if left_s > 0.0 else UNKNOWN_LEFT_S
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -53,6 +53,7 @@
         wall_s: Time of day, in seconds since 1970.
         log: Log of decisions.
         max_configuration_age_s: Age of the last confirmation above which no key is trusted.
+        notify: Tells the scheduler of a row that was written.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         wall_s: Callable[[], float],
         log: jsonlog.JsonLog,
         max_configuration_age_s: float,
+        notify: Callable[[storage.Row], None],
     ):
         self._store = store
         self._view = view
@@ -70,6 +72,7 @@
         self._wall_s = wall_s
         self._log = log
         self._max_configuration_age_s = max_configuration_age_s
+        self._notify = notify
         self._ends: collections.OrderedDict[str, progress.JobStatus] = collections.OrderedDict()
         self._lock = threading.Lock()
 
@@ -151,6 +154,7 @@
         )
         outcome = self._transact(transaction, deadline_s)
         if isinstance(outcome, result.Success):
+            self._notify(storage.Row(job_key, record, outcome.unwrap()))
             self._log.write(
                 "job_accepted",
                 job=job_id,
@@ -182,6 +186,7 @@
         written = self._transact(transaction, deadline_s)
         if not isinstance(written, result.Success):
             return self._fail(written.failure(), "cancel", job_id)
+        self._notify(storage.Row(tables.get_cancel_key(job_id), b"1", written.unwrap()))
         self._log.write("cancel_accepted", job=job_id, version=written.unwrap())
         return _make_json(b"{}")
 
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -5,7 +5,6 @@
 import sys
 import threading
 import time
-import uuid
 
 import werkzeug
 from returns import result
@@ -74,6 +73,7 @@
             time.time,
             log,
             settings.revoke_s - CONFIGURATION_MARGIN_S,
+            self._notify_scheduler,
         )
         self._front = server.CallersServer(
             *settings.front_address, application, models.LimitSettings(caller_threads=FRONT_THREADS)
@@ -85,7 +85,7 @@
         )
         self._relay = server.CallersServer(
             *settings.peer_address,
-            relay.RelayApplication(direct, self._store.reachability),
+            relay.RelayApplication(direct, self._store.reachability, self._take_notified_row),
             models.LimitSettings(caller_threads=RELAY_THREADS),
         )
 
@@ -154,6 +154,21 @@
             if row.key.key != self._settings.node_name and not row.deleted:
                 self._peers[row.key.key] = row.value.decode(errors="replace")
 
+    def _notify_scheduler(self, row: storage.Row) -> None:
+        """Tells the scheduler of a job or a cancellation without waiting for its feed."""
+        owner = self._view.term.owner
+        if self._scheduler is not None:
+            self._take_notified_row(row)
+        elif owner is not None and owner.vm in self._peers:
+            relay.notify_peer(self._client, self._peers[owner.vm], row)
+
+    def _take_notified_row(self, row: storage.Row) -> None:
+        def take() -> None:
+            if self._scheduler is not None:
+                self._scheduler.take_notified_row(row)
+
+        self._client.call_later(0.0, take)
+
     def _list_peers(self) -> list[str]:
         return list(self._peers.values())
 
@@ -209,7 +224,7 @@
         if not terms.may_claim(self._view.term, now_s, self._claim_jitter_s):
             return
         self._claiming = True
-        claim_id = f"{self._settings.node_name}/{uuid.uuid4().hex[:12]}"
+        claim_id = tables.make_claim_id(self._settings.node_name)
         owner, transaction = terms.make_claim(self._view.term, claim_id, now_s)
         self._store.transact(
             transaction, CLAIM_TIMEOUT_S, lambda outcome: self._take_claimed(owner, outcome)
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -18,10 +18,18 @@
 from lycheegate.node import storage
 from lycheegate.utils import exceptions
 
-__all__ = ["FallbackStore", "Reachability", "RelayApplication", "decode_outcome", "encode_outcome"]
+__all__ = [
+    "FallbackStore",
+    "Reachability",
+    "RelayApplication",
+    "decode_outcome",
+    "encode_outcome",
+    "notify_peer",
+]
 
 PATH = "/relay"
 RELAY_GRACE_S = 0.3
+NOTIFY_TIMEOUT_S = 0.5
 PROBE_S = 0.5
 PROBE_TIMEOUT_S = 0.7
 PEER_AVOID_S = 2.0
@@ -195,12 +203,33 @@
         self._client.send(request).add_done_callback(take)
 
 
+def notify_peer(client: http.HttpClient, peer: str, row: storage.Row) -> None:
+    """Tells the scheduler's VM of a row that was just written.
+
+    The feed tells it too, so a notification that is lost is not repeated.
+    """
+    body = cbor2.dumps(["notify", *_encode_key(row.key), row.value, row.version])
+    client.send(http.Request("POST", f"http://{peer}{PATH}", body, timeout_s=NOTIFY_TIMEOUT_S))
+
+
 class RelayApplication:
-    """WSGI application that makes store calls for peers."""
+    """WSGI application of the peers' address: store calls for them, and their notifications.
+
+    Args:
+        store: The store, reached directly.
+        reachability: Whether it is reached.
+        on_row: Receives a row that a peer has written.
+    """
 
-    def __init__(self, store: storage.Store, reachability: Reachability):
+    def __init__(
+        self,
+        store: storage.Store,
+        reachability: Reachability,
+        on_row: Callable[[storage.Row], None],
+    ):
         self._store = store
         self._reachability = reachability
+        self._on_row = on_row
 
     def __call__(self, environ: dict, start_response: Callable):
         """Makes one call."""
@@ -209,10 +238,14 @@
         return self._answer(body)(environ, start_response)
 
     def _answer(self, body: bytes) -> werkzeug.Response:
-        if self._reachability.is_away:
-            return werkzeug.Response(status=503)
         try:
             kind, *rest = cbor2.loads(body)
+            if kind == "notify":
+                table, part, key, value, version = rest
+                self._on_row(storage.Row(storage.RowKey(table, part, key), value, version))
+                return werkzeug.Response(status=204)
+            if self._reachability.is_away:
+                return werkzeug.Response(status=503)
             outcome = self._call(kind, rest)
         except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
             return werkzeug.Response(str(error), status=400)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -218,6 +218,11 @@
                     self._runtime.log.write("job_seen", job=job_id, version=row.version)
         self._request_pass()
 
+    def take_notified_row(self, row: storage.Row) -> None:
+        """Takes a row of the table of jobs ahead of the feed."""
+        if self._loaded and row.key.table == tables.JOBS:
+            self._take_job_rows((row,), False, 0)
+
     def _take_registry_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
         found = {} if is_whole else dict(self._registrations)
         for row in rows:
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import uuid
 
 import cbor2
 
@@ -28,6 +29,7 @@
     "get_cancel_key",
     "get_job_key",
     "get_progress_key",
+    "make_claim_id",
     "split_job_key",
 ]
 
@@ -56,6 +58,11 @@
     epoch: int
     claim_id: str
 
+    @property
+    def vm(self) -> str:
+        """Name of the VM."""
+        return self.claim_id.rpartition("/")[0]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Beat:
@@ -74,6 +81,11 @@
     sent_at_ms: int = 0
 
 
+def make_claim_id(vm: str) -> str:
+    """Returns a new name for a claim of a VM."""
+    return f"{vm}/{uuid.uuid4().hex[:12]}"
+
+
 def get_job_key(job_id: str) -> storage.RowKey:
     """Returns the row of an accepted job."""
     return storage.RowKey(JOBS, PART, job_id)
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -56,6 +56,7 @@
     late_orders: float = 0.0
     refused: set[str] = dataclasses.field(default_factory=set)
     history_lost: bool = False
+    silent_feeds: bool = False
 
 
 class FakeStore:
@@ -157,8 +158,11 @@
     def _poll(self, table, after, end_s, callback: Callable) -> None:
         store = self._store
         rows = tuple(r for r in store.changes if r.version > after and r.key.table == table)
+        if store.faults.silent_feeds:
+            rows = ()
         if rows or store.loop.now_s >= end_s:
-            version = max([store.version, *(row.version for row in rows)])
+            silent = store.faults.silent_feeds
+            version = after if silent else max([store.version, *(row.version for row in rows)])
             changes = storage.Changes(rows, version)
             store.loop.call_later(STORE_DELAY_S, lambda: callback(result.Success(changes)))
             return
@@ -550,4 +554,5 @@
 
 def make_job(job_id: str, *steps: model.Step, route: str = "batch", **fields) -> model.Job:
     """Returns a job."""
-    return model.Job(job_id, route, "acme", f"spec-{job_id}", steps, 100.0, **fields)
+    account = fields.pop("account", "acme")
+    return model.Job(job_id, route, account, f"spec-{job_id}", steps, 100.0, **fields)
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -129,5 +129,5 @@
 def test_peer_that_is_away_refuses():
     """Guards against calls that go round among VMs without the store."""
     reachability = relay.Reachability(is_away=True)
-    application = relay.RelayApplication(_Direct(), reachability)
+    application = relay.RelayApplication(_Direct(), reachability, lambda row: None)
     assert application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0])).status_code == 503
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -166,6 +166,42 @@
     assert world.fleet.violations == []
 
 
+def test_notification_goes_ahead_of_the_feed():
+    """Guards against work that waits while the feed is silent; replays a dropped history."""
+    world = simulation.World(1)
+    holder = world.take_term("a")
+    world.run(1.0)
+    world.faults.silent_feeds = True
+    job_id = "0" * 16
+    world.submit(simulation.make_job(job_id, _task()))
+    holder.take_notified_row(world.store.rows[simulation.tables.get_job_key(job_id)])
+    world.run(0.2)
+    assert sum(world.fleet.starts.values()) == 1
+    world.faults.silent_feeds = False
+    world.run(5.0)
+    _assert_all_succeed(world)
+    assert sum(world.fleet.starts.values()) == 1
+
+
+def test_urgent_work_is_not_the_cheapest_victim():
+    """Guards against guaranteed work that stops other urgent work; replays a burst of both."""
+    world = simulation.World(1, worker_count=2)
+    world.configuration = simulation.make_configuration(world.route, world.urgent, guaranteed=8)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job("0" * 16, _task(1, _WHOLE)))
+    world.take_term("a")
+    world.run(2.0)
+    world.submit(
+        simulation.make_job("1" * 16, _task(1, _WHOLE), route="urgent", account="other"),
+        world.urgent,
+    )
+    world.run(1.0)
+    world.submit(simulation.make_job("2" * 16, _task(1, _WHOLE), route="urgent"), world.urgent)
+    world.run(2.0)
+    live = {task.job_id[0] for w in world.fleet.workers.values() for task in w.live}
+    assert live == {"1", "2"}
+
+
 def test_foreign_registrations_are_ignored():
     """Guards against entries of another writer that stop the scheduler or name a worker."""
     world = simulation.World(1)
