Report again when ends are durable; end a preemption that does not come about

Change: the pause ends with the write; room that is kept for urgent work is given up after the time of a stop.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -20,6 +20,8 @@
 """Blocked gangs that room is kept for; more would leave too many workers idle."""
 FAR_PATIENCE_RATIO = 1.0
 """How long a task waits for the rack of its data, as a multiple of its declared duration."""
+PREEMPTION_MARGIN_S = 0.4
+"""Time beyond a worker's own for a stop to be ordered and its end to be listed."""
 UNKNOWN_LEFT_S = 2.0
 """Remaining time of a run that is overdue."""
 URGENT_VICTIM_COST = 5000.0
@@ -283,15 +285,19 @@
         "level": unit.rank.level,
     }
     work.result.append(commands.Decision("preempted", fields))
-    _claim(work, unit, found.placement, preempts=True)
+    # A stop that takes longer goes to a worker that is cut off; others are stopped instead.
+    patience_s = work.current.policy.stop_s + PREEMPTION_MARGIN_S
+    if len(stopped) < len(found.victims):
+        patience_s = max(patience_s, 2.0 * NEARLY_DONE_S)
+    _claim(work, unit, found.placement, patience_s, preempts=True)
     work.current.schedule_due = True
 
 
-def _claim(work: _Pass, unit: _Unit, chosen: list[str], preempts: bool) -> None:
+def _claim(work: _Pass, unit: _Unit, chosen: list[str], patience_s: float, preempts: bool) -> None:
     work.current.claims[unit.claim_key] = state.Claim(
         dict(zip(unit.indices, chosen, strict=True)),
         unit.step.step.need,
-        work.now_s + work.current.policy.claim_s,
+        work.now_s + patience_s,
         preempts,
     )
 
@@ -379,7 +385,7 @@
     if found is None:
         return
     work.planned_claims += 1
-    _claim(work, unit, found.placement, preempts=False)
+    _claim(work, unit, found.placement, work.current.policy.claim_s, preempts=False)
 
 
 def _is_nearly_done(run: state.Run, now_s: float) -> bool:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -3,7 +3,6 @@
 Everything runs on the event thread.
 """
 
-import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -37,9 +36,9 @@
 MAX_RENEWAL_AGE_S = 2.5
 """Age of a worker's last report above which its lease is not renewed. Calls whose answers are
 lost may still arrive, so renewing a silent worker's lease would keep its runs alive unseen."""
-UNKEPT_END_PAUSE_S = 0.05
-MAX_UNKEPT_END_PAUSE_S = 0.4
-"""Workers answer at once while they list ends, so a report waits until the ends are durable."""
+UNKEPT_END_PAUSE_S = 0.4
+"""Workers answer at once while they list ends, so a report waits until the ends are durable, and
+for this time if the store is away."""
 REGISTRY_PAUSE_S = 0.3
 STALE_ORDER_S = 1.2
 """Age of a durable intention above which no order is sent for it; the VM may have slept."""
@@ -105,9 +104,8 @@
         self._releasing = False
         self._registrations: dict[str, workers.Registration] = {}
         self._polled: set[str] = set()
-        self._unkept_polls: collections.Counter[str] = collections.Counter()
+        self._unkept: set[str] = set()
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
-        self._started_writes: set[str] = set()
         self._jobs_feed = feeds.TableFeed(
             runtime.store,
             runtime.call_later,
@@ -285,14 +283,17 @@
             self._poll(worker_id, 0.0)
             return
         if worker.seen_end > worker.kept_end:
-            self._unkept_polls[worker_id] += 1
-            pause_s = UNKEPT_END_PAUSE_S * 2.0 ** min(self._unkept_polls[worker_id] - 1, 10)
-            pause_s = min(MAX_UNKEPT_END_PAUSE_S, pause_s)
-            self._call_later(pause_s, lambda: self._poll(worker_id, REPORT_WAIT_S))
+            self._unkept.add(worker_id)
+            self._call_later(UNKEPT_END_PAUSE_S, lambda: self._resume_poll(worker_id))
             return
-        self._unkept_polls.pop(worker_id, None)
         self._poll(worker_id, REPORT_WAIT_S)
 
+    def _resume_poll(self, worker_id: str) -> None:
+        """Asks a worker again whose ends were not durable at its last report."""
+        if worker_id in self._unkept:
+            self._unkept.discard(worker_id)
+            self._poll(worker_id, REPORT_WAIT_S)
+
     def _take_report_error(self, worker_id: str, error: Exception) -> None:
         worker = self._state.workers.get(worker_id)
         if isinstance(error, exceptions.FencedError):
@@ -432,6 +433,10 @@
 
     def _complete(self, batch: writes.Batch, version: int, sent_at_s: float, now_s: float) -> None:
         orders = writes.complete_batch(self._state, batch, version, now_s)
+        for worker_id in list(self._unkept):
+            worker = self._state.workers.get(worker_id)
+            if worker is None or worker.kept_end >= worker.seen_end:
+                self._resume_poll(worker_id)
         if now_s - sent_at_s > max(STALE_ORDER_S, WRITE_TIMEOUT_S):
             # The VM may have slept since; another holder may have placed the tasks again.
             for order in orders:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -180,6 +180,7 @@
     task: model.TaskKey
     number: int
     need: model.Resources
+    work_s: float
     work_left_s: float
     stops_at_s: float | None = None
 
@@ -264,7 +265,7 @@
         self.highest[order.task] = order.number
         self.fleet.check_start(order, self)
         need, work_s = self.fleet.describe(order.task)
-        self.live[order.task] = LiveRun(order.task, order.number, need, work_s)
+        self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
         used = sum((r.need for r in self.live.values()), model.Resources())
         if not used.fits(self.capacity):
             self.fleet.violations.append(f"LIMIT {self.worker_id} {order.task}")
@@ -432,7 +433,13 @@
 
         def make_report() -> workers.Report:
             listed = tuple(
-                workers.ListedRun(run.task, worker_calls.format_task(run.task), run.number, "", 10)
+                workers.ListedRun(
+                    run.task,
+                    worker_calls.format_task(run.task),
+                    run.number,
+                    "",
+                    int(100 * (1.0 - run.work_left_s / run.work_s)),
+                )
                 for run in worker.live.values()
             )
             return workers.Report(
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -202,6 +202,26 @@
     assert live == {"1", "2"}
 
 
+def test_victim_on_a_silent_worker_is_replaced():
+    """Guards against urgent work that waits for a stop that never arrives."""
+    world = simulation.World(1, worker_count=3)
+    world.fleet.work_s = 60.0
+    world.submit(simulation.make_job("0" * 16, _task(3, _WHOLE)))
+    world.take_term("a")
+    world.run(3.0)
+    job_id = "1" * 16
+    world.submit(simulation.make_job(job_id, _task(1, _WHOLE), route="urgent"), world.urgent)
+    world.run(0.03)
+    world.fleet.cut = {
+        run.worker_id
+        for run in world.schedulers["a"]._state.jobs["0" * 16].list_runs()
+        if run.phase is simulation.state.RunPhase.STOPPING
+    }
+    assert len(world.fleet.cut) == 1
+    world.run(2.0)
+    assert model.TaskKey(job_id, 0, 0, 0) in world.fleet.starts
+
+
 def test_foreign_registrations_are_ignored():
     """Guards against entries of another writer that stop the scheduler or name a worker."""
     world = simulation.World(1)
