Test the translation, the boundary of the platform's names and the callers' interface

Cause: no test held the wire's fields, the settings' findings, or what callers are told while the store fails. Change: tables for each; a call whose answer was lost four times ends with 504 so that its caller goes elsewhere.

--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -22,6 +22,8 @@
 """Kept of a caller's time limit for the way back."""
 RETRY_AFTER_S = 1
 UNAVAILABLE_RETRIES = 2
+MAX_LOST_ANSWERS = 3
+"""Lost answers after which a caller does better at another VM."""
 UNAVAILABLE_PAUSE_S = 0.03
 MAX_CACHED_ENDS = 4096
 
@@ -241,7 +243,7 @@
         The calls are conditional or idempotent, so repeating one whose answer was lost is safe.
         Once an answer was lost, a refusal of a later call proves nothing about the first.
         """
-        refusals = 0
+        refusals = lost = 0
         unknown: storage.StoreResult | None = None
         while True:
             left_s = deadline_s - self._now_s()
@@ -254,6 +256,9 @@
             error = outcome.failure()
             if isinstance(error, exceptions.OutcomeUnknownError):
                 unknown = outcome
+                lost += 1
+                if lost > MAX_LOST_ANSWERS:
+                    return unknown
             elif isinstance(error, exceptions.UnavailableError):
                 refusals += 1
                 if refusals > UNAVAILABLE_RETRIES:
--- /dev/null
+++ b/lycheegate/node/tests/test_callers.py
@@ -0,0 +1,186 @@
+"""Calls of callers over the stand-in of the store."""
+
+import io
+import threading
+
+import msgspec
+import pytest
+import werkzeug.test
+from returns import result
+
+from lycheegate.jobs import model
+from lycheegate.metrics import jsonlog
+from lycheegate.node import callers, storage, tables
+from lycheegate.utils import exceptions
+
+_ID = "5c0e7a21d94b36f8"
+_JOB = b'{"spec":"x","steps":[{"count":2,"cpu":100}]}'
+
+
+class _Store:
+    """Store that answers at once, after a list of drawn failures."""
+
+    def __init__(self):
+        self.rows = {}
+        self.failures = []
+        self.applied_on_failure = False
+        self.calls = 0
+
+    def _fail(self, callback):
+        self.calls += 1
+        if not self.failures:
+            return False
+        callback(result.Failure(self.failures.pop(0)))
+        return True
+
+    def transact(self, transaction, timeout_s, callback):
+        if self.failures and self.applied_on_failure:
+            self._apply(transaction)
+        if not self._fail(callback):
+            callback(self._apply(transaction))
+
+    def _apply(self, transaction):
+        for condition in transaction.conditions:
+            if condition.version == storage.ABSENT and condition.key in self.rows:
+                return result.Failure(storage.ConflictError((self.rows[condition.key],)))
+        for write in transaction.writes:
+            self.rows[write.key] = storage.Row(write.key, write.value, 1)
+        return result.Success(1)
+
+    def read(self, table, part, first, end, timeout_s, callback):
+        if self._fail(callback):
+            return
+        rows = tuple(r for k, r in self.rows.items() if k.table == table and first <= k.key < end)
+        callback(result.Success(storage.Page(rows, False, 1)))
+
+
+def _make(now_s=100.0, confirmed_at_s=100.0):
+    store = _Store()
+    view = callers.View(confirmed_at_s=confirmed_at_s)
+    route = model.Route("q", "h.example", "/q/", "s", 1, 3, 3.0, 1.0)
+    public = model.Route("p", "h.example", "/open/", "s", 1, 3, 3.0, 1.0, True)
+    account = model.Account("acme", frozenset({"k"}))
+    view.configuration = model.Configuration(
+        1, {"q": route, "p": public}, {}, {"acme": account}, {"k": "acme"}, 1000
+    )
+    rows = []
+    application = callers.CallerApplication(
+        store,
+        view,
+        lambda: now_s,
+        lambda: 5.0,
+        jsonlog.JsonLog("vm", lambda: 0.0, len),
+        3.5,
+        rows.append,
+    )
+    return store, view, application, rows
+
+
+def _call(application, method, path=f"/q/{_ID}", body=b"", key="k", host="h.example"):
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    client = werkzeug.test.Client(application)
+    return client.open(
+        path,
+        method=method,
+        base_url=f"http://{host}",
+        input_stream=io.BytesIO(body),
+        content_length=len(body),
+        headers=headers,
+    )
+
+
+@pytest.mark.parametrize(
+    ("fields", "status"),
+    [
+        ({}, 200),
+        ({"key": None}, 401),
+        ({"key": "unknown"}, 401),
+        ({"path": f"/open/{_ID}", "key": None}, 200),
+        ({"path": f"/none/{_ID}"}, 404),
+        ({"host": "other.example"}, 404),
+        ({"path": "/q/not-an-id"}, 404),
+        ({"body": b"{}"}, 400),
+        ({"body": b"x" * 2000}, 413),
+    ],
+)
+def test_submit(fields, status):
+    """Guards against a job that is accepted for nobody, or refused although it may be handed in."""
+    store, _, application, rows = _make()
+    response = _call(application, "POST", **{"body": _JOB, **fields})
+    assert response.status_code == status
+    assert len(rows) == (status == 200)
+    assert bool(store.rows) == (status == 200)
+
+
+def test_repeat_is_the_same_job():
+    """Guards against a second job for a repeated submission."""
+    store, _, application, rows = _make()
+    assert [_call(application, "POST", body=_JOB).status_code for _ in range(3)] == [200] * 3
+    assert len(rows) == 1
+
+
+@pytest.mark.parametrize("confirmed_at_s", [0.0, 96.0])
+def test_keys_of_an_unconfirmed_configuration(confirmed_at_s):
+    """Guards against a withdrawn key that still counts on a VM without the store."""
+    _, _, application, _ = _make(confirmed_at_s=confirmed_at_s)
+    response = _call(application, "POST", body=_JOB)
+    assert response.status_code == 503
+    assert response.headers["Retry-After"]
+
+
+_REFUSED = exceptions.UnavailableError("429")
+_LOST = exceptions.OutcomeUnknownError("silent")
+
+
+@pytest.mark.parametrize(
+    ("failures", "applied", "status"),
+    [
+        ([_REFUSED], False, 200),
+        ([_REFUSED] * 9, False, 503),
+        ([_LOST], False, 200),
+        ([_LOST], True, 200),
+        # The first call may have taken effect, so the refusals after it are no refusal.
+        ([_LOST] + [_REFUSED] * 9, False, 504),
+        ([_LOST] + [_REFUSED] * 9, True, 504),
+    ],
+)
+def test_submit_while_the_store_fails(failures, applied, status):
+    """Guards against a refusal of a job that runs, and against a job that is stored twice."""
+    store, _, application, _ = _make()
+    store.failures = list(failures)
+    store.applied_on_failure = applied
+    assert _call(application, "POST", body=_JOB).status_code == status
+
+
+def test_status_and_cancel():
+    """Guards against a state that callers cannot follow."""
+    store, _, application, rows = _make()
+    assert _call(application, "GET").status_code == 410
+    assert _call(application, "DELETE").status_code == 410
+    _call(application, "POST", body=_JOB)
+    assert msgspec.json.decode(_call(application, "GET").data) == {"state": "queued"}
+    assert _call(application, "DELETE").status_code == 200
+    assert tables.get_cancel_key(_ID) in store.rows
+    assert rows[-1].key == tables.get_cancel_key(_ID)
+
+
+def test_pending_count():
+    """Guards against counts of another queue."""
+    _, view, application, _ = _make()
+    view.term.beat = tables.Beat(1, False, {"q": 4, "p": 1})
+    assert msgspec.json.decode(_call(application, "GET", "/q/").data) == {"pending": 4}
+
+
+def test_draining_closes_connections():
+    """Guards against callers that keep a connection to a process about to end."""
+    _, view, application, _ = _make()
+    view.is_draining = True
+    assert _call(application, "GET").headers["Connection"] == "close"
+
+
+def test_store_client_without_answer(monkeypatch):
+    """Guards against a thread that waits for ever."""
+    store, _, application, _ = _make()
+    monkeypatch.setattr(store, "read", lambda *args: None)
+    monkeypatch.setattr(threading.Event, "wait", lambda self, timeout=None: False)
+    assert _call(application, "GET").status_code == 503
--- /dev/null
+++ b/lycheegate/platform/tests/test_boundary.py
@@ -0,0 +1,36 @@
+"""The platform's names stay in ``lycheegate.platform``."""
+
+import pathlib
+import re
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_WIRE_NAMES = re.compile(
+    r'"(run-id|fencing-token|last-seen|depends-on|checkpointing|expected-rev|mem-mb|gpu|api-keys'
+    r"|path-prefix|target-duration-ms|heartbeat-ms|now-ms|wait-ms)\""
+    r"|/(rows-tx|rows-get|rows-feed|run-start|run-stop|hold|pace|machine-move|advise)\b"
+)
+_PURE = ("lycheegate.node", "lycheegate.platform", "lycheegate.clients", "lycheegate.entry")
+
+
+def _list_sources(folder: str) -> list[pathlib.Path]:
+    return [p for p in (_ROOT / folder).rglob("*.py") if "tests" not in p.parts]
+
+
+def test_wire_names():
+    """Guards against names of the platform that spread through the product."""
+    found = [
+        f"{path.relative_to(_ROOT)}: {match.group(0)}"
+        for path in _list_sources("")
+        if path.parent.name != "platform"
+        for match in _WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def test_decisions_are_pure():
+    """Guards against decisions that read a clock, do I/O or know the daemon."""
+    for path in _list_sources("jobs"):
+        text = path.read_text()
+        assert not re.search(r"^import (time|socket|threading|random)\b", text, re.M), path
+        for package in _PURE:
+            assert package not in text.replace("``lycheegate.node``", ""), path
