--- a/lycheegate/cli/exits.py
+++ b/lycheegate/cli/exits.py
@@ -6,7 +6,7 @@
 
 
 class Exit(enum.IntEnum):
-    """Exit codes; ``docs/operations.md`` says what to do about each."""
+    """Exit codes; ``docs/OPERATIONS.md`` says what to do about each."""
 
     OK = 0
     DEFECT = 1
--- /dev/null
+++ b/lycheegate/cli/explain.py
@@ -0,0 +1,45 @@
+"""Tells the story of one request from log files."""
+
+import pathlib
+
+from cleo import helpers
+
+from lycheegate.cli import base, exits
+from lycheegate.metrics import story
+
+__all__ = ["ExplainCommand"]
+
+
+class ExplainCommand(base.LocalCommand):
+    """Tells what happened to a request."""
+
+    name = "explain"
+    description = "Tells what happened to a request, from log files."
+    arguments = [
+        helpers.argument("id", "Identifier of the request."),
+        helpers.argument("files", "Log files of the VMs.", multiple=True),
+    ]
+    help = """\
+Reads the JSON lines that the daemons write to standard output, in the order of the files.
+
+Example:
+  lycheegate explain 5c0e7a21d94b36f8 vm1.log vm2.log
+"""
+
+    def handle(self) -> int:
+        """Writes one line for each decision."""
+        lines: list[str] = []
+        for name in self.argument("files"):
+            try:
+                text = pathlib.Path(name).read_text(encoding="utf-8", errors="replace")
+            except OSError as error:
+                self.write_error(f"{name}: {error.strerror}")
+                return exits.Exit.REFUSED
+            lines += text.splitlines()
+        found = story.find_story(lines, self.argument("id"))
+        if not found:
+            self.write_error(f"no line mentions {self.argument('id')}")
+            return exits.Exit.REFUSED
+        for line in found:
+            self.write(story.format_line(line))
+        return exits.Exit.OK
--- a/lycheegate/cli/main.py
+++ b/lycheegate/cli/main.py
@@ -7,7 +7,7 @@
 from cleo.io.outputs import output
 
 import lycheegate
-from lycheegate.cli import callers, entry, exits, keys, lists, release, report
+from lycheegate.cli import callers, entry, exits, explain, keys, lists, release, report
 
 __all__ = ["main", "make_application", "run"]
 
@@ -24,6 +24,7 @@
         *callers.COMMANDS,
         *lists.COMMANDS,
         report.ReportCommand,
+        explain.ExplainCommand,
     ):
         app.add(command())
     return app
--- a/lycheegate/cli/tests/test_pages.py
+++ b/lycheegate/cli/tests/test_pages.py
@@ -87,19 +87,19 @@
 
 def test_settings_table_is_that_of_the_models():
     """Guards against a setting that is not documented, or with a wrong default or range."""
-    assert loader.format_table() in _read("operations.md")
+    assert loader.format_table() in _read("OPERATIONS.md")
 
 
 def test_settings_example_is_valid():
     """Guards against an example from which no entry VM starts."""
-    match = next(m for m in _BLOCK.finditer(_read("operations.md")) if m[2] == "entry.yaml")
+    match = next(m for m in _BLOCK.finditer(_read("OPERATIONS.md")) if m[2] == "entry.yaml")
     example = match[3].replace("peer_key_file: /etc/lycheegate/peer.key", f"peer_key: {'k' * 32}")
     assert loader.parse_settings(example, "entry.yaml").unwrap().vm_id == "entry-1"
 
 
 def test_every_exit_code_is_documented():
     """Guards against an exit code that an operator cannot look up."""
-    text = _read("operations.md")
+    text = _read("OPERATIONS.md")
     for code in exits.Exit:
         assert f"| {code.value} |" in text, code
 
@@ -119,7 +119,7 @@
             ):
                 assert isinstance(node.args[0], ast.Constant), f"{path}: event is no constant"
                 events.add(node.args[0].value)
-    text = _read("operations.md")
+    text = _read("OPERATIONS.md")
     assert len(events) >= 8
     assert [event for event in sorted(events) if f"| `{event}` |" not in text] == []
 
@@ -139,7 +139,7 @@
     assert [code for code in sorted(codes) if f"`{code}`" not in text] == []
 
 
-@pytest.mark.parametrize("page", ["operations.md", "release-notes.md"])
+@pytest.mark.parametrize("page", ["OPERATIONS.md", "release-notes.md"])
 def test_commands_in_the_pages_exist(page):
     """Guards against a page with a command or option that is gone."""
     app = main.make_application()
--- a/lycheegate/metrics/jsonlog.py
+++ b/lycheegate/metrics/jsonlog.py
@@ -4,6 +4,7 @@
 dropped and counted, and the next line tells how many.
 """
 
+import collections
 import os
 import time
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 
     Attributes:
         dropped: Lines dropped so far.
+        counts: Events so far, whether written or dropped.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         write: Callable[[bytes], int] | None = None,
     ):
         self.dropped = 0
+        self.counts: collections.Counter[str] = collections.Counter()
         self._node = node
         self._monotonic_s = monotonic_s
         self._write = write or _write_stdout
@@ -41,6 +44,7 @@
 
     def write(self, event: str, **fields: Any) -> None:
         """Writes a line, or drops it if too many were written lately."""
+        self.counts[event] += 1
         now_s = self._monotonic_s()
         earned = (now_s - self._filled_at_s) * MAX_LINES_PER_S
         self._budget = min(BURST_LINES, self._budget + earned)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -1,5 +1,6 @@
 """The process on each VM."""
 
+import os
 import random
 import signal
 import sys
@@ -11,7 +12,7 @@
 
 from lycheegate.clients import http
 from lycheegate.entry import server
-from lycheegate.metrics import jsonlog
+from lycheegate.metrics import exposition, histograms, jsonlog
 from lycheegate.node import callers, feeds, relay, scheduler, storage, tables, terms
 from lycheegate.platform import configuration as configurations
 from lycheegate.platform import settings as settings_
@@ -30,6 +31,7 @@
 READY_THREADS = 2
 RELAY_THREADS = 16
 MEMBERS_WAIT_S = 3.0
+METRICS_PATH = "/metrics"
 CONFIGURATION_MARGIN_S = 1.5
 """Kept of the time in which withdrawn keys must be refused, for feeds that answer late."""
 STORE_STALE_S = 3.0
@@ -62,6 +64,7 @@
         )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.View()
+        self._histograms = histograms.Histograms()
         self._scheduler: scheduler.Scheduler | None = None
         self._claiming = False
         self._stopped = threading.Event()
@@ -249,6 +252,7 @@
             time.time,
             lambda: terms.estimate_clock_ms(self._view.term, read_boottime_s()),
             self._log,
+            self._histograms,
         )
         self._scheduler = scheduler.Scheduler(
             runtime,
@@ -270,6 +274,9 @@
             self._scheduler.release()
 
     def _answer_ready(self, environ: dict, start_response):
+        if environ.get("PATH_INFO") == METRICS_PATH:
+            text = exposition.format_metrics(self._log.counts, self._histograms)
+            return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
         age_s = read_boottime_s() - self._view.confirmed_at_s
         is_ready = (
             self._view.configuration is not None
@@ -286,6 +293,7 @@
     except settings_.SettingsError as error:
         sys.stderr.write(f"settings: {error}\n")
         return EXIT_SETTINGS
+    os.set_blocking(jsonlog.STDOUT_FD, False)
     log = jsonlog.JsonLog(settings.node_name, read_boottime_s)
     told_to_stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: told_to_stop.set())
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -19,7 +19,7 @@
     workers,
     writes,
 )
-from lycheegate.metrics import jsonlog
+from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import feeds, recovery, storage, tables, terms
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
@@ -57,6 +57,7 @@
         wall_s: Time of day, in seconds since 1970.
         store_clock_ms: The store's clock, as estimated from its last answer.
         log: Log of decisions.
+        histograms: Times from acceptance to the end, by client account and queue.
     """
 
     store: storage.Store
@@ -66,6 +67,7 @@
     wall_s: Callable[[], float]
     store_clock_ms: Callable[[], int]
     log: jsonlog.JsonLog
+    histograms: histograms.Histograms
 
 
 class Scheduler:
@@ -462,11 +464,23 @@
         for order in orders:
             if isinstance(order, commands.Decision):
                 self._runtime.log.write(order.event, epoch=self.epoch, **order.fields)
+                self._record_time(order)
             elif isinstance(order, commands.StartRun):
                 self._send_start(order)
             else:
                 self._send_stop(order)
 
+    def _record_time(self, decision: commands.Decision) -> None:
+        fields = decision.fields
+        if decision.event == "job_succeeded":
+            kind, duration_s = histograms.Kind.COMPLETION, fields["after_s"]
+        elif decision.event == "placed":
+            kind, duration_s = histograms.Kind.QUEUEING, fields["waited_s"]
+        else:
+            return
+        job = self._state.jobs[fields["job"]].job
+        self._runtime.histograms.record(job.account, job.route, kind, duration_s)
+
     def _find_run(self, order: commands.StartRun | commands.StopRun) -> state.Run | None:
         step = runs.find_step(self._state, order.task)
         run = step.runs.get(order.task.index) if step else None
--- a/lycheegate/node/storage.py
+++ b/lycheegate/node/storage.py
@@ -120,6 +120,10 @@
 
     rows: tuple[Row, ...]
 
+    def __str__(self) -> str:
+        found = ", ".join(f"{row.key.table}/{row.key.key} at {row.version}" for row in self.rows)
+        return f"a condition did not hold; found {found or 'no row'}"
+
 
 class HistoryLostError(exceptions.LycheegateError):
     """The changes after the given version are no longer available; read the rows anew."""
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from lycheegate.jobs import commands, model, progress, runs, state, workers
-from lycheegate.metrics import jsonlog
+from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import scheduler, storage, tables, terms
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
@@ -525,6 +525,7 @@
             lambda: self.loop.now_s,
             lambda: int(self.loop.now_s * 1000),
             jsonlog.JsonLog(vm, lambda: self.loop.now_s, self._log),
+            histograms.Histograms(),
         )
         found = scheduler.Scheduler(
             runtime, state.Policy(), owner, version, self.configuration, lambda reason: None
