Avoid workers on which tasks stand still; bound calls by the end of a drain; test placement and health

Change: a worker with a run whose progress stopped for four times its pace is the last choice; while draining, a call ends a second before the process is killed.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -79,6 +79,18 @@
     return statistics.median(times)
 
 
+def make_gang_placer(current: state.SchedulerState, count: int):
+    """Returns a function that adds an urgent gang and places it."""
+    numbers = iter(range(10**6))
+
+    def place_gang() -> None:
+        step = model.Step(count, model.Resources(1000, 100, 1), 60.0, gang=True)
+        add(current, f"{next(numbers):015x}g", step, current.configuration.routes["u"])
+        run_pass(current, 100.3)
+
+    return place_gang
+
+
 def main() -> None:
     """Prints the figures."""
     for size in SIZES:
@@ -88,14 +100,7 @@
         figures["lease_check_ms"] = measure(lambda c=current: workers.check_leases(c, 100.5))
         first = next(iter(current.jobs.values()))
         figures["progress_write_ms"] = measure(lambda job=first: progress.encode_progress(job))
-        numbers = iter(range(10**6))
-
-        def place_gang(c=current, numbers=numbers, count=min(GANG, size // 2)) -> None:
-            step = model.Step(count, model.Resources(1000, 100, 1), 60.0, gang=True)
-            add(c, f"{next(numbers):015x}g", step, c.configuration.routes["u"])
-            run_pass(c, 100.3)
-
-        figures["urgent_gang_ms"] = measure(place_gang, 3)
+        figures["urgent_gang_ms"] = measure(make_gang_placer(current, min(GANG, size // 2)), 3)
         for name, value in figures.items():
             print(f"jobs_{name}_{size} {value:.3f} ms - -")
 
--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -1,15 +1,20 @@
-"""Quarantine of workers that fail what they start.
+"""Workers that fail or stall what they start.
 
-Answers the load pattern in which some workers fail every task at once: their room is always
-free, so they would attract and destroy most of the queue.
+Answers two load patterns. Some workers fail every task at once: their room is always free, so
+they would attract and destroy most of the queue; they get no work for a while. On others, tasks
+stand still although reports arrive: they get new work only when no other worker has room.
 """
 
 from lycheegate.jobs import state
 
-__all__ = ["MIN_FAILURES", "is_quarantined", "record_failure", "record_success"]
+__all__ = ["MIN_FAILURES", "is_quarantined", "is_stalled", "record_failure", "record_success"]
 
 MIN_FAILURES = 2
 """Consecutive failures, of as many jobs, after which a worker is quarantined."""
+MIN_STALL_S = 1.6
+"""Reports come once a second, so progress is seen with that delay."""
+STALL_FACTOR = 4.0
+"""A run stalls when its next percent takes so many times longer than the others took."""
 QUARANTINE_BASE_S = 3.0
 QUARANTINE_CAP_S = 20.0
 
@@ -43,3 +48,18 @@
 def is_quarantined(worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker gets no work because of its failures."""
     return now_s < worker.quarantined_until_s
+
+
+def is_stalled(worker: state.WorkerState, now_s: float) -> bool:
+    """Returns whether some run on a worker has stopped making progress.
+
+    Only runs that have advanced before are judged: declared durations are too far from the truth.
+    """
+    return any(_is_run_stalled(run, now_s) for run in worker.runs.values())
+
+
+def _is_run_stalled(run: state.Run, now_s: float) -> bool:
+    if run.phase is not state.RunPhase.RUNNING or not 0 < run.percent < 100:
+        return False
+    percent_s = (run.advanced_at_s - run.since_s) / run.percent
+    return now_s - run.advanced_at_s > max(MIN_STALL_S, STALL_FACTOR * percent_s)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -55,6 +55,7 @@
     now_s: float
     wall_s: float
     guaranteed: set[str]
+    stalled: set[str]
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_claims: int = 0
 
@@ -74,7 +75,8 @@
     """
     current.schedule_due = False
     guaranteed = ordering.list_guaranteed_accounts(current)
-    work = _Pass(current, now_s, wall_s, guaranteed)
+    stalled = {w.worker_id for w in current.workers.values() if health.is_stalled(w, now_s)}
+    work = _Pass(current, now_s, wall_s, guaranteed, stalled)
     units = _list_units(work)
     _drop_claims(current, {unit.claim_key for unit in units}, now_s)
     work.planned_claims = sum(not claim.preempts for claim in current.claims.values())
@@ -158,7 +160,7 @@
                 room,
                 worker.capacity,
                 limit,
-                worker.worker_id in unit.step.avoid,
+                worker.worker_id in unit.step.avoid or worker.worker_id in work.stalled,
             )
         )
     return candidates
--- /dev/null
+++ b/lycheegate/jobs/tests/test_health.py
@@ -0,0 +1,77 @@
+"""Workers that fail or stall what they start."""
+
+import pytest
+
+from lycheegate.jobs import health, model, state
+
+_NEED = model.Resources(1, 1, 1)
+
+
+def _make_worker():
+    capacity = model.Resources(8, 8, 8)
+    return state.WorkerState("w", "s", "h:1", "z", "r", frozenset(), capacity, capacity)
+
+
+def _make_state(worker):
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    current.workers["w"] = worker
+    return current
+
+
+def _add_run(worker, percent, since_s, advanced_at_s, phase=state.RunPhase.RUNNING):
+    task = model.TaskKey("j", 0, 0, len(worker.runs))
+    run = state.Run(task, "w", 1, _NEED, phase, since_s, percent, advanced_at_s)
+    worker.runs[task] = run
+
+
+@pytest.mark.parametrize(
+    ("percent", "advanced_at_s", "now_s", "expected"),
+    [
+        (40, 4.0, 5.0, False),
+        (40, 4.0, 5.7, True),
+        # One percent takes 40 s here, so 100 s without progress say nothing.
+        (10, 400.0, 500.0, False),
+        (10, 400.0, 561.0, True),
+        (0, 0.0, 60.0, False),
+        (100, 4.0, 60.0, False),
+    ],
+)
+def test_stalled(percent, advanced_at_s, now_s, expected):
+    """Guards against new work on workers where tasks stand still, and against false alarms."""
+    worker = _make_worker()
+    _add_run(worker, percent, 0.0, advanced_at_s)
+    assert health.is_stalled(worker, now_s) is expected
+
+
+def test_stopping_run_is_not_judged():
+    """Guards against a worker that is avoided because a stop takes its time."""
+    worker = _make_worker()
+    _add_run(worker, 40, 0.0, 4.0, state.RunPhase.STOPPING)
+    assert not health.is_stalled(worker, 60.0)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "expected"), [(["a"], False), (["a", "a", "a"], False), (["a", "b"], True)]
+)
+def test_quarantine(jobs, expected):
+    """Guards against one bad job that takes a worker out of use, and a bad worker that stays."""
+    worker = _make_worker()
+    current = _make_state(worker)
+    for job_id in jobs:
+        health.record_failure(current, "w", job_id, 10.0)
+    assert health.is_quarantined(worker, 10.1) is expected
+
+
+def test_quarantine_grows_and_ends():
+    """Guards against a failing worker that is tried as often as a sound one."""
+    worker = _make_worker()
+    current = _make_state(worker)
+    ends = []
+    for number in range(6):
+        health.record_failure(current, "w", f"a{number}", 10.0)
+        health.record_failure(current, "w", f"b{number}", 10.0)
+        ends.append(worker.quarantined_until_s)
+    assert ends == sorted(ends)
+    assert ends[-1] - 10.0 == health.QUARANTINE_CAP_S
+    health.record_success(current, "w")
+    assert not health.is_quarantined(worker, 10.1)
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -36,13 +36,13 @@
         configuration: Configuration in force, or None before the first.
         confirmed_at_s: When it was last confirmed to be the newest.
         term: What was read of the scheduler's term.
-        is_draining: Whether the process is about to end.
+        drain_ends_s: When the process will have answered all calls and ends, or None.
     """
 
     configuration: model.Configuration | None = None
     confirmed_at_s: float = 0.0
     term: terms.TermView = dataclasses.field(default_factory=terms.TermView)
-    is_draining: bool = False
+    drain_ends_s: float | None = None
 
 
 class CallerApplication:
@@ -82,7 +82,7 @@
         """Answers one call."""
         request = werkzeug.Request(environ)
         response = self._answer(request)
-        if self._view.is_draining:
+        if self._view.drain_ends_s is not None:
             response.headers["Connection"] = "close"
         return response(environ, start_response)
 
@@ -117,6 +117,8 @@
         if not submissions.JOB_ID.fullmatch(job_id):
             return werkzeug.Response(status=404)
         deadline_s = self._now_s() + self._read_limit_s(request)
+        if self._view.drain_ends_s is not None:
+            deadline_s = min(deadline_s, self._view.drain_ends_s)
         if request.method == "POST":
             if (request.content_length or 0) > configuration.max_body_bytes:
                 return werkzeug.Response(status=413)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -36,8 +36,9 @@
 """Kept of the time in which withdrawn keys must be refused, for feeds that answer late."""
 STORE_STALE_S = 3.0
 """Age of the last answer of the store above which this VM asks not to get callers."""
-DRAIN_MIN_S = 2.5
-"""The balancer needs two checks to notice that the VM is not ready."""
+DRAIN_S = 3.5
+"""The balancer needs two checks to notice that the VM is not ready, and callers of open
+connections an answer that closes theirs."""
 DRAIN_MARGIN_S = 1.0
 EXIT_SETTINGS = 2
 
@@ -92,6 +93,10 @@
             models.LimitSettings(caller_threads=RELAY_THREADS),
         )
 
+    @property
+    def _is_draining(self) -> bool:
+        return self._view.drain_ends_s is not None
+
     def start(self) -> None:
         """Listens, and begins to follow the store."""
         self._client.call_later(0.0, self._start_feeds)
@@ -103,11 +108,11 @@
     def drain(self) -> None:
         """Hands over, answers what is under way, and ends."""
         began_s = read_boottime_s()
-        self._view.is_draining = True
+        # Every call is answered before the server is given up, with some time to spare.
+        self._view.drain_ends_s = began_s + self._settings.grace_s - DRAIN_MARGIN_S
         self._client.call_later(0.0, self._release)
         self._log.write("draining")
-        limit_s = max(DRAIN_MIN_S, self._settings.grace_s - DRAIN_MARGIN_S)
-        self._stopped.wait(min(limit_s, DRAIN_MIN_S + 1.0))
+        self._stopped.wait(DRAIN_S)
         self._front.stop()
         self._log.write("stopped", after_s=round(read_boottime_s() - began_s, 2))
 
@@ -219,7 +224,7 @@
         self._client.call_later(CLAIM_CHECK_S, self._check_claim)
 
     def _check_claim_now(self) -> None:
-        if self._scheduler is not None or self._claiming or self._view.is_draining:
+        if self._scheduler is not None or self._claiming or self._is_draining:
             return
         if self._view.configuration is None:
             return
@@ -241,7 +246,7 @@
             if isinstance(error, storage.ConflictError):
                 self._take_term_rows(error.rows, False, 0)
             return
-        if self._view.is_draining:
+        if self._is_draining:
             return
         self._log.write("claimed", epoch=owner.epoch)
         runtime = scheduler.Runtime(
@@ -279,9 +284,7 @@
             return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
         age_s = read_boottime_s() - self._view.confirmed_at_s
         is_ready = (
-            self._view.configuration is not None
-            and not self._view.is_draining
-            and age_s < STORE_STALE_S
+            self._view.configuration is not None and not self._is_draining and age_s < STORE_STALE_S
         )
         return werkzeug.Response(status=200 if is_ready else 503)(environ, start_response)
 
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -174,10 +174,19 @@
 def test_draining_closes_connections():
     """Guards against callers that keep a connection to a process about to end."""
     _, view, application, _ = _make()
-    view.is_draining = True
+    view.drain_ends_s = 104.0
     assert _call(application, "GET").headers["Connection"] == "close"
 
 
+def test_drain_bounds_calls():
+    """Guards against a call that is cut off because its store call outlives the process."""
+    store, view, application, _ = _make()
+    view.drain_ends_s = 100.0
+    store.failures = [_LOST] * 9
+    assert _call(application, "POST", body=_JOB).status_code == 504
+    assert store.calls <= 1
+
+
 def test_store_client_without_answer(monkeypatch):
     """Guards against a thread that waits for ever."""
     store, _, application, _ = _make()
