--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import threading
 from collections.abc import Callable
 
@@ -10,7 +11,7 @@
 
 from lycheegate.jobs import model, progress
 from lycheegate.metrics import jsonlog
-from lycheegate.node import storage, tables, terms
+from lycheegate.node import storage, tables, terms, waiting
 from lycheegate.platform import submissions
 from lycheegate.utils import exceptions
 
@@ -18,6 +19,8 @@
 
 STORE_TIMEOUT_S = 0.7
 DEFAULT_DEADLINE_S = 3.0
+CLIENT_GRACE_S = 1.0
+"""Time for the store client beyond the limit of a call, which may try peers."""
 ANSWER_MARGIN_S = 0.3
 """Kept of a caller's time limit for the way back."""
 RETRY_AFTER_S = 1
@@ -252,7 +255,10 @@
             if left_s <= 0.0:
                 error = exceptions.OutcomeUnknownError("time limit of the caller")
                 return unknown or result.Failure(error)
-            outcome = self._call_once(send, min(left_s, STORE_TIMEOUT_S))
+            timeout_s = min(left_s, STORE_TIMEOUT_S)
+            outcome = waiting.wait_for_store(
+                functools.partial(send, timeout_s), timeout_s + CLIENT_GRACE_S
+            )
             if isinstance(outcome, result.Success):
                 return outcome
             error = outcome.failure()
@@ -269,21 +275,6 @@
             else:
                 return outcome
 
-    def _call_once(
-        self, send: Callable[[float, Callable], None], timeout_s: float
-    ) -> storage.StoreResult:
-        answered = threading.Event()
-        outcomes: list[storage.StoreResult] = []
-
-        def take(outcome: storage.StoreResult) -> None:
-            outcomes.append(outcome)
-            answered.set()
-
-        send(timeout_s, take)
-        if not answered.wait(timeout_s + 1.0):
-            return result.Failure(exceptions.OutcomeUnknownError("no answer of the store client"))
-        return outcomes[0]
-
     def _fail(
         self, error: Exception, call: str, job_id: str, is_write: bool = True
     ) -> werkzeug.Response:
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -6,8 +6,8 @@
 """
 
 import dataclasses
+import functools
 import random
-import threading
 from collections.abc import Callable
 
 import cbor2
@@ -15,7 +15,7 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.node import storage
+from lycheegate.node import storage, waiting
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -253,28 +253,21 @@
         return werkzeug.Response(encode_outcome(outcome), mimetype="application/cbor")
 
     def _call(self, kind: str, rest: list) -> storage.StoreResult:
-        answered = threading.Event()
-        outcomes: list[storage.StoreResult] = []
-
-        def take(outcome: storage.StoreResult) -> None:
-            outcomes.append(outcome)
-            answered.set()
-
         if kind == "read":
-            table, part, first, end, timeout_s = rest
-            self._store.read(table, part, first, end, min(timeout_s, MAX_WAIT_S), take)
+            *where, timeout_s = rest
+            timeout_s = min(timeout_s, MAX_WAIT_S)
+            call = functools.partial(self._store.read, *where, timeout_s)
         elif kind == "follow":
-            table, after, wait_s = rest
-            self._store.follow(table, after, min(wait_s, MAX_WAIT_S), take)
+            table, after, timeout_s = rest
+            timeout_s = min(timeout_s, MAX_WAIT_S)
+            call = functools.partial(self._store.follow, table, after, timeout_s)
         elif kind == "transact":
             transaction, timeout_s = _decode_transact(rest)
-            self._store.transact(transaction, min(timeout_s, MAX_WAIT_S), take)
+            timeout_s = min(timeout_s, MAX_WAIT_S)
+            call = functools.partial(self._store.transact, transaction, timeout_s)
         else:
             raise ValueError(f"call {kind!r} is unknown")
-        answered.wait(2.0 * MAX_WAIT_S)
-        if not outcomes:
-            return result.Failure(exceptions.OutcomeUnknownError("no answer of the store client"))
-        return outcomes[0]
+        return waiting.wait_for_store(call, 2.0 * MAX_WAIT_S)
 
 
 def _encode_key(key: storage.RowKey) -> list[str]:
