--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -30,6 +30,9 @@
 FRONT_THREADS = 24
 READY_THREADS = 2
 RELAY_THREADS = 16
+CONNECTIONS_PER_ORIGIN = 32
+"""A VM that relays has the feeds of several peers open at the store beside its own."""
+CONNECT_TIMEOUT_S = 0.8
 MEMBERS_WAIT_S = 3.0
 METRICS_PATH = "/metrics"
 CONFIGURATION_MARGIN_S = 1.5
@@ -56,7 +59,9 @@
         self._log = log
         self._random = random.Random()
         self._client = http.HttpClient(
-            limits=http.HttpLimits(connections_per_origin=8, connect_timeout_s=0.8)
+            limits=http.HttpLimits(
+                connections_per_origin=CONNECTIONS_PER_ORIGIN, connect_timeout_s=CONNECT_TIMEOUT_S
+            )
         )
         self._peers: dict[str, str] = {}
         direct = stores.PlatformStore(self._client, settings.store_address)
