Stop runs for guaranteed work even if they seem to end soon

Ruled out: slow stops; the six runs that were stopped were gone within 0.37 s. Change: only urgent work beyond its guarantee waits for runs that end soon. Measured: test_guaranteed_work_does_not_wait_for_runs_that_seem_to_end fails before and passes after.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -28,7 +28,8 @@
 """Added to the cost of stopping urgent work, in core-seconds: it is short, so little of it would
 be lost, but it would miss its objective, which long work seldom does."""
 NEARLY_DONE_S = 0.25
-"""Urgent work waits for a run that ends within this time instead of stopping it."""
+"""Urgent work beyond a guarantee waits for a run that ends within this time instead of stopping
+it. Guaranteed work does not wait: a run on a failing worker may never end."""
 GANG_KEY = -1
 
 
@@ -315,7 +316,8 @@
             is_urgent = state.get_route(work.current, job).priority == 0
             for group in _group_runs(step):
                 victim = _make_victim(work, job, step, group)
-                if all(_is_nearly_done(run, work.now_s) for run in group):
+                may_wait = unit.rank.level > 0
+                if may_wait and all(_is_nearly_done(run, work.now_s) for run in group):
                     victim = dataclasses.replace(victim, cost=0.0)
                 elif is_urgent:
                     victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -202,6 +202,19 @@
     assert live == {"1", "2"}
 
 
+def test_guaranteed_work_does_not_wait_for_runs_that_seem_to_end():
+    """Guards against guaranteed work that begins late; replays runs that stall near their end."""
+    world = simulation.World(1, worker_count=1)
+    world.fleet.work_s = 3.0
+    world.submit(simulation.make_job("0" * 16, _task(1, _WHOLE)))
+    world.take_term("a")
+    world.run(2.9)
+    world.submit(simulation.make_job("1" * 16, _task(1, _WHOLE), route="urgent"), world.urgent)
+    world.run(0.04)
+    (run,) = world.fleet.workers["w0"].live.values()
+    assert run.stops_at_s is not None
+
+
 def test_victim_on_a_silent_worker_is_replaced():
     """Guards against urgent work that waits for a stop that never arrives."""
     world = simulation.World(1, worker_count=3)
