Split the exchange with the workers from the scheduler's loop

Change: reports, leases and orders are in lycheegate/node/exchange.py, with what they use of the term as hooks.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -13,14 +13,13 @@
     lifecycle,
     model,
     progress,
-    runs,
     scheduling,
     state,
     workers,
     writes,
 )
 from lycheegate.metrics import histograms, jsonlog
-from lycheegate.node import feeds, recovery, storage, tables, terms
+from lycheegate.node import exchange, feeds, recovery, storage, tables, terms
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
 
@@ -31,14 +30,6 @@
 """Delay of a pass, which gathers events that arrive together."""
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
-REPORT_WAIT_S = 1.0
-REPORT_RETRY_S = 0.3
-MAX_RENEWAL_AGE_S = 2.5
-"""Age of a worker's last report above which its lease is not renewed. Calls whose answers are
-lost may still arrive, so renewing a silent worker's lease would keep its runs alive unseen."""
-UNKEPT_END_PAUSE_S = 0.4
-"""Workers answer at once while they list ends, so a report waits until the ends are durable, and
-for this time if the store is away."""
 REGISTRY_PAUSE_S = 0.3
 STALE_ORDER_S = 1.2
 """Age of a durable intention above which no order is sent for it; the VM may have slept."""
@@ -105,9 +96,20 @@
         self._renewal_sent_at_s = 0.0
         self._releasing = False
         self._registrations: dict[str, workers.Registration] = {}
-        self._polled: set[str] = set()
-        self._unkept: set[str] = set()
-        self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
+        self._exchange = exchange.WorkerExchange(
+            runtime.workers,
+            self._state,
+            runtime.now_s,
+            runtime.log,
+            exchange.TermHooks(
+                self._carry_out,
+                self._request_pass,
+                self.stop,
+                self._call_later,
+                self._is_stopped,
+                lambda: self._renewed_at_s,
+            ),
+        )
         self._jobs_feed = feeds.TableFeed(
             runtime.store,
             runtime.call_later,
@@ -239,88 +241,9 @@
         self._registrations = found
         now_s = self._runtime.now_s()
         self._carry_out(workers.apply_registrations(self._state, list(found.values()), now_s))
-        for worker_id in list(self._state.workers):
-            if worker_id not in self._polled:
-                self._polled.add(worker_id)
-                self._poll(worker_id, 0.0)
-        self._request_pass()
-
-    def _poll(self, worker_id: str, wait_s: float) -> None:
-        """Asks a worker what it runs, and renews the lease of that."""
-        worker = self._state.workers.get(worker_id)
-        if self._stopped or worker is None:
-            self._polled.discard(worker_id)
-            return
-        now_s = self._runtime.now_s()
-        if now_s - self._renewed_at_s > self._state.policy.handover_s:
-            # The next holder counts on this holder to renew no lease for longer.
-            self._call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
-            return
-        deadline_ms = None
-        if now_s - worker.reported_at_s < MAX_RENEWAL_AGE_S:
-            deadline_ms = workers.compute_deadline_ms(self._state, worker, now_s)
-        if deadline_ms is not None:
-            workers.note_deadline(self._state, worker, deadline_ms)
-        self._runtime.workers.report(
-            worker.address,
-            worker_id,
-            self.epoch,
-            worker.kept_end,
-            deadline_ms,
-            wait_s,
-            lambda outcome: self._take_report(worker_id, outcome),
-        )
-
-    def _take_report(self, worker_id: str, outcome: result.Result) -> None:
-        if self._stopped:
-            return
-        if not isinstance(outcome, result.Success):
-            self._take_report_error(worker_id, outcome.failure())
-            return
-        worker = self._state.workers.get(worker_id)
-        was_confirmed = worker is not None and worker.confirmed
-        self._carry_out(workers.apply_report(self._state, outcome.unwrap()))
-        self._request_pass()
-        if worker is None or not was_confirmed:
-            self._poll(worker_id, 0.0)
-            return
-        if worker.seen_end > worker.kept_end:
-            self._unkept.add(worker_id)
-            self._call_later(UNKEPT_END_PAUSE_S, lambda: self._resume_poll(worker_id))
-            return
-        self._poll(worker_id, REPORT_WAIT_S)
-
-    def _resume_poll(self, worker_id: str) -> None:
-        """Asks a worker again whose ends were not durable at its last report."""
-        if worker_id in self._unkept:
-            self._unkept.discard(worker_id)
-            self._poll(worker_id, REPORT_WAIT_S)
-
-    def _take_report_error(self, worker_id: str, error: Exception) -> None:
-        worker = self._state.workers.get(worker_id)
-        if isinstance(error, exceptions.FencedError):
-            self._check_term(f"fenced by {worker_id}")
-        elif isinstance(error, worker_calls.WrongIncarnationError) and worker is not None:
-            self._lose_worker(worker)
-        elif not isinstance(error, exceptions.OutcomeUnknownError | exceptions.UnavailableError):
-            self._runtime.log.write("report_failed", worker=worker_id, error=str(error))
-        self._call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
-
-    def _lose_worker(self, worker: state.WorkerState) -> None:
-        """Handles an endpoint at which another worker answers: this one is gone."""
-        now_s = self._runtime.now_s()
-        worker.listed = False
-        for run in list(worker.runs.values()):
-            if run.phase is not state.RunPhase.INTENDED:
-                self._carry_out(
-                    runs.end_run(self._state, run, runs.End.INTERRUPTED, "worker_replaced", now_s)
-                )
+        self._exchange.poll_new_workers()
         self._request_pass()
 
-    def _check_term(self, reason: str) -> None:
-        """A worker has seen a later term, so this one is over."""
-        self.stop(reason)
-
     def _call_later(self, delay_s: float, function: Callable[[], None]) -> None:
         def run() -> None:
             if not self._stopped:
@@ -435,14 +358,11 @@
 
     def _complete(self, batch: writes.Batch, version: int, sent_at_s: float, now_s: float) -> None:
         orders = writes.complete_batch(self._state, batch, version, now_s)
-        for worker_id in list(self._unkept):
-            worker = self._state.workers.get(worker_id)
-            if worker is None or worker.kept_end >= worker.seen_end:
-                self._resume_poll(worker_id)
+        self._exchange.resume_polls()
         if now_s - sent_at_s > max(STALE_ORDER_S, WRITE_TIMEOUT_S):
             # The VM may have slept since; another holder may have placed the tasks again.
             for order in orders:
-                self._refuse(order, "stale_intention")
+                self._exchange.refuse(order, "stale_intention")
             return
         self._carry_out(orders)
 
@@ -466,9 +386,9 @@
                 self._runtime.log.write(order.event, epoch=self.epoch, **order.fields)
                 self._record_time(order)
             elif isinstance(order, commands.StartRun):
-                self._send_start(order)
+                self._exchange.send_start(order)
             else:
-                self._send_stop(order)
+                self._exchange.send_stop(order)
 
     def _record_time(self, decision: commands.Decision) -> None:
         fields = decision.fields
@@ -480,100 +400,3 @@
             return
         job = self._state.jobs[fields["job"]].job
         self._runtime.histograms.record(job.account, job.route, kind, duration_s)
-
-    def _find_run(self, order: commands.StartRun | commands.StopRun) -> state.Run | None:
-        step = runs.find_step(self._state, order.task)
-        run = step.runs.get(order.task.index) if step else None
-        return run if run is not None and run.number == order.number else None
-
-    def _send_start(self, order: commands.StartRun) -> None:
-        worker = self._state.workers.get(order.worker_id)
-        run = self._find_run(order)
-        if run is None or run.phase is not state.RunPhase.ORDERED:
-            return
-        now_s = self._runtime.now_s()
-        deadline_ms = worker and workers.compute_deadline_ms(self._state, worker, now_s)
-        if worker is None or not deadline_ms:
-            self._refuse(order, "worker_unknown")
-            return
-        workers.note_deadline(self._state, worker, deadline_ms)
-        self._runtime.workers.start(
-            worker.address,
-            order,
-            self.epoch,
-            deadline_ms,
-            lambda outcome: self._take_started(order, outcome),
-        )
-
-    def _refuse(self, order: commands.StartRun, reason: str) -> None:
-        run = self._find_run(order)
-        if run is not None:
-            now_s = self._runtime.now_s()
-            self._carry_out(runs.refuse_start(self._state, run, reason, now_s))
-            self._request_pass()
-
-    def _take_started(self, order: commands.StartRun, answer: worker_calls.OrderResult) -> None:
-        if self._stopped:
-            return
-        now_s = self._runtime.now_s()
-        worker = self._state.workers.get(order.worker_id)
-        run = self._find_run(order)
-        if worker is not None and answer.clock_ms:
-            workers.note_clock(worker, answer.clock_ms, now_s)
-        outcome = answer.outcome
-        key = (order.task, order.number)
-        if outcome is worker_calls.StartOutcome.FENCED:
-            self._check_term(f"fenced by {order.worker_id}")
-        elif outcome is worker_calls.StartOutcome.UNKNOWN:
-            self._unknown_starts.add(key)
-            # The same order again is safe, and settles what became of the first.
-            self._call_later(0.0, lambda: self._send_start(order))
-        elif run is None:
-            return
-        elif outcome is worker_calls.StartOutcome.STARTED:
-            self._unknown_starts.discard(key)
-            if run.phase is state.RunPhase.ORDERED:
-                runs.confirm_start(self._state, run, now_s)
-        elif outcome is worker_calls.StartOutcome.OLD_RUN:
-            # It has run and ended, or was stopped; the next report tells.
-            if run.phase is state.RunPhase.ORDERED:
-                run.confirmed_at_s = now_s
-        elif outcome is worker_calls.StartOutcome.WRONG_INCARNATION:
-            if worker is not None:
-                self._lose_worker(worker)
-        else:
-            self._take_refusal(order, run, worker, outcome, now_s)
-
-    def _take_refusal(
-        self,
-        order: commands.StartRun,
-        run: state.Run,
-        worker: state.WorkerState | None,
-        outcome: worker_calls.StartOutcome,
-        now_s: float,
-    ) -> None:
-        if worker is not None and outcome is not worker_calls.StartOutcome.LATE:
-            worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
-        if (order.task, order.number) in self._unknown_starts:
-            # An earlier order for the same run may still be carried out.
-            self._carry_out(runs.stop_run(self._state, run, now_s))
-            return
-        if run.phase is state.RunPhase.ORDERED:
-            self._refuse(order, outcome.value)
-
-    def _send_stop(self, order: commands.StopRun) -> None:
-        worker = self._state.workers.get(order.worker_id)
-        if worker is None or not worker.address:
-            return
-        self._runtime.workers.stop(
-            worker.address, order, self.epoch, lambda outcome: self._take_stopped(order, outcome)
-        )
-
-    def _take_stopped(self, order: commands.StopRun, answer: worker_calls.OrderResult) -> None:
-        if self._stopped:
-            return
-        now_s = self._runtime.now_s()
-        if answer.outcome is worker_calls.StartOutcome.FENCED:
-            self._check_term(f"fenced by {order.worker_id}")
-        elif answer.outcome is worker_calls.StartOutcome.STARTED:
-            workers.note_stop_confirmed(self._state, order.task, order.number, now_s)
