Test the rate limit of one caller independently of the machine's speed

Ruled out: the limiter; all 400 were accepted, which is right at that pace. Change: the test runs a deployment with 1 a second and 50 at once, which 400 requests exceed at any speed; what it asserts is as before.

--- a/lycheegate/entry/tests/test_whole_path.py
+++ b/lycheegate/entry/tests/test_whole_path.py
@@ -209,14 +209,19 @@
     connection.close()
 
 
-def test_flood_of_one_caller_does_not_stop_another(single):
+def test_flood_of_one_caller_does_not_stop_another(tmp_path):
     """Guards against a caller that takes the service from others."""
-    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+    # With the default of 50 a second, a slow machine does not reach the limit at all.
+    limits = {"rate_per_caller_per_s": 1.0, "burst_per_caller": 50}
+    with (
+        conftest.run_deployment(tmp_path, limits=limits) as running,
+        concurrent.futures.ThreadPoolExecutor(8) as pool,
+    ):
         flood = [
-            pool.submit(_submit, single, number=1, **{"class": "preview", "payload": {}})
+            pool.submit(_submit, running, number=1, **{"class": "preview", "payload": {}})
             for _ in range(400)
         ]
-        ended = conftest.make_caller(single).run(_key(), "preview", {"answer": "a"})
+        ended = conftest.make_caller(running).run(_key(), "preview", {"answer": "a"})
         statuses = {one.result().status for one in flood}
     assert ended.end == "answered"
     assert statuses == {202, 429}
