Start recorded attempts again that were never ordered

The next owner's first report of a worker always counts as one after a restart, so the missing task proved nothing and the request ended may_have_run (status 504). The test waits for 200 and reported "not within 45.0 s"; the request did not stand still, it had ended, and that end is not logged as a decision.

Ruled out: a worker whose report never arrives, and reports that were held back during recovery. A trace of all events and commands of two failing runs shows every report applied, three requests answered and the fourth ended.

Change: the record of an attempt names the instance of each worker. If the worker that reports is the same instance, the absence of the task is settled by asking it to delete the task; if it is another one, the task may have run. The second case was also wrong where the report came before the request: a task of an earlier life counted as never started and could have run twice.

The test without processes fails on the old code in both orders of events. The drawn worlds now report as real pools do.

--- a/lycheegate/clients/worker_links.py
+++ b/lycheegate/clients/worker_links.py
@@ -142,7 +142,7 @@
         self._generation = 0
         self._after = 0
         self.instance = ""
-        self._reported_instance = ""
+        self.reported_instance = ""
         self._polled_at_s = 0.0
         self._renew_at_s = 0.0
 
@@ -289,9 +289,11 @@
         self.was_reported = True
         # Before the first report nothing is known of earlier starts of the worker, so that the
         # absence of a task proves nothing then either.
-        restarted = self._reported_instance != self.instance
-        self._reported_instance = self.instance
-        self._context.emit(events.WorkerReported(self.worker, reports, restarted=restarted))
+        restarted = self.reported_instance != self.instance
+        self.reported_instance = self.instance
+        self._context.emit(
+            events.WorkerReported(self.worker, reports, restarted=restarted, instance=self.instance)
+        )
         if self.leaving:
             self._context.emit(events.WorkerLeaving(self.worker.worker_id))
         elif fence.leaving:
--- a/lycheegate/clients/workers.py
+++ b/lycheegate/clients/workers.py
@@ -111,6 +111,12 @@
             link = self._links.get(worker_id)
             return dict(link.usage) if link is not None else {}
 
+    def get_instance(self, worker_id: str) -> str:
+        """Returns the instance that the worker reported last, or an empty string."""
+        with self._context.lock:
+            link = self._links.get(worker_id)
+            return link.reported_instance if link is not None else ""
+
     def close(self) -> None:
         """Stops polling; emits nothing any more. The workers keep their tasks."""
         with self._context.lock:
--- a/lycheegate/core/events.py
+++ b/lycheegate/core/events.py
@@ -85,12 +85,15 @@
         attempt_id: Attempt that was recorded before dispatch (non-idempotent only), or None.
         placement: Placement of that attempt; empty if there is none.
         cancel_requested: Whether its caller has asked for cancellation.
+        instances: Instance of each member's worker when the attempt was recorded, or an empty
+            string where it was not known.
     """
 
     request: requests.Request
     attempt_id: str | None = None
     placement: resources.Placement = ()
     cancel_requested: bool = False
+    instances: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,11 +133,13 @@
         found_attempt_id: Attempt of another owner that the record holds instead, or None. The
             request is then placed again only after that attempt is proven not to have started.
         found_placement: Placement of that attempt.
+        found_instances: Instances of its workers when it was recorded.
     """
 
     attempt_id: str
     found_attempt_id: str | None = None
     found_placement: resources.Placement = ()
+    found_instances: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,13 +155,16 @@
         tasks: Its tasks of this partition.
         leaving: Whether it says that it is leaving; it then gets no new work.
         restarted: Whether it has lost the memory of earlier tasks; the absence of a task then
-            does not prove that the task never ran.
+            does not prove that the task never ran. The first report under an epoch says so
+            too, as nothing is known then of earlier restarts; ``instance`` tells more.
+        instance: Identity of the life of the worker; another one after each restart.
     """
 
     worker: resources.Worker
     tasks: tuple[TaskReport, ...] = ()
     leaving: bool = False
     restarted: bool = False
+    instance: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/core/recovery.py
+++ b/lycheegate/core/recovery.py
@@ -73,7 +73,7 @@
     job.cancelled = job.cancelled or event.cancel_requested
     job.cancelled = job.cancelled or state.early_cancels.pop(request_id, None) is not None
     if not request.idempotent and event.attempt_id is not None:
-        expect_attempt(state, job, event.attempt_id, event.placement, out)
+        expect_attempt(state, job, event.attempt_id, event.placement, event.instances, out)
         return
     if job.cancelled:
         retries.end_request(state, job, requests.End.CANCELLED, out)
@@ -102,12 +102,14 @@
     job: states.Job,
     attempt_id: str,
     placement: resources.Placement,
+    instances: tuple[str, ...],
     out: list[commands.Command],
 ) -> None:
     """Waits until workers tell what became of a recorded attempt of another owner."""
     places: list[resources.MemberPlacement | None] = list(placement)
     members = job.request.shape.members
     attempt = reports.create_found(state, job, attempt_id, places or [None] * members)
+    attempt.instances = instances
     closing.set_due(state, attempt, state.now_s + state.settings.outcome_wait_s)
     tasks = {
         task.task_id: (worker_id, task)
@@ -120,7 +122,8 @@
             continue
         worker.attempts[attempt_id] = None
         if states.format_member_task_id(attempt, member) not in tasks:
-            reports.note_absent(state, attempt, member, False, out)
+            restarted = reports.has_restarted(worker, attempt, member, False)
+            reports.note_absent(state, attempt, member, restarted, out)
     for worker_id, task in tasks.values():
         reports.note_task(state, state.workers[worker_id], task, True, out)
 
@@ -151,4 +154,6 @@
         closing.close(state, attempt, states.After.RETRY, out, "not_recorded")
         return
     closing.drop(state, attempt, out)
-    expect_attempt(state, job, event.found_attempt_id, event.found_placement, out)
+    expect_attempt(
+        state, job, event.found_attempt_id, event.found_placement, event.found_instances, out
+    )
--- a/lycheegate/core/reports.py
+++ b/lycheegate/core/reports.py
@@ -12,6 +12,7 @@
 __all__ = [
     "RECOVERY_WAIT_S",
     "create_found",
+    "has_restarted",
     "is_settling",
     "note_absent",
     "note_released",
@@ -68,6 +69,7 @@
     if worker is None:
         worker = state.workers[worker_id] = states.WorkerState(event.worker)
     worker.worker = event.worker
+    worker.instance = event.instance
     if is_fresh:
         worker.lost_at_s = None
         worker.placeable = True
@@ -87,7 +89,8 @@
             if place is not None and place.worker_id == worker_id:
                 task_id = commands.format_task_id(attempt_id, member)
                 if task_id not in reported:
-                    note_absent(state, attempt, member, event.restarted, out)
+                    restarted = has_restarted(worker, attempt, member, event.restarted)
+                    note_absent(state, attempt, member, restarted, out)
     unrefreshed, state.unrefreshed = state.unrefreshed, None
     for changed_id in unrefreshed:
         if changed_id in state.workers:
@@ -281,6 +284,23 @@
             closing.set_due(state, attempt, due_s)
 
 
+def has_restarted(
+    worker: states.WorkerState, attempt: states.Attempt, member: int, default: bool
+) -> bool:
+    """Returns whether a member's worker may have lost the memory of its task.
+
+    Args:
+        worker: The worker.
+        attempt: The attempt.
+        member: The member.
+        default: What holds if the record does not name the instance of the worker.
+    """
+    recorded = attempt.instances[member] if attempt.instances else ""
+    if recorded and worker.instance:
+        return recorded != worker.instance
+    return default
+
+
 def note_absent(
     state: states.PartitionState,
     attempt: states.Attempt,
--- a/lycheegate/core/state.py
+++ b/lycheegate/core/state.py
@@ -169,6 +169,8 @@
         reason: Code of the reason for closing.
         detail: Error of the job, if that is the reason.
         probe_of: Quarantined worker that it tests, or None.
+        instances: Instance of each member's worker when an earlier owner recorded the attempt;
+            empty if this owner made it.
     """
 
     attempt_id: str
@@ -187,6 +189,7 @@
     reason: str = ""
     detail: str = ""
     probe_of: str | None = None
+    instances: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,6 +210,7 @@
         probe_at_s: When the next probe is due.
         probe_interval_s: Time to the probe after that.
         probe_attempt_id: Attempt that tests it now, or None.
+        instance: Identity of its life, as it reported last, or an empty string.
     """
 
     worker: resources.Worker
@@ -222,6 +226,7 @@
     probe_at_s: float = 0.0
     probe_interval_s: float = 0.0
     probe_attempt_id: str | None = None
+    instance: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/lycheegate/core/tests/fakes.py
+++ b/lycheegate/core/tests/fakes.py
@@ -58,6 +58,8 @@
     leaving_since_s: float | None = None
     fails_all: bool = False
     crashed: bool = False
+    life: int = 0
+    reported_epoch: int = 0
     unreachable_since_s: float = 0.0
     known_lost: bool = False
     reachable_by_old: bool = False
@@ -74,6 +76,7 @@
     end: commands.EndRequest | None = None
     attempt_id: str | None = None
     placement: resources.Placement = ()
+    instances: tuple[str, ...] = ()
     cancel_requested: bool = False
 
 
--- a/lycheegate/core/tests/test_engine.py
+++ b/lycheegate/core/tests/test_engine.py
@@ -47,12 +47,12 @@
     return [command for command in out if isinstance(command, kind)]
 
 
-def _report(*tasks, restarted=False):
+def _report(*tasks, restarted=False, instance=""):
     reported = tuple(
         events.TaskReport(task_id, task_id.split("-")[0], 0, task_state, 0, 1)
         for task_id, task_state in tasks
     )
-    return events.WorkerReported(_WORKERS[0], reported, restarted=restarted)
+    return events.WorkerReported(_WORKERS[0], reported, restarted=restarted, instance=instance)
 
 
 _TASK = "r-1-1.0"
@@ -413,6 +413,38 @@
     assert [type(command) for command in out] == [commands.HoldTask, commands.CollectAnswer]
 
 
+@pytest.mark.parametrize("reported_first", [False, True])
+@pytest.mark.parametrize(
+    ("recorded", "expected"),
+    [
+        # The worker still has its memory, so it is asked, and answers that nothing started.
+        (("i1",), [commands.ReleaseTask]),
+        # The worker has restarted since; the task may have run in its earlier life.
+        (("i0",), [commands.EndRequest]),
+    ],
+)
+def test_recover_recorded_attempt_that_was_never_ordered(recorded, expected, reported_first):
+    """Guards against an accepted request that is given up though its order was never sent.
+
+    The owner died between the record of the attempt and the order. A new owner's first report of
+    a worker always counts as one after a restart, so only the recorded instance tells.
+    """
+    state = engine.create_state("suwon/0")
+    request = fakes.make_request("r", idempotent=False)
+    place = resources.MemberPlacement("w0", 0, 1)
+    recovered = events.RecoveredRequest(request, "r-1-1", (place,), instances=recorded)
+    steps = [recovered, _report(restarted=True, instance="i1")]
+    if reported_first:
+        steps.reverse()
+    out = _run(state, [events.EpochGained(2), *steps])
+    assert [type(command) for command in out] == expected
+    if expected == [commands.EndRequest]:
+        assert out[0].end is _End.MAY_HAVE_RUN
+        return
+    out = _run(state, [events.TaskReleased("r-1-1.0", False), 0.1, 20.0])
+    assert [type(command) for command in out] == [commands.RecordAttempt]
+
+
 _SNAPSHOT = engine.make_snapshot(engine.create_state("a"))
 
 
--- a/lycheegate/core/tests/world.py
+++ b/lycheegate/core/tests/world.py
@@ -84,6 +84,7 @@
                         record.attempt_id,
                         record.placement,
                         record.cancel_requested,
+                        record.instances,
                     ),
                 )
 
@@ -105,8 +106,12 @@
             for task_id, task in worker.tasks.items()
         )
         is_leaving = worker.leaving_since_s is not None
+        # A new owner knows nothing of earlier restarts, so its first report counts as one after.
+        restarted = worker.crashed or worker.reported_epoch != self.table_epoch
+        worker.reported_epoch = self.table_epoch
         self.send(
-            self.owner, events.WorkerReported(worker.worker, tasks, is_leaving, worker.crashed)
+            self.owner,
+            events.WorkerReported(worker.worker, tasks, is_leaving, restarted, str(worker.life)),
         )
 
     def send(self, owner: fakes.Owner | None, event: events.Event) -> None:
@@ -269,6 +274,9 @@
                 self.send(owner, events.AttemptNotRecorded(command.attempt_id))
             elif record.end is None:
                 record.attempt_id, record.placement = command.attempt_id, command.placement
+                record.instances = tuple(
+                    str(self.workers[place.worker_id].life) for place in command.placement
+                )
                 self.send(owner, events.AttemptRecorded(command.attempt_id))
             else:
                 self.send(owner, events.AttemptNotRecorded(command.attempt_id))
@@ -383,6 +391,7 @@
             worker.alive = False
             worker.connection += 1
             worker.crashed = True
+            worker.life += 1
             worker.unreachable_since_s = self.now_s
             worker.tasks.clear()
             worker.tombstones.clear()
--- a/lycheegate/entry/execution.py
+++ b/lycheegate/entry/execution.py
@@ -256,7 +256,8 @@
             self._owner.apply(events.AttemptNotRecorded(command.attempt_id))
             return
         places = [(place.worker_id, place.first, place.count) for place in command.placement]
-        attempt = records.Attempt(command.attempt_id, self._owner.epoch, places)
+        instances = [self._owner.workers.get_instance(place[0]) for place in places]
+        attempt = records.Attempt(command.attempt_id, self._owner.epoch, places, instances)
         known = entry.known
 
         def work() -> None:
@@ -297,7 +298,8 @@
         if record.end is None and record.attempt is not None and error.version:
             placement = partitions.make_placement(record.attempt)
             found = record.attempt.attempt_id
-            owner.apply(events.AttemptNotRecorded(command.attempt_id, found, placement))
+            instances = tuple(record.attempt.instances)
+            owner.apply(events.AttemptNotRecorded(command.attempt_id, found, placement, instances))
             return
         owner.apply(events.AttemptNotRecorded(command.attempt_id))
         # The write of an end finds the one that is there.
--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -354,6 +354,7 @@
                 record.attempt.attempt_id if record.attempt else None,
                 placement,
                 record.cancel_requested,
+                tuple(record.attempt.instances) if record.attempt else (),
             )
         )
 
--- a/lycheegate/entry/records.py
+++ b/lycheegate/entry/records.py
@@ -53,6 +53,8 @@
     attempt_id: str
     epoch: int
     placement: list[tuple[str, int, int]]
+    instances: list[str] = []
+    """Instance of each member's worker as the owner knew it, or an empty string."""
 
 
 class AnswerReference(msgspec.Struct, frozen=True):
