Spread accepted jobs over parts of the store

Cause: a part of the store carries out its transactions one after another. Submissions timed out after 0.7 s and were repeated, directly and by peers, and the repetitions kept the part busy: 504 for seven submissions, 429 for the holder's writes.

Ruled out: slow answers alone (0.32 s is below the time limit), and the VMs being restarted at that time (submissions at the others failed alike).

Change: accepted jobs and cancellations lie in 16 parts, chosen by a checksum of the identifier. The first progress record is written with the first start, so that accepting a job stays one transaction in one part. A job's row is deleted before its progress; progress without a job is deleted by the next holder. The parts of a table are read in parallel by one function, which the feeds and the recovery both use.

--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -19,7 +19,6 @@
     "decode_progress",
     "decode_status",
     "encode_accepted",
-    "encode_initial_progress",
     "encode_progress",
 ]
 
@@ -95,11 +94,6 @@
         raise exceptions.ProtocolError(f"record of job {job_id} cannot be read: {error}") from error
 
 
-def encode_initial_progress() -> bytes:
-    """Returns the progress of a job that nothing has happened to."""
-    return cbor2.dumps([FORMAT, "", False, 0, []])
-
-
 def encode_progress(job: state.JobState) -> bytes:
     """Returns the record of a job's progress."""
     steps = [] if job.outcome is not None and not job.list_runs() else list(job.steps.values())
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -157,7 +157,8 @@
     Attributes:
         job: The job.
         route: Its queue as it was when the job was accepted.
-        version: Version of its progress record in the store.
+        version: Version of its progress record in the store, or 0 while there is none.
+        accepted_version: Version of its record of acceptance.
         steps: Steps of occurrences that are due and have not ended.
         outcome: How it ended, or None.
         cancelled: Whether its caller has cancelled it.
@@ -170,6 +171,7 @@
     job: model.Job
     route: model.Route
     version: int = 0
+    accepted_version: int = 0
     steps: dict[StepKey, StepState] = dataclasses.field(default_factory=dict)
     outcome: model.Outcome | None = None
     cancelled: bool = False
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -151,13 +151,10 @@
             self._log.write("job_invalid", job=job_id, error=str(error))
             return werkzeug.Response(str(error), status=400)
         record = progress.encode_accepted(progress.AcceptedJob(job, route))
-        job_key, progress_key = tables.get_job_key(job_id), tables.get_progress_key(job_id)
+        job_key = tables.get_job_key(job_id)
         transaction = storage.Transaction(
             conditions=(storage.Condition(job_key, storage.ABSENT),),
-            writes=(
-                storage.Write(job_key, record),
-                storage.Write(progress_key, progress.encode_initial_progress()),
-            ),
+            writes=(storage.Write(job_key, record),),
         )
         outcome = self._transact(transaction, deadline_s)
         if isinstance(outcome, result.Success):
@@ -179,7 +176,7 @@
         return self._fail(error, "submit", job_id)
 
     def _cancel(self, job_id: str, deadline_s: float) -> werkzeug.Response:
-        outcome = self._read_progress(job_id, deadline_s)
+        outcome = self._read_status(job_id, deadline_s)
         if not isinstance(outcome, result.Success):
             return self._fail(outcome.failure(), "cancel", job_id, is_write=False)
         status = outcome.unwrap()
@@ -200,7 +197,7 @@
     def _tell_status(self, job_id: str, deadline_s: float) -> werkzeug.Response:
         status = self._ends.get(job_id)
         if status is None:
-            outcome = self._read_progress(job_id, deadline_s)
+            outcome = self._read_status(job_id, deadline_s)
             if not isinstance(outcome, result.Success):
                 return self._fail(outcome.failure(), "status", job_id, is_write=False)
             status = outcome.unwrap()
@@ -224,17 +221,32 @@
             return _make_json(submissions.encode_pending(0))
         return _make_json(submissions.encode_pending(beat.pending.get(route.name, 0)))
 
-    def _read_progress(self, job_id: str, deadline_s: float) -> storage.StoreResult:
+    def _read_status(self, job_id: str, deadline_s: float) -> storage.StoreResult:
+        """Reads what has happened to a job; success holds a status, or None if there is no job."""
+        outcome = self._read_row(tables.get_progress_key(job_id), deadline_s)
+        if not isinstance(outcome, result.Success):
+            return outcome
+        row = outcome.unwrap()
+        if row is not None:
+            return result.Success(progress.decode_status(row.value))
+        # Progress is written with the first start, so most jobs are found by now.
+        outcome = self._read_row(tables.get_job_key(job_id), deadline_s)
+        if not isinstance(outcome, result.Success):
+            return outcome
+        is_queued = outcome.unwrap() is not None
+        return result.Success(progress.JobStatus(None, False) if is_queued else None)
+
+    def _read_row(self, key: storage.RowKey, deadline_s: float) -> storage.StoreResult:
+        """Reads one row; success holds it, or None."""
+
         def send(timeout_s: float, callback: Callable) -> None:
-            self._store.read(
-                tables.PROGRESS, tables.PART, job_id, job_id + "\0", timeout_s, callback
-            )
+            self._store.read(key.table, key.part, key.key, key.key + "\0", timeout_s, callback)
 
         outcome = self._call(send, deadline_s)
         if not isinstance(outcome, result.Success):
             return outcome
         rows = outcome.unwrap().rows
-        return result.Success(progress.decode_status(rows[0].value) if rows else None)
+        return result.Success(rows[0] if rows else None)
 
     def _transact(self, transaction: storage.Transaction, deadline_s: float) -> storage.StoreResult:
         def send(timeout_s: float, callback: Callable) -> None:
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -126,7 +126,7 @@
             self._store,
             self._client.call_later,
             configurations.TABLE,
-            "",
+            ("",),
             self._take_configuration_rows,
             self._log_feed_error(configurations.TABLE),
         ).start()
@@ -134,7 +134,7 @@
             self._store,
             self._client.call_later,
             tables.TERMS,
-            tables.PART,
+            (tables.PART,),
             self._take_term_rows,
             self._log_feed_error(tables.TERMS),
         ).start()
@@ -142,7 +142,7 @@
             self._store,
             self._client.call_later,
             tables.MEMBERS,
-            tables.PART,
+            (tables.PART,),
             self._take_member_rows,
             self._log_feed_error(tables.MEMBERS),
             wait_s=MEMBERS_WAIT_S,
--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -1,15 +1,14 @@
 """Following a table: read it once, then take its changes, and read anew when history is lost."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from returns import result
 
-from lycheegate.node import storage
+from lycheegate.node import reads, storage
 
 __all__ = ["TableFeed"]
 
-READ_TIMEOUT_S = 1.5
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
 
@@ -21,7 +20,7 @@
         store: The store.
         call_later: Runs a function after a delay in seconds.
         table: The table.
-        part: Its part.
+        parts: Its parts.
         on_rows: Receives rows, whether they are the whole table, and the store's clock in ms.
         on_error: Receives errors, for the log.
         wait_s: How long one call waits for a change.
@@ -33,7 +32,7 @@
         store: storage.Store,
         call_later: Callable,
         table: str,
-        part: str,
+        parts: Sequence[str],
         on_rows: Callable[[tuple[storage.Row, ...], bool, int], None],
         on_error: Callable[[Exception], None],
         wait_s: float = 1.0,
@@ -43,7 +42,7 @@
         self._store = store
         self._call_later = call_later
         self._table = table
-        self._part = part
+        self._parts = tuple(parts)
         self._on_rows = on_rows
         self._on_error = on_error
         self._wait_s = wait_s
@@ -51,14 +50,14 @@
         self._jitter = jitter or random.Random()
         self._stopped = False
         self._failures = 0
-        self._rows: list[storage.Row] = []
         self._version = 0
 
     def start(self) -> None:
         """Reads the table and follows it."""
-        self._rows = []
-        self._version = 0
-        self._read_page("")
+        if self._stopped:
+            return
+        parts = [(self._table, part) for part in self._parts]
+        reads.TableRead(self._store, parts, self._take_content, self._take_read_error)
 
     def follow_from(self, version: int) -> None:
         """Follows the table from a version at which its rows are known."""
@@ -69,29 +68,18 @@
         """Ends the feed; an answer under way is dropped."""
         self._stopped = True
 
-    def _read_page(self, first: str) -> None:
-        if self._stopped:
-            return
-        self._store.read(self._table, self._part, first, "", READ_TIMEOUT_S, self._take_page)
-
-    def _take_page(self, outcome: storage.StoreResult) -> None:
+    def _take_content(self, content: reads.TableContent) -> None:
         if self._stopped:
             return
-        if not isinstance(outcome, result.Success):
-            self._retry(outcome.failure(), self.start)
-            return
-        page = outcome.unwrap()
         self._failures = 0
-        # Changes are taken from the first page on, so none between pages is missed.
-        self._version = self._version or page.version
-        self._rows += page.rows
-        if page.is_truncated and page.rows:
-            self._read_page(page.rows[-1].key.key + "\0")
-            return
-        rows, self._rows = tuple(self._rows), []
-        self._on_rows(rows, True, page.clock_ms)
+        self._version = content.version
+        self._on_rows(tuple(content.rows), True, content.clock_ms)
         self._follow()
 
+    def _take_read_error(self, error: Exception) -> None:
+        if not self._stopped:
+            self._retry(error, self.start)
+
     def _follow(self) -> None:
         if not self._stopped:
             self._store.follow(self._table, self._version, self._wait_s, self._take_changes)
--- a/lycheegate/node/recovery.py
+++ b/lycheegate/node/recovery.py
@@ -3,13 +3,10 @@
 import dataclasses
 from collections.abc import Callable
 
-from returns import result
-
-from lycheegate.node import storage, tables
+from lycheegate.node import reads, storage, tables
 
 __all__ = ["LoadedJobs", "load_jobs"]
 
-READ_TIMEOUT_S = 2.0
 RETRY_S = 0.2
 
 
@@ -29,6 +26,10 @@
     progress: dict[str, storage.Row] = dataclasses.field(default_factory=dict)
     version: int = 0
 
+    def list_orphans(self) -> list[storage.RowKey]:
+        """Returns the progress records of jobs that were deleted before them."""
+        return [row.key for job_id, row in self.progress.items() if job_id not in self.jobs]
+
 
 def load_jobs(
     store: storage.Store,
@@ -39,48 +40,38 @@
     """Reads jobs, then their progress.
 
     Jobs are read first: a job that is accepted meanwhile comes with the changes, and nothing
-    else can have changed its progress since the term was claimed.
+    else can have changed its progress since the term was claimed. A job without a progress
+    record is one that nothing has happened to, because a job's row is deleted before its
+    progress and that only by the holder of the term.
     """
     loaded = LoadedJobs()
 
-    def read(table: str, first: str) -> None:
-        if is_stopped():
-            return
-        store.read(
-            table,
-            tables.PART,
-            first,
-            "",
-            READ_TIMEOUT_S,
-            lambda outcome: take(table, first, outcome),
-        )
-
-    def take(table: str, first: str, outcome: storage.StoreResult) -> None:
-        if is_stopped():
-            return
-        if not isinstance(outcome, result.Success):
-            call_later(RETRY_S, lambda: read(table, first))
-            return
-        page = outcome.unwrap()
-        loaded.version = loaded.version or page.version
-        _add_rows(loaded, table, page.rows)
-        if page.is_truncated and page.rows:
-            read(table, page.rows[-1].key.key + "\0")
-        elif table == tables.JOBS:
-            read(tables.PROGRESS, "")
-        else:
+    def read_jobs() -> None:
+        if not is_stopped():
+            reads.TableRead(store, tables.list_job_parts(), take_jobs, lambda _: retry(read_jobs))
+
+    def read_progress() -> None:
+        if not is_stopped():
+            parts = [(tables.PROGRESS, tables.PART)]
+            reads.TableRead(store, parts, take_progress, lambda _: retry(read_progress))
+
+    def retry(function: Callable[[], None]) -> None:
+        call_later(RETRY_S, function)
+
+    def take_jobs(content: reads.TableContent) -> None:
+        loaded.version = content.version
+        for row in content.rows:
+            job_id, is_cancel = tables.split_job_key(row.key.key)
+            if is_cancel:
+                loaded.cancelled.append(job_id)
+            else:
+                loaded.jobs[job_id] = row
+        read_progress()
+
+    def take_progress(content: reads.TableContent) -> None:
+        for row in content.rows:
+            loaded.progress[row.key.key] = row
+        if not is_stopped():
             on_loaded(loaded)
 
-    read(tables.JOBS, "")
-
-
-def _add_rows(loaded: LoadedJobs, table: str, rows: tuple[storage.Row, ...]) -> None:
-    for row in rows:
-        if table == tables.PROGRESS:
-            loaded.progress[row.key.key] = row
-            continue
-        job_id, is_cancel = tables.split_job_key(row.key.key)
-        if is_cancel:
-            loaded.cancelled.append(job_id)
-        else:
-            loaded.jobs[job_id] = row
+    read_jobs()
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -34,6 +34,8 @@
 STALE_ORDER_S = 1.2
 """Age of a durable intention above which no order is sent for it; the VM may have slept."""
 MAX_DELETED_JOBS = 20
+MAX_DELETED_ROWS = 90
+"""A transaction holds at most 100 entries, one of them the condition."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +116,7 @@
             runtime.store,
             runtime.call_later,
             tables.JOBS,
-            tables.PART,
+            [part for _, part in tables.list_job_parts()],
             self._take_job_rows,
             self._make_error_logger(tables.JOBS),
             wait_s=2.0,
@@ -123,7 +125,7 @@
             runtime.store,
             runtime.call_later,
             worker_calls.REGISTRY_TABLE,
-            "",
+            ("",),
             self._take_registry_rows,
             self._make_error_logger(worker_calls.REGISTRY_TABLE),
             pause_s=REGISTRY_PAUSE_S,
@@ -176,15 +178,8 @@
         recovered = 0
         for job_id, row in loaded.jobs.items():
             job = self._make_job(job_id, row)
-            record = loaded.progress.get(job_id)
-            if job is None or record is None:
+            if job is None or not self._restore_progress(job, loaded.progress.get(job_id), now_s):
                 continue
-            try:
-                progress.decode_progress(job, record.value, now_s)
-            except exceptions.ProtocolError as error:
-                self._runtime.log.write("record_unreadable", job=job_id, error=str(error))
-                continue
-            job.version = record.version
             lifecycle.add_job(self._state, job, now_s, wall_s)
             recovered += job.is_open
         for job_id in loaded.cancelled:
@@ -195,15 +190,32 @@
         )
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
+        orphans = loaded.list_orphans()[:MAX_DELETED_ROWS]
+        if orphans:
+            self._delete_progress(orphans)
         self._request_pass()
 
+    def _restore_progress(
+        self, job: state.JobState, record: storage.Row | None, now_s: float
+    ) -> bool:
+        """Restores what has happened to a job; returns whether it could be read."""
+        if record is None:
+            return True
+        try:
+            progress.decode_progress(job, record.value, now_s)
+        except exceptions.ProtocolError as error:
+            self._runtime.log.write("record_unreadable", job=job.job.job_id, error=str(error))
+            return False
+        job.version = record.version
+        return True
+
     def _make_job(self, job_id: str, row: storage.Row) -> state.JobState | None:
         try:
             accepted = progress.decode_accepted(job_id, row.value)
         except exceptions.ProtocolError as error:
             self._runtime.log.write("record_unreadable", job=job_id, error=str(error))
             return None
-        return state.JobState(accepted.job, accepted.route, version=row.version)
+        return state.JobState(accepted.job, accepted.route, accepted_version=row.version)
 
     def _take_job_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
         now_s = self._runtime.now_s()
@@ -278,23 +290,36 @@
         self._call_later(TICK_S, self._tick)
 
     def _delete_expired(self, now_s: float) -> None:
-        expired = lifecycle.list_expired(self._state, now_s)[:MAX_DELETED_JOBS]
-        if not expired:
-            return
-        deletes: list[storage.RowKey] = []
-        for job in expired:
-            job_id = job.job.job_id
-            deletes += [tables.get_job_key(job_id), tables.get_progress_key(job_id)]
-            if job.cancelled:
-                deletes.append(tables.get_cancel_key(job_id))
-            lifecycle.remove_job(self._state, job_id)
-        condition = storage.Condition(tables.OWNER, self._owner_version)
+        for job in lifecycle.list_expired(self._state, now_s)[:MAX_DELETED_JOBS]:
+            lifecycle.remove_job(self._state, job.job.job_id)
+            self._delete_job(job)
+
+    def _delete_job(self, job: state.JobState) -> None:
+        """Deletes a job, and then its progress: a job without progress would run again."""
+        job_key = tables.get_job_key(job.job.job_id)
+        deletes = [job_key]
+        if job.cancelled:
+            deletes.append(tables.get_cancel_key(job.job.job_id))
+        # The identifier may have been used again since.
+        condition = storage.Condition(job_key, job.accepted_version)
+
+        def take(outcome: storage.StoreResult) -> None:
+            if isinstance(outcome, result.Success):
+                self._delete_progress([tables.get_progress_key(job.job.job_id)])
+            else:
+                self._note_failed_deletion(outcome)
+
         transaction = storage.Transaction((condition,), (), tuple(deletes))
-        self._runtime.store.transact(transaction, WRITE_TIMEOUT_S, self._ignore_deletion)
+        self._runtime.store.transact(transaction, WRITE_TIMEOUT_S, take)
+
+    def _delete_progress(self, keys: list[storage.RowKey]) -> None:
+        condition = storage.Condition(tables.OWNER, self._owner_version)
+        transaction = storage.Transaction((condition,), (), tuple(keys))
+        self._runtime.store.transact(transaction, WRITE_TIMEOUT_S, self._note_failed_deletion)
 
-    def _ignore_deletion(self, outcome: storage.StoreResult) -> None:
+    def _note_failed_deletion(self, outcome: storage.StoreResult) -> None:
         if not isinstance(outcome, result.Success):
-            # The next term finds the rows and deletes them after the same time.
+            # The next term finds the rows and deletes them.
             self._runtime.log.write("deletion_failed", error=str(outcome.failure()))
 
     def _write(self) -> None:
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -1,11 +1,13 @@
 """Tables of the daemon in the platform's store.
 
-All rows lie in one part, so that a job and its progress, or progress and the scheduler's term,
-can be changed in one transaction.
+A part carries out its transactions one after another. Progress and the scheduler's term share a
+part, so that both are changed in one transaction. Accepted jobs are spread over others: while the
+store is slow, submissions then neither wait for each other nor delay the term's renewal.
 """
 
 import dataclasses
 import uuid
+import zlib
 
 import cbor2
 
@@ -29,11 +31,14 @@
     "get_cancel_key",
     "get_job_key",
     "get_progress_key",
+    "list_job_parts",
     "make_claim_id",
     "split_job_key",
 ]
 
 PART = "jobs"
+"""Part of all rows but those of accepted jobs."""
+JOB_PARTS = 16
 JOBS = "jobs"
 PROGRESS = "progress"
 TERMS = "terms"
@@ -88,12 +93,22 @@
 
 def get_job_key(job_id: str) -> storage.RowKey:
     """Returns the row of an accepted job."""
-    return storage.RowKey(JOBS, PART, job_id)
+    return storage.RowKey(JOBS, _get_job_part(job_id), job_id)
+
+
+def list_job_parts() -> list[tuple[str, str]]:
+    """Returns the table of jobs with each of its parts."""
+    return [(JOBS, f"{PART}-{number}") for number in range(JOB_PARTS)]
+
+
+def _get_job_part(job_id: str) -> str:
+    # Callers choose the identifiers, so their first digits may all be the same.
+    return f"{PART}-{zlib.crc32(job_id.encode()) % JOB_PARTS}"
 
 
 def get_cancel_key(job_id: str) -> storage.RowKey:
     """Returns the row that marks a job as cancelled."""
-    return storage.RowKey(JOBS, PART, job_id + _CANCEL_SUFFIX)
+    return storage.RowKey(JOBS, _get_job_part(job_id), job_id + _CANCEL_SUFFIX)
 
 
 def get_progress_key(job_id: str) -> storage.RowKey:
