Ask the term's holder directly when its heartbeat is overdue or the store is away

Ruled out: a shorter lapse alone. A store that takes 0.3 s an answer spaces heartbeats by up to 1.3 s, and a change of holders costs more than the wait.

Change: an overdue heartbeat makes the observers ask the holder's VM. It may answer that it does not hold the term (claim after 0.9 s of silence), or not be reached (1.2 s). Status questions go to the holder when the store fails; it answers from what is stored, never from what it only knows itself. Calls between VMs moved from relay.py to peer_calls.py and holder.py.

--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -20,10 +20,13 @@
     "decode_status",
     "encode_accepted",
     "encode_progress",
+    "make_status",
 ]
 
 FORMAT = 1
 
+JobStatus = state.JobStatus
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AcceptedJob:
@@ -33,19 +36,6 @@
     route: model.Route
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobStatus:
-    """What callers are told about a job.
-
-    Attributes:
-        outcome: How it ended, or None.
-        started: Whether a task was ever placed.
-    """
-
-    outcome: model.Outcome | None
-    started: bool
-
-
 def encode_accepted(accepted: AcceptedJob) -> bytes:
     """Returns the record of an accepted job."""
     job, route = accepted.job, accepted.route
@@ -135,6 +125,11 @@
         job.ended_at_s = now_s
 
 
+def make_status(job: state.JobState) -> JobStatus:
+    """Returns what callers are told once a job's progress is stored as it is."""
+    return JobStatus(job.outcome, job.started)
+
+
 def decode_status(data: bytes) -> JobStatus:
     """Returns what callers are told, from a progress record.
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -12,6 +12,7 @@
 __all__ = [
     "Claim",
     "JobState",
+    "JobStatus",
     "Policy",
     "Run",
     "RunPhase",
@@ -150,6 +151,19 @@
         return [i for i in range(self.step.count) if i not in self.done and i not in self.runs]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobStatus:
+    """What callers are told about a job.
+
+    Attributes:
+        outcome: How it ended, or None.
+        started: Whether a task was ever placed.
+    """
+
+    outcome: model.Outcome | None
+    started: bool
+
+
 @dataclasses.dataclass(slots=True)
 class JobState:
     """A job.
@@ -159,6 +173,7 @@
         route: Its queue as it was when the job was accepted.
         version: Version of its progress record in the store, or 0 while there is none.
         accepted_version: Version of its record of acceptance.
+        stored_status: What callers are told according to the stored record.
         steps: Steps of occurrences that are due and have not ended.
         outcome: How it ended, or None.
         cancelled: Whether its caller has cancelled it.
@@ -172,6 +187,7 @@
     route: model.Route
     version: int = 0
     accepted_version: int = 0
+    stored_status: JobStatus = JobStatus(None, False)
     steps: dict[StepKey, StepState] = dataclasses.field(default_factory=dict)
     outcome: model.Outcome | None = None
     cancelled: bool = False
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -23,12 +23,14 @@
         job_id: The job.
         version: Version that the record must have.
         data: The record.
+        status: What callers are told once the record is written.
         intended: Runs whose orders may be sent once the record is written.
     """
 
     job_id: str
     version: int
     data: bytes
+    status: state.JobStatus
     intended: tuple[tuple[model.TaskKey, int], ...]
 
 
@@ -63,7 +65,8 @@
     intended = tuple(
         (run.task, run.number) for run in job.list_runs() if run.phase is state.RunPhase.INTENDED
     )
-    return ProgressWrite(job.job.job_id, job.version, progress.encode_progress(job), intended)
+    data, status = progress.encode_progress(job), progress.make_status(job)
+    return ProgressWrite(job.job.job_id, job.version, data, status, intended)
 
 
 def complete_batch(
@@ -76,6 +79,7 @@
         if job is None:
             continue
         job.version = version
+        job.stored_status = write.status
         intended = set(write.intended)
         for run in job.list_runs():
             if run.phase is state.RunPhase.INTENDED and (run.task, run.number) in intended:
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -29,6 +29,7 @@
 """Lost answers after which a caller does better at another VM."""
 UNAVAILABLE_PAUSE_S = 0.03
 MAX_CACHED_ENDS = 4096
+HOLDER_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +60,7 @@
         log: Log of decisions.
         max_configuration_age_s: Age of the last confirmation above which no key is trusted.
         notify: Tells the scheduler of a row that was written.
+        ask_holder: Returns the stored state of a job as the term's holder knows it, or None.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         log: jsonlog.JsonLog,
         max_configuration_age_s: float,
         notify: Callable[[storage.Row], None],
+        ask_holder: Callable[[str, float], progress.JobStatus | None],
     ):
         self._store = store
         self._view = view
@@ -78,6 +81,7 @@
         self._log = log
         self._max_configuration_age_s = max_configuration_age_s
         self._notify = notify
+        self._ask_holder = ask_holder
         self._ends: collections.OrderedDict[str, progress.JobStatus] = collections.OrderedDict()
         self._lock = threading.Lock()
 
@@ -198,9 +202,14 @@
         status = self._ends.get(job_id)
         if status is None:
             outcome = self._read_status(job_id, deadline_s)
-            if not isinstance(outcome, result.Success):
-                return self._fail(outcome.failure(), "status", job_id, is_write=False)
-            status = outcome.unwrap()
+            if isinstance(outcome, result.Success):
+                status = outcome.unwrap()
+            else:
+                # The holder knows what is stored, also while nobody reaches the store.
+                status = self._ask_holder(job_id, HOLDER_TIMEOUT_S)
+                if status is None:
+                    return self._fail(outcome.failure(), "status", job_id, is_write=False)
+                self._log.write("status_of_holder", job=job_id, outcome=status.outcome)
         if status is None:
             return werkzeug.Response(status=410)
         if status.outcome is not None:
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -12,8 +12,19 @@
 
 from lycheegate.clients import http
 from lycheegate.entry import server
+from lycheegate.jobs import progress
 from lycheegate.metrics import exposition, histograms, jsonlog
-from lycheegate.node import callers, feeds, relay, scheduler, storage, tables, terms
+from lycheegate.node import (
+    callers,
+    feeds,
+    holder,
+    peer_calls,
+    relay,
+    scheduler,
+    storage,
+    tables,
+    terms,
+)
 from lycheegate.platform import configuration as configurations
 from lycheegate.platform import settings as settings_
 from lycheegate.platform import store as stores
@@ -71,6 +82,15 @@
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.View()
         self._histograms = histograms.Histograms()
+        self._holder = holder.HolderClient(
+            self._client,
+            settings.node_name,
+            self._view.term,
+            self._peers.get,
+            self._holds_term,
+            read_boottime_s,
+            log,
+        )
         self._scheduler: scheduler.Scheduler | None = None
         self._claiming = False
         self._stopped = threading.Event()
@@ -83,6 +103,7 @@
             log,
             settings.revoke_s - CONFIGURATION_MARGIN_S,
             self._notify_scheduler,
+            self._ask_holder,
         )
         self._front = server.CallersServer(
             *settings.front_address, application, models.LimitSettings(caller_threads=FRONT_THREADS)
@@ -94,7 +115,12 @@
         )
         self._relay = server.CallersServer(
             *settings.peer_address,
-            relay.RelayApplication(direct, self._store.reachability, self._take_notified_row),
+            peer_calls.PeerApplication(
+                direct,
+                self._store.reachability,
+                self._take_notified_row,
+                peer_calls.TermQuestions(self._holds_term, self._find_status),
+            ),
             models.LimitSettings(caller_threads=RELAY_THREADS),
         )
 
@@ -169,11 +195,10 @@
 
     def _notify_scheduler(self, row: storage.Row) -> None:
         """Tells the scheduler of a job or a cancellation without waiting for its feed."""
-        owner = self._view.term.owner
         if self._scheduler is not None:
             self._take_notified_row(row)
-        elif owner is not None and owner.vm in self._peers:
-            relay.notify_peer(self._client, self._peers[owner.vm], row)
+        else:
+            self._holder.notify(row)
 
     def _take_notified_row(self, row: storage.Row) -> None:
         def take() -> None:
@@ -182,6 +207,19 @@
 
         self._client.call_later(0.0, take)
 
+    def _holds_term(self, epoch: int) -> bool:
+        found = self._scheduler
+        return self._claiming or (found is not None and found.epoch == epoch)
+
+    def _find_status(self, job_id: str) -> progress.JobStatus | None:
+        found = self._scheduler
+        return found.find_status(job_id) if found is not None else None
+
+    def _ask_holder(self, job_id: str, timeout_s: float) -> progress.JobStatus | None:
+        if self._scheduler is not None:
+            return self._find_status(job_id)
+        return self._holder.ask_status(job_id, timeout_s)
+
     def _list_peers(self) -> list[str]:
         return list(self._peers.values())
 
@@ -233,6 +271,7 @@
             return
         if self._view.configuration is None:
             return
+        self._holder.probe()
         now_s = read_boottime_s()
         if not terms.may_claim(self._view.term, now_s, self._claim_jitter_s):
             return
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -6,36 +6,32 @@
 """
 
 import dataclasses
-import functools
 import random
 from collections.abc import Callable
 
 import cbor2
-import werkzeug
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.node import storage, waiting
+from lycheegate.node import storage
 from lycheegate.utils import exceptions
 
 __all__ = [
     "FallbackStore",
     "Reachability",
-    "RelayApplication",
     "decode_outcome",
+    "decode_transact",
     "encode_outcome",
-    "notify_peer",
+    "encode_row_key",
 ]
 
 PATH = "/relay"
 RELAY_GRACE_S = 0.3
-NOTIFY_TIMEOUT_S = 0.5
 PROBE_S = 0.5
 PROBE_TIMEOUT_S = 0.7
 PEER_AVOID_S = 2.0
 MAX_PEERS = 3
 """Peers that are tried for one call."""
-MAX_WAIT_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,88 +199,23 @@
         self._client.send(request).add_done_callback(take)
 
 
-def notify_peer(client: http.HttpClient, peer: str, row: storage.Row) -> None:
-    """Tells the scheduler's VM of a row that was just written.
-
-    The feed tells it too, so a notification that is lost is not repeated.
-    """
-    body = cbor2.dumps(["notify", *_encode_key(row.key), row.value, row.version])
-    client.send(http.Request("POST", f"http://{peer}{PATH}", body, timeout_s=NOTIFY_TIMEOUT_S))
-
-
-class RelayApplication:
-    """WSGI application of the peers' address: store calls for them, and their notifications.
-
-    Args:
-        store: The store, reached directly.
-        reachability: Whether it is reached.
-        on_row: Receives a row that a peer has written.
-    """
-
-    def __init__(
-        self,
-        store: storage.Store,
-        reachability: Reachability,
-        on_row: Callable[[storage.Row], None],
-    ):
-        self._store = store
-        self._reachability = reachability
-        self._on_row = on_row
-
-    def __call__(self, environ: dict, start_response: Callable):
-        """Makes one call."""
-        request = werkzeug.Request(environ)
-        body = environ["wsgi.input"].read(request.content_length or 0)
-        return self._answer(body)(environ, start_response)
-
-    def _answer(self, body: bytes) -> werkzeug.Response:
-        try:
-            kind, *rest = cbor2.loads(body)
-            if kind == "notify":
-                table, part, key, value, version = rest
-                self._on_row(storage.Row(storage.RowKey(table, part, key), value, version))
-                return werkzeug.Response(status=204)
-            if self._reachability.is_away:
-                return werkzeug.Response(status=503)
-            outcome = self._call(kind, rest)
-        except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
-            return werkzeug.Response(str(error), status=400)
-        self._reachability.note(outcome)
-        return werkzeug.Response(encode_outcome(outcome), mimetype="application/cbor")
-
-    def _call(self, kind: str, rest: list) -> storage.StoreResult:
-        if kind == "read":
-            *where, timeout_s = rest
-            timeout_s = min(timeout_s, MAX_WAIT_S)
-            call = functools.partial(self._store.read, *where, timeout_s)
-        elif kind == "follow":
-            table, after, timeout_s = rest
-            timeout_s = min(timeout_s, MAX_WAIT_S)
-            call = functools.partial(self._store.follow, table, after, timeout_s)
-        elif kind == "transact":
-            transaction, timeout_s = _decode_transact(rest)
-            timeout_s = min(timeout_s, MAX_WAIT_S)
-            call = functools.partial(self._store.transact, transaction, timeout_s)
-        else:
-            raise ValueError(f"call {kind!r} is unknown")
-        return waiting.wait_for_store(call, 2.0 * MAX_WAIT_S)
-
-
-def _encode_key(key: storage.RowKey) -> list[str]:
+def encode_row_key(key: storage.RowKey) -> list[str]:
+    """Returns the address of a row as CBOR items."""
     return [key.table, key.part, key.key]
 
 
 def _encode_transact(transaction: storage.Transaction, timeout_s: float) -> list:
     return [
         "transact",
-        [[*_encode_key(item.key), item.version] for item in transaction.conditions],
-        [[*_encode_key(item.key), item.value] for item in transaction.writes],
-        [_encode_key(key) for key in transaction.deletes],
+        [[*encode_row_key(item.key), item.version] for item in transaction.conditions],
+        [[*encode_row_key(item.key), item.value] for item in transaction.writes],
+        [encode_row_key(key) for key in transaction.deletes],
         timeout_s,
     ]
 
 
-def _decode_transact(rest: list) -> tuple[storage.Transaction, float]:
+def decode_transact(rest: list) -> tuple[storage.Transaction, float]:
+    """Returns a transaction that a peer asks for, and its time limit in seconds."""
     conditions, writes, deletes, timeout_s = rest
     transaction = storage.Transaction(
         tuple(storage.Condition(storage.RowKey(*key), version) for *key, version in conditions),
@@ -295,7 +226,7 @@
 
 
 def _encode_rows(rows: tuple[storage.Row, ...]) -> list:
-    return [[*_encode_key(row.key), row.value, row.version, row.deleted] for row in rows]
+    return [[*encode_row_key(row.key), row.value, row.version, row.deleted] for row in rows]
 
 
 def _decode_rows(items: list) -> tuple[storage.Row, ...]:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -207,6 +207,7 @@
             self._runtime.log.write("record_unreadable", job=job.job.job_id, error=str(error))
             return False
         job.version = record.version
+        job.stored_status = progress.make_status(job)
         return True
 
     def _make_job(self, job_id: str, row: storage.Row) -> state.JobState | None:
@@ -237,6 +238,11 @@
         if self._loaded and row.key.table == tables.JOBS:
             self._take_job_rows((row,), False, 0)
 
+    def find_status(self, job_id: str) -> progress.JobStatus | None:
+        """Returns the stored state of a job, or None if it is not known; for any thread."""
+        job = self._state.jobs.get(job_id)
+        return job.stored_status if job is not None and self._loaded else None
+
     def _take_registry_rows(self, rows: tuple[storage.Row, ...], is_whole: bool, _: int) -> None:
         found = {} if is_whole else dict(self._registrations)
         for row in rows:
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -4,25 +4,50 @@
 ``LAPSE_S`` on its own clock, or a heartbeat that is older than that on the store's clock, claims
 the next term, under the versions that it has seen. The store's clock lets VMs that have just
 started claim a term whose holder is long gone without waiting.
+
+Answers the load pattern in which all work waits for a new holder: a heartbeat that is overdue
+makes observers ask the holder's VM, and what they learn shortens the wait. A claim by mistake
+costs a change of holders; versions and epochs keep it safe.
 """
 
 import dataclasses
+import enum
 
 from lycheegate.node import storage, tables
 
 __all__ = [
     "LAPSE_S",
     "RENEW_S",
+    "SUSPECT_S",
+    "HolderSign",
     "TermView",
     "estimate_clock_ms",
+    "is_suspect",
     "make_claim",
     "may_claim",
+    "note_sign",
     "observe",
 ]
 
 RENEW_S = 0.7
 LAPSE_S = 1.9
 """Two renewals and the slowness of a store whose answers take half a second."""
+SUSPECT_S = 0.9
+"""One renewal, its write and the way of its news to the observers."""
+UNREACHABLE_S = 1.2
+"""Silence after which a holder that cannot be reached either is replaced."""
+PROBED_JITTER_RATIO = 0.25
+"""Share of the usual delay between the claims of several VMs, once the holder was asked."""
+
+
+class HolderSign(enum.StrEnum):
+    """What the holder's VM answered when it was asked."""
+
+    UNKNOWN = "unknown"
+    ALIVE = "alive"
+    UNREACHABLE = "unreachable"
+    GONE = "gone"
+    """It answers and does not hold the term: its process has restarted."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +63,8 @@
         read_at_s: When the store last answered.
         clock_ms: The store's clock in that answer, or 0 if not told.
         is_loaded: Whether the rows have been read at all.
+        sign: What the holder's VM answered last.
+        sign_epoch: Term that the answer is about.
     """
 
     owner: tables.Owner | None = None
@@ -48,6 +75,8 @@
     read_at_s: float = 0.0
     clock_ms: int = 0
     is_loaded: bool = False
+    sign: HolderSign = HolderSign.UNKNOWN
+    sign_epoch: int = 0
 
 
 def observe(view: TermView, rows: tuple[storage.Row, ...], now_s: float, clock_ms: int = 0) -> None:
@@ -77,6 +106,7 @@
             view.beat = tables.decode_beat(row.value)
             view.beat_version = row.version
             view.changed_at_s = now_s
+            view.sign = HolderSign.UNKNOWN
 
 
 def may_claim(view: TermView, now_s: float, jitter_s: float) -> bool:
@@ -93,12 +123,38 @@
         return True
     if view.beat is not None and view.beat.is_released and view.beat.epoch == view.owner.epoch:
         return True
-    if now_s - view.changed_at_s > LAPSE_S + jitter_s:
+    silence_s = _compute_silence_s(view, now_s)
+    if silence_s > LAPSE_S + jitter_s:
         return True
-    if view.beat is None or not view.beat.sent_at_ms:
+    if view.sign_epoch != view.owner.epoch:
         return False
-    age_s = (estimate_clock_ms(view, now_s) - view.beat.sent_at_ms) / 1000.0
-    return age_s > LAPSE_S + jitter_s
+    jitter_s *= PROBED_JITTER_RATIO
+    if view.sign is HolderSign.GONE:
+        return silence_s > SUSPECT_S + jitter_s
+    return view.sign is HolderSign.UNREACHABLE and silence_s > UNREACHABLE_S + jitter_s
+
+
+def is_suspect(view: TermView, now_s: float) -> bool:
+    """Returns whether the holder's heartbeat is overdue while the store answers."""
+    if not view.is_loaded or view.owner is None or now_s - view.read_at_s > LAPSE_S:
+        return False
+    return _compute_silence_s(view, now_s) > SUSPECT_S
+
+
+def note_sign(view: TermView, epoch: int, sign: HolderSign) -> bool:
+    """Takes what the holder's VM answered; returns whether that is news."""
+    is_new = (view.sign, view.sign_epoch) != (sign, epoch)
+    view.sign, view.sign_epoch = sign, epoch
+    return is_new
+
+
+def _compute_silence_s(view: TermView, now_s: float) -> float:
+    """Returns the age of the holder's last sign of life, by either clock."""
+    silence_s = now_s - view.changed_at_s
+    if view.beat is not None and view.beat.sent_at_ms:
+        age_s = (estimate_clock_ms(view, now_s) - view.beat.sent_at_ms) / 1000.0
+        silence_s = max(silence_s, age_s)
+    return silence_s
 
 
 def estimate_clock_ms(view: TermView, now_s: float) -> int:
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -8,7 +8,7 @@
 import werkzeug.test
 from returns import result
 
-from lycheegate.jobs import model
+from lycheegate.jobs import model, progress
 from lycheegate.metrics import jsonlog
 from lycheegate.node import callers, storage, tables
 from lycheegate.utils import exceptions
@@ -63,7 +63,7 @@
     view.configuration = model.Configuration(
         1, {"q": route, "p": public}, {}, {"acme": account}, {"k": "acme"}, 1000
     )
-    rows = []
+    rows, held = [], {}
     application = callers.CallerApplication(
         store,
         view,
@@ -72,7 +72,9 @@
         jsonlog.JsonLog("vm", lambda: 0.0, len),
         3.5,
         rows.append,
+        lambda job_id, timeout_s: held.get(job_id),
     )
+    application.held = held
     return store, view, application, rows
 
 
@@ -193,3 +195,34 @@
     monkeypatch.setattr(store, "read", lambda *args: None)
     monkeypatch.setattr(threading.Event, "wait", lambda self, timeout=None: False)
     assert _call(application, "GET").status_code == 503
+
+
+@pytest.mark.parametrize(
+    ("held", "status", "body"),
+    [
+        (progress.JobStatus(model.Outcome.SUCCEEDED, True), 200, {"state": "succeeded"}),
+        (progress.JobStatus(None, True), 200, {"state": "running"}),
+        (None, 503, None),
+    ],
+)
+def test_status_while_the_store_is_away(held, status, body):
+    """Guards against an answer that is ready and not given, and against a guess.
+
+    Load pattern: callers ask for their jobs all through an outage of the store.
+    """
+    store, _, application, _ = _make()
+    store.failures = [exceptions.UnavailableError("away")] * 9
+    if held is not None:
+        application.held[_ID] = held
+    response = _call(application, "GET")
+    assert response.status_code == status
+    if body is not None:
+        assert msgspec.json.decode(response.data) == body
+
+
+def test_job_is_queued_before_its_first_progress():
+    """Guards against a job that is unknown between its acceptance and its first start."""
+    _, _, application, _ = _make()
+    assert _call(application, "GET").status_code == 410
+    assert _call(application, "POST", body=_JOB).status_code == 200
+    assert msgspec.json.decode(_call(application, "GET").data) == {"state": "queued"}
--- /dev/null
+++ b/lycheegate/node/tests/test_holder.py
@@ -0,0 +1,138 @@
+"""Questions of VMs to the holder of the term."""
+
+import dataclasses
+from concurrent import futures
+
+import cbor2
+import pytest
+import werkzeug.test
+from returns import result
+
+from lycheegate.clients import http
+from lycheegate.jobs import model, progress
+from lycheegate.metrics import jsonlog
+from lycheegate.node import holder, peer_calls, relay, storage, tables, terms
+from lycheegate.utils import exceptions
+
+_JOB = "5c0e7a21d94b36f8"
+_REFUSED = result.Failure(exceptions.UnavailableError("connection refused"))
+_SILENT = result.Failure(exceptions.OutcomeUnknownError("timed out"))
+_DONE = progress.JobStatus(model.Outcome.SUCCEEDED, True)
+
+
+def _reply(value=None, status=200):
+    return result.Success(http.Response(status, (), cbor2.dumps(value)))
+
+
+@dataclasses.dataclass
+class _Client:
+    """Answers each call with the next outcome."""
+
+    outcomes: list = dataclasses.field(default_factory=list)
+    calls: list = dataclasses.field(default_factory=list)
+
+    def send(self, request):
+        self.calls.append((request.url, cbor2.loads(request.body)))
+        future = futures.Future()
+        future.set_result(self.outcomes.pop(0))
+        return future
+
+
+def _make(*outcomes, own_vm="b", holds=False, silence_s=1.0):
+    view = terms.TermView()
+    rows = (
+        storage.Row(tables.OWNER, tables.encode_owner(tables.Owner(3, "a/1")), 7),
+        storage.Row(tables.BEAT, tables.encode_beat(tables.Beat(3, False, {}, 50_000)), 8),
+    )
+    terms.observe(view, rows, 10.0, 50_000)
+    client = _Client(list(outcomes))
+    asked = holder.HolderClient(
+        client,
+        own_vm,
+        view,
+        {"a": "10.0.0.1:7000"}.get,
+        lambda epoch: holds,
+        lambda: 10.0 + silence_s,
+        jsonlog.JsonLog("b", lambda: 0.0, len),
+    )
+    return client, view, asked
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (_reply(True), terms.HolderSign.ALIVE),
+        (_reply(False), terms.HolderSign.GONE),
+        (_REFUSED, terms.HolderSign.UNREACHABLE),
+        (_SILENT, terms.HolderSign.UNREACHABLE),
+        (_reply("?"), terms.HolderSign.UNREACHABLE),
+        (_reply(False, status=503), terms.HolderSign.UNREACHABLE),
+    ],
+)
+def test_probe(outcome, expected):
+    """Guards against an answer that is taken for more than it says."""
+    client, view, asked = _make(outcome)
+    asked.probe()
+    asked.probe()
+    assert client.calls == [(f"http://10.0.0.1:7000{relay.PATH}", ["holds_term", 3])]
+    assert (view.sign, view.sign_epoch) == (expected, 3)
+
+
+def test_punctual_holder_is_not_probed():
+    """Guards against calls between VMs that grow with their number on a calm day."""
+    client, view, asked = _make(silence_s=0.5)
+    asked.probe()
+    assert client.calls == []
+    assert view.sign is terms.HolderSign.UNKNOWN
+
+
+@pytest.mark.parametrize("holds", [False, True])
+def test_term_of_an_earlier_process_here(holds):
+    """Guards against a restarted VM that waits for its own earlier process."""
+    client, view, asked = _make(own_vm="a", holds=holds)
+    asked.probe()
+    assert client.calls == []
+    assert (view.sign is terms.HolderSign.GONE) is not holds
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (_reply(["succeeded", True]), _DONE),
+        (_reply(["", False]), progress.JobStatus(None, False)),
+        (_reply(None, status=404), None),
+        (_reply(["strange", True]), None),
+        (_reply(7), None),
+        (_REFUSED, None),
+    ],
+)
+def test_ask_status(outcome, expected):
+    """Guards against a state that the holder did not tell."""
+    _, _, asked = _make(outcome)
+    assert asked.ask_status(_JOB, 0.5) == expected
+
+
+def _call(application, call):
+    client = werkzeug.test.Client(application)
+    response = client.post(relay.PATH, data=cbor2.dumps(call))
+    return response.status_code, response.data
+
+
+@pytest.mark.parametrize(
+    ("call", "status", "body"),
+    [
+        (["holds_term", 3], 200, cbor2.dumps(True)),
+        (["holds_term", 2], 200, cbor2.dumps(False)),
+        (["job_status", _JOB], 200, cbor2.dumps(["succeeded", True])),
+        (["job_status", "0" * 16], 404, b""),
+        (["holds_term"], 400, None),
+        (["strange", 1], 400, None),
+    ],
+)
+def test_answer_peers(call, status, body):
+    """Guards against a question that is answered by guess or breaks the server."""
+    questions = peer_calls.TermQuestions(lambda epoch: epoch == 3, {_JOB: _DONE}.get)
+    application = peer_calls.PeerApplication(None, relay.Reachability(), print, questions)
+    found = _call(application, call)
+    assert found[0] == status
+    assert body is None or found[1] == body
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.node import relay, storage
+from lycheegate.node import peer_calls, relay, storage
 from lycheegate.utils import exceptions
 
 _KEY = storage.RowKey("t", "p", "k")
@@ -129,5 +129,10 @@
 def test_peer_that_is_away_refuses():
     """Guards against calls that go round among VMs without the store."""
     reachability = relay.Reachability(is_away=True)
-    application = relay.RelayApplication(_Direct(), reachability, lambda row: None)
+    application = peer_calls.PeerApplication(
+        _Direct(),
+        reachability,
+        lambda row: None,
+        peer_calls.TermQuestions(lambda epoch: False, lambda job_id: None),
+    )
     assert application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0])).status_code == 503
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lycheegate.jobs import model
+from lycheegate.jobs import model, progress
 from lycheegate.node.tests import simulation
 
 _SMALL = model.Resources(1_000, 1_000, 1)
@@ -285,3 +285,19 @@
     assert world.fleet.violations == []
     for job_id in world.fleet.specs:
         assert world.read_status(job_id).outcome is not None, job_id
+
+
+def test_holder_tells_only_what_is_stored():
+    """Guards against an end that callers are told and that the next holder does not know."""
+    world = simulation.World(1)
+    world.submit(simulation.make_job("0" * 16, _task()))
+    holder = world.take_term("a")
+    world.run(0.8)
+    assert holder.find_status("0" * 16) == world.read_status("0" * 16)
+    assert holder.find_status("1" * 16) is None
+    world.faults.refused = {"a"}
+    world.run(1.2)
+    assert holder.find_status("0" * 16) == progress.JobStatus(None, True)
+    world.faults.refused = set()
+    world.run(1.0)
+    assert holder.find_status("0" * 16).outcome is model.Outcome.SUCCEEDED
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -53,3 +53,44 @@
         (tables.OWNER, 7),
         (tables.BEAT, 8),
     }
+
+
+_GONE, _UNREACHABLE = terms.HolderSign.GONE, terms.HolderSign.UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    ("sign", "epoch", "silence_s", "expected"),
+    [
+        (terms.HolderSign.UNKNOWN, 3, 1.8, False),
+        (terms.HolderSign.ALIVE, 3, 1.8, False),
+        (terms.HolderSign.ALIVE, 3, 2.0, True),
+        (_UNREACHABLE, 3, 1.1, False),
+        (_UNREACHABLE, 3, 1.3, True),
+        (_GONE, 3, 0.8, False),
+        (_GONE, 3, 1.0, True),
+        # The answer is about the term before.
+        (_GONE, 2, 1.8, False),
+        (_UNREACHABLE, 2, 1.8, False),
+    ],
+)
+def test_answer_of_the_holder_shortens_the_wait(sign, epoch, silence_s, expected):
+    """Guards against two seconds without a scheduler when its process is known to be gone.
+
+    Load pattern: urgent jobs arrive while the holder has just been killed.
+    """
+    view = _make_view()
+    terms.note_sign(view, epoch, sign)
+    now_s = 10.0 - 0.1 + silence_s
+    # The store goes on answering, without news.
+    terms.observe(view, (), now_s, 50_000 + int(silence_s * 1000.0))
+    assert terms.is_suspect(view, now_s) is (silence_s > terms.SUSPECT_S)
+    assert terms.may_claim(view, now_s, 0.0) is expected
+
+
+def test_heartbeat_makes_an_answer_outdated():
+    """Guards against a claim over a holder that was out of reach once and then renewed."""
+    view = _make_view()
+    terms.note_sign(view, 3, _UNREACHABLE)
+    beat = tables.encode_beat(tables.Beat(3, False, {}, 51_000))
+    terms.observe(view, (storage.Row(tables.BEAT, beat, 9),), 11.0, 51_000)
+    assert not terms.may_claim(view, 12.3, 0.0)
