Move work off workers that announce when they leave

Ruled out: shorter leases for all. A scheduler that is away for longer than a lease would lose all work.

Change: the registration's remaining time is used. A run that cannot end in it, by its reported progress, is stopped: at once if it saves nothing, as late as possible if its progress is saved or it serves for ever. Leases on a worker that leaves are cut down to its remaining time, at least 2.5 s. Estimates of run times moved to a module that placement and evacuation share.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -4,6 +4,7 @@
 
 from lycheegate.jobs import (
     commands,
+    estimates,
     health,
     lifecycle,
     model,
@@ -22,14 +23,9 @@
 """How long a task waits for the rack of its data, as a multiple of its declared duration."""
 PREEMPTION_MARGIN_S = 0.4
 """Time beyond a worker's own for a stop to be ordered and its end to be listed."""
-UNKNOWN_LEFT_S = 2.0
-"""Remaining time of a run that is overdue."""
 URGENT_VICTIM_COST = 5000.0
 """Added to the cost of stopping urgent work, in core-seconds: it is short, so little of it would
 be lost, but it would miss its objective, which long work seldom does."""
-NEARLY_DONE_S = 0.25
-"""Urgent work beyond a guarantee waits for a run that ends within this time instead of stopping
-it. Guaranteed work does not wait: a run on a failing worker may never end."""
 GANG_KEY = -1
 
 
@@ -291,7 +287,7 @@
     # A stop that takes longer goes to a worker that is cut off; others are stopped instead.
     patience_s = work.current.policy.stop_s + PREEMPTION_MARGIN_S
     if len(stopped) < len(found.victims):
-        patience_s = max(patience_s, 2.0 * NEARLY_DONE_S)
+        patience_s = max(patience_s, 2.0 * estimates.NEARLY_DONE_S)
     _claim(work, unit, found.placement, patience_s, preempts=True)
     work.current.schedule_due = True
 
@@ -316,8 +312,9 @@
             is_urgent = state.get_route(work.current, job).priority == 0
             for group in _group_runs(step):
                 victim = _make_victim(work, job, step, group)
+                # Guaranteed work does not wait: a run on a failing worker may never end.
                 may_wait = unit.rank.level > 0
-                if may_wait and all(_is_nearly_done(run, work.now_s) for run in group):
+                if may_wait and all(estimates.is_nearly_done(run, work.now_s) for run in group):
                     victim = dataclasses.replace(victim, cost=0.0)
                 elif is_urgent:
                     victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
@@ -379,7 +376,7 @@
             if other.step.long_running:
                 continue
             for group in _group_runs(other):
-                left_s = max(_estimate_left_s(other, run, work.now_s) for run in group)
+                left_s = max(estimates.estimate_left_s(other, run, work.now_s) for run in group)
                 unit_ = _make_victim(work, job, other, group)
                 victims.append(dataclasses.replace(unit_, cost=left_s))
     spans = not step.same_rack or _may_span(unit, candidates)
@@ -390,22 +387,3 @@
         return
     work.planned_claims += 1
     _claim(work, unit, found.placement, work.current.policy.claim_s, preempts=False)
-
-
-def _is_nearly_done(run: state.Run, now_s: float) -> bool:
-    """Returns whether a run's reported progress, not its declared duration, says it is ending."""
-    if run.percent <= 0 or run.advanced_at_s <= run.since_s:
-        return False
-    whole_s = (run.advanced_at_s - run.since_s) * 100.0 / run.percent
-    return 0.0 <= whole_s - (now_s - run.since_s) < NEARLY_DONE_S
-
-
-def _estimate_left_s(step: state.StepState, run: state.Run, now_s: float) -> float:
-    """Returns how long a run will go on, from its reported progress or its declared duration."""
-    if run.percent > 0 and run.advanced_at_s > run.since_s:
-        whole_s = (run.advanced_at_s - run.since_s) * 100.0 / run.percent
-    else:
-        whole_s = step.step.estimate_s
-    # A run that goes on beyond its estimate tells nothing about its end.
-    left_s = whole_s - (now_s - run.since_s)
-    return left_s if left_s > 0.0 else UNKNOWN_LEFT_S
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -220,6 +220,7 @@
         capacity: All of its resources.
         room: Resources that no run may be using.
         draining: Whether it gets no new work because it leaves.
+        leaves_at_s: Earliest time at which it leaves, or None if that is not known.
         listed: Whether it is registered.
         born_ms: Start of its incarnation, or 0 if not known.
         confirmed: Whether it has reported under this scheduler's term.
@@ -249,6 +250,7 @@
     capacity: model.Resources
     room: model.Resources
     draining: bool = False
+    leaves_at_s: float | None = None
     listed: bool = True
     born_ms: int = 0
     confirmed: bool = False
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -19,6 +19,8 @@
     "note_stop_confirmed",
 ]
 
+MIN_LEASE_S = 2.5
+"""Lease on what runs on a worker that is about to leave; two reports may be lost."""
 CLOCK_MARGIN_S = 0.1
 """Allowance for the time between a worker's answer and its arrival."""
 
@@ -36,6 +38,7 @@
         labels: Labels that steps may require.
         capacity: All of its resources.
         draining: Whether it is leaving.
+        remaining_s: Least time until it leaves, or None if it does not tell.
         born_ms: Start of its incarnation in milliseconds since 1970, or 0 if not told.
     """
 
@@ -48,6 +51,7 @@
     capacity: model.Resources
     draining: bool
     born_ms: int
+    remaining_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +139,9 @@
         current.schedule_due = True
     used = worker.capacity - worker.room
     worker.draining = registration.draining
+    worker.leaves_at_s = None
+    if registration.remaining_s is not None:
+        worker.leaves_at_s = now_s + registration.remaining_s
     worker.listed = True
     worker.service = registration.service
     worker.address = registration.address
@@ -233,7 +240,11 @@
     if not worker.clock_ms:
         return None
     elapsed_s = (now_s - worker.clock_at_s) * (1.0 - current.policy.clock_slowness_ratio)
-    return worker.clock_ms + int((elapsed_s + current.policy.lease_s) * 1000.0)
+    lease_s = current.policy.lease_s
+    if worker.draining and worker.leaves_at_s is not None:
+        # What it takes with it is known to be gone only when the lease has lapsed.
+        lease_s = min(lease_s, max(MIN_LEASE_S, worker.leaves_at_s - now_s))
+    return worker.clock_ms + int((elapsed_s + lease_s) * 1000.0)
 
 
 def note_deadline(
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -10,6 +10,7 @@
 
 from lycheegate.jobs import (
     commands,
+    evacuation,
     lifecycle,
     model,
     progress,
@@ -278,6 +279,7 @@
         self._pass_due = False
         now_s, wall_s = self._runtime.now_s(), self._runtime.wall_s()
         self._carry_out(lifecycle.advance_jobs(self._state, now_s, wall_s))
+        self._carry_out(evacuation.evacuate(self._state, now_s))
         if self._state.schedule_due:
             self._carry_out(scheduling.schedule(self._state, now_s, wall_s))
         self._write()
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -512,15 +512,18 @@
             self.fleet.add(worker_id, rack, model.Resources(16_000, 32_000, 8))
             self.register(worker_id)
 
-    def register(self, worker_id: str, draining: bool = False) -> None:
+    def register(
+        self, worker_id: str, draining: bool = False, remaining_ms: int | None = None
+    ) -> None:
         """Writes a worker's registration."""
         worker = self.fleet.workers[worker_id]
         text = (
             f'{{"service":"render","address":"10.0.0.1:1","zone":"z",'
             f'"state":"{"draining" if draining else "ready"}",'
             f'"capacity":{{"cpu":16000,"mem-mb":32000,"gpu":8}},'
-            f'"labels":["a","{worker.rack}"],"born":{worker.born_ms}}}'
+            f'"labels":["a","{worker.rack}"],"born":{worker.born_ms}'
         )
+        text += "}" if remaining_ms is None else f',"remaining-ms":{remaining_ms}}}'
         self.store.put(storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id), text.encode())
 
     def unregister(self, worker_id: str) -> None:
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -112,6 +112,29 @@
     _assert_all_succeed(world)
 
 
+@pytest.mark.parametrize("gang", [False, True])
+def test_worker_leaves_at_short_notice(gang):
+    """Guards against work that waits for the lease of a worker which said when it leaves.
+
+    Load pattern: workers are taken away two seconds after the notice.
+    """
+    world = simulation.World(1, worker_count=4)
+    world.fleet.work_s = 5.0
+    world.submit(simulation.make_job("0" * 16, _task(4, gang=gang)))
+    world.take_term("a")
+    world.run(1.5)
+    leaving = [w for w, f in world.fleet.workers.items() if f.live]
+    for worker_id in leaving:
+        world.register(worker_id, draining=True, remaining_ms=2_000)
+    world.run(2.0)
+    for worker_id in leaving:
+        world.fleet.cut.add(worker_id)
+        world.unregister(worker_id)
+    # Stops, the whole work again, and three reports.
+    world.run(simulation.STOP_S + world.fleet.work_s + 3.0 - 2.0)
+    _assert_all_succeed(world)
+
+
 def test_one_way_cut():
     """Guards against a lease renewed by calls whose answers are lost."""
     world = simulation.World(1, worker_count=2)
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -94,6 +94,8 @@
     labels: list[str]
     """The worker's kind, then its rack."""
     born: int = 0
+    remaining_ms: int | None = None
+    """Least time until it leaves, told while it drains."""
 
 
 class _Answer(msgspec.Struct, rename="kebab"):
@@ -131,6 +133,7 @@
         capacity=model.Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         draining=entry.state == "draining",
         born_ms=entry.born,
+        remaining_s=None if entry.remaining_ms is None else entry.remaining_ms / 1000.0,
     )
 
 
