--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -5,6 +5,7 @@
 from lycheegate.jobs import (
     commands,
     estimates,
+    headroom,
     health,
     lifecycle,
     model,
@@ -53,6 +54,7 @@
     wall_s: float
     guaranteed: set[str]
     stalled: set[str]
+    rooms: dict[str, headroom.Headroom] = dataclasses.field(default_factory=dict)
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_claims: int = 0
 
@@ -75,6 +77,7 @@
     stalled = {w.worker_id for w in current.workers.values() if health.is_stalled(w, now_s)}
     work = _Pass(current, now_s, wall_s, guaranteed, stalled)
     units = _list_units(work)
+    _measure_rooms(work, units)
     _drop_claims(current, {unit.claim_key for unit in units}, now_s)
     work.planned_claims = sum(not claim.preempts for claim in current.claims.values())
     # Steps whose last task found no room: their other tasks would not find any either.
@@ -109,6 +112,36 @@
     return units
 
 
+def _measure_rooms(work: _Pass, units: list[_Unit]) -> None:
+    """Computes how much room of each service is kept for urgent work."""
+    urgent_used: dict[str, float] = {}
+    for worker in work.current.workers.values():
+        room = work.rooms.setdefault(worker.service, headroom.Headroom())
+        if _is_usable(work.current, worker, work.now_s):
+            room.total += ordering.compute_usage(worker.capacity)
+            room.used += ordering.compute_usage(worker.capacity - worker.room)
+        for run in worker.runs.values():
+            job = work.current.jobs.get(run.task.job_id)
+            if job is not None and state.get_route(work.current, job).priority == 0:
+                usage = ordering.compute_usage(run.need)
+                urgent_used[worker.service] = urgent_used.get(worker.service, 0.0) + usage
+    waiting: dict[str, float] = {}
+    for unit in units:
+        if unit.rank.level < 2:
+            service = state.get_route(work.current, unit.job).service
+            waiting[service] = waiting.get(service, 0.0) + _compute_unit_usage(unit)
+    for service, room in work.rooms.items():
+        used = urgent_used.get(service, 0.0)
+        known = work.current.urgent_demand.get(service, headroom.UrgentDemand())
+        demand = headroom.update_demand(known, used + waiting.get(service, 0.0), work.now_s)
+        work.current.urgent_demand[service] = demand
+        room.reserve = headroom.compute_reserve(demand, used, room.total)
+
+
+def _compute_unit_usage(unit: _Unit) -> float:
+    return len(unit.indices) * ordering.compute_usage(unit.step.step.need)
+
+
 def _drop_claims(current: state.SchedulerState, wanted: set[state.ClaimKey], now_s: float) -> None:
     for key, claim in list(current.claims.items()):
         usable = all(
@@ -180,7 +213,9 @@
     candidates = _list_candidates(work, unit)
     if not candidates:
         return False
-    chosen = _place_claimed(work, unit) or _choose_workers(work, unit, candidates)
+    chosen = _place_claimed(work, unit)
+    if chosen is None and _is_allowed(work, unit):
+        chosen = _choose_workers(work, unit, candidates)
     if chosen is not None:
         work.current.claims.pop(unit.claim_key, None)
         _start(work, unit, chosen)
@@ -194,6 +229,14 @@
     return False
 
 
+def _is_allowed(work: _Pass, unit: _Unit) -> bool:
+    """Returns whether a unit may start beside the room that is kept for urgent work."""
+    if unit.rank.level < 2:
+        return True
+    room = work.rooms[state.get_route(work.current, unit.job).service]
+    return headroom.allows(room, _compute_unit_usage(unit))
+
+
 def _task_key(unit: _Unit, index: int) -> model.TaskKey:
     return model.TaskKey(unit.job.job.job_id, *unit.step.key, index)
 
@@ -243,6 +286,8 @@
 
 def _start(work: _Pass, unit: _Unit, chosen: list[str]) -> None:
     step = unit.step
+    service = state.get_route(work.current, unit.job).service
+    work.rooms[service].used += _compute_unit_usage(unit)
     if step.step.gang:
         number = max(step.numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from lycheegate.jobs import model
+from lycheegate.jobs import headroom, model
 
 __all__ = [
     "Claim",
@@ -308,7 +308,7 @@
         claims: Room that is kept.
         stray_tasks: Tasks with a stray run somewhere, with the number of those.
         schedule_due: Whether something changed that may let work start.
-        durations: Smoothed ratio of true to declared duration by route.
+        urgent_demand: Recent peak of urgent demand, by service.
     """
 
     epoch: int
@@ -320,7 +320,7 @@
     claims: dict[ClaimKey, Claim] = dataclasses.field(default_factory=dict)
     stray_tasks: dict[model.TaskKey, int] = dataclasses.field(default_factory=dict)
     schedule_due: bool = True
-    durations: dict[str, float] = dataclasses.field(default_factory=dict)
+    urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
