Keep whole workers free for urgent work; let larger VMs claim first

Cause: counted in core-seconds, the room that an urgent gang of whole workers leaves was larger than the reserve for it, because its tasks use few cores. And a reserve that fades lets single tasks into each free worker.

A test replays urgent gangs beside more batch work than fits: only the first one stops others. VMs with less than a whole core claim the term later. Stalled workers are looked for four times a second, victims once in a pass.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -7,7 +7,14 @@
 
 from lycheegate.jobs import state
 
-__all__ = ["MIN_FAILURES", "is_quarantined", "is_stalled", "record_failure", "record_success"]
+__all__ = [
+    "MIN_FAILURES",
+    "is_quarantined",
+    "is_stalled",
+    "list_stalled",
+    "record_failure",
+    "record_success",
+]
 
 MIN_FAILURES = 2
 """Consecutive failures, of as many jobs, after which a worker is quarantined."""
@@ -15,6 +22,8 @@
 """Reports come once a second, so progress is seen with that delay."""
 STALL_FACTOR = 4.0
 """A run stalls when its next percent takes so many times longer than the others took."""
+STALL_CHECK_S = 0.25
+"""Looking at every run in every pass would cost more than placing work."""
 QUARANTINE_BASE_S = 3.0
 QUARANTINE_CAP_S = 20.0
 
@@ -50,6 +59,16 @@
     return now_s < worker.quarantined_until_s
 
 
+def list_stalled(current: state.SchedulerState, now_s: float) -> frozenset[str]:
+    """Returns the workers on which some run stands still, as of the last check."""
+    if now_s - current.stalled_at_s >= STALL_CHECK_S:
+        current.stalled_at_s = now_s
+        current.stalled = frozenset(
+            worker.worker_id for worker in current.workers.values() if is_stalled(worker, now_s)
+        )
+    return current.stalled
+
+
 def is_stalled(worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether some run on a worker has stopped making progress.
 
--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -50,6 +50,14 @@
             and self.accelerators <= room.accelerators
         )
 
+    def max(self, other: "Resources") -> "Resources":
+        """Returns the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def __add__(self, other: "Resources") -> "Resources":
         return Resources(
             self.cpu_millicores + other.cpu_millicores,
--- a/lycheegate/jobs/ordering.py
+++ b/lycheegate/jobs/ordering.py
@@ -15,7 +15,6 @@
     "compute_remaining_s",
     "compute_remaining_work",
     "compute_usage",
-    "is_guaranteed",
     "list_guaranteed_accounts",
     "rank_job",
 ]
@@ -108,13 +107,6 @@
     return need.cpu_millicores / 1000.0 + CORES_PER_ACCELERATOR * need.accelerators
 
 
-def is_guaranteed(current: state.SchedulerState, job: state.JobState) -> bool:
-    """Returns whether the job is urgent work of an account within its guarantee."""
-    if state.get_route(current, job).priority != 0:
-        return False
-    return job.job.account in list_guaranteed_accounts(current)
-
-
 def list_guaranteed_accounts(current: state.SchedulerState) -> set[str]:
     """Returns accounts whose open urgent jobs together need no more than their guarantee."""
     if current.configuration is None:
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -39,6 +39,7 @@
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
         self._full: dict[tuple[str, str], list[model.Resources]] = {}
+        stalled = health.list_stalled(current, now_s)
         for worker in current.workers.values():
             if not is_usable(current, worker, now_s):
                 continue
@@ -48,13 +49,17 @@
                 worker.room,
                 worker.capacity,
                 NO_LIMIT,
-                health.is_stalled(worker, now_s),
+                worker.worker_id in stalled,
             )
             self._by_worker[worker.worker_id] = candidate
             self._by_service.setdefault(worker.service, []).append(candidate)
         for claim in current.claims.values():
             self.reserve(claim)
 
+    def is_usable(self, worker_id: str) -> bool:
+        """Returns whether a worker may get new work in this pass."""
+        return worker_id in self._by_worker
+
     def list_candidates(self, service: str, step: state.StepState) -> list[placement.Candidate]:
         """Returns the workers that may run tasks of a step."""
         shared = self._list_labelled(service, step.step.label)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -64,6 +64,7 @@
     guaranteed: set[str]
     workers: pool.WorkerPool
     rooms: dict[str, headroom.Headroom] = dataclasses.field(default_factory=dict)
+    victims: dict[int, dict[tuple, preemption.VictimUnit]] = dataclasses.field(default_factory=dict)
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_claims: int = 0
 
@@ -137,23 +138,27 @@
 
 def _measure_rooms(work: _Pass, units: list[_Unit]) -> None:
     """Computes how much room of each service is kept for urgent work."""
-    for worker in work.current.workers.values():
+    usable = [w for w in work.current.workers.values() if work.workers.is_usable(w.worker_id)]
+    for worker in usable:
         room = work.rooms.setdefault(worker.service, headroom.Headroom())
-        if pool.is_usable(work.current, worker, work.now_s):
-            room.total += ordering.compute_usage(worker.capacity)
-            room.used += ordering.compute_usage(worker.capacity - worker.room)
+        room.largest = room.largest.max(worker.capacity)
+    for worker in usable:
+        room = work.rooms[worker.service]
+        room.total += headroom.compute_share(worker.capacity, room.largest)
+        room.used += headroom.compute_share(worker.capacity - worker.room, room.largest)
     urgent_used: dict[str, float] = {}
     for job in work.current.jobs.values():
         route = state.get_route(work.current, job)
-        if route.priority == 0:
+        if route.priority == 0 and route.service in work.rooms:
+            largest = work.rooms[route.service].largest
             for run in job.list_runs():
-                usage = ordering.compute_usage(run.need)
-                urgent_used[route.service] = urgent_used.get(route.service, 0.0) + usage
+                share = headroom.compute_share(run.need, largest)
+                urgent_used[route.service] = urgent_used.get(route.service, 0.0) + share
     waiting: dict[str, float] = {}
     for unit in units:
         if unit.rank.level < 2:
-            usage = _compute_unit_usage(unit)
-            waiting[unit.service] = waiting.get(unit.service, 0.0) + usage
+            share = _compute_unit_share(work, unit)
+            waiting[unit.service] = waiting.get(unit.service, 0.0) + share
     for service, room in work.rooms.items():
         used = urgent_used.get(service, 0.0)
         known = work.current.urgent_demand.get(service, headroom.UrgentDemand())
@@ -162,8 +167,11 @@
         room.reserve = headroom.compute_reserve(demand, used, room.total)
 
 
-def _compute_unit_usage(unit: _Unit) -> float:
-    return len(unit.indices) * ordering.compute_usage(unit.step.step.need)
+def _compute_unit_share(work: _Pass, unit: _Unit) -> float:
+    room = work.rooms.get(unit.service)
+    if room is None:
+        return 0.0
+    return len(unit.indices) * headroom.compute_share(unit.step.step.need, room.largest)
 
 
 def _drop_claims(current: state.SchedulerState, wanted: set[state.ClaimKey], now_s: float) -> None:
@@ -205,7 +213,7 @@
     if unit.rank.level < 2:
         return True
     room = work.rooms.get(unit.service)
-    return room is not None and headroom.allows(room, _compute_unit_usage(unit))
+    return room is not None and headroom.allows(room, _compute_unit_share(work, unit))
 
 
 def _task_key(unit: _Unit, index: int) -> model.TaskKey:
@@ -267,7 +275,7 @@
 
 def _start(work: _Pass, unit: _Unit, chosen: list[str]) -> None:
     step = unit.step
-    work.rooms[unit.service].used += _compute_unit_usage(unit)
+    work.rooms[unit.service].used += _compute_unit_share(work, unit)
     if step.step.gang:
         number = max(step.numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
@@ -296,7 +304,7 @@
     candidates = work.workers.list_candidates(unit.service, unit.step)
     if not candidates:
         return
-    victims = _list_victims(work, unit)
+    victims = _get_victims(work, unit.rank.level)
     found = preemption.choose_victims(
         len(unit.indices), step.need, candidates, list(victims.values()), step.same_rack
     )
@@ -305,6 +313,8 @@
     stopped = [victim for victim in found.victims if victim.cost > 0.0]
     for victim in stopped:
         work.result += _stop_victim(work, victim.key)
+        for known in work.victims.values():
+            known.pop(victim.key, None)
     fields = {
         "job": unit.job.job.job_id,
         "victims": [":".join(map(str, victim.key)) for victim in stopped],
@@ -332,10 +342,17 @@
     work.workers.reserve(claim)
 
 
-def _list_victims(work: _Pass, unit: _Unit) -> dict[tuple, preemption.VictimUnit]:
+def _get_victims(work: _Pass, level: int) -> dict[tuple, preemption.VictimUnit]:
+    """Returns what work of a level may stop; runs placed in this pass are not among it."""
+    if level not in work.victims:
+        work.victims[level] = _list_victims(work, level)
+    return work.victims[level]
+
+
+def _list_victims(work: _Pass, level: int) -> dict[tuple, preemption.VictimUnit]:
     victims: dict[tuple, preemption.VictimUnit] = {}
     for job in work.current.jobs.values():
-        if not _may_preempt(work, unit, job):
+        if not _may_preempt(work, level, job):
             continue
         for step in job.steps.values():
             if step.is_done or step.step.long_running and step.step.may_miss:
@@ -344,7 +361,7 @@
             for group in _group_runs(step):
                 victim = _make_victim(work, job, step, group)
                 # Guaranteed work does not wait: a run on a failing worker may never end.
-                may_wait = unit.rank.level > 0
+                may_wait = level > 0
                 if may_wait and all(estimates.is_nearly_done(run, work.now_s) for run in group):
                     victim = dataclasses.replace(victim, cost=0.0)
                 elif is_urgent:
@@ -353,12 +370,12 @@
     return victims
 
 
-def _may_preempt(work: _Pass, unit: _Unit, job: state.JobState) -> bool:
+def _may_preempt(work: _Pass, level: int, job: state.JobState) -> bool:
     route = state.get_route(work.current, job)
     if route.priority > 0:
         return True
     # Urgent work beyond its account's guarantee uses what is idle and gives it back.
-    return unit.rank.level == 0 and job.job.account not in work.guaranteed
+    return level == 0 and job.job.account not in work.guaranteed
 
 
 def _group_runs(step: state.StepState) -> list[list[state.Run]]:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -37,10 +37,7 @@
         max_lease_s: Longest lease that workers grant.
         clock_slowness_ratio: How much slower than true time a worker's clock may run.
         stop_s: Longest time that a worker takes to stop a run.
-        gang_timeout_s: Time that gang members wait for each other.
-        reclaim_s: Time within which guaranteed work must begin.
         restore_s: Time that a worker needs to resume from a checkpoint.
-        far_ratio: Slow-down of work that is away from its data or its gang.
         report_stale_s: Age of the last report above which a worker gets no new work.
         order_timeout_s: Time after which an unanswered start is given up.
         stop_repeat_s: Time after which an unconfirmed stop is repeated.
@@ -53,10 +50,7 @@
     max_lease_s: float = 6.0
     clock_slowness_ratio: float = 0.02
     stop_s: float = 0.2
-    gang_timeout_s: float = 3.0
-    reclaim_s: float = 2.7
     restore_s: float = 0.1
-    far_ratio: float = 3.0
     report_stale_s: float = 2.5
     order_timeout_s: float = 1.5
     stop_repeat_s: float = 0.5
@@ -308,6 +302,8 @@
         claims: Room that is kept.
         stray_tasks: Tasks with a stray run somewhere, with the number of those.
         schedule_due: Whether something changed that may let work start.
+        stalled: Workers on which some run stood still at the last check.
+        stalled_at_s: When that was checked.
         urgent_demand: Recent peak of urgent demand, by service.
     """
 
@@ -320,6 +316,8 @@
     claims: dict[ClaimKey, Claim] = dataclasses.field(default_factory=dict)
     stray_tasks: dict[model.TaskKey, int] = dataclasses.field(default_factory=dict)
     schedule_due: bool = True
+    stalled: frozenset[str] = frozenset()
+    stalled_at_s: float = 0.0
     urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
 
 
--- /dev/null
+++ b/lycheegate/jobs/tests/test_headroom.py
@@ -0,0 +1,174 @@
+"""Room that is kept free for urgent work."""
+
+import pytest
+
+from lycheegate.jobs import (
+    commands,
+    headroom,
+    lifecycle,
+    model,
+    runs,
+    scheduling,
+    state,
+)
+
+_CAPACITY = model.Resources(64_000, 128_000, 8)
+_BATCH = model.Step(400, model.Resources(8_000, 8_000, 1), 6.0)
+_URGENT = model.Step(3, model.Resources(8_000, 8_000, 8), 2.5, gang=True)
+_WORKERS = 24
+_ROUTES = {
+    "batch": model.Route("batch", "h", "/b/", "render", 2, 3, 3.0, 3.0),
+    "urgent": model.Route("urgent", "h", "/u/", "render", 0, 3, 1.5, 0.25),
+}
+
+
+_PERIOD_S = headroom.PERIOD_S
+
+
+@pytest.mark.parametrize(
+    ("after_s", "demand", "expected"),
+    [
+        (0.0, 2.0, 10.0),
+        (0.0, 20.0, 20.0),
+        (_PERIOD_S, 2.0, 10.0),
+        (2 * _PERIOD_S - 0.1, 2.0, 10.0),
+        (2 * _PERIOD_S, 2.0, 2.0),
+        (50 * _PERIOD_S, 0.0, 0.0),
+    ],
+)
+def test_peak_is_forgotten(after_s, demand, expected):
+    """Guards against room that is kept long after the last urgent job."""
+    known = headroom.UrgentDemand(10.0, 3.0, 50.0)
+    found = headroom.update_demand(known, demand, 50.0 + after_s)
+    assert found.peak == expected
+
+
+@pytest.mark.parametrize(
+    ("need", "expected"),
+    [
+        (model.Resources(8_000, 8_000, 8), 1.0),
+        (model.Resources(8_000, 8_000, 1), 0.125),
+        (model.Resources(32_000, 8_000, 0), 0.5),
+        (model.Resources(1_000, 96_000, 1), 0.75),
+    ],
+)
+def test_share_of_a_worker(need, expected):
+    """Guards against a task that blocks a worker and is counted by its few cores."""
+    assert headroom.compute_share(need, _CAPACITY) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("peak", "used", "expected"),
+    [(100.0, 40.0, 60.0), (100.0, 140.0, 0.0), (900.0, 0.0, 150.0)],
+)
+def test_reserve_is_bounded(peak, used, expected):
+    """Guards against a burst of urgent work that stops all other work from starting."""
+    demand = headroom.UrgentDemand(peak)
+    assert headroom.compute_reserve(demand, used, 1_000.0) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("used", "need", "expected"),
+    [(0.0, 500.0, True), (400.0, 100.0, True), (800.0, 60.0, False), (800.0, 50.0, True)],
+)
+def test_calm_pool_holds_nothing_back(used, need, expected):
+    """Guards against work that waits although half of the room is free."""
+    assert headroom.allows(headroom.Headroom(1_000.0, used, 150.0), need) is expected
+
+
+def _make_state() -> state.SchedulerState:
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    account = model.Account("acme", frozenset(), _WORKERS * 8)
+    services = {"render": model.Service("render")}
+    current.configuration = model.Configuration(1, _ROUTES, services, {"acme": account}, {}, 1)
+    for number in range(_WORKERS):
+        worker_id = f"w{number:02}"
+        worker = state.WorkerState(
+            worker_id, "render", "a:1", "z", f"r{number // 8}", frozenset(), _CAPACITY, _CAPACITY
+        )
+        worker.confirmed = True
+        current.workers[worker_id] = worker
+    return current
+
+
+def _submit(current: state.SchedulerState, number: int, step: model.Step, route: str) -> str:
+    job = model.Job(f"{number:016x}", route, "acme", "x", (step,), 0.0)
+    lifecycle.add_job(current, state.JobState(job, _ROUTES[route]), 0.0, 0.0)
+    return job.job_id
+
+
+def _schedule(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
+    for worker in current.workers.values():
+        worker.reported_at_s = now_s
+    found = scheduling.schedule(current, now_s, now_s)
+    for job in current.jobs.values():
+        for run in job.list_runs():
+            run.phase = max(run.phase, state.RunPhase.RUNNING)
+    return found
+
+
+def _finish(current: state.SchedulerState, job_id: str) -> None:
+    """Ends a job, and frees its room at once."""
+    job = current.jobs[job_id]
+    for run in job.list_runs():
+        runs.end_run(current, run, runs.End.DONE, "done", 0.0)
+    del current.jobs[job_id]
+
+
+def test_urgent_jobs_find_the_room_of_the_one_before():
+    """Guards against urgent work that stops long work again and again.
+
+    Load pattern: more batch work than fits, and an urgent gang of three workers each 2.5 s. Only
+    the first has to stop others; the room that it leaves is there for the next.
+    """
+    current = _make_state()
+    _submit(current, 0, _BATCH, "batch")
+    _schedule(current, 1.0)
+    preempted: list[int] = []
+    for number in range(1, 7):
+        now_s = 2.5 * number
+        job_id = _submit(current, number, _URGENT, "urgent")
+        for _ in range(4):
+            found = _schedule(current, now_s)
+            preempted += [number for item in found if isinstance(item, commands.StopRun)]
+            _end_stopped(current)
+            now_s += 0.2
+        assert len(current.jobs[job_id].list_runs()) == _URGENT.count
+        _finish(current, job_id)
+        _schedule(current, now_s + 0.1)
+    assert set(preempted) <= {1}
+
+
+def _end_stopped(current: state.SchedulerState) -> None:
+    for job in list(current.jobs.values()):
+        for run in job.list_runs():
+            if run.stop_sent_at_s is not None:
+                runs.end_run(current, run, runs.End.INTERRUPTED, "stopped", 0.0)
+
+
+def test_batch_work_gets_the_room_back():
+    """Guards against room that stays empty when no urgent work comes any more."""
+    current = _make_state()
+    _submit(current, 0, _BATCH, "batch")
+    job_id = _submit(current, 1, _URGENT, "urgent")
+    _schedule(current, 1.0)
+    _finish(current, job_id)
+    _schedule(current, 1.2)
+    kept = sum(worker.room.accelerators for worker in current.workers.values())
+    assert kept == _URGENT.count * 8
+    for second in range(2, 40):
+        _schedule(current, float(second))
+    assert sum(worker.room.accelerators for worker in current.workers.values()) == 0
+
+
+def test_large_gang_starts_beside_the_reserve():
+    """Guards against a gang that is too large for what the reserve leaves, and never starts."""
+    current = _make_state()
+    urgent = _submit(current, 1, _URGENT, "urgent")
+    _schedule(current, 1.0)
+    _finish(current, urgent)
+    gang = model.Step(12, model.Resources(8_000, 8_000, 8), 11.0, gang=True)
+    job_id = _submit(current, 2, gang, "batch")
+    _schedule(current, 1.2)
+    assert len(current.jobs[job_id].list_runs()) == gang.count
+    assert gang.count <= headroom.ALWAYS_ALLOWED_RATIO * _WORKERS
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -35,7 +35,6 @@
 __all__ = ["Daemon", "main"]
 
 CLAIM_CHECK_S = 0.15
-CLAIM_JITTER_S = 0.4
 CLAIM_TIMEOUT_S = 1.0
 ANNOUNCE_RETRY_S = 1.0
 FRONT_THREADS = 24
@@ -94,7 +93,9 @@
         self._scheduler: scheduler.Scheduler | None = None
         self._claiming = False
         self._stopped = threading.Event()
-        self._claim_jitter_s = self._random.uniform(0.0, CLAIM_JITTER_S)
+        self._claim_jitter_s = terms.compute_jitter_s(
+            settings.processor_cores, self._random.random()
+        )
         application = callers.CallerApplication(
             self._store,
             self._view,
@@ -260,7 +261,8 @@
         if self._scheduler is not None and owner and owner.epoch > self._scheduler.epoch:
             self._scheduler.stop("another VM holds the term")
         if self._view.term.beat is not None and self._view.term.beat.is_released:
-            self._check_claim_now()
+            delay_s = terms.RELEASED_JITTER_RATIO * self._claim_jitter_s
+            self._client.call_later(delay_s, self._check_claim_now)
 
     def _check_claim(self) -> None:
         self._check_claim_now()
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -17,10 +17,12 @@
 
 __all__ = [
     "LAPSE_S",
+    "RELEASED_JITTER_RATIO",
     "RENEW_S",
     "SUSPECT_S",
     "HolderSign",
     "TermView",
+    "compute_jitter_s",
     "estimate_clock_ms",
     "is_suspect",
     "make_claim",
@@ -36,10 +38,18 @@
 """One renewal, its write and the way of its news to the observers."""
 UNREACHABLE_S = 1.2
 """Silence after which a holder that cannot be reached either is replaced."""
+RELEASED_JITTER_RATIO = 0.1
+"""Share of the usual delay when the term is free: nothing is to be waited for, but VMs with little
+processor time should let others go first."""
 PROBED_JITTER_RATIO = 0.25
 """Share of the usual delay between the claims of several VMs, once the holder was asked."""
 
 
+CLAIM_SPREAD_S = 0.4
+WEAK_VM_DELAY_S = 1.0
+"""Delay of a VM with next to no processor time."""
+
+
 class HolderSign(enum.StrEnum):
     """What the holder's VM answered when it was asked."""
 
@@ -119,10 +129,9 @@
     """
     if not view.is_loaded or now_s - view.read_at_s > LAPSE_S:
         return False
-    if view.owner is None:
-        return True
-    if view.beat is not None and view.beat.is_released and view.beat.epoch == view.owner.epoch:
-        return True
+    is_released = view.beat is not None and view.beat.is_released
+    if view.owner is None or (is_released and view.beat.epoch == view.owner.epoch):
+        return now_s - view.changed_at_s >= RELEASED_JITTER_RATIO * jitter_s
     silence_s = _compute_silence_s(view, now_s)
     if silence_s > LAPSE_S + jitter_s:
         return True
@@ -134,6 +143,20 @@
     return view.sign is HolderSign.UNREACHABLE and silence_s > UNREACHABLE_S + jitter_s
 
 
+def compute_jitter_s(processor_cores: float, draw: float) -> float:
+    """Returns how much later than others a VM claims.
+
+    Answers the load pattern in which a burst makes the holder compute for most of its time: VMs
+    with less than a whole core claim only if no larger one does.
+
+    Args:
+        processor_cores: Processor time that the VM has a second, in seconds.
+        draw: A draw from 0 to 1, which spreads VMs of one size.
+    """
+    weakness = max(0.0, 1.0 - processor_cores)
+    return CLAIM_SPREAD_S * draw + WEAK_VM_DELAY_S * weakness
+
+
 def is_suspect(view: TermView, now_s: float) -> bool:
     """Returns whether the holder's heartbeat is overdue while the store answers."""
     if not view.is_loaded or view.owner is None or now_s - view.read_at_s > LAPSE_S:
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -94,3 +94,21 @@
     beat = tables.encode_beat(tables.Beat(3, False, {}, 51_000))
     terms.observe(view, (storage.Row(tables.BEAT, beat, 9),), 11.0, 51_000)
     assert not terms.may_claim(view, 12.3, 0.0)
+
+
+def test_small_vms_claim_later():
+    """Guards against a holder on the smallest VM while larger ones are there.
+
+    Load pattern: a burst on a deployment whose VMs have 0.5 to 2.2 cores.
+    """
+    largest = max(terms.compute_jitter_s(cores, 1.0) for cores in (1.07, 2.15))
+    assert terms.compute_jitter_s(0.516, 0.0) > largest
+    assert terms.compute_jitter_s(1.07, 0.5) == terms.compute_jitter_s(2.15, 0.5)
+
+
+def test_free_term_is_taken_in_order_of_size():
+    """Guards against a small VM that wins a released term by a few milliseconds."""
+    view = _make_view(released=True)
+    assert terms.may_claim(view, 10.05, terms.compute_jitter_s(1.07, 1.0))
+    assert not terms.may_claim(view, 10.03, terms.compute_jitter_s(0.516, 0.0))
+    assert terms.may_claim(view, 10.2, terms.compute_jitter_s(0.516, 1.0))
--- a/lycheegate/platform/settings.py
+++ b/lycheegate/platform/settings.py
@@ -33,11 +33,9 @@
         peer_address: Address for calls of other VMs.
         store_address: Address of the platform's store.
         policy: Limits of the scheduler.
-        config_apply_s: Time within which a configuration must be in force.
         revoke_s: Time within which a withdrawn key must be refused everywhere.
-        drain_s: Time for which workers go on after they report to leave.
         grace_s: Time between the signal to stop and the end of the process.
-        memory_limit_mb: Memory of the process.
+        processor_cores: Processor time that the VM has a second, in seconds.
     """
 
     node_name: str
@@ -47,11 +45,9 @@
     peer_address: tuple[str, int]
     store_address: str
     policy: state.Policy
-    config_apply_s: float
     revoke_s: float
-    drain_s: float
     grace_s: float
-    memory_limit_mb: int
+    processor_cores: float
 
 
 class _Reader:
@@ -130,11 +126,11 @@
         peer_address=reader.read_peer_address(),
         store_address=reader.read_text("platform.address"),
         policy=_read_policy(reader),
-        config_apply_s=reader.read_number("bounds.config-apply-ms", 2000.0) / MS_PER_S,
         revoke_s=reader.read_number("bounds.revoke-ms", 5000.0) / MS_PER_S,
-        drain_s=reader.read_number("bounds.drain-ms", 2000.0) / MS_PER_S,
         grace_s=reader.read_number("bounds.grace-s", 6.0),
-        memory_limit_mb=int(reader.read_number("limits.memory-mb", 300.0)),
+        # The platform tells a share of a processor and how many times as fast that is.
+        processor_cores=reader.read_number("limits.cpu-share", 1.0)
+        * reader.read_number("limits.cores", 1.0),
     )
     if reader.findings:
         raise SettingsError("; ".join(reader.findings))
@@ -147,10 +143,7 @@
         lease_s=max(MIN_LEASE_S, min(5.0, max_lease_s - LEASE_MARGIN_S)),
         max_lease_s=max_lease_s,
         stop_s=reader.read_number("bounds.stop-ms", 200.0) / MS_PER_S,
-        gang_timeout_s=reader.read_number("bounds.gang-timeout-ms", 3000.0) / MS_PER_S,
-        reclaim_s=reader.read_number("bounds.reclaim-ms", 2700.0) / MS_PER_S,
         restore_s=reader.read_number("bounds.restore-ms", 100.0) / MS_PER_S,
-        far_ratio=reader.read_number("bounds.far-factor", 3.0),
         # Callers may ask for the state of an ended job for this long.
         retention_s=reader.read_number("bounds.status_s", 120.0) + 30.0,
     )
