Hold the term while the store is slow; release after the last intention

A holder that was told to stop while a write was under way took the answer of that write for its release: placed work was never ordered (13 tasks ended "absent"), and the release was never written. The VMs then claimed at the same time while each transaction took 0.3 s, and their claims kept the part busy in which the new holder renews: three of them met 429 or timed out. During an outage, 560 writes failed in four seconds.

Change: the release is the write that says so; what was placed before is stored and ordered. A holder that answers that it has renewed within 2.2 s is not replaced for 4 s. A failed write is repeated after its pause, whatever asks for it.

--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -210,7 +210,7 @@
 
     def _holds_term(self, epoch: int) -> bool:
         found = self._scheduler
-        return self._claiming or (found is not None and found.epoch == epoch)
+        return self._claiming or (found is not None and found.holds_term(epoch))
 
     def _find_status(self, job_id: str) -> progress.JobStatus | None:
         found = self._scheduler
--- a/lycheegate/node/holder.py
+++ b/lycheegate/node/holder.py
@@ -110,7 +110,7 @@
         return self._client.send(http.Request("POST", url, cbor2.dumps(call), timeout_s=timeout_s))
 
     def _note(self, epoch: int, sign: terms.HolderSign) -> None:
-        if terms.note_sign(self._view, epoch, sign):
+        if terms.note_sign(self._view, epoch, sign, self._now_s()):
             self._log.write("holder_probed", epoch=epoch, sign=sign.value)
 
 
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -97,6 +97,7 @@
         self._pass_due = False
         self._renewed_at_s = runtime.now_s()
         self._renewal_sent_at_s = 0.0
+        self._write_not_before_s = 0.0
         self._releasing = False
         self._registrations: dict[str, workers.Registration] = {}
         self._exchange = exchange.WorkerExchange(
@@ -153,7 +154,10 @@
             self._on_lost(reason)
 
     def release(self) -> None:
-        """Gives up the term so that another VM can take it at once."""
+        """Gives up the term so that another VM can take it at once.
+
+        What was placed is stored and ordered before; nothing is placed any more.
+        """
         self._releasing = True
         self._write()
 
@@ -239,6 +243,10 @@
         if self._loaded and row.key.table == tables.JOBS:
             self._take_job_rows((row,), False, 0)
 
+    def holds_term(self, epoch: int) -> bool:
+        """Returns whether this is the term with a number and was renewed lately; any thread."""
+        return epoch == self.epoch and self._runtime.now_s() - self._renewed_at_s < terms.FRESH_S
+
     def find_status(self, job_id: str) -> progress.JobStatus | None:
         """Returns the stored state of a job, or None if it is not known; for any thread."""
         job = self._state.jobs.get(job_id)
@@ -280,7 +288,7 @@
         now_s, wall_s = self._runtime.now_s(), self._runtime.wall_s()
         self._carry_out(lifecycle.advance_jobs(self._state, now_s, wall_s))
         self._carry_out(evacuation.evacuate(self._state, now_s))
-        if self._state.schedule_due:
+        if self._state.schedule_due and not self._releasing:
             self._carry_out(scheduling.schedule(self._state, now_s, wall_s))
         self._write()
 
@@ -332,29 +340,33 @@
 
     def _write(self) -> None:
         """Writes progress that has changed, and the heartbeat if it is due."""
-        if self._writing or self._stopped:
-            return
         now_s = self._runtime.now_s()
+        if self._writing or self._stopped or now_s < self._write_not_before_s:
+            return
         batch = writes.collect_batch(self._state) if self._loaded else None
-        renew = self._releasing or now_s - self._renewal_sent_at_s >= terms.RENEW_S
+        # Orders follow the write of their intentions, so the last write has none.
+        release = self._releasing and batch is None
+        renew = release or now_s - self._renewal_sent_at_s >= terms.RENEW_S
         if batch is None and not renew:
             return
         self._writing = True
-        transaction = self._make_transaction(batch, renew)
+        transaction = self._make_transaction(batch, renew, release)
         if renew:
             self._renewal_sent_at_s = now_s
         self._runtime.store.transact(
             transaction,
             WRITE_TIMEOUT_S,
-            lambda outcome: self._take_written(batch, now_s, outcome),
+            lambda outcome: self._take_written(batch, now_s, release, outcome),
         )
 
-    def _make_transaction(self, batch: writes.Batch | None, renew: bool) -> storage.Transaction:
+    def _make_transaction(
+        self, batch: writes.Batch | None, renew: bool, release: bool
+    ) -> storage.Transaction:
         conditions = [storage.Condition(tables.OWNER, self._owner_version)]
         changes: list[storage.Write] = []
         if renew:
             pending = lifecycle.count_pending(self._state)
-            beat = tables.Beat(self.epoch, self._releasing, pending, self._runtime.store_clock_ms())
+            beat = tables.Beat(self.epoch, release, pending, self._runtime.store_clock_ms())
             changes.append(storage.Write(tables.BEAT, tables.encode_beat(beat)))
         for write in batch.writes if batch else ():
             key = tables.get_progress_key(write.job_id)
@@ -363,7 +375,11 @@
         return storage.Transaction(tuple(conditions), tuple(changes))
 
     def _take_written(
-        self, batch: writes.Batch | None, sent_at_s: float, outcome: storage.StoreResult
+        self,
+        batch: writes.Batch | None,
+        sent_at_s: float,
+        released: bool,
+        outcome: storage.StoreResult,
     ) -> None:
         self._writing = False
         if self._stopped:
@@ -371,7 +387,7 @@
         now_s = self._runtime.now_s()
         if isinstance(outcome, result.Success):
             self._renewed_at_s = sent_at_s
-            if self._releasing:
+            if released:
                 self.stop("released")
                 return
             if batch is not None:
@@ -387,6 +403,7 @@
         # The heartbeat is sent again with the next write.
         self._renewal_sent_at_s = 0.0
         self._runtime.log.write("write_failed", epoch=self.epoch, error=str(error))
+        self._write_not_before_s = now_s + WRITE_RETRY_S
         self._call_later(WRITE_RETRY_S, self._write)
 
     def _complete(self, batch: writes.Batch, version: int, sent_at_s: float, now_s: float) -> None:
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -16,6 +16,7 @@
 from lycheegate.node import storage, tables
 
 __all__ = [
+    "FRESH_S",
     "LAPSE_S",
     "RELEASED_JITTER_RATIO",
     "RENEW_S",
@@ -34,6 +35,12 @@
 RENEW_S = 0.7
 LAPSE_S = 1.9
 """Two renewals and the slowness of a store whose answers take half a second."""
+ALIVE_LAPSE_S = 4.0
+"""Silence after which even a holder that says it renews is replaced."""
+FRESH_S = 2.2
+"""Age of its last renewal up to which a holder says that it holds the term."""
+SIGN_AGE_S = 1.0
+"""Age above which an answer of the holder's VM says nothing any more."""
 SUSPECT_S = 0.9
 """One renewal, its write and the way of its news to the observers."""
 UNREACHABLE_S = 1.2
@@ -57,7 +64,7 @@
     ALIVE = "alive"
     UNREACHABLE = "unreachable"
     GONE = "gone"
-    """It answers and does not hold the term: its process has restarted."""
+    """It answers and does not hold the term: its process has restarted, or cannot renew."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +82,7 @@
         is_loaded: Whether the rows have been read at all.
         sign: What the holder's VM answered last.
         sign_epoch: Term that the answer is about.
+        sign_at_s: When it was received.
     """
 
     owner: tables.Owner | None = None
@@ -87,6 +95,7 @@
     is_loaded: bool = False
     sign: HolderSign = HolderSign.UNKNOWN
     sign_epoch: int = 0
+    sign_at_s: float = 0.0
 
 
 def observe(view: TermView, rows: tuple[storage.Row, ...], now_s: float, clock_ms: int = 0) -> None:
@@ -132,15 +141,24 @@
     is_released = view.beat is not None and view.beat.is_released
     if view.owner is None or (is_released and view.beat.epoch == view.owner.epoch):
         return now_s - view.changed_at_s >= RELEASED_JITTER_RATIO * jitter_s
-    silence_s = _compute_silence_s(view, now_s)
-    if silence_s > LAPSE_S + jitter_s:
-        return True
-    if view.sign_epoch != view.owner.epoch:
-        return False
-    jitter_s *= PROBED_JITTER_RATIO
-    if view.sign is HolderSign.GONE:
-        return silence_s > SUSPECT_S + jitter_s
-    return view.sign is HolderSign.UNREACHABLE and silence_s > UNREACHABLE_S + jitter_s
+    lapse_s, jitter_ratio = _compute_lapse_s(view, now_s)
+    return _compute_silence_s(view, now_s) > lapse_s + jitter_ratio * jitter_s
+
+
+def _compute_lapse_s(view: TermView, now_s: float) -> tuple[float, float]:
+    """Returns the silence after which the holder is replaced, and the share of the jitter."""
+    sign = view.sign
+    if view.sign_epoch != view.owner.epoch or now_s - view.sign_at_s > SIGN_AGE_S:
+        sign = HolderSign.UNKNOWN
+    match sign:
+        case HolderSign.GONE:
+            return SUSPECT_S, PROBED_JITTER_RATIO
+        case HolderSign.UNREACHABLE:
+            return UNREACHABLE_S, PROBED_JITTER_RATIO
+        case HolderSign.ALIVE:
+            # The store is slow. Claims would take turns with the holder's renewals in one part.
+            return ALIVE_LAPSE_S, 1.0
+    return LAPSE_S, 1.0
 
 
 def compute_jitter_s(processor_cores: float, draw: float) -> float:
@@ -164,10 +182,10 @@
     return _compute_silence_s(view, now_s) > SUSPECT_S
 
 
-def note_sign(view: TermView, epoch: int, sign: HolderSign) -> bool:
+def note_sign(view: TermView, epoch: int, sign: HolderSign, now_s: float) -> bool:
     """Takes what the holder's VM answered; returns whether that is news."""
     is_new = (view.sign, view.sign_epoch) != (sign, epoch)
-    view.sign, view.sign_epoch = sign, epoch
+    view.sign, view.sign_epoch, view.sign_at_s = sign, epoch, now_s
     return is_new
 
 
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lycheegate.jobs import model, progress
+from lycheegate.node import scheduler, tables, terms
 from lycheegate.node.tests import simulation
 
 _SMALL = model.Resources(1_000, 1_000, 1)
@@ -324,3 +325,48 @@
     world.faults.refused = set()
     world.run(1.0)
     assert holder.find_status("0" * 16).outcome is model.Outcome.SUCCEEDED
+
+
+def test_release_during_a_write():
+    """Guards against placed work that is not ordered, and a release that is never written.
+
+    The holder is told to stop while an intention is being written.
+    """
+    world = simulation.World(1)
+    holder = world.take_term("a")
+    world.run(1.0)
+    world.faults.transaction_s = 0.3
+    world.submit(simulation.make_job("0" * 16, _task(2)))
+    world.run(0.2)
+    assert not world.fleet.starts
+    holder.release()
+    world.run(1.2)
+    assert sum(world.fleet.starts.values()) == 2
+    beat = tables.decode_beat(world.store.rows[tables.BEAT].value)
+    assert beat.is_released
+
+
+def test_failed_writes_are_spaced():
+    """Guards against a write for each report while the store turns the holder away."""
+    world = simulation.World(1)
+    world.fleet.work_s = 0.5
+    world.submit(simulation.make_job("0" * 16, _task(40)))
+    world.take_term("a")
+    world.run(1.0)
+    world.faults.refused = {"a"}
+    world.lines.clear()
+    world.run(3.0)
+    failed = sum(b"write_failed" in line for line in world.lines)
+    assert 3 <= failed <= 3.0 / scheduler.WRITE_RETRY_S + 1
+
+
+def test_holder_that_cannot_renew_says_so():
+    """Guards against peers that wait for a holder which the store turns away."""
+    world = simulation.World(1)
+    holder = world.take_term("a")
+    world.run(1.0)
+    assert holder.holds_term(1)
+    assert not holder.holds_term(2)
+    world.faults.refused = {"a"}
+    world.run(terms.FRESH_S + 1.0)
+    assert not holder.holds_term(1)
