--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -46,6 +46,11 @@
     writes: tuple[ProgressWrite, ...]
     ends: dict[str, int]
 
+    @property
+    def has_intentions(self) -> bool:
+        """Whether orders follow it."""
+        return any(write.intended for write in self.writes)
+
 
 def collect_batch(current: state.SchedulerState) -> Batch | None:
     """Returns what has to be written now, or None; at most one batch is under way at a time."""
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -344,8 +344,9 @@
         if self._writing or self._stopped or now_s < self._write_not_before_s:
             return
         batch = writes.collect_batch(self._state) if self._loaded else None
-        # Orders follow the write of their intentions, so the last write has none.
-        release = self._releasing and batch is None
+        # Orders follow the write of their intentions, so the last write has none. Ends may be in
+        # it; the next holder reads those that are not stored from the workers.
+        release = self._releasing and (batch is None or not batch.has_intentions)
         renew = release or now_s - self._renewal_sent_at_s >= terms.RENEW_S
         if batch is None and not renew:
             return
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -370,3 +370,22 @@
     world.faults.refused = {"a"}
     world.run(terms.FRESH_S + 1.0)
     assert not holder.holds_term(1)
+
+
+def test_release_while_work_ends_all_the_time():
+    """Guards against a holder that is told to stop and never gives up its term.
+
+    Load pattern: tasks end every few milliseconds while each write takes 0.3 s.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 0.3
+    for number in range(8):
+        world.submit(simulation.make_job(f"{number:016x}", _task(200)))
+    holder = world.take_term("a")
+    world.run(1.0)
+    world.faults.transaction_s = 0.3
+    world.run(0.5)
+    holder.release()
+    world.run(1.3)
+    assert tables.decode_beat(world.store.rows[tables.BEAT].value).is_released
+    assert world.fleet.violations == []
