--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -23,7 +23,6 @@
         capacity: All of its resources.
         limit: Most further tasks of the step that it may run.
         is_avoided: Whether a task of the step has failed there.
-        is_slow: Whether it is known to be slower than others.
     """
 
     worker_id: str
@@ -32,7 +31,6 @@
     capacity: model.Resources
     limit: int
     is_avoided: bool = False
-    is_slow: bool = False
 
 
 def count_fitting(need: model.Resources, room: model.Resources, limit: int) -> int:
@@ -59,11 +57,7 @@
 
 
 def place_task(
-    need: model.Resources,
-    candidates: list[Candidate],
-    near_rack: str,
-    only_near: bool,
-    prefers_fast: bool = False,
+    need: model.Resources, candidates: list[Candidate], near_rack: str, only_near: bool
 ) -> str | None:
     """Returns the worker for a single task, or None.
 
@@ -72,7 +66,6 @@
         candidates: Workers.
         near_rack: Rack of its data, or an empty string.
         only_near: Whether it may not run on another rack.
-        prefers_fast: Whether its objective is too near for a slow worker.
     """
     best: Candidate | None = None
     best_rank: tuple = ()
@@ -82,8 +75,7 @@
         is_far = bool(near_rack) and candidate.rack != near_rack
         if is_far and only_near:
             continue
-        is_slow = prefers_fast and candidate.is_slow
-        rank = (candidate.is_avoided, is_far, is_slow, *_rank_fullness(candidate))
+        rank = (candidate.is_avoided, is_far, *_rank_fullness(candidate))
         if best is None or rank < best_rank:
             best, best_rank = candidate, rank
     return best.worker_id if best else None
@@ -96,7 +88,6 @@
     same_rack: bool,
     near_rack: str = "",
     may_span: bool = False,
-    prefers_fast: bool = False,
 ) -> list[str] | None:
     """Returns a worker for each member, or None if not all of them fit.
 
@@ -106,14 +97,10 @@
         candidates: Workers.
         same_rack: Whether the gang is slowed down when it spans racks.
         near_rack: Rack of its data, or an empty string.
-        prefers_fast: Whether its objective is too near for slow workers.
         may_span: Whether a ``same_rack`` gang may span racks if no rack has room.
     """
     usable = [c for c in candidates if not c.is_avoided]
-    pools = [usable, candidates]
-    if prefers_fast:
-        pools.insert(0, [c for c in usable if not c.is_slow])
-    for pool in pools:
+    for pool in (usable, candidates):
         placement = _place_in_one_rack(count, need, pool, near_rack)
         if placement is None and (not same_rack or may_span):
             placement = _fill(count, need, sorted(pool, key=_rank_fullness))
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -5,7 +5,7 @@
 again, since room only shrinks while work is placed.
 """
 
-from lycheegate.jobs import health, model, placement, speeds, state
+from lycheegate.jobs import health, model, placement, state
 
 __all__ = ["WorkerPool", "is_usable"]
 
@@ -50,7 +50,6 @@
                 worker.capacity,
                 NO_LIMIT,
                 worker.worker_id in stalled,
-                speeds.is_slow(worker),
             )
             self._by_worker[worker.worker_id] = candidate
             self._by_service.setdefault(worker.service, []).append(candidate)
@@ -78,7 +77,6 @@
                 candidate.capacity,
                 limit - there.get(candidate.worker_id, 0),
                 candidate.is_avoided or candidate.worker_id in step.avoid,
-                candidate.is_slow,
             )
             for candidate in shared
         ]
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from lycheegate.jobs import commands, health, model, speeds, state
+from lycheegate.jobs import commands, health, model, state
 
 __all__ = [
     "End",
@@ -162,9 +162,6 @@
     job.dirty = True
     if step.step.long_running:
         return
-    worker = current.workers.get(run.worker_id)
-    if worker is not None and not step.step.gang and not step.checkpoints.get(run.task.index):
-        speeds.record_duration(worker, step, now_s - run.since_s)
     if step.step.gang:
         # The members end together, so one listed end stands for all of them.
         step.done.update(range(step.step.count))
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -253,14 +253,11 @@
             step.same_rack,
             step.near_rack,
             may_span=_may_span(unit, candidates),
-            prefers_fast=unit.rank.level < 2,
         )
     waited_s = work.now_s - (unit.step.ready_since_s or work.now_s)
     only_near = bool(step.near_rack) and waited_s < FAR_PATIENCE_RATIO * step.estimate_s
     only_near = only_near and any(c.rack == step.near_rack for c in candidates)
-    worker_id = placement.place_task(
-        step.need, candidates, step.near_rack, only_near, unit.rank.level < 2
-    )
+    worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
     if worker_id is None and not only_near:
         work.workers.note_full(unit.service, step)
     return [worker_id] if worker_id else None
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -119,7 +119,6 @@
         not_before_s: Earliest time of the next start, after failures.
         last_failed_number: Run number of the gang that was last counted as failed.
         ready_since_s: When its tasks could first start, or None.
-        durations_s: How long the first tasks that ended have run.
     """
 
     key: StepKey
@@ -133,7 +132,6 @@
     not_before_s: float = 0.0
     last_failed_number: int = 0
     ready_since_s: float | None = None
-    durations_s: list[float] = dataclasses.field(default_factory=list)
 
     @property
     def is_done(self) -> bool:
@@ -235,8 +233,6 @@
         quarantined_until_s: Until when it gets no work because of failures.
         quarantines: Consecutive quarantines; the time doubles with each.
         unreachable_until_s: Until when it gets no work because orders went unanswered.
-        slowness: How long its tasks run against like ones on others, smoothed.
-        comparisons: Number of tasks that were compared.
     """
 
     worker_id: str
@@ -269,8 +265,6 @@
     quarantined_until_s: float = 0.0
     quarantines: int = 0
     unreachable_until_s: float = 0.0
-    slowness: float = 1.0
-    comparisons: int = 0
 
 
 @dataclasses.dataclass(slots=True)
