--- /dev/null
+++ b/lycheegate/node/tests/fake_store.py
@@ -0,0 +1,204 @@
+"""Deterministic stand-in of the store, on one event queue with a fake clock.
+
+Faults are drawn from a seeded generator: answers that are lost, calls that are carried out late,
+VMs that the store turns away, parts that carry out their transactions slowly.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from returns import result
+
+from lycheegate.node import storage
+from lycheegate.utils import exceptions
+
+MAX_PART_QUEUE_S = 1.0
+STORE_DELAY_S = 0.004
+
+
+class Loop:
+    """Event queue with its own clock."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Runs a function after a delay."""
+        heapq.heappush(self._queue, (self.now_s + delay_s, next(self._numbers), function))
+
+    def run_until(self, end_s: float) -> None:
+        """Runs everything that is due up to a time."""
+        while self._queue and self._queue[0][0] <= end_s:
+            due_s, _, function = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, due_s)
+            function()
+        self.now_s = max(self.now_s, end_s)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Shares of calls that go wrong, and who is turned away."""
+
+    lost_writes: float = 0.0
+    late_writes: float = 0.0
+    lost_orders: float = 0.0
+    late_orders: float = 0.0
+    refused: set[str] = dataclasses.field(default_factory=set)
+    history_lost: bool = False
+    transaction_s: float = 0.0
+    """Time of a transaction; those of one part are carried out one after another."""
+    silent_feeds: bool = False
+
+
+class FakeStore:
+    """Linearizable store; ``connect`` gives each VM its own client."""
+
+    def __init__(self, loop: Loop, faults: Faults, generator: random.Random):
+        self.loop = loop
+        self.faults = faults
+        self.generator = generator
+        self.rows: dict[storage.RowKey, storage.Row] = {}
+        self.changes: list[storage.Row] = []
+        self.version = 1
+        self._busy_until_s: dict[str, float] = {}
+
+    def connect(self, vm: str) -> "FakeStoreClient":
+        """Returns the client of a VM."""
+        return FakeStoreClient(self, vm)
+
+    def apply(self, transaction: storage.Transaction) -> storage.StoreResult:
+        """Makes changes at once."""
+        keys = [item.key for item in (*transaction.conditions, *transaction.writes)]
+        parts = {key.part for key in (*keys, *transaction.deletes)}
+        assert len(parts) <= 1, f"a transaction over several parts: {parts}"
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (row.version if row else storage.ABSENT) != condition.version:
+                found = [self.rows.get(item.key) for item in transaction.conditions]
+                return result.Failure(storage.ConflictError(tuple(r for r in found if r)))
+        self.version += 1
+        for write in transaction.writes:
+            row = storage.Row(write.key, write.value, self.version)
+            self.rows[write.key] = row
+            self.changes.append(row)
+        for key in transaction.deletes:
+            if self.rows.pop(key, None):
+                self.changes.append(storage.Row(key, b"", self.version, True))
+        return result.Success(self.version)
+
+    def queue(self, transaction: storage.Transaction) -> float | None:
+        """Returns when a transaction is carried out, or None if its part refuses it."""
+        key = (transaction.conditions or transaction.writes)[0].key
+        begin_s = max(self.loop.now_s, self._busy_until_s.get(key.part, 0.0))
+        if begin_s - self.loop.now_s > MAX_PART_QUEUE_S:
+            return None
+        self._busy_until_s[key.part] = begin_s + self.faults.transaction_s
+        return self._busy_until_s[key.part]
+
+    def put(self, key: storage.RowKey, value: bytes) -> None:
+        """Writes a row as another writer does."""
+        self.apply(storage.Transaction(writes=(storage.Write(key, value),)))
+
+
+class FakeStoreClient:
+    """Store as one VM reaches it."""
+
+    def __init__(self, store: FakeStore, vm: str):
+        self._store = store
+        self._vm = vm
+
+    def _refuse(self, callback: Callable) -> bool:
+        if self._vm not in self._store.faults.refused:
+            return False
+        failure = result.Failure(exceptions.UnavailableError("turned away"))
+        self._store.loop.call_later(STORE_DELAY_S, lambda: callback(failure))
+        return True
+
+    def transact(self, transaction, timeout_s: float, callback: Callable) -> None:
+        """Makes changes, unless a fault is drawn."""
+        if self._refuse(callback):
+            return
+        store, loop = self._store, self._store.loop
+        if store.faults.transaction_s:
+            self._transact_slowly(transaction, timeout_s, callback)
+            return
+        draw = store.generator.random()
+        if draw < store.faults.late_writes:
+            delay_s = store.generator.uniform(1.0, 6.0)
+            loop.call_later(delay_s, lambda: store.apply(transaction))
+            loop.call_later(timeout_s, lambda: callback(make_unknown()))
+            return
+        outcome = store.apply(transaction)
+        if draw < store.faults.late_writes + store.faults.lost_writes:
+            loop.call_later(timeout_s, lambda: callback(make_unknown()))
+            return
+        loop.call_later(STORE_DELAY_S, lambda: callback(outcome))
+
+    def _transact_slowly(self, transaction, timeout_s: float, callback: Callable) -> None:
+        store, loop = self._store, self._store.loop
+        done_s = store.queue(transaction)
+        if done_s is None:
+            failure = result.Failure(exceptions.UnavailableError("part has too many waiting"))
+            loop.call_later(STORE_DELAY_S, lambda: callback(failure))
+            return
+        is_late = done_s - loop.now_s > timeout_s
+
+        def apply() -> None:
+            outcome = store.apply(transaction)
+            if not is_late:
+                callback(outcome)
+
+        loop.call_later(done_s - loop.now_s, apply)
+        if is_late:
+            loop.call_later(timeout_s, lambda: callback(make_unknown()))
+
+    def read(self, table, part, first, end, timeout_s, callback: Callable) -> None:
+        """Reads rows."""
+        if self._refuse(callback):
+            return
+        rows = sorted(
+            (
+                row
+                for key, row in self._store.rows.items()
+                if key.table == table
+                and key.part == part
+                and key.key >= first
+                and (not end or key.key < end)
+            ),
+            key=lambda row: row.key.key,
+        )
+        page = storage.Page(tuple(rows), False, self._store.version)
+        self._store.loop.call_later(STORE_DELAY_S, lambda: callback(result.Success(page)))
+
+    def follow(self, table, after, wait_s, callback: Callable) -> None:
+        """Waits for changes."""
+        if self._refuse(callback):
+            return
+        if self._store.faults.history_lost:
+            lost = result.Failure(storage.HistoryLostError("history"))
+            self._store.loop.call_later(STORE_DELAY_S, lambda: callback(lost))
+            return
+        self._poll(table, after, self._store.loop.now_s + wait_s, callback)
+
+    def _poll(self, table, after, end_s, callback: Callable) -> None:
+        store = self._store
+        rows = tuple(r for r in store.changes if r.version > after and r.key.table == table)
+        if store.faults.silent_feeds:
+            rows = ()
+        if rows or store.loop.now_s >= end_s:
+            silent = store.faults.silent_feeds
+            version = after if silent else max([store.version, *(row.version for row in rows)])
+            changes = storage.Changes(rows, version)
+            store.loop.call_later(STORE_DELAY_S, lambda: callback(result.Success(changes)))
+            return
+        store.loop.call_later(0.02, lambda: self._poll(table, after, end_s, callback))
+
+
+def make_unknown() -> storage.StoreResult:
+    """Returns the outcome of a call whose answer was lost."""
+    return result.Failure(exceptions.OutcomeUnknownError("answer lost"))
--- /dev/null
+++ b/lycheegate/node/tests/fake_workers.py
@@ -0,0 +1,302 @@
+"""Deterministic stand-ins of workers, which check what must always hold from what they see.
+
+No task runs twice at the same time or again after a success, no worker gets more than it holds,
+and nothing runs that nobody submitted.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from returns import result
+
+from lycheegate.jobs import commands, model, runs, workers
+from lycheegate.node.tests import fake_store
+from lycheegate.platform import workers as worker_calls
+from lycheegate.utils import exceptions
+
+WORKER_DELAY_S = 0.002
+STOP_S = 0.2
+MAX_LEASE_S = 6.0
+
+
+@dataclasses.dataclass(slots=True)
+class LiveRun:
+    """A run at a worker."""
+
+    task: model.TaskKey
+    number: int
+    need: model.Resources
+    work_s: float
+    work_left_s: float
+    stops_at_s: float | None = None
+
+
+class FakeWorker:
+    """Worker that keeps the protocol and checks the promises."""
+
+    def __init__(self, fleet: "Fleet", worker_id: str, rack: str, capacity: model.Resources):
+        self.fleet = fleet
+        self.worker_id = worker_id
+        self.rack = rack
+        self.capacity = capacity
+        self.born_ms = 1_000
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets everything, as a restart does."""
+        self.epoch = 0
+        self.live: dict[model.TaskKey, LiveRun] = {}
+        self.highest: dict[model.TaskKey, int] = {}
+        self.ended: list[workers.EndedRun] = []
+        self.end_number = 0
+        self.ended_at_s: dict[int, float] = {}
+        self.deadline_ms = 0
+        self.booted_at_s = self.fleet.loop.now_s - 1.0
+        self.advanced_at_s = self.fleet.loop.now_s
+
+    def restart(self) -> None:
+        """Starts anew under the same identifier."""
+        self.born_ms += 1_000
+        self.reset()
+
+    def clock_ms(self) -> int:
+        """Returns the worker's clock."""
+        return int((self.fleet.loop.now_s - self.booted_at_s) * 1000)
+
+    def advance(self) -> None:
+        """Lets runs work up to now."""
+        now_s = self.fleet.loop.now_s
+        passed_s = now_s - self.advanced_at_s
+        self.advanced_at_s = now_s
+        for run in list(self.live.values()):
+            run.work_left_s -= passed_s
+            if run.stops_at_s is not None and now_s >= run.stops_at_s:
+                self._end(run, runs.End.INTERRUPTED, "stopped")
+            elif self.clock_ms() > self.deadline_ms:
+                self._end(run, runs.End.INTERRUPTED, "lapsed")
+            elif run.work_left_s <= 0.0:
+                failed = self.fleet.generator.random() < self.fleet.failure_share
+                self._end(run, runs.End.FAILED if failed else runs.End.DONE, "ended")
+
+    def _end(self, run: LiveRun, end: runs.End, reason: str) -> None:
+        del self.live[run.task]
+        self.end_number += 1
+        self.ended.append(workers.EndedRun(self.end_number, run.task, run.number, end, reason, ""))
+        if end is runs.End.DONE:
+            self.fleet.done[run.task] = self.fleet.loop.now_s
+            self.ended_at_s[self.end_number] = self.fleet.loop.now_s
+
+    def acknowledge(self, kept_end: int) -> None:
+        """Forgets ends; a success counts for good from here on."""
+        for ended in self.ended:
+            if ended.end_number <= kept_end and ended.end is runs.End.DONE:
+                self.fleet.note_success(ended.task, self.ended_at_s[ended.end_number])
+        self.ended = [ended for ended in self.ended if ended.end_number > kept_end]
+
+    def start(self, order: commands.StartRun, epoch: int, deadline_ms: int):
+        """Carries out an order to start."""
+        self.advance()
+        if epoch < self.epoch:
+            return worker_calls.StartOutcome.FENCED
+        self.epoch = epoch
+        run = self.live.get(order.task)
+        if run is not None and run.number == order.number:
+            return worker_calls.StartOutcome.STARTED
+        if order.number <= self.highest.get(order.task, 0):
+            return worker_calls.StartOutcome.OLD_RUN
+        if deadline_ms <= self.clock_ms():
+            return worker_calls.StartOutcome.LATE
+        limit_ms = self.clock_ms() + int(MAX_LEASE_S * 1000)
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
+        self.highest[order.task] = order.number
+        self.fleet.check_start(order, self)
+        need, work_s = self.fleet.describe(order.task)
+        self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
+        used = sum((r.need for r in self.live.values()), model.Resources())
+        if not used.fits(self.capacity):
+            self.fleet.violations.append(f"LIMIT {self.worker_id} {order.task}")
+        return worker_calls.StartOutcome.STARTED
+
+    def stop(self, order: commands.StopRun, epoch: int):
+        """Carries out an order to stop."""
+        self.advance()
+        if epoch < self.epoch:
+            return worker_calls.StartOutcome.FENCED
+        self.epoch = epoch
+        self.highest[order.task] = max(self.highest.get(order.task, 0), order.number)
+        run = self.live.get(order.task)
+        if run is not None and run.number == order.number and run.stops_at_s is None:
+            run.stops_at_s = self.fleet.loop.now_s + STOP_S
+        return worker_calls.StartOutcome.STARTED
+
+
+class Fleet:
+    """All workers, with the client of them that the scheduler uses."""
+
+    def __init__(self, loop: fake_store.Loop, faults: fake_store.Faults, generator: random.Random):
+        self.loop = loop
+        self.faults = faults
+        self.generator = generator
+        self.workers: dict[str, FakeWorker] = {}
+        self.specs: dict[str, model.Job] = {}
+        self.done: dict[model.TaskKey, float] = {}
+        self.noted: set[model.TaskKey] = set()
+        self.starts: dict[model.TaskKey, int] = {}
+        self.started_at_s: dict[model.TaskKey, float] = {}
+        self.violations: list[str] = []
+        self.failure_share = 0.0
+        self.cut: set[str] = set()
+        self.mute: set[str] = set()
+        """Workers that get calls but whose answers are lost."""
+        self.work_s = 1.0
+
+    def add(self, worker_id: str, rack: str, capacity: model.Resources) -> FakeWorker:
+        """Adds a worker."""
+        self.workers[worker_id] = FakeWorker(self, worker_id, rack, capacity)
+        return self.workers[worker_id]
+
+    def describe(self, task: model.TaskKey) -> tuple[model.Resources, float]:
+        """Returns the resources and the work of a task."""
+        return self.specs[task.job_id].steps[task.step].need, self.work_s
+
+    def check_start(self, order: commands.StartRun, worker: FakeWorker) -> None:
+        """Checks what must hold whenever a task starts."""
+        self.starts[order.task] = self.starts.get(order.task, 0) + 1
+        self.started_at_s[order.task] = self.loop.now_s
+        job = self.specs.get(order.task.job_id)
+        if job is None or order.spec != job.spec:
+            self.violations.append(f"UNASKED {order.task}")
+            return
+        for other in self.workers.values():
+            other.advance()
+            if order.task in other.live:
+                self.violations.append(f"TWICE {order.task} on {other.worker_id}")
+        if order.task in self.noted:
+            self.violations.append(f"TWICE after success {order.task}")
+        for number in job.steps[order.task.step].depends_on:
+            for index in range(job.steps[number].count):
+                before = model.TaskKey(order.task.job_id, order.task.occurrence, number, index)
+                if before not in self.done:
+                    self.violations.append(f"ORDER {order.task} before {before}")
+
+    def note_success(self, task: model.TaskKey, ended_at_s: float) -> None:
+        """Notes a success that the scheduler has acknowledged.
+
+        A success that nobody acknowledged dies with its worker, and its task may start again.
+        """
+        if self.started_at_s[task] > ended_at_s:
+            self.violations.append(f"TWICE after success {task}")
+        self.noted.add(task)
+
+    def connect(self, vm: str) -> "FakeWorkers":
+        """Returns the client of a VM."""
+        return FakeWorkers(self, vm)
+
+
+class FakeWorkers:
+    """Client of the workers, with the interface of ``PlatformWorkers``."""
+
+    def __init__(self, fleet: Fleet, vm: str):
+        self._fleet = fleet
+        self._vm = vm
+
+    def start(self, address, order, epoch, deadline_ms, callback) -> None:
+        """Sends an order to start."""
+        worker = self._fleet.workers[order.worker_id]
+        self._send(lambda: worker.start(order, epoch, deadline_ms), worker, callback)
+
+    def stop(self, address, order, epoch, callback) -> None:
+        """Sends an order to stop."""
+        worker = self._fleet.workers[order.worker_id]
+        self._send(lambda: worker.stop(order, epoch), worker, callback)
+
+    def _send(self, carry_out: Callable, worker: FakeWorker, callback: Callable) -> None:
+        fleet, loop = self._fleet, self._fleet.loop
+        lost = worker_calls.OrderResult(worker_calls.StartOutcome.UNKNOWN)
+        if worker.worker_id in fleet.mute:
+            loop.call_later(WORKER_DELAY_S, carry_out)
+            loop.call_later(0.5, lambda: callback(lost))
+            return
+        draw = fleet.generator.random()
+        if worker.worker_id in fleet.cut:
+            loop.call_later(0.5, lambda: callback(lost))
+            return
+        if draw < fleet.faults.late_orders:
+            born_ms = worker.born_ms
+            delay_s = fleet.generator.uniform(2.0, 12.0)
+
+            def carry_out_late() -> None:
+                if worker.worker_id not in fleet.cut and born_ms == worker.born_ms:
+                    carry_out()
+
+            loop.call_later(delay_s, carry_out_late)
+            loop.call_later(0.5, lambda: callback(lost))
+            return
+
+        def arrive() -> None:
+            answer = worker_calls.OrderResult(carry_out(), worker.clock_ms())
+            if draw < fleet.faults.late_orders + fleet.faults.lost_orders:
+                loop.call_later(0.5, lambda: callback(lost))
+            else:
+                loop.call_later(WORKER_DELAY_S, lambda: callback(answer))
+
+        loop.call_later(WORKER_DELAY_S, arrive)
+
+    def report(self, address, worker_id, epoch, kept_end, deadline_ms, wait_s, callback) -> None:
+        """Asks for a report."""
+        fleet, loop = self._fleet, self._fleet.loop
+        worker = fleet.workers[worker_id]
+        if worker_id in fleet.cut:
+            error = result.Failure(exceptions.OutcomeUnknownError("silent"))
+            loop.call_later(0.8, lambda: callback(error))
+            return
+        sent_at_s = loop.now_s
+
+        def begin() -> None:
+            worker.advance()
+            if epoch < worker.epoch:
+                loop.call_later(
+                    WORKER_DELAY_S, lambda: callback(result.Failure(exceptions.FencedError(0)))
+                )
+                return
+            worker.epoch = epoch
+            worker.acknowledge(kept_end)
+            if deadline_ms is not None:
+                limit_ms = worker.clock_ms() + int(MAX_LEASE_S * 1000)
+                worker.deadline_ms = max(worker.deadline_ms, min(deadline_ms, limit_ms))
+            wait(loop.now_s + wait_s)
+
+        def wait(end_s: float) -> None:
+            worker.advance()
+            if worker_id in fleet.mute:
+                error = result.Failure(exceptions.OutcomeUnknownError("silent"))
+                loop.call_later(0.8, lambda: callback(error))
+                return
+            if worker.ended or loop.now_s >= end_s:
+                loop.call_later(WORKER_DELAY_S, lambda: callback(result.Success(make_report())))
+                return
+            loop.call_later(0.05, lambda: wait(end_s))
+
+        def make_report() -> workers.Report:
+            listed = tuple(
+                workers.ListedRun(
+                    run.task,
+                    worker_calls.format_task(run.task),
+                    run.number,
+                    "",
+                    int(100 * (1.0 - run.work_left_s / run.work_s)),
+                )
+                for run in worker.live.values()
+            )
+            return workers.Report(
+                worker_id,
+                worker.clock_ms(),
+                worker.born_ms,
+                listed,
+                tuple(worker.ended[:500]),
+                sent_at_s,
+                loop.now_s,
+            )
+
+        loop.call_later(WORKER_DELAY_S, begin)
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -4,7 +4,7 @@
 
 from lycheegate.jobs import model, progress
 from lycheegate.node import scheduler, tables, terms
-from lycheegate.node.tests import simulation
+from lycheegate.node.tests import fake_workers, simulation
 
 _SMALL = model.Resources(1_000, 1_000, 1)
 _WHOLE = model.Resources(8_000, 8_000, 8)
@@ -109,7 +109,7 @@
     lost = next(w for w, f in world.fleet.workers.items() if f.live)
     world.fleet.cut.add(lost)
     world.unregister(lost)
-    world.run(simulation.MAX_LEASE_S + 6.0)
+    world.run(fake_workers.MAX_LEASE_S + 6.0)
     _assert_all_succeed(world)
 
 
@@ -132,7 +132,7 @@
         world.fleet.cut.add(worker_id)
         world.unregister(worker_id)
     # Stops, the whole work again, and three reports.
-    world.run(simulation.STOP_S + world.fleet.work_s + 3.0 - 2.0)
+    world.run(fake_workers.STOP_S + world.fleet.work_s + 3.0 - 2.0)
     _assert_all_succeed(world)
 
 
