Take a worker's remaining time when it is told; skip passes with nothing to place

Cause: found while reading the diff. The list of registrations is taken as a whole, so each change of another entry counted an old remaining time anew from that moment, up to 1.5 s too late for the last checkpoint. And a scheduler that took over while a worker was leaving did not note the time at all.

Change: a remaining time counts from when it was first told, also for workers that are seen for the first time. A pass without waiting work ends before it lists the workers.

Both tests fail on the code before.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -86,6 +86,8 @@
     guaranteed = ordering.list_guaranteed_accounts(current)
     units = _list_units(current, guaranteed, now_s, wall_s)
     _drop_claims(current, {key for unit in units for key in _list_claim_keys(unit)}, now_s)
+    if not units:
+        return []
     work = _Pass(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
     _measure_rooms(work, units)
     work.planned_claims = sum(not claim.preempts for claim in current.claims.values())
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -215,6 +215,7 @@
         room: Resources that no run may be using.
         draining: Whether it gets no new work because it leaves.
         leaves_at_s: Earliest time at which it leaves, or None if that is not known.
+        told_remaining_s: Remaining time that its registration told last.
         listed: Whether it is registered.
         born_ms: Start of its incarnation, or 0 if not known.
         confirmed: Whether it has reported under this scheduler's term.
@@ -245,6 +246,7 @@
     room: model.Resources
     draining: bool = False
     leaves_at_s: float | None = None
+    told_remaining_s: float | None = None
     listed: bool = True
     born_ms: int = 0
     confirmed: bool = False
--- a/lycheegate/jobs/tests/test_evacuation.py
+++ b/lycheegate/jobs/tests/test_evacuation.py
@@ -88,3 +88,25 @@
     worker.clock_ms, worker.clock_at_s = 50_000, _NOW_S
     deadline_ms = workers.compute_deadline_ms(current, worker, _NOW_S)
     assert deadline_ms == 50_000 + int(expected_s * 1000)
+
+
+def _register(worker_id, remaining_s):
+    return workers.Registration(
+        worker_id, "render", "a:1", "z", "r", frozenset(), _NEED, True, 1, remaining_s
+    )
+
+
+def test_old_entry_does_not_postpone_the_end():
+    """Guards against a worker that seems to stay longer whenever another entry changes."""
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    for second, remaining_s in ((0.0, 6.0), (1.0, 6.0), (1.4, 4.5), (2.0, 4.5)):
+        entries = [_register("leaving", remaining_s), _register("other", 90.0 - second)]
+        workers.apply_registrations(current, entries, _NOW_S + second)
+    assert current.workers["leaving"].leaves_at_s == pytest.approx(_NOW_S + 1.4 + 4.5)
+
+
+def test_worker_seen_first_while_it_leaves():
+    """Guards against a new scheduler that does not know that a worker is about to leave."""
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    workers.apply_registrations(current, [_register("leaving", 2.0)], _NOW_S)
+    assert current.workers["leaving"].leaves_at_s == _NOW_S + 2.0
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -139,9 +139,7 @@
         current.schedule_due = True
     used = worker.capacity - worker.room
     worker.draining = registration.draining
-    worker.leaves_at_s = None
-    if registration.remaining_s is not None:
-        worker.leaves_at_s = now_s + registration.remaining_s
+    _note_remaining(worker, registration.remaining_s, now_s)
     worker.listed = True
     worker.service = registration.service
     worker.address = registration.address
@@ -152,6 +150,19 @@
     return result
 
 
+def _note_remaining(worker: state.WorkerState, remaining_s: float | None, now_s: float) -> None:
+    """Notes when a worker leaves.
+
+    The list of registrations is taken as a whole whenever any of them changes, so a remaining
+    time that was told before says nothing new.
+    """
+    if remaining_s is None:
+        worker.leaves_at_s = None
+    elif remaining_s != worker.told_remaining_s:
+        worker.leaves_at_s = now_s + remaining_s
+    worker.told_remaining_s = remaining_s
+
+
 def _add_worker(
     current: state.SchedulerState,
     registration: Registration,
@@ -171,6 +182,7 @@
         born_ms=registration.born_ms,
     )
     worker.lapses_at_s = _compute_handover_end_s(current)
+    _note_remaining(worker, registration.remaining_s, now_s)
     if known is not None:
         worker.runs = known.runs
         for run in worker.runs.values():
