Drop a claim when its queue moves to another service

Cause: found while reading the diff. Room that an urgent job has others stopped for was kept by worker, whatever service its queue was sent to meanwhile. The task then started on a worker of the old service.

Change: a claim is kept only while its workers belong to the queue's service.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -85,7 +85,8 @@
     current.schedule_due = False
     guaranteed = ordering.list_guaranteed_accounts(current)
     units = _list_units(current, guaranteed, now_s, wall_s)
-    _drop_claims(current, {key for unit in units for key in _list_claim_keys(unit)}, now_s)
+    wanted = {key: unit.service for unit in units for key in _list_claim_keys(unit)}
+    _drop_claims(current, wanted, now_s)
     if not units:
         return []
     work = _Pass(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
@@ -176,10 +177,14 @@
     return len(unit.indices) * headroom.compute_share(unit.step.step.need, room.largest)
 
 
-def _drop_claims(current: state.SchedulerState, wanted: set[state.ClaimKey], now_s: float) -> None:
+def _drop_claims(
+    current: state.SchedulerState, wanted: dict[state.ClaimKey, str], now_s: float
+) -> None:
+    """Gives up room that is not waited for, or not on usable workers of the queue's service."""
     for key, claim in list(current.claims.items()):
         usable = all(
             (worker := current.workers.get(worker_id)) is not None
+            and worker.service == wanted.get(key)
             and pool.is_usable(current, worker, now_s)
             for worker_id in claim.placement.values()
         )
