--- a/lycheegate/core/naive.py
+++ b/lycheegate/core/naive.py
@@ -36,7 +36,10 @@
 
 @dataclasses.dataclass
 class PartitionState:
-    """State of the baseline scheduler for one partition."""
+    """State of the baseline scheduler for one partition.
+
+    The places of ``releasing``, by task, stay allocated until their workers confirm the release.
+    """
 
     partition: str
     settings: policy.PolicySettings
@@ -46,6 +49,7 @@
     queue: collections.deque = dataclasses.field(default_factory=collections.deque)
     attempts: dict[str, _Attempt] = dataclasses.field(default_factory=dict)
     by_request: dict[str, str] = dataclasses.field(default_factory=dict)
+    releasing: dict[str, resources.MemberPlacement] = dataclasses.field(default_factory=dict)
     tries: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -104,6 +108,10 @@
             attempt, _ = _find_attempt(state, event.task_id)
             if attempt is not None:
                 _retry(state, attempt, out)
+        case events.TaskReleased():
+            place = state.releasing.pop(event.task_id, None)
+            if place is not None:
+                _set_free(state, (place,), True)
         case events.TaskFailed():
             attempt, _ = _find_attempt(state, event.task_id)
             if attempt is not None:
@@ -257,7 +265,8 @@
     for member, place in enumerate(attempt.placement):
         task_id = commands.format_task_id(attempt.attempt_id, member)
         out.append(commands.ReleaseTask(task_id, place.worker_id))
-    _set_free(state, attempt.placement, True)
+        if place.worker_id in state.workers:
+            state.releasing[task_id] = place
     del state.attempts[attempt.attempt_id]
     state.by_request.pop(attempt.request.request_id, None)
 
@@ -327,6 +336,9 @@
 
 def _handle_worker_lost(state: PartitionState, worker_id: str, out: list[commands.Command]) -> None:
     state.workers.pop(worker_id, None)
+    for task_id, place in list(state.releasing.items()):
+        if place.worker_id == worker_id:
+            del state.releasing[task_id]
     for attempt in list(state.attempts.values()):
         if any(place.worker_id == worker_id for place in attempt.placement):
             _retry(state, attempt, out)
--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -3,8 +3,10 @@
 import contextlib
 import logging
 import socket
+import sys
 import threading
 import time
+import traceback as tracebacks
 from collections.abc import Callable
 from typing import Any
 
@@ -23,13 +25,54 @@
 """Time within which a whole request must arrive, so that a slow sender cannot occupy a thread."""
 
 IDLE_TIMEOUT_S = 30.0
+MAX_KEPT_ALIVE_DISCARD_BYTES = 64 * 1024
+"""Size of an unread request body up to which the connection is kept after the response. Cheroot
+reads such a body into memory at once, before the response."""
+MAX_DISCARD_BYTES = 16 * 1024 * 1024
+MAX_DISCARD_S = 3.0
+DISCARD_CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 SLOW_READ_CHECK_INTERVAL_S = 0.5
 
 
+class _Request(cheroot_server.HTTPRequest):
+    """Request whose response reaches the caller although its body was not read.
+
+    Closing a connection with unread bytes resets it, and a caller that is still sending its body
+    then loses the response. The body is therefore discarded after the response, within limits.
+    """
+
+    @property
+    def _unread_bytes(self) -> int:
+        return getattr(self.rfile, "remaining", 0)
+
+    def send_headers(self) -> None:
+        """Sends the status line and the headers of the response."""
+        if self._unread_bytes > MAX_KEPT_ALIVE_DISCARD_BYTES:
+            self.close_connection = True
+        super().send_headers()
+
+    def respond(self) -> None:
+        """Sends the response, then discards what the caller still sends."""
+        super().respond()
+        if self.close_connection and self._unread_bytes:
+            # A caller that stops sending is disconnected by the check for slow reads.
+            self.conn.reading_since_s = time.monotonic()
+            with contextlib.suppress(OSError):
+                self._discard_body()
+
+    def _discard_body(self) -> None:
+        deadline_s = time.monotonic() + MAX_DISCARD_S
+        least_unread_bytes = self._unread_bytes - MAX_DISCARD_BYTES
+        while self._unread_bytes > max(0, least_unread_bytes) and time.monotonic() < deadline_s:
+            if not self.rfile.read(DISCARD_CHUNK_BYTES):
+                return
+
+
 class _Connection(cheroot_server.HTTPConnection):
     """Connection that records since when it has been reading a request."""
 
+    RequestHandlerClass = _Request
     reading_since_s: float | None = None
 
     def communicate(self) -> bool:
@@ -85,7 +128,8 @@
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Writes the messages of cheroot to the log."""
         if traceback:
-            _log.error("http_server_error", message=msg, error=traceback.format_exc()[-500:])
+            error = "".join(tracebacks.format_exception(sys.exception()))
+            _log.error("http_server_error", message=msg, error=error[-500:])
         elif level >= logging.WARNING:
             _log.warning("http_server", message=msg)
 
--- a/lycheegate/entry/tests/test_server.py
+++ b/lycheegate/entry/tests/test_server.py
@@ -2,6 +2,8 @@
 
 import datetime
 import http.client
+import select
+import socket
 import ssl
 import threading
 
@@ -110,3 +112,53 @@
         assert (connection.getresponse().status == 200) is (length == 0)
     finally:
         running.stop()
+
+
+@pytest.mark.parametrize("status", ["413 Content Too Large", "401 Unauthorized"])
+def test_refusal_of_unread_body_reaches_the_caller(status):
+    """Guards against a refusal that is lost because its connection is reset.
+
+    The caller is still sending its body when the server has already sent the whole refusal.
+    """
+
+    def refuse(environ, start_response):
+        start_response(status, [("Content-Length", "2")])
+        return [b"no"]
+
+    running = server.CallersServer("127.0.0.1", 0, refuse, models.LimitSettings())
+    port = running.start()
+    try:
+        length = 8 * 1024 * 1024
+        sock = socket.create_connection(("127.0.0.1", port), 20.0)
+        sock.sendall(f"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n".encode())
+        sock.sendall(b"x")
+        readable, _, _ = select.select([sock], [], [], 20.0)
+        assert readable
+        sock.sendall(b"x" * (length - 1))
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        assert response.status == int(status[:3])
+        assert response.read() == b"no"
+    finally:
+        running.stop()
+
+
+def test_error_of_application_ends_no_thread():
+    """Guards against an unexpected error that ends the thread which serves the next caller."""
+
+    def fail_or_echo(environ, start_response):
+        if environ["PATH_INFO"] == "/fail":
+            raise RuntimeError("unexpected")
+        return _echo(environ, start_response)
+
+    limits = models.LimitSettings(caller_threads=1)
+    running = server.CallersServer("127.0.0.1", 0, fail_or_echo, limits)
+    port = running.start()
+    try:
+        for path, expected in [("/fail", 500), ("/fail", 500), ("/", 200)]:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+            connection.request("GET", path)
+            assert connection.getresponse().status == expected
+            connection.close()
+    finally:
+        running.stop()
--- a/lycheegate/peers/ownership.py
+++ b/lycheegate/peers/ownership.py
@@ -227,7 +227,8 @@
 class StopOwner:
     """Stop the owner of the partition.
 
-    With ``graceful``, it finishes its orders first, and the answer is ``OwnerStopped``.
+    With ``graceful``, it finishes its orders first, and the answer is ``OwnerStopped``, after which
+    it is not requested again.
     """
 
     epoch: int
@@ -321,10 +322,11 @@
 
 def _lose_ownership(state: OwnershipState, now_s: float) -> tuple[OwnershipState, list[Action]]:
     epoch = state.owned_epoch
+    has_stopped = state.is_stopped
     state = dataclasses.replace(
         state, owned_epoch=None, lost_epoch=epoch, is_writing=False, next_read_s=now_s
     )
-    return state, [StopOwner(epoch, graceful=False)]
+    return state, [] if has_stopped else [StopOwner(epoch, graceful=False)]
 
 
 def _record_write(
