Reject malformed messages at each inlet, and date permissions by when they were given

Entries are now checked, and the client refuses one request instead of ending its thread. - Deeply nested JSON raised RecursionError out of the configuration feed; a job with cpu below 0 raised the room of its worker for others; a truncated answer of a peer raised EOFError on the caller's thread. - A feed whose rows could not be applied ended; a report that could not be applied ended the polling of its worker. Both now log the error and go on. - A worker lists at most 500 ends. A run whose success was not yet listed counted as absent and ran again. - A peer that answered 400 or 500 after it had called the store was reported as a refusal. - confirmed_at_s was the time of processing: after a pause, an answer from before the pause renewed the trust in keys. It is now placed by the store's clock (node/store_clock.py). A claim whose answer was processed after a pause allowed lease renewals for 8 s more than the next holder assumes. - Draining waited without limit for a request that hangs, beyond the grace time.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -202,11 +202,15 @@
 
     def send(self, request: Request) -> futures.Future[HttpResult]:
         """Sends a request; the future has a result in any case, never an exception."""
-        origin = urllib.parse.urlsplit(request.url).netloc
+        try:
+            origin, refusal = urllib.parse.urlsplit(request.url).netloc, ""
+        except ValueError as error:
+            origin, refusal = request.url, f"request not sent: {error}"
         transfer = _Transfer(request, origin)
         with self._lock:
-            refusal = ""
-            if self._closed:
+            if refusal:
+                pass
+            elif self._closed:
                 refusal = "request not sent: client closed"
             elif self._in_flight[origin] >= self._limits.requests_per_origin:
                 refusal = (
@@ -321,7 +325,15 @@
             transfer = self._queued.popleft()
             idle_handles = self._idle_handles.get(transfer.kind)
             handle = idle_handles.pop() if idle_handles else self._make_handle(transfer.request)
-            self._set_options(handle, transfer)
+            try:
+                self._set_options(handle, transfer)
+            except (ValueError, TypeError, pycurl.error) as error:
+                # Addresses come from other systems; one that cannot be encoded must not end the
+                # thread, on which all requests depend.
+                handle.close()
+                text = f"{transfer.origin}: request not sent: {error}"
+                self._resolve(transfer, result.Failure(exceptions.UnavailableError(text)))
+                continue
             self._transfers[handle] = transfer
             self._multi.add_handle(handle)
 
--- a/lycheegate/clients/tests/test_http.py
+++ b/lycheegate/clients/tests/test_http.py
@@ -107,6 +107,24 @@
     assert kinds == 4 * [_UNKNOWN] + 5 * [_UNAVAILABLE]
 
 
+@pytest.mark.parametrize(
+    ("url", "headers"),
+    [
+        ("http://[::1", ()),
+        ("http://10.0.0.1:\u00b2/", ()),
+        ("http://w\u00f6rker:80/", ()),
+        ("http://127.0.0.1:80/", ("X-Id: w\u00f6rker",)),
+        ("http://127.0.0.1:99999/", ()),
+        ("http://127.0.0.1:80 80/", ()),
+    ],
+)
+def test_invalid_request_ends_no_thread(standin, client, url, headers):
+    """Guards against an address from another system that ends the thread of all requests."""
+    outcome = _send(client, http.Request("GET", url, None, headers))
+    assert isinstance(outcome.failure(), _UNAVAILABLE)
+    assert _send(client, _make_request(standin)).unwrap().status == 200
+
+
 def test_many_waiting_requests(standin):
     """Guards against long polls that wait for each other, which would take 50 s in sequence."""
     client = http.HttpClient(limits=http.HttpLimits(connections_per_origin=100))
--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -171,10 +171,20 @@
         threading.Thread(target=self._abort_slow_reads, name="callers-watch", daemon=True).start()
         return self._server.bind_addr[1]
 
-    def stop(self) -> None:
-        """Closes the port and waits for responses in progress."""
+    def stop(self, limit_s: float | None = None) -> None:
+        """Closes the port and waits for responses in progress.
+
+        Args:
+            limit_s: Time in seconds after which the remaining responses are abandoned, or None.
+                Without it, a request that is never answered blocks the caller of this method.
+        """
         self._stopped.set()
-        self._server.stop()
+        if limit_s is None:
+            self._server.stop()
+            return
+        stopper = threading.Thread(target=self._server.stop, name="callers-stop", daemon=True)
+        stopper.start()
+        stopper.join(limit_s)
 
     def _abort_slow_reads(self) -> None:
         """Aborts the reading of requests that take too long to arrive."""
--- a/lycheegate/entry/tests/test_server.py
+++ b/lycheegate/entry/tests/test_server.py
@@ -162,3 +162,23 @@
             connection.close()
     finally:
         running.stop()
+
+
+def test_stop_abandons_a_request_that_is_never_answered():
+    """Guards against a process that outlives its grace time because one request hangs."""
+    release, busy = threading.Event(), threading.Event()
+
+    def block(environ, start_response):
+        busy.set()
+        release.wait(100.0)
+        return _echo(environ, start_response)
+
+    running = server.CallersServer("127.0.0.1", 0, block, models.LimitSettings())
+    port = running.start()
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+    connection.request("GET", "/")
+    assert busy.wait(20.0)
+    running.stop(0.1)
+    assert not release.is_set()
+    release.set()
+    connection.close()
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -24,6 +24,15 @@
 ]
 
 FORMAT = 1
+_DECODE_ERRORS = (
+    cbor2.CBORDecodeError,
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    RecursionError,
+)
+"""What decoding raises for a record with other types or fewer items than expected."""
 
 JobStatus = state.JobStatus
 
@@ -80,7 +89,7 @@
             interval_s=times[2],
         )
         return AcceptedJob(job, model.Route(submission[0], *route_fields))
-    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as error:
+    except _DECODE_ERRORS as error:
         raise exceptions.ProtocolError(
             f"record of job {job_id} cannot be decoded: {error}"
         ) from error
@@ -120,7 +129,7 @@
         for item in steps:
             step = _decode_step_state(job.job, item, now_s)
             job.steps[step.key] = step
-    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as error:
+    except _DECODE_ERRORS as error:
         text = f"progress of job {job.job.job_id} cannot be decoded: {error}"
         raise exceptions.ProtocolError(text) from error
     if job.outcome is not None:
@@ -142,7 +151,7 @@
         format_, outcome, started, _, _ = cbor2.loads(data)
         _check_format(format_)
         return JobStatus(model.Outcome(outcome) if outcome else None, bool(started))
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise exceptions.ProtocolError(f"progress record cannot be decoded: {error}") from error
 
 
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -107,6 +107,7 @@
         ended: Ends that were not acknowledged yet; only the oldest ones if there are many.
         sent_at_s: When the report was requested.
         received_at_s: When it arrived.
+        lists_all_ends: Whether ``ended`` is complete.
     """
 
     worker_id: str
@@ -116,6 +117,7 @@
     ended: tuple[EndedRun, ...]
     sent_at_s: float
     received_at_s: float
+    lists_all_ends: bool = True
 
 
 def apply_registrations(
@@ -405,7 +407,8 @@
     if worker.unknown_runs and not unknown_runs:
         current.schedule_due = True
     worker.unknown_runs = unknown_runs
-    result += _end_absent_runs(current, worker, present, report.sent_at_s, now_s)
+    if report.lists_all_ends:
+        result += _end_absent_runs(current, worker, present, report.sent_at_s, now_s)
     return result
 
 
@@ -450,7 +453,7 @@
     sent_at_s: float,
     now_s: float,
 ) -> list[commands.Command]:
-    """Ends the runs that a report proves to be absent.
+    """Ends the runs that a report proves to be absent; it must list all ends.
 
     An unlisted run is proven absent if its worker confirmed the last order for it before the
     report was requested. It is also proven absent if the order came from an earlier term, because
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -245,7 +245,10 @@
             return outcome
         row = outcome.unwrap()
         if row is not None:
-            return result.Success(progress.decode_status(row.value))
+            try:
+                return result.Success(progress.decode_status(row.value))
+            except exceptions.ProtocolError as error:
+                return result.Failure(error)
         # Progress is written with the first start, so most jobs have a record of it. A job without
         # one has not started.
         outcome = self._read_row(tables.get_job_key(job_id), deadline_s)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -22,6 +22,7 @@
     relay,
     scheduler,
     storage,
+    store_clock,
     tables,
     terms,
 )
@@ -85,6 +86,7 @@
         )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.NodeView()
+        self._store_clock = store_clock.StoreClock()
         self._histograms = histograms.Histograms()
         self._holder_client = holder.HolderClient(
             self._client,
@@ -152,7 +154,7 @@
         self._client.call_later(0.0, self._release_term)
         self._log.write("draining")
         self._stopped.wait(DRAIN_S)
-        self._caller_server.stop()
+        self._caller_server.stop(max(0.0, self._view.drain_ends_s - read_boottime_s()))
         self._log.write("stopped", after_s=round(read_boottime_s() - began_s, 2))
 
     def _start_feeds(self) -> None:
@@ -163,6 +165,8 @@
             ("",),
             self._apply_configuration_rows,
             self._make_error_logger(configurations.TABLE),
+            on_answer=self._confirm_configuration,
+            now_s=read_boottime_s,
         ).start()
         feeds.TableFeed(
             self._store,
@@ -171,6 +175,8 @@
             (tables.PART,),
             self._apply_term_rows,
             self._make_error_logger(tables.TERMS),
+            on_answer=self._locate_answer,
+            now_s=read_boottime_s,
         ).start()
         feeds.TableFeed(
             self._store,
@@ -259,7 +265,14 @@
                 self._log.write("configuration", version=configuration.version, row=row.version)
                 if self._scheduler is not None:
                     self._scheduler.set_configuration(configuration)
-        self._view.confirmed_at_s = read_boottime_s()
+
+    def _locate_answer(self, sent_at_s: float, clock_ms: int) -> float:
+        return store_clock.locate_answer(self._store_clock, sent_at_s, clock_ms, read_boottime_s())
+
+    def _confirm_configuration(self, sent_at_s: float, clock_ms: int) -> None:
+        """Records that the configuration was the newest when the store answered."""
+        answered_at_s = self._locate_answer(sent_at_s, clock_ms)
+        self._view.confirmed_at_s = max(self._view.confirmed_at_s, answered_at_s)
 
     def _apply_term_rows(
         self, rows: tuple[storage.Row, ...], is_full_table: bool, clock_ms: int
@@ -300,11 +313,11 @@
         self._store.transact(
             transaction,
             CLAIM_TIMEOUT_S,
-            lambda outcome: self._handle_claim_result(term_holder, outcome),
+            lambda outcome: self._handle_claim_result(term_holder, now_s, outcome),
         )
 
     def _handle_claim_result(
-        self, term_holder: tables.Holder, outcome: storage.StoreResult
+        self, term_holder: tables.Holder, claimed_at_s: float, outcome: storage.StoreResult
     ) -> None:
         self._claiming = False
         if not isinstance(outcome, result.Success):
@@ -331,6 +344,7 @@
             self._settings.policy,
             term_holder,
             outcome.unwrap(),
+            claimed_at_s,
             self._view.configuration,
             self._handle_term_end,
         )
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -124,7 +124,12 @@
             return
         worker = self._state.workers.get(worker_id)
         was_confirmed = worker is not None and worker.confirmed
-        self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
+        try:
+            self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
+        except Exception as error:
+            # A report that cannot be applied must not end the polling of its worker.
+            self._handle_report_error(worker_id, error)
+            return
         self._hooks.request_pass()
         if worker is None or not was_confirmed:
             self._poll(worker_id, 0.0)
--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import time
 from collections.abc import Callable, Sequence
 
 from returns import result
@@ -27,6 +28,9 @@
         parts: Names of its parts.
         on_rows: Called with rows, whether they are the whole table, and the store's clock in ms.
         on_error: Called with errors, to log them; of consecutive failures, with the first only.
+        on_answer: Called once ``on_rows`` has applied an answer, with the time at which its request
+            was sent, on the clock ``now_s``, and the store's clock in ms.
+        now_s: Clock for ``on_answer``.
         wait_s: How long one call waits for a change.
         pause_s: Delay between calls, which batches frequent changes.
         jitter: Generator of the random part of the delay between retries.
@@ -43,6 +47,8 @@
         wait_s: float = 1.0,
         pause_s: float = 0.0,
         jitter: random.Random | None = None,
+        on_answer: Callable[[float, int], None] = lambda sent_at_s, clock_ms: None,
+        now_s: Callable[[], float] = time.monotonic,
     ):
         self._store = store
         self._call_later = call_later
@@ -53,6 +59,9 @@
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._jitter = jitter or random.Random()
+        self._on_answer = on_answer
+        self._now_s = now_s
+        self._sent_at_s = 0.0
         self._stopped = False
         self._failures = 0
         self._version = 0
@@ -61,6 +70,7 @@
         """Reads the table and follows it."""
         if self._stopped:
             return
+        self._sent_at_s = self._now_s()
         parts = [(self._table, part) for part in self._parts]
         reads.TableRead(self._store, parts, self._handle_content, self._handle_read_error)
 
@@ -78,7 +88,7 @@
             return
         self._failures = 0
         self._version = content.version
-        self._on_rows(tuple(content.rows), True, content.clock_ms)
+        self._deliver(tuple(content.rows), True, content.clock_ms)
         self._follow()
 
     def _handle_read_error(self, error: Exception) -> None:
@@ -87,6 +97,7 @@
 
     def _follow(self) -> None:
         if not self._stopped:
+            self._sent_at_s = self._now_s()
             self._store.follow(self._table, self._version, self._wait_s, self._handle_changes)
 
     def _handle_changes(self, outcome: storage.StoreResult) -> None:
@@ -103,12 +114,20 @@
         self._failures = 0
         changes = outcome.unwrap()
         self._version = max(self._version, changes.version)
-        self._on_rows(changes.rows, False, changes.clock_ms)
+        self._deliver(changes.rows, False, changes.clock_ms)
         if self._pause_s:
             self._call_later(self._pause_s, self._follow)
         else:
             self._follow()
 
+    def _deliver(self, rows: tuple[storage.Row, ...], is_full_table: bool, clock_ms: int) -> None:
+        try:
+            self._on_rows(rows, is_full_table, clock_ms)
+            self._on_answer(self._sent_at_s, clock_ms)
+        except Exception as error:
+            # Rows that cannot be applied must not end the feed, on which all later ones depend.
+            self._on_error(error)
+
     def _retry(self, error: Exception, function: Callable[[], None]) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/lycheegate/node/peer_calls.py
+++ b/lycheegate/node/peer_calls.py
@@ -31,6 +31,15 @@
 """Query for the stored status of a job."""
 MAX_STORE_WAIT_S = 3.0
 _CBOR = "application/cbor"
+_DECODE_ERRORS = (
+    cbor2.CBORDecodeError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What a call raises that has other types or another number of arguments than expected."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +97,7 @@
                 (job_id,) = arguments
                 return self._answer_status(job_id)
             return self._relay_store_call(kind, arguments)
-        except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        except _DECODE_ERRORS as error:
             return werkzeug.Response(str(error), status=400)
 
     def _answer_status(self, job_id: str) -> werkzeug.Response:
@@ -126,13 +135,20 @@
     return werkzeug.Response(cbor2.dumps(value), mimetype=_CBOR)
 
 
+def _load(data: bytes) -> object:
+    try:
+        return cbor2.loads(data)
+    except _DECODE_ERRORS as error:
+        raise ValueError(f"cannot decode {len(data)} bytes as CBOR: {error}") from error
+
+
 def decode_holds_term(data: bytes) -> bool:
     """Returns the answer to ``HOLDS_TERM``.
 
     Raises:
         ValueError: The answer cannot be decoded.
     """
-    answer = cbor2.loads(data)
+    answer = _load(data)
     if not isinstance(answer, bool):
         raise ValueError(f"{HOLDS_TERM}: expected true or false, got {answer!r:.100}")
     return answer
@@ -145,7 +161,7 @@
         ValueError: The answer cannot be decoded.
     """
     try:
-        outcome, started = cbor2.loads(data)
+        outcome, started = _load(data)
     except TypeError as error:
         raise ValueError(f"{JOB_STATUS}: expected [outcome, started], got {data!r:.100}") from error
     return progress.JobStatus(model.Outcome(outcome) if outcome else None, bool(started))
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -31,6 +31,8 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.7
 PEER_RETRY_DELAY_S = 2.0
+_NOT_CALLED_STATUS = 503
+"""Status of a peer that has not called the store."""
 MAX_PEERS = 3
 """Number of peers to try for one call."""
 
@@ -288,12 +290,14 @@
         return outcome
     response = outcome.unwrap()
     if response.status != 200:
-        return result.Failure(
-            exceptions.UnavailableError(f"peer answered HTTP {response.status}, expected 200")
-        )
+        text = f"peer answered HTTP {response.status}, expected 200"
+        if response.status == _NOT_CALLED_STATUS:
+            return result.Failure(exceptions.UnavailableError(text))
+        # An error after the peer has called the store does not prove that the call had no effect.
+        return result.Failure(exceptions.OutcomeUnknownError(text))
     try:
         return decode_outcome(response.body)
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError) as error:
+    except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError, RecursionError) as error:
         return result.Failure(
             exceptions.OutcomeUnknownError(
                 f"cannot decode peer's answer of {len(response.body)} bytes: {error}"
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -74,6 +74,7 @@
         policy: Limits.
         holder: The term and this VM's claim of it.
         holder_version: Version of the holder's row.
+        claimed_at_s: When the claim was sent. Its answer may be processed much later.
         configuration: Configuration in force, or None.
         on_ended: Called once, with the reason, when the term is lost or released.
     """
@@ -84,6 +85,7 @@
         policy: state.Policy,
         holder: tables.Holder,
         holder_version: int,
+        claimed_at_s: float,
         configuration: model.Configuration | None,
         on_ended: Callable[[str], None],
     ):
@@ -97,7 +99,7 @@
         self._loaded = False
         self._writing = False
         self._pass_due = False
-        self._renewed_at_s = runtime.now_s()
+        self._renewed_at_s = claimed_at_s
         self._renewal_sent_at_s = 0.0
         self._write_not_before_s = 0.0
         self._releasing = False
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -136,7 +136,8 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    return Holder(*_decode_items(data, 2))
+    epoch, claim_id = _decode_items(data, (int, str))
+    return Holder(epoch, claim_id)
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -152,16 +153,18 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    return Heartbeat(*_decode_items(data, 4))
+    return Heartbeat(*_decode_items(data, (int, bool, dict, int)))
 
 
-def _decode_items(data: bytes, length: int) -> list:
+def _decode_items(data: bytes, types: tuple[type, ...]) -> list:
     try:
         items = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as error:
         raise exceptions.ProtocolError(
             f"cannot decode row of {len(data)} bytes: {error}"
         ) from error
-    if not isinstance(items, list) or len(items) != length:
-        raise exceptions.ProtocolError(f"expected a row with {length} items, got {items!r:.100}")
+    expected = [type_.__name__ for type_ in types]
+    is_valid = isinstance(items, list) and len(items) == len(types)
+    if not is_valid or not all(map(isinstance, items, types)):
+        raise exceptions.ProtocolError(f"expected a row of {expected}, got {items!r:.100}")
     return items
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -167,6 +167,7 @@
         self.answers_lost: set[str] = set()
         """Workers that receive calls but whose answers are lost."""
         self.work_s = 1.0
+        self.ends_per_report = 500
 
     def add(self, worker_id: str, rack: str, capacity: model.Resources) -> FakeWorker:
         """Adds a worker."""
@@ -318,9 +319,10 @@
                 worker.clock_ms(),
                 worker.born_ms,
                 listed,
-                tuple(worker.ended[:500]),
+                tuple(worker.ended[: fleet.ends_per_report]),
                 sent_at_s,
                 loop.now_s,
+                lists_all_ends=len(worker.ended) < fleet.ends_per_report,
             )
 
         loop.call_later(WORKER_DELAY_S, begin)
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -58,8 +58,13 @@
         """Writes a cancellation as the node does when it accepts one."""
         self.store.put(tables.get_cancel_key(job_id), b"1")
 
-    def claim_term(self, vm: str) -> scheduler.Scheduler:
-        """Claims the next term for a VM, and starts its scheduler."""
+    def claim_term(self, vm: str, claimed_at_s: float | None = None) -> scheduler.Scheduler:
+        """Claims the next term for a VM, and starts its scheduler.
+
+        Args:
+            vm: Name of the VM.
+            claimed_at_s: When the claim was sent, if the VM was suspended before its answer.
+        """
         view = terms.TermView()
         rows = tuple(r for k, r in self.store.rows.items() if k.table == tables.TERMS)
         terms.apply_rows(view, rows, self.loop.now_s, int(self.loop.now_s * 1000))
@@ -76,7 +81,13 @@
             histograms.Histograms(),
         )
         new_scheduler = scheduler.Scheduler(
-            runtime, state.Policy(), holder, version, self.configuration, lambda reason: None
+            runtime,
+            state.Policy(),
+            holder,
+            version,
+            self.loop.now_s if claimed_at_s is None else claimed_at_s,
+            self.configuration,
+            lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
         new_scheduler.start()
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -120,6 +120,28 @@
     assert direct.calls == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (503, exceptions.UnavailableError),
+        (500, exceptions.OutcomeUnknownError),
+        (400, exceptions.OutcomeUnknownError),
+    ],
+)
+def test_error_of_peer_after_the_call(status, error):
+    """Guards against a caller told that its job was not accepted although a peer stored it.
+
+    The peer fails after it has called the store; only 503 says that it has not called.
+    """
+    client = _Client(*[result.Success(http.Response(status, (), b"failed"))] * 2)
+    outcomes = []
+    store = _make_store(_Direct(_REFUSED), client)
+    store.transact(storage.Transaction(), 1.0, outcomes.append)
+    for function in client.later[1:]:
+        function()
+    assert type(outcomes[0].failure()) is error
+
+
 def test_call_without_peers_is_refused():
     """Guards against a call that is never answered when no VM reaches the store."""
     client = _Client()
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lycheegate.jobs import model, progress
+from lycheegate.jobs import model, progress, state
 from lycheegate.node import scheduler, tables, terms
 from lycheegate.node.tests import fake_workers, simulation
 
@@ -85,6 +85,49 @@
     assert sum(world.fleet.starts.values()) == 8
 
 
+def test_claim_answered_after_a_pause_renews_no_lease():
+    """Guards against a paused VM that renews leases although its term may have been taken over.
+
+    Its claim was answered before the pause. A later holder assumes that no lease is renewed from
+    ``Policy.handover_s`` after the claim.
+    """
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 1000.0
+    world.submit(simulation.make_job("0" * 16, _make_step(4)))
+    first = world.claim_term("a")
+    world.run(1.5)
+    first.stop("killed")
+    world.faults.refused_vms.add("b")
+    pause_s = state.Policy().handover_s + 0.1
+    deadlines = {w.worker_id: w.deadline_ms for w in world.fleet.workers.values()}
+    world.claim_term("b", claimed_at_s=world.loop.now_s - pause_s)
+    world.schedulers["b"]._apply_registry_rows(
+        tuple(r for k, r in world.store.rows.items() if k.table == "servers"), True, 0
+    )
+    world.run(2.0)
+    assert {w.worker_id: w.deadline_ms for w in world.fleet.workers.values()} == deadlines
+
+
+@pytest.mark.parametrize("ends_per_report", [1, 500])
+def test_more_ends_than_one_report_lists(ends_per_report):
+    """Guards against a second run of a task whose success waits behind a full list of ends.
+
+    The ends cannot be acknowledged while the store is slow, so a worker lists only the oldest.
+    """
+    world = simulation.World(1, worker_count=1)
+    world.fleet.ends_per_report = ends_per_report
+    world.fleet.work_s = 0.5
+    world.submit(simulation.make_job("0" * 16, _make_step(8)))
+    world.claim_term("a")
+    world.run(0.3)
+    world.faults.refused_vms.add("a")
+    world.run(2.0)
+    world.faults.refused_vms.clear()
+    world.run(20.0)
+    _assert_all_succeed(world)
+    assert set(world.fleet.starts.values()) == {1}
+
+
 def test_new_holder_waits_for_unreachable_worker():
     """Guards against second runs of tasks that may run on a worker the new holder cannot reach."""
     world = simulation.World(1, worker_count=2)
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -59,7 +59,7 @@
     """
     try:
         document = msgspec.json.decode(data, type=_Configuration, strict=False)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise exceptions.ProtocolError(f"cannot decode configuration: {error}") from error
     accounts = {tenant.name: _make_account(tenant) for tenant in document.tenants}
     return model.Configuration(
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -137,7 +137,7 @@
         if response.status == 412:
             return result.Failure(storage.ConflictError(_make_rows(answer)))
         return result.Success(convert(answer))
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         # The transaction may have been applied although its response is malformed.
         return result.Failure(
             exceptions.OutcomeUnknownError(f"cannot decode the response of the store: {error}")
--- a/lycheegate/platform/submissions.py
+++ b/lycheegate/platform/submissions.py
@@ -75,13 +75,18 @@
     """
     try:
         document = msgspec.json.decode(data, type=_Job, strict=False)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise exceptions.ProtocolError(f"cannot decode job {job_id}: {error}") from error
     if not document.steps or len(document.spec.encode()) > MAX_SPEC_BYTES:
         raise exceptions.ProtocolError(
             f"job {job_id}: expected at least 1 step and a spec of at most {MAX_SPEC_BYTES} bytes, "
             f"got {len(document.steps)} steps and {len(document.spec.encode())} bytes"
         )
+    if document.interval_ms < 0 or document.start_at_ms < 0:
+        raise exceptions.ProtocolError(
+            f"job {job_id}: start-at-ms and interval-ms must be at least 0, "
+            f"got {document.start_at_ms} and {document.interval_ms}"
+        )
     steps = tuple(_make_step(step, number) for number, step in enumerate(document.steps))
     return model.Job(
         job_id=job_id,
@@ -106,6 +111,19 @@
             f"step {number}: dependencies must be non-negative and less than {number}, "
             f"got values from {min(step.depends_on)} to {max(step.depends_on)}"
         )
+    amounts = {
+        "cpu": step.cpu,
+        "mem-mb": step.mem_mb,
+        "gpu": step.gpu,
+        "estimate-ms": step.estimate_ms,
+        "anti-affinity": step.anti_affinity,
+        "may-miss": step.may_miss,
+    }
+    for name, amount in amounts.items():
+        if amount < 0:
+            raise exceptions.ProtocolError(
+                f"step {number}: {name} must be at least 0, got {amount}"
+            )
     return model.Step(
         count=step.count,
         need=model.Resources(step.cpu, step.mem_mb, step.gpu),
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -25,6 +26,11 @@
 REGISTRY_TABLE = "servers"
 _INSTANCE_HEADER = "X-Lycheegate-Expected-Instance"
 _MISDIRECTED_STATUS = 421
+_MAX_LISTED_ENDS = 500
+"""Number of ends that a worker lists in one report; the others follow once these are acknowledged.
+"""
+_ADDRESS = re.compile(r"[0-9A-Za-z.-]{1,253}:[0-9]{1,5}")
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
 _END_BY_REASON = {
     "done": runs.End.DONE,
     "failed": runs.End.FAILED,
@@ -126,12 +132,16 @@
     """
     try:
         entry = msgspec.json.decode(data, type=_Registration)
-    except msgspec.DecodeError:
-        return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in ("ready", "draining") or not host or not port.isdigit():
+    except (msgspec.DecodeError, RecursionError):
         return None
     capacity = entry.capacity
+    if (
+        entry.state not in ("ready", "draining")
+        or not _WORKER_ID.fullmatch(worker_id)
+        or not _ADDRESS.fullmatch(entry.address)
+        or min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0
+    ):
+        return None
     return workers.Registration(
         worker_id=worker_id,
         service=entry.service,
@@ -272,7 +282,7 @@
         return OrderResult(StartOutcome.UNHEALTHY)
     try:
         answer = msgspec.json.decode(response.body, type=_Answer)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         answer = _Answer()
     if response.status == 200:
         return OrderResult(StartOutcome.STARTED, answer.clock_ms)
@@ -305,8 +315,17 @@
             tuple(_decode_ended(row) for row in answer.ended),
             sent_at_s,
             received_at_s,
+            lists_all_ends=len(answer.ended) < _MAX_LISTED_ENDS,
         )
-    except (msgspec.DecodeError, ValueError, IndexError, TypeError, KeyError) as error:
+    except (
+        msgspec.DecodeError,
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         return result.Failure(
             exceptions.ProtocolError(f"cannot decode the report of worker {worker_id}: {error}")
         )
