Reroute the store calls of a VM that is cut off without an error

Cause: a VM whose packets to the store are dropped learns of it only by the timeouts of its calls (2 s for a write of the scheduler). All work waits meanwhile, and a relay through a peer that is cut off as well waits for that peer's timeout on top.

Change: a call without an answer for 0.6 s makes the VM test the connection with a short read. If that fails too, pending calls end as unknown and are repeated through peers; the next peer is called after 0.3 s without an answer. Calls are conditional or idempotent, so one that took effect twice conflicts with itself; a claim of the term that does so is recognized by its claim id. A holder without the store answers probes as gone after 1.6 s instead of 2.2 s. The constant MAX_INTENTION_AGE_S never applied beside WRITE_TIMEOUT_S; removed.

--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -225,7 +225,10 @@
 
     def _holds_term(self, epoch: int) -> bool:
         current = self._scheduler
-        return self._claiming or (current is not None and current.holds_term(epoch))
+        return self._claiming or (
+            current is not None
+            and current.holds_term(epoch, self._store.reachability.is_unreachable)
+        )
 
     def _find_status(self, job_id: str) -> progress.JobStatus | None:
         current = self._scheduler
@@ -320,7 +323,8 @@
         self, term_holder: tables.Holder, claimed_at_s: float, outcome: storage.StoreResult
     ) -> None:
         self._claiming = False
-        if not isinstance(outcome, result.Success):
+        holder_version = terms.find_claimed_version(outcome, term_holder)
+        if holder_version is None:
             self._log.write("claim_failed", epoch=term_holder.epoch, error=str(outcome.failure()))
             error = outcome.failure()
             if isinstance(error, storage.ConflictError):
@@ -343,7 +347,7 @@
             runtime,
             self._settings.policy,
             term_holder,
-            outcome.unwrap(),
+            holder_version,
             claimed_at_s,
             self._view.configuration,
             self._handle_term_end,
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -27,16 +27,123 @@
 ]
 
 PATH = "/relay"
+_FOLLOW = "follow"
+_PROBED_ROW = ("terms", "jobs", "beat", "beat\0")
+"""Table, part and range of keys of the row that is read to test the connection to the store."""
 RELAY_GRACE_S = 0.3
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.7
+SUSPICION_S = 0.6
+"""Time without an answer to a direct call after which the connection to the store is tested."""
+SUSPICION_TIMEOUT_S = 0.5
+"""Timeout of that test; a store that is slow for all VMs still answers a read within it."""
 PEER_RETRY_DELAY_S = 2.0
+HEDGE_DELAY_S = 0.3
+"""Time without an answer of a peer after which the next one is called as well."""
 _NOT_CALLED_STATUS = 503
 """Status of a peer that has not called the store."""
 MAX_PEERS = 3
 """Number of peers to try for one call."""
 
 
+class _PendingCall:
+    """A call whose outcome is passed on once; later outcomes are ignored."""
+
+    __slots__ = ("_callback",)
+
+    def __init__(self, callback: Callable[[storage.StoreResult], None]):
+        self._callback: Callable[[storage.StoreResult], None] | None = callback
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether no outcome has been passed on."""
+        return self._callback is not None
+
+    def finish(self, outcome: storage.StoreResult) -> None:
+        """Passes the outcome on, unless one was passed on before."""
+        callback, self._callback = self._callback, None
+        if callback is not None:
+            callback(outcome)
+
+
+class _RelayedCall:
+    """A store call through peers.
+
+    Peers are tried one after another. A peer that is cut off itself does not answer, so the next
+    one is called without waiting for it to time out. Calls are conditional or idempotent: if two
+    peers make the same call, the second has no further effect.
+
+    Args:
+        client: HTTP client.
+        body: The encoded call.
+        timeout_s: Time limit of the call at a peer.
+        peers: Addresses of the peers to try.
+        failure: Outcome if no peer makes the call.
+        callback: Receives the outcome once.
+        on_avoid: Called with the address of a peer that should not be tried again soon.
+    """
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        body: bytes,
+        timeout_s: float,
+        peers: list[str],
+        failure: storage.StoreResult,
+        callback: Callable[[storage.StoreResult], None],
+        on_avoid: Callable[[str], None],
+    ):
+        self._client = client
+        self._body = body
+        self._timeout_s = timeout_s
+        self._peers = peers
+        self._failure = failure
+        self._call = _PendingCall(callback)
+        self._on_avoid = on_avoid
+        self._waiting_for = 0
+
+    def start(self, is_hedged: bool) -> None:
+        """Calls the first peer; with ``is_hedged``, the next one while it does not answer."""
+        self._call_next()
+        if is_hedged and self._call.is_pending and self._peers:
+            self._client.call_later(HEDGE_DELAY_S, self._hedge)
+
+    def _hedge(self) -> None:
+        if self._call.is_pending and self._peers:
+            self._call_next()
+            self._client.call_later(HEDGE_DELAY_S, self._hedge)
+
+    def _call_next(self) -> None:
+        if not self._peers:
+            if not self._waiting_for:
+                # The callback may make another call at once, so it is run from the event queue to
+                # avoid recursion.
+                self._client.call_later(0.0, lambda: self._call.finish(self._failure))
+            return
+        peer = self._peers.pop(0)
+        self._waiting_for += 1
+        url = f"http://{peer}{PATH}"
+        request = http.Request("POST", url, self._body, timeout_s=self._timeout_s + RELAY_GRACE_S)
+        self._client.send(request).add_done_callback(
+            lambda done: self._handle_answer(peer, _decode_response(done.result()))
+        )
+
+    def _handle_answer(self, peer: str, outcome: storage.StoreResult) -> None:
+        self._waiting_for -= 1
+        error = None if isinstance(outcome, result.Success) else outcome.failure()
+        if isinstance(error, exceptions.UnavailableError):
+            self._on_avoid(peer)
+            self._call_next()
+        elif isinstance(error, exceptions.OutcomeUnknownError):
+            self._on_avoid(peer)
+            # The peer may have made the call, so a later refusal by another one proves nothing.
+            self._failure = outcome
+            if not self._waiting_for:
+                self._call.finish(outcome)
+        else:
+            self._call.finish(outcome)
+
+
 @dataclasses.dataclass(slots=True)
 class Reachability:
     """Whether this VM's direct calls reach the store.
@@ -59,6 +166,10 @@
 class FallbackStore:
     """Store client that calls peers while direct calls fail; runs on the event thread.
 
+    A VM that is cut off from the store gets no error, so the first sign is a call without an
+    answer. The connection is then tested with a short read, and if that fails as well, all pending
+    direct calls end as unknown, so that they are repeated through peers before their timeouts.
+
     Args:
         direct: Client that calls the store directly.
         client: HTTP client.
@@ -83,6 +194,8 @@
         self._on_change = on_change
         self._avoid_until_s: dict[str, float] = {}
         self._probing = False
+        self._testing = False
+        self._pending: set[_PendingCall] = set()
         self._random = random.Random()
 
     def transact(
@@ -111,7 +224,7 @@
 
     def follow(self, table: str, after: int, wait_s: float, callback: Callable) -> None:
         """Waits for changes of a table."""
-        call = ["follow", table, after, wait_s]
+        call = [_FOLLOW, table, after, wait_s]
         self._call(
             lambda done: self._direct.follow(table, after, wait_s, done),
             call,
@@ -140,7 +253,39 @@
             else:
                 callback(outcome)
 
-        call_directly(handle)
+        pending = _PendingCall(handle)
+        self._pending.add(pending)
+
+        def finish(outcome: storage.StoreResult) -> None:
+            self._pending.discard(pending)
+            pending.finish(outcome)
+
+        call_directly(finish)
+        if pending.is_pending and call[0] != _FOLLOW:
+            self._client.call_later(SUSPICION_S, lambda: self._test_connection(pending))
+
+    def _test_connection(self, call: _PendingCall) -> None:
+        """Tests the connection to the store if a call still has no answer."""
+        if not call.is_pending or self._testing or self.reachability.is_unreachable:
+            return
+        self._testing = True
+
+        def handle(outcome: storage.StoreResult) -> None:
+            self._testing = False
+            if self.reachability.is_unreachable or isinstance(outcome, result.Success):
+                return
+            self._record_outcome(outcome)
+            if self.reachability.is_unreachable:
+                self._abandon_pending()
+
+        self._direct.read(*_PROBED_ROW, SUSPICION_TIMEOUT_S, handle)
+
+    def _abandon_pending(self) -> None:
+        error = exceptions.OutcomeUnknownError("store unreachable from this VM; call abandoned")
+        abandoned, self._pending = self._pending, set()
+        # Threads that serve callers may still add a call to the old set.
+        for call in list(abandoned):
+            call.finish(result.Failure(error))
 
     def _record_outcome(self, outcome: storage.StoreResult) -> None:
         was_unreachable = self.reachability.is_unreachable
@@ -156,7 +301,7 @@
             self._probing = False
             self._record_outcome(outcome)
 
-        self._direct.read("terms", "jobs", "beat", "beat\0", PROBE_TIMEOUT_S, handle)
+        self._direct.read(*_PROBED_ROW, PROBE_TIMEOUT_S, handle)
 
     def _relay(
         self,
@@ -173,40 +318,19 @@
                 f"store unreachable from this VM and through {len(peers[:MAX_PEERS])} peers"
             )
         )
-        self._try_peers(cbor2.dumps(call), timeout_s, peers[:MAX_PEERS], failure, callback)
-
-    def _try_peers(
-        self,
-        body: bytes,
-        timeout_s: float,
-        peers: list[str],
-        failure: storage.StoreResult,
-        callback: Callable,
-    ) -> None:
-        if not peers:
-            # The callback may make another call at once, so it is run from the event queue to
-            # avoid recursion.
-            self._client.call_later(0.0, lambda: callback(failure))
-            return
-        peer, *others = peers
-        url = f"http://{peer}{PATH}"
-        request = http.Request("POST", url, body, timeout_s=timeout_s + RELAY_GRACE_S)
-
-        def handle(done) -> None:
-            outcome = _decode_response(done.result())
-            if isinstance(outcome, result.Success):
-                callback(outcome)
-                return
-            error = outcome.failure()
-            if isinstance(error, exceptions.UnavailableError):
-                self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
-                self._try_peers(body, timeout_s, others, failure, callback)
-                return
-            if isinstance(error, exceptions.OutcomeUnknownError):
-                self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
-            callback(outcome)
+        relayed = _RelayedCall(
+            self._client,
+            cbor2.dumps(call),
+            timeout_s,
+            peers[:MAX_PEERS],
+            failure,
+            callback,
+            self._avoid_peer,
+        )
+        relayed.start(is_hedged=call[0] != _FOLLOW)
 
-        self._client.send(request).add_done_callback(handle)
+    def _avoid_peer(self, peer: str) -> None:
+        self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
 
 
 def encode_row_key(key: storage.RowKey) -> list[str]:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -33,9 +33,6 @@
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
-MAX_INTENTION_AGE_S = 1.2
-"""Age of a stored intention above which its order is not sent: the VM may have been suspended, and
-another holder may have placed the task. ``WRITE_TIMEOUT_S`` applies instead if it is longer."""
 MAX_DELETED_JOBS = 20
 MAX_DELETED_ROWS = 45
 """A transaction holds at most 100 entries; each row needs a condition and a deletion."""
@@ -248,12 +245,20 @@
         if self._loaded and row.key.table == tables.JOBS:
             self._apply_job_rows((row,), False, 0)
 
-    def holds_term(self, epoch: int) -> bool:
-        """Returns whether this term has the epoch and was renewed recently; for any thread."""
-        return (
-            epoch == self.epoch
-            and self._runtime.now_s() - self._renewed_at_s < terms.MAX_RENEWAL_AGE_S
+    def holds_term(self, epoch: int, is_store_unreachable: bool = False) -> bool:
+        """Returns whether this term has the epoch and was renewed recently; for any thread.
+
+        Args:
+            epoch: Number of the term.
+            is_store_unreachable: Whether the store is unreachable for this VM, so that another VM
+                should take over sooner.
+        """
+        limit_s = (
+            terms.MAX_RENEWAL_AGE_WITHOUT_STORE_S
+            if is_store_unreachable
+            else terms.MAX_RENEWAL_AGE_S
         )
+        return epoch == self.epoch and self._runtime.now_s() - self._renewed_at_s < limit_s
 
     def find_status(self, job_id: str) -> progress.JobStatus | None:
         """Returns the stored status of a job, or None if it is unknown; for any thread."""
@@ -428,7 +433,7 @@
     ) -> None:
         orders = writes.complete_batch(self._state, batch, version, now_s)
         self._exchange.resume_polls()
-        if now_s - sent_at_s > max(MAX_INTENTION_AGE_S, WRITE_TIMEOUT_S):
+        if now_s - sent_at_s > WRITE_TIMEOUT_S:
             # The VM may have been suspended, and another holder may have placed the tasks again.
             for order in orders:
                 self._exchange.record_refusal(order, "stale_intention")
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -14,12 +14,15 @@
 import dataclasses
 import enum
 
+from returns import result
+
 from lycheegate.node import storage, tables
 
 __all__ = [
     "HEARTBEAT_OVERDUE_S",
     "HEARTBEAT_TIMEOUT_S",
     "MAX_RENEWAL_AGE_S",
+    "MAX_RENEWAL_AGE_WITHOUT_STORE_S",
     "RELEASED_JITTER_RATIO",
     "RENEWAL_INTERVAL_S",
     "ProbeResult",
@@ -27,6 +30,7 @@
     "apply_rows",
     "compute_jitter_s",
     "estimate_clock_ms",
+    "find_claimed_version",
     "is_heartbeat_overdue",
     "make_claim",
     "may_claim",
@@ -40,6 +44,8 @@
 """Heartbeat timeout for a holder whose VM answers that it still holds the term."""
 MAX_RENEWAL_AGE_S = 2.2
 """Age of its last renewal from which a VM no longer reports that it holds the term."""
+MAX_RENEWAL_AGE_WITHOUT_STORE_S = 1.6
+"""The same while the store is unreachable for the VM; long enough for a renewal through a peer."""
 MAX_PROBE_AGE_S = 1.0
 """Age above which a probe result is ignored."""
 HEARTBEAT_OVERDUE_S = 0.9
@@ -234,3 +240,17 @@
         ),
     )
     return holder, transaction
+
+
+def find_claimed_version(outcome: storage.StoreResult, claimed: tables.Holder) -> int | None:
+    """Returns the version of the holder's row if a claim took effect, else None.
+
+    A claim that was sent twice, because the first answer was lost, conflicts with itself.
+    """
+    if isinstance(outcome, result.Success):
+        return outcome.unwrap()
+    error = outcome.failure()
+    for row in error.rows if isinstance(error, storage.ConflictError) else ():
+        if row.key == tables.HOLDER and tables.decode_holder(row.value) == claimed:
+            return row.version
+    return None
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -142,6 +142,96 @@
     assert type(outcomes[0].failure()) is error
 
 
+class _SilentClient(_Client):
+    """HTTP client whose requests stay without an answer until the test gives one."""
+
+    def __init__(self):
+        super().__init__()
+        self.futures = []
+
+    def send(self, request):
+        self.sent.append(request)
+        self.futures.append(futures.Future())
+        return self.futures[-1]
+
+    def run_later(self):
+        """Runs the functions that are due."""
+        later, self.later = self.later, []
+        for function in later:
+            function()
+
+
+class _SilentStore(_Direct):
+    """Direct store client without answers to transactions; reads have the outcomes given."""
+
+    def transact(self, transaction, timeout_s, callback):
+        self.calls += 1
+        self.late = callback
+
+
+def test_vm_cut_off_from_the_store_repeats_its_calls_through_peers():
+    """Guards against a scheduler that waits two seconds for a write while its VM is cut off.
+
+    The cut gives no error. A write without an answer makes the VM test the connection; when the
+    test fails, the write ends as unknown at once, and its repetition goes through a peer.
+    """
+    client, outcomes = _SilentClient(), []
+    direct = _SilentStore(_LOST)
+    store = _make_store(direct, client)
+    store.transact(storage.Transaction(), 2.0, outcomes.append)
+    client.run_later()
+    assert isinstance(outcomes[0].failure(), exceptions.OutcomeUnknownError)
+    store.transact(storage.Transaction(), 2.0, outcomes.append)
+    client.futures[0].set_result(_respond(result.Success(8)))
+    assert outcomes[1].unwrap() == 8
+    # The answer to the abandoned call arrives after all.
+    direct.late(result.Success(7))
+    assert len(outcomes) == 2
+
+
+def test_slow_store_is_not_abandoned():
+    """Guards against writes that are repeated because the store is slow for all VMs."""
+    client, outcomes = _SilentClient(), []
+    direct = _SilentStore(result.Success(storage.Page((), False, 1)))
+    store = _make_store(direct, client)
+    store.transact(storage.Transaction(), 2.0, outcomes.append)
+    client.run_later()
+    assert outcomes == []
+    direct.late(result.Success(7))
+    assert [outcome.unwrap() for outcome in outcomes] == [7]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (None, _respond(result.Success(5)), 5),
+        (_respond(result.Success(4)), None, 4),
+        (_LOST, _respond(result.Success(5)), 5),
+        (_respond(result.Success(4)), _respond(result.Success(5)), 4),
+        (_LOST, _respond(_REFUSED), exceptions.OutcomeUnknownError),
+        (_respond(_REFUSED), _LOST, exceptions.OutcomeUnknownError),
+    ],
+    ids=["silent_first", "silent_second", "lost", "both", "lost_then_refused", "refused_then_lost"],
+)
+def test_silent_peer_is_hedged(first, second, expected):
+    """Guards against a wait for a peer that is cut off itself, and a refusal that hides a call."""
+    client, outcomes = _SilentClient(), []
+    store = _make_store(_Direct(), client)
+    store.reachability.is_unreachable = True
+    store.transact(storage.Transaction(), 1.0, outcomes.append)
+    client.run_later()
+    assert len(client.sent) == 2
+    for future, answer in zip(client.futures, (first, second), strict=True):
+        if answer is not None:
+            future.set_result(answer)
+    client.run_later()
+    (outcome,) = outcomes
+    if isinstance(expected, int):
+        assert outcome.unwrap() == expected
+    else:
+        assert type(outcome.failure()) is expected
+
+
 def test_call_without_peers_is_refused():
     """Guards against a call that is never answered when no VM reaches the store."""
     client = _Client()
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -1,8 +1,10 @@
 """Rules for claiming the scheduler's term."""
 
 import pytest
+from returns import result
 
 from lycheegate.node import storage, tables, terms
+from lycheegate.utils import exceptions
 
 
 def _make_view(released=False, sent_at_ms=50_000, clock_ms=50_100, now_s=10.0):
@@ -128,3 +130,40 @@
     terms.record_probe_result(view, 3, terms.ProbeResult.ALIVE, 11.0)
     terms.apply_rows(view, (), 12.1, 52_100)
     assert terms.may_claim(view, 12.1, 0.0)
+
+
+_CLAIMED = tables.Holder(4, "a/0123")
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (result.Success(9), 9),
+        (result.Failure(storage.ConflictError(())), None),
+        (result.Failure(exceptions.OutcomeUnknownError("lost")), None),
+        (
+            result.Failure(
+                storage.ConflictError(
+                    (storage.Row(tables.HOLDER, tables.encode_holder(_CLAIMED), 7),)
+                )
+            ),
+            7,
+        ),
+        (
+            result.Failure(
+                storage.ConflictError(
+                    (
+                        storage.Row(
+                            tables.HOLDER, tables.encode_holder(tables.Holder(4, "a/4567")), 7
+                        ),
+                    )
+                )
+            ),
+            None,
+        ),
+    ],
+    ids=["answered", "unknown_row", "lost", "own_claim", "earlier_process"],
+)
+def test_find_claimed_version(outcome, expected):
+    """Guards against a term without a scheduler because a repeated claim conflicts with itself."""
+    assert terms.find_claimed_version(outcome, _CLAIMED) == expected
