Await runs that end within an urgent job's slack, and log the cause of each loss

An urgent job stopped the cheapest runs at once unless others ended within 0.25 s by their progress, and the progress of a run that resumed from a checkpoint was extrapolated as if it had begun at 0.

Change: `run_ended` carries `stopped` (the scheduler's reason) and `lost_core_s`; `lycheegate losses` sums them up. An urgent job spends up to 40% of its slack, 1 s at most (0.5 s if guaranteed), on awaiting runs that end by themselves; a plan that both stops and awaits is used only up to half the cost of stopping alone. Speed counts from the first report this scheduler saw. Also: the lease of a worker that refuses connections is no longer extended by polls that were never sent, and orders are held back while the term's renewal is older than the handover time (test_exchange.py: a suspended holder repeated a start order when the next one already assumed its lease had expired).

--- a/lycheegate/cli/base.py
+++ b/lycheegate/cli/base.py
@@ -35,6 +35,17 @@
         """Writes a value as JSON; formatting tags have no effect."""
         self.line(formatter.Formatter.escape(json.dumps(value, indent=2)))
 
+    def read_log_lines(self, paths: Iterable[str]) -> list[str] | None:
+        """Returns the lines of log files in order; reports a file that cannot be read, as None."""
+        lines: list[str] = []
+        for path in paths:
+            data = read_input(path)
+            if isinstance(data, result.Failure):
+                self.write_error(data.failure())
+                return None
+            lines += data.unwrap().decode(errors="replace").splitlines()
+        return lines
+
     def write_table(self, headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
         """Writes a table with one line per row."""
         table = self.table(list(headers), [[_format_cell(cell) for cell in row] for row in rows])
--- a/lycheegate/cli/explain.py
+++ b/lycheegate/cli/explain.py
@@ -1,7 +1,5 @@
 """Command that prints the trace of one request from log files."""
 
-import pathlib
-
 from cleo import helpers
 
 from lycheegate.cli import base, exits
@@ -28,14 +26,9 @@
 
     def handle(self) -> int:
         """Writes one line per log line that concerns the request."""
-        lines: list[str] = []
-        for name in self.argument("files"):
-            try:
-                text = pathlib.Path(name).read_text(encoding="utf-8", errors="replace")
-            except OSError as error:
-                self.write_error(f"{name}: {error.strerror}")
-                return exits.Exit.REFUSED
-            lines += text.splitlines()
+        lines = self.read_log_lines(self.argument("files"))
+        if lines is None:
+            return exits.Exit.REFUSED
         trace = request_trace.find_request_trace(lines, self.argument("id"))
         if not trace:
             self.write_error(f"no log line mentions request {self.argument('id')}")
--- a/lycheegate/cli/main.py
+++ b/lycheegate/cli/main.py
@@ -7,7 +7,7 @@
 from cleo.io.outputs import output
 
 import lycheegate
-from lycheegate.cli import callers, entry, exits, explain, keys, lists, release, report
+from lycheegate.cli import callers, entry, exits, explain, keys, lists, losses, release, report
 
 __all__ = ["main", "make_application", "run"]
 
@@ -25,6 +25,7 @@
         *lists.COMMANDS,
         report.ReportCommand,
         explain.ExplainCommand,
+        losses.LossesCommand,
     ):
         app.add(command())
     return app
--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -154,7 +154,7 @@
 class HttpClient:
     """HTTP client with a single thread.
 
-    ``send`` returns a future of a result. Its failures are ``UnavailableError`` (nothing of the
+    ``send`` returns a future of a result. Its failures are ``NotSentError`` (nothing of the
     request was sent), ``OutcomeUnknownError`` (the request was sent at least in part, and no
     complete answer was received) and ``ProtocolError`` (the answer exceeds the maximum size).
     Callbacks of futures and timers run on the client's thread and must not block.
@@ -221,7 +221,7 @@
                 self._in_flight[origin] += 1
                 self._queued.append(transfer)
         if refusal:
-            error = exceptions.UnavailableError(f"{origin}: {refusal}")
+            error = exceptions.NotSentError(f"{origin}: {refusal}")
             transfer.future.set_result(result.Failure(error))
         else:
             self._wake()
@@ -332,7 +332,7 @@
                 # thread, on which all requests depend.
                 handle.close()
                 text = f"{transfer.origin}: request not sent: {error}"
-                self._resolve(transfer, result.Failure(exceptions.UnavailableError(text)))
+                self._resolve(transfer, result.Failure(exceptions.NotSentError(text)))
                 continue
             self._transfers[handle] = transfer
             self._multi.add_handle(handle)
@@ -408,7 +408,7 @@
             )
         if transfer.sent:
             return result.Failure(exceptions.OutcomeUnknownError(description))
-        return result.Failure(exceptions.UnavailableError(description))
+        return result.Failure(exceptions.NotSentError(description))
 
     def _resolve(self, transfer: _Transfer, outcome: HttpResult) -> None:
         with self._lock:
--- a/lycheegate/clients/tests/test_http.py
+++ b/lycheegate/clients/tests/test_http.py
@@ -12,7 +12,7 @@
 from standins import table as table_standin
 
 _WAIT_S = 20.0
-_UNAVAILABLE = exceptions.UnavailableError
+_UNAVAILABLE = exceptions.NotSentError
 _UNKNOWN = exceptions.OutcomeUnknownError
 _PROTOCOL = exceptions.ProtocolError
 
--- a/lycheegate/jobs/estimates.py
+++ b/lycheegate/jobs/estimates.py
@@ -2,35 +2,59 @@
 
 from lycheegate.jobs import state
 
-__all__ = ["estimate_remaining_s", "is_nearly_done"]
+__all__ = [
+    "compute_s_per_percent",
+    "estimate_remaining_s",
+    "estimate_unsaved_s",
+    "predict_remaining_s",
+]
 
 OVERDUE_REMAINING_S = 2.0
 """Assumed remaining time of a run that has exceeded its estimated duration."""
 NEARLY_DONE_S = 0.25
-"""Remaining time below which a run is nearly done."""
+"""Remaining time below which a run is nearly done, so that stopping it would gain nothing."""
 
 
 def estimate_remaining_s(step: state.StepState, run: state.Run, now_s: float) -> float:
     """Returns the remaining time of a run, from its reported progress or its declared duration."""
-    total_s = _estimate_total_s(run)
-    if total_s is None:
-        total_s = step.step.estimate_s
+    remaining_s = predict_remaining_s(run, now_s)
+    if remaining_s is None:
+        remaining_s = step.step.estimate_s - (now_s - run.phase_began_at_s)
     # Once a run exceeds its estimate, the estimate says nothing about when it will end.
-    remaining_s = total_s - (now_s - run.phase_began_at_s)
     return remaining_s if remaining_s > 0.0 else OVERDUE_REMAINING_S
 
 
-def is_nearly_done(run: state.Run, now_s: float) -> bool:
-    """Returns whether a run will end soon according to its reported progress.
+def predict_remaining_s(run: state.Run, now_s: float) -> float | None:
+    """Returns the remaining time extrapolated from a run's progress, or None without progress.
 
-    Declared durations are not used for this.
+    It is negative if the run should have ended.
     """
-    total_s = _estimate_total_s(run)
-    return total_s is not None and 0.0 <= total_s - (now_s - run.phase_began_at_s) < NEARLY_DONE_S
+    s_per_percent = compute_s_per_percent(run)
+    if s_per_percent is None:
+        return None
+    return (100 - run.percent) * s_per_percent - (now_s - run.advanced_at_s)
+
 
+def compute_s_per_percent(run: state.Run) -> float | None:
+    """Returns the average time that one percent of progress takes, or None without progress.
 
-def _estimate_total_s(run: state.Run) -> float | None:
-    """Returns the total duration extrapolated from a run's progress, or None without progress."""
-    if run.percent <= 0 or run.advanced_at_s <= run.phase_began_at_s:
+    A run that resumes from a checkpoint, or that an earlier scheduler started, reports progress
+    from before this scheduler observed it. Its progress counts from its first report.
+    """
+    if run.baseline_percent is None or run.percent <= run.baseline_percent:
+        return None
+    began_at_s = run.phase_began_at_s if run.baseline_at_s is None else run.baseline_at_s
+    if run.advanced_at_s <= began_at_s:
         return None
-    return (run.advanced_at_s - run.phase_began_at_s) * 100.0 / run.percent
+    return (run.advanced_at_s - began_at_s) / (run.percent - run.baseline_percent)
+
+
+def estimate_unsaved_s(run: state.Run, now_s: float) -> float:
+    """Returns the running time that is lost if a run ends now, or ended now, without success.
+
+    A checkpoint preserves the work of a run but for the time since it was made, which the scheduler
+    does not know; it counts as 0.
+    """
+    if run.running_since_s is None or run.checkpoint:
+        return 0.0
+    return max(0.0, now_s - run.running_since_s)
--- a/lycheegate/jobs/evacuation.py
+++ b/lycheegate/jobs/evacuation.py
@@ -40,9 +40,10 @@
         "leaves_in_s": round(leaves_in_s, 2),
     }
     result: list[commands.Command] = [commands.Decision("evacuated", fields)]
+    reason = state.StopReason.EVACUATED
     if step.step.gang:
-        return result + runs.stop_step(current, step, now_s)
-    return result + runs.stop_run(current, run, now_s)
+        return result + runs.stop_step(current, step, reason, now_s)
+    return result + runs.stop_run(current, run, reason, now_s)
 
 
 def _must_stop(
--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -6,7 +6,7 @@
 has room.
 """
 
-from lycheegate.jobs import state
+from lycheegate.jobs import estimates, state
 
 __all__ = [
     "MIN_FAILURES",
@@ -88,5 +88,7 @@
 def _is_run_stalled(run: state.Run, now_s: float) -> bool:
     if run.phase is not state.RunPhase.RUNNING or not 0 < run.percent < 100:
         return False
-    s_per_percent = (run.advanced_at_s - run.phase_began_at_s) / run.percent
+    s_per_percent = estimates.compute_s_per_percent(run)
+    if s_per_percent is None:
+        return False
     return now_s - run.advanced_at_s > max(MIN_STALL_S, STALL_FACTOR * s_per_percent)
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -39,7 +39,7 @@
     current.schedule_due = True
     return [
         commands.Decision("job_cancelled", {"job": job_id}),
-        *runs.stop_job(current, job, now_s),
+        *runs.stop_job(current, job, state.StopReason.CANCELLED, now_s),
     ]
 
 
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -9,7 +9,14 @@
 
 from lycheegate.jobs import model
 
-__all__ = ["Candidate", "count_fitting", "group_by_rack", "place_gang", "place_task"]
+__all__ = [
+    "Candidate",
+    "count_fitting",
+    "exceeds_every_rack",
+    "group_by_rack",
+    "place_gang",
+    "place_task",
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +64,14 @@
     return racks
 
 
+def exceeds_every_rack(count: int, need: model.Resources, candidates: list[Candidate]) -> bool:
+    """Returns whether a gang would not fit in any rack even if the rack were empty."""
+    return not any(
+        sum(count_fitting(need, c.capacity, c.limit) for c in rack_candidates) >= count
+        for rack_candidates in group_by_rack(candidates).values()
+    )
+
+
 def place_task(
     need: model.Resources, candidates: list[Candidate], near_rack: str, only_near: bool
 ) -> str | None:
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -215,5 +215,6 @@
             phase=state.RunPhase.ORDERED,
             phase_began_at_s=now_s,
             advanced_at_s=now_s,
+            baseline_percent=None,
         )
     return step
--- /dev/null
+++ b/lycheegate/jobs/reclaiming.py
@@ -0,0 +1,252 @@
+"""Room for units that do not fit: preemption for urgent work, reservations for blocked gangs.
+
+Handles bursts of urgent gangs that arrive while the workers are full of batch work, of which some
+run ends every few milliseconds. An urgent unit whose objective allows it waits for such ends
+instead of stopping other runs, whose work would be lost.
+"""
+
+import dataclasses
+
+from lycheegate.jobs import (
+    commands,
+    estimates,
+    model,
+    ordering,
+    placement,
+    preemption,
+    runs,
+    state,
+    units,
+)
+
+__all__ = ["compute_wait_s", "plan_reservation", "preempt"]
+
+PREEMPTION_MARGIN_S = 0.4
+"""Time for a stop order to reach the worker and for its report of the end to arrive, in addition
+to the time that the worker takes to stop a run."""
+AWAITED_END_MARGIN_S = 0.25
+"""Time after which an awaited run that has not ended as predicted is given up."""
+URGENT_VICTIM_COST = 5000.0
+"""Added to the cost of stopping urgent work, in core-seconds. Little work is lost with an urgent
+run because it is short, but its job would miss its objective, which long jobs seldom do."""
+WAIT_SLACK_RATIO = 0.4
+"""Part of a job's slack that it may spend waiting for the ends of runs; the rest is for runs that
+end later than predicted and for tasks that take longer than declared."""
+MAX_WAIT_S = 1.0
+MAX_GUARANTEED_WAIT_S = 0.5
+"""Limit for guaranteed work, which must be able to start within a fixed time."""
+MAX_MIXED_COST_RATIO = 0.5
+"""A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
+Above it, the room that is freed at once would idle for little gain."""
+
+
+def compute_wait_s(level: int, slack_s: float, waited_s: float) -> float:
+    """Returns for how long an urgent unit may wait for the ends of runs.
+
+    Args:
+        level: Level of its rank.
+        slack_s: Time until its job must have started in order to meet its objective.
+        waited_s: How long the unit has waited already.
+    """
+    limit_s = MAX_GUARANTEED_WAIT_S if level == 0 else MAX_WAIT_S
+    wait_s = min(limit_s, WAIT_SLACK_RATIO * (slack_s + waited_s)) - waited_s
+    # Guaranteed work does not wait longer than this even for runs that are nearly done, because a
+    # run on a failing worker may never end.
+    return max(wait_s, 0.0 if level == 0 else estimates.NEARLY_DONE_S)
+
+
+def preempt(context: units.PassContext, unit: units.Unit) -> None:
+    """Stops less urgent runs so that an urgent unit fits, and reserves their room for it."""
+    candidates = context.workers.list_candidates(unit.service, unit.step)
+    if not candidates:
+        return
+    found = _choose_victims(context, unit, candidates)
+    if found is None:
+        return
+    for victim in found.victims:
+        context.result += _stop_victim(context, victim.key)
+        for cached in context.victims.values():
+            cached.pop(victim.key, None)
+    awaited_s = max((victim.remaining_s or 0.0 for victim in found.awaited), default=0.0)
+    fields = {
+        "job": unit.job.job.job_id,
+        "victims": [":".join(map(str, victim.key)) for victim in found.victims],
+        "awaited": len(found.awaited),
+        "awaited_s": round(awaited_s, 3),
+        "lost_core_s": round(found.cost, 1),
+        "level": unit.rank.level,
+    }
+    context.result.append(commands.Decision("preempted", fields))
+    # If a stop takes longer, its worker is probably unreachable. The reservation then expires and
+    # the next pass stops other runs instead.
+    timeout_s = context.current.policy.stop_s + PREEMPTION_MARGIN_S if found.victims else 0.0
+    if found.awaited:
+        timeout_s = max(timeout_s, awaited_s + AWAITED_END_MARGIN_S)
+    _reserve(context, unit, found.placement, timeout_s, preempts=True)
+    context.current.schedule_due = True
+
+
+def _choose_victims(
+    context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
+) -> preemption.Preemption | None:
+    """Returns the runs to stop and to await for an urgent unit, or None if it cannot fit."""
+    step = unit.step.step
+    level = unit.rank.level
+    victims = list(_get_victims(context, level).values())
+
+    def choose(wait_s: float) -> preemption.Preemption | None:
+        return preemption.choose_victims(
+            len(unit.indices), step.need, candidates, victims, step.same_rack, wait_s
+        )
+
+    route = state.get_route(context.current, unit.job)
+    objective_s = ordering.compute_objective_s(unit.job, route)
+    slack_s = objective_s - context.wall_s - ordering.compute_remaining_s(unit.job)
+    waited_s = context.now_s - (unit.step.ready_since_s or context.now_s)
+    wait_s = compute_wait_s(level, slack_s, waited_s)
+    found = choose(wait_s)
+    if found is None or not found.awaited or not found.victims:
+        return found
+    immediate = choose(compute_wait_s(level, 0.0, waited_s))
+    if immediate is None or found.cost <= MAX_MIXED_COST_RATIO * immediate.cost:
+        return found
+    return immediate
+
+
+def _reserve(
+    context: units.PassContext,
+    unit: units.Unit,
+    chosen: list[str],
+    timeout_s: float,
+    preempts: bool,
+) -> None:
+    reservation = state.Reservation(
+        dict(zip(unit.indices, chosen, strict=True)),
+        unit.step.step.need,
+        context.now_s + timeout_s,
+        preempts,
+    )
+    context.current.reservations[unit.reservation_key] = reservation
+    context.workers.add_reservation(reservation)
+
+
+def _get_victims(context: units.PassContext, level: int) -> dict[tuple, preemption.VictimUnit]:
+    """Returns the units that work of a level may preempt, without runs placed in this pass."""
+    if level not in context.victims:
+        context.victims[level] = _list_victims(context, level)
+    return context.victims[level]
+
+
+def _list_victims(context: units.PassContext, level: int) -> dict[tuple, preemption.VictimUnit]:
+    """Returns the units that work of a level may preempt, by key.
+
+    Long-running steps that limit how many tasks may be stopped are left out.
+    """
+    victims: dict[tuple, preemption.VictimUnit] = {}
+    for job in context.current.jobs.values():
+        if not _may_preempt(context, level, job):
+            continue
+        for step in job.steps.values():
+            if step.is_done or step.step.long_running and step.step.may_miss:
+                continue
+            is_urgent = state.get_route(context.current, job).priority == 0
+            for group in _group_runs(step):
+                victim = _make_victim(context, job, step, group)
+                if is_urgent:
+                    victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
+                victims[victim.key] = victim
+    return victims
+
+
+def _may_preempt(context: units.PassContext, level: int, job: state.JobState) -> bool:
+    """Returns whether work of a level may preempt runs of a job."""
+    route = state.get_route(context.current, job)
+    if route.priority > 0:
+        return True
+    # Urgent work beyond its account's guarantee only borrows idle room, so guaranteed work may
+    # preempt it.
+    return level == 0 and job.job.account not in context.guaranteed
+
+
+def _group_runs(step: state.StepState) -> list[list[state.Run]]:
+    """Returns the runs of a step that are not stopping, grouped into those stopped together."""
+    active = [run for run in step.runs.values() if run.phase is not state.RunPhase.STOPPING]
+    if step.step.gang:
+        return [active] if active else []
+    return [[run] for run in active]
+
+
+def _make_victim(
+    context: units.PassContext, job: state.JobState, step: state.StepState, group: list[state.Run]
+) -> preemption.VictimUnit:
+    index = units.GANG_INDEX if step.step.gang else group[0].task.index
+    room_by_worker: dict[str, model.Resources] = {}
+    for run in group:
+        room_by_worker[run.worker_id] = (
+            room_by_worker.get(run.worker_id, model.Resources()) + run.need
+        )
+    return preemption.VictimUnit(
+        (job.job.job_id, *step.key, index),
+        _estimate_loss(context, step, group),
+        room_by_worker,
+        _predict_end_s(group, context.now_s),
+    )
+
+
+def _predict_end_s(group: list[state.Run], now_s: float) -> float | None:
+    """Returns in how many seconds all runs will have ended, or None if progress does not tell."""
+    latest_s = 0.0
+    for run in group:
+        remaining_s = estimates.predict_remaining_s(run, now_s)
+        if remaining_s is None or remaining_s < 0.0:
+            return None
+        latest_s = max(latest_s, remaining_s)
+    return latest_s
+
+
+def _estimate_loss(
+    context: units.PassContext, step: state.StepState, group: list[state.Run]
+) -> float:
+    """Returns the work that is lost if a group of runs is stopped, in core-seconds."""
+    restart_s = context.current.policy.restore_s + context.current.policy.stop_s
+    lost_s = 0.0
+    for run in group:
+        worked_s = 0.0 if step.step.checkpoints else max(0.0, context.now_s - run.phase_began_at_s)
+        lost_s += worked_s + restart_s
+    return lost_s * ordering.compute_usage(step.step.need)
+
+
+def _stop_victim(context: units.PassContext, key: tuple) -> list[commands.Command]:
+    job_id, occurrence, number, index = key
+    step = context.current.jobs[job_id].steps[occurrence, number]
+    reason = state.StopReason.PREEMPTED
+    if index == units.GANG_INDEX:
+        return runs.stop_step(context.current, step, reason, context.now_s)
+    return runs.stop_run(context.current, step.runs[index], reason, context.now_s)
+
+
+def plan_reservation(context: units.PassContext, unit: units.Unit) -> None:
+    """Reserves room for a blocked gang where running tasks are expected to end first."""
+    step = unit.step.step
+    candidates = context.workers.list_candidates(unit.service, unit.step)
+    victims: list[preemption.VictimUnit] = []
+    for job in context.current.jobs.values():
+        for other in job.steps.values():
+            if other.step.long_running:
+                continue
+            for group in _group_runs(other):
+                remaining_s = max(
+                    estimates.estimate_remaining_s(other, run, context.now_s) for run in group
+                )
+                victim = _make_victim(context, job, other, group)
+                victims.append(dataclasses.replace(victim, cost=remaining_s))
+    spans = not step.same_rack or placement.exceeds_every_rack(
+        len(unit.indices), step.need, candidates
+    )
+    found = preemption.choose_victims(
+        len(unit.indices), step.need, candidates, victims, step.same_rack and not spans
+    )
+    if found is None:
+        return
+    context.planned_reservations += 1
+    _reserve(context, unit, found.placement, context.current.policy.reservation_s, preempts=False)
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -1,8 +1,9 @@
 """Life cycle of a run: intended, ordered, running, stopping, removed."""
 
 import enum
+from typing import Any
 
-from lycheegate.jobs import commands, health, model, state
+from lycheegate.jobs import commands, estimates, health, model, ordering, state
 
 __all__ = [
     "End",
@@ -82,7 +83,7 @@
     run.confirmed_at_s = now_s
     if run.phase is state.RunPhase.ORDERED:
         run.phase = state.RunPhase.RUNNING
-        run.phase_began_at_s = run.advanced_at_s = now_s
+        run.phase_began_at_s = run.advanced_at_s = run.running_since_s = now_s
 
 
 def handle_refused_start(
@@ -104,7 +105,7 @@
     fields = {"job": run.task.job_id, "worker": run.worker_id, "run": run.number, "reason": reason}
     result: list[commands.Command] = [commands.Decision("start_refused", fields)]
     if step.step.gang:
-        result += stop_step(current, step, now_s)
+        result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
     return result
 
 
@@ -154,13 +155,7 @@
     if step is None:
         return []
     job = current.jobs[run.task.job_id]
-    fields = {
-        "job": run.task.job_id,
-        "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
-        "worker": run.worker_id,
-        "run": run.number,
-        "end": reason,
-    }
+    fields = _make_end_fields(run, end, reason, now_s)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
         _record_success(current, job, step, run, now_s)
@@ -169,10 +164,28 @@
         health.record_failure(current, run.worker_id, run.task.job_id, now_s)
         result += _record_failure(current, job, step, run, now_s)
     if step.step.gang and not step.is_done:
-        result += stop_step(current, step, now_s)
+        result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
     return result
 
 
+def _make_end_fields(run: state.Run, end: End, reason: str, now_s: float) -> dict[str, Any]:
+    """Returns the log fields of the end of a run, with its loss unless it has succeeded."""
+    fields: dict[str, Any] = {
+        "job": run.task.job_id,
+        "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
+        "worker": run.worker_id,
+        "run": run.number,
+        "end": reason,
+    }
+    if end is End.DONE:
+        return fields
+    if run.stop_reason is not None:
+        fields["stopped"] = run.stop_reason.value
+    unsaved_s = estimates.estimate_unsaved_s(run, now_s)
+    fields["lost_core_s"] = round(unsaved_s * ordering.compute_usage(run.need), 1)
+    return fields
+
+
 def _record_success(
     current: state.SchedulerState,
     job: state.JobState,
@@ -215,10 +228,15 @@
     job.outcome = model.Outcome.FAILED
     job.ended_at_s = now_s
     fields = {"job": run.task.job_id, "failures": failures, "limit": limit}
-    return [commands.Decision("job_failed", fields), *stop_job(current, job, now_s)]
+    return [
+        commands.Decision("job_failed", fields),
+        *stop_job(current, job, state.StopReason.JOB_FAILED, now_s),
+    ]
 
 
-def stop_run(current: state.SchedulerState, run: state.Run, now_s: float) -> list[commands.Command]:
+def stop_run(
+    current: state.SchedulerState, run: state.Run, reason: state.StopReason, now_s: float
+) -> list[commands.Command]:
     """Stops a run; its room is freed once its worker no longer lists it."""
     if run.phase is state.RunPhase.STOPPING:
         return []
@@ -227,26 +245,27 @@
         return []
     run.phase = state.RunPhase.STOPPING
     run.phase_began_at_s = now_s
+    run.stop_reason = reason
     run.confirmed_at_s = None
     run.stop_sent_at_s = now_s
     return [commands.StopRun(run.worker_id, run.task, run.number)]
 
 
 def stop_step(
-    current: state.SchedulerState, step: state.StepState, now_s: float
+    current: state.SchedulerState, step: state.StepState, reason: state.StopReason, now_s: float
 ) -> list[commands.Command]:
     """Stops all runs of a step."""
     result: list[commands.Command] = []
     for run in list(step.runs.values()):
-        result += stop_run(current, run, now_s)
+        result += stop_run(current, run, reason, now_s)
     return result
 
 
 def stop_job(
-    current: state.SchedulerState, job: state.JobState, now_s: float
+    current: state.SchedulerState, job: state.JobState, reason: state.StopReason, now_s: float
 ) -> list[commands.Command]:
     """Stops all runs of a job."""
     result: list[commands.Command] = []
     for step in job.steps.values():
-        result += stop_step(current, step, now_s)
+        result += stop_step(current, step, reason, now_s)
     return result
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -20,6 +20,7 @@
     "SchedulerState",
     "StepKey",
     "StepState",
+    "StopReason",
     "WorkerState",
     "get_route",
     "iterate_open_jobs",
@@ -74,6 +75,21 @@
     """To be stopped; its room stays allocated until its worker no longer lists it."""
 
 
+class StopReason(enum.StrEnum):
+    """Why the scheduler stops a run."""
+
+    PREEMPTED = "preempted"
+    EVACUATED = "evacuated"
+    CANCELLED = "cancelled"
+    JOB_FAILED = "job_failed"
+    GANG_ENDED = "gang_ended"
+    """Another member of its gang ended or was refused."""
+    UNANSWERED = "unanswered"
+    """Its start order was not answered."""
+    SUPERSEDED = "superseded"
+    """An earlier run of the task has succeeded."""
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One run of a task on a worker.
@@ -91,6 +107,10 @@
         confirmed_at_s: When the worker confirmed the last order for the run, or None. Only a
             report that was requested after this can prove that the run is absent.
         stop_sent_at_s: When the last stop order was sent, or None.
+        stop_reason: Why it was stopped, or None.
+        running_since_s: When its worker confirmed its start, or None.
+        baseline_percent: Progress from which its speed is measured, or None until it is known.
+        baseline_at_s: When that progress was reported, or None for the start of the phase.
     """
 
     task: model.TaskKey
@@ -104,6 +124,10 @@
     checkpoint: str = ""
     confirmed_at_s: float | None = None
     stop_sent_at_s: float | None = None
+    stop_reason: StopReason | None = None
+    running_since_s: float | None = None
+    baseline_percent: int | None = 0
+    baseline_at_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -235,6 +259,7 @@
         clock_ms: Its clock in its last answer.
         clock_at_s: When that answer was received.
         max_deadline_ms: Latest lease deadline that was sent to it, on its clock.
+        deadlines_recorded: Number of changes of that deadline.
         processed_end: Number of the last end of a run that was processed.
         durable_end: Number of the last end of a run whose effect is durable.
         failures: Jobs of its failed runs since its last success or quarantine.
@@ -268,6 +293,7 @@
     clock_ms: int = 0
     clock_at_s: float = 0.0
     max_deadline_ms: int = 0
+    deadlines_recorded: int = 0
     processed_end: int = 0
     durable_end: int = 0
     failures: list[str] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/lycheegate/jobs/units.py
@@ -0,0 +1,62 @@
+"""Tasks that are placed together, and the context of one scheduling pass."""
+
+import dataclasses
+
+from lycheegate.jobs import commands, headroom, ordering, pool, preemption, state
+
+__all__ = ["GANG_INDEX", "PassContext", "Unit"]
+
+GANG_INDEX = -1
+"""Stands for all tasks of a gang in keys of reservations and victims."""
+
+
+@dataclasses.dataclass(slots=True)
+class Unit:
+    """Tasks that are placed together: a gang, or one task.
+
+    Attributes:
+        job: The job.
+        step: The step.
+        indices: Indices of the tasks within the step.
+        rank: Rank of the job.
+        service: Service whose workers run the tasks.
+    """
+
+    job: state.JobState
+    step: state.StepState
+    indices: list[int]
+    rank: ordering.Rank
+    service: str
+
+    @property
+    def reservation_key(self) -> state.ReservationKey:
+        """Key of the reservation that the unit has or may get."""
+        index = GANG_INDEX if self.step.step.gang else self.indices[0]
+        return (self.job.job.job_id, *self.step.key, index)
+
+
+@dataclasses.dataclass(slots=True)
+class PassContext:
+    """Inputs, caches and results of one scheduling pass.
+
+    Attributes:
+        current: State of the scheduler.
+        now_s: Time on the scheduler's clock.
+        wall_s: Time of day, in seconds since 1970.
+        guaranteed: Client accounts whose urgent jobs are all within their guarantee.
+        workers: Usable workers, with the room that is left on them.
+        capacities: Capacity of each service.
+        victims: Cache of the units that work of each level may preempt.
+        result: Commands of the pass.
+        planned_reservations: Number of reservations for which nothing was preempted.
+    """
+
+    current: state.SchedulerState
+    now_s: float
+    wall_s: float
+    guaranteed: set[str]
+    workers: pool.WorkerPool
+    capacities: dict[str, headroom.ServiceCapacity] = dataclasses.field(default_factory=dict)
+    victims: dict[int, dict[tuple, preemption.VictimUnit]] = dataclasses.field(default_factory=dict)
+    result: list[commands.Command] = dataclasses.field(default_factory=list)
+    planned_reservations: int = 0
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -7,6 +7,7 @@
 __all__ = [
     "EndedRun",
     "ListedRun",
+    "RecordedDeadline",
     "Registration",
     "Report",
     "apply_registrations",
@@ -16,6 +17,7 @@
     "handle_restart",
     "record_deadline",
     "record_stop_confirmed",
+    "revoke_deadline",
     "update_clock",
 ]
 
@@ -244,6 +246,8 @@
     worker.processed_end = worker.durable_end = 0
     worker.confirmed = False
     worker.clock_ms = worker.max_deadline_ms = 0
+    # A deadline from before the restart must not be restored.
+    worker.deadlines_recorded += 1
     _clear_strays(current, worker)
     current.schedule_due = True
     return [commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})]
@@ -288,12 +292,41 @@
     return worker.clock_ms + int((elapsed_s + lease_s) * 1000.0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedDeadline:
+    """A lease deadline that was recorded before it was sent.
+
+    Attributes:
+        count: Number of deadlines recorded for the worker, including this one.
+        previous_ms: Latest deadline before it.
+    """
+
+    count: int
+    previous_ms: int
+
+
 def record_deadline(
     current: state.SchedulerState, worker: state.WorkerState, deadline_ms: int
-) -> None:
+) -> RecordedDeadline:
     """Records a lease deadline before it is sent, because it may arrive without an answer."""
+    worker.deadlines_recorded += 1
+    recorded = RecordedDeadline(worker.deadlines_recorded, worker.max_deadline_ms)
     worker.max_deadline_ms = max(worker.max_deadline_ms, deadline_ms)
     _update_lease_expiry(current, worker)
+    return recorded
+
+
+def revoke_deadline(
+    current: state.SchedulerState, worker: state.WorkerState, recorded: RecordedDeadline
+) -> None:
+    """Revokes a deadline that certainly was not sent, unless another one was recorded since.
+
+    Without this, each attempt to reach a worker that has crashed would postpone the time from which
+    its runs certainly have ended.
+    """
+    if worker.deadlines_recorded == recorded.count:
+        worker.max_deadline_ms = recorded.previous_ms
+        _update_lease_expiry(current, worker)
 
 
 def _update_lease_expiry(current: state.SchedulerState, worker: state.WorkerState) -> None:
@@ -333,6 +366,7 @@
         # The previous scheduler may have granted the longest lease just before this report.
         longest_ms = report.clock_ms + int(current.policy.max_lease_s * 1000.0)
         worker.max_deadline_ms = max(worker.max_deadline_ms, longest_ms)
+        worker.deadlines_recorded += 1
         current.schedule_due = True
     _update_lease_expiry(current, worker)
     # Reports may arrive out of order; the list of runs in an older one is outdated.
@@ -379,10 +413,12 @@
     current.schedule_due = True
     if step.step.gang:
         step.done.update(range(step.step.count))
-        return runs.stop_step(current, step, now_s)
+        return runs.stop_step(current, step, state.StopReason.SUPERSEDED, now_s)
     step.done.add(ended.task.index)
     current_run = step.runs.get(ended.task.index)
-    return runs.stop_run(current, current_run, now_s) if current_run is not None else []
+    if current_run is None:
+        return []
+    return runs.stop_run(current, current_run, state.StopReason.SUPERSEDED, now_s)
 
 
 def _apply_running(
@@ -420,6 +456,8 @@
     if listed.percent != run.percent:
         run.percent = listed.percent
         run.advanced_at_s = now_s
+    if run.baseline_percent is None and run.percent > 0:
+        run.baseline_percent, run.baseline_at_s = run.percent, now_s
     if listed.checkpoint:
         run.checkpoint = listed.checkpoint
 
@@ -525,9 +563,10 @@
     step = runs.find_step(current, run.task)
     fields = {"job": run.task.job_id, "worker": run.worker_id, "run": run.number}
     result: list[commands.Command] = [commands.Decision("start_unanswered", fields)]
+    reason = state.StopReason.UNANSWERED
     if step is not None and step.step.gang:
-        return result + runs.stop_step(current, step, now_s)
-    return result + runs.stop_run(current, run, now_s)
+        return result + runs.stop_step(current, step, reason, now_s)
+    return result + runs.stop_run(current, run, reason, now_s)
 
 
 def _resend_stop(
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -111,6 +111,7 @@
     step = job.steps[run.task.occurrence, run.task.step]
     checkpoint = step.checkpoints.get(run.task.index, "")
     run.checkpoint = checkpoint
+    run.baseline_percent = None if checkpoint else 0
     return commands.StartRun(run.worker_id, run.task, run.number, job.job.spec, checkpoint)
 
 
--- a/lycheegate/metrics/request_trace.py
+++ b/lycheegate/metrics/request_trace.py
@@ -1,9 +1,10 @@
 """The trace of one request, extracted from the decision logs of several processes."""
 
 import dataclasses
-import json
 from collections.abc import Iterable
 
+from lycheegate.metrics import log_records
+
 __all__ = ["TraceLine", "find_request_trace", "format_line"]
 
 _HEADER_FIELDS = ("t", "node", "event")
@@ -31,19 +32,12 @@
 def find_request_trace(lines: Iterable[str], request_id: str) -> list[TraceLine]:
     """Returns the log lines that concern a request, and changes of the term between them.
 
-    Text before the JSON object is ignored, since log collectors prepend a time stamp. Lines without
-    a valid JSON object are skipped.
+    Lines without a record are skipped.
     """
     trace: list[TraceLine] = []
     for position, text in enumerate(lines):
-        start = text.find("{")
-        if start < 0:
-            continue
-        try:
-            record = json.loads(text[start:])
-        except ValueError:
-            continue
-        if not isinstance(record, dict) or "event" not in record:
+        record = log_records.parse_record(text)
+        if record is None:
             continue
         if record["event"] in _TERM_EVENTS or _mentions(record, request_id):
             fields = {name: value for name, value in record.items() if name not in _HEADER_FIELDS}
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -96,16 +96,14 @@
             self._polled.discard(worker_id)
             return
         now_s = self._now_s()
-        if now_s - self._hooks.get_renewed_at_s() > self._state.policy.handover_s:
-            # A new holder assumes that the previous one renews no lease once its own renewal is
-            # older than this.
+        if not self._may_act(now_s):
             self._hooks.call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
             return
-        deadline_ms = None
+        deadline_ms = recorded = None
         if now_s - worker.reported_at_s < MAX_REPORT_AGE_S:
             deadline_ms = workers.compute_deadline_ms(self._state, worker, now_s)
         if deadline_ms is not None:
-            workers.record_deadline(self._state, worker, deadline_ms)
+            recorded = workers.record_deadline(self._state, worker, deadline_ms)
         self._client.report(
             worker.address,
             worker_id,
@@ -113,16 +111,33 @@
             worker.durable_end,
             deadline_ms,
             wait_s,
-            lambda outcome: self._handle_report(worker_id, outcome),
+            lambda outcome: self._handle_report(worker_id, recorded, outcome),
         )
 
-    def _handle_report(self, worker_id: str, outcome: result.Result) -> None:
+    def _may_act(self, now_s: float) -> bool:
+        """Returns whether this scheduler may renew leases and send orders.
+
+        A new holder assumes that the previous one does neither once its last renewal of the term is
+        older than the handover time, which a VM that was suspended notices only by its clock.
+        """
+        return now_s - self._hooks.get_renewed_at_s() <= self._state.policy.handover_s
+
+    def _handle_report(
+        self,
+        worker_id: str,
+        recorded: workers.RecordedDeadline | None,
+        outcome: result.Result,
+    ) -> None:
         if self._hooks.is_stopped():
             return
+        worker = self._state.workers.get(worker_id)
         if not isinstance(outcome, result.Success):
-            self._handle_report_error(worker_id, outcome.failure())
+            error = outcome.failure()
+            is_unsent = isinstance(error, exceptions.NotSentError)
+            if is_unsent and worker is not None and recorded is not None:
+                workers.revoke_deadline(self._state, worker, recorded)
+            self._handle_report_error(worker_id, error)
             return
-        worker = self._state.workers.get(worker_id)
         was_confirmed = worker is not None and worker.confirmed
         try:
             self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
@@ -181,6 +196,9 @@
         if run is None or run.phase is not state.RunPhase.ORDERED:
             return
         now_s = self._now_s()
+        if not self._may_act(now_s):
+            self._hooks.call_later(REPORT_RETRY_S, lambda: self.send_start(order))
+            return
         deadline_ms = worker and workers.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
             self.record_refusal(order, "worker_unknown")
@@ -251,15 +269,16 @@
             worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
         if (order.task, order.number) in self._unknown_starts:
             # An earlier order for the same run may still reach the worker.
-            self._hooks.execute(runs.stop_run(self._state, run, now_s))
+            reason = state.StopReason.UNANSWERED
+            self._hooks.execute(runs.stop_run(self._state, run, reason, now_s))
             return
         if run.phase is state.RunPhase.ORDERED:
             self.record_refusal(order, outcome.value)
 
     def send_stop(self, order: commands.StopRun) -> None:
-        """Orders a worker to stop a run."""
+        """Orders a worker to stop a run; an order that is not sent is repeated by the caller."""
         worker = self._state.workers.get(order.worker_id)
-        if worker is None or not worker.address:
+        if worker is None or not worker.address or not self._may_act(self._now_s()):
             return
         self._client.stop(
             worker.address,
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -164,6 +164,8 @@
         self.failure_share = 0.0
         self.unreachable: set[str] = set()
         """Workers that receive no calls."""
+        self.refusing: set[str] = set()
+        """Workers that have crashed: no connection can be opened to them."""
         self.answers_lost: set[str] = set()
         """Workers that receive calls but whose answers are lost."""
         self.work_s = 1.0
@@ -240,7 +242,7 @@
             loop.call_later(0.5, lambda: callback(lost))
             return
         draw = fleet.generator.random()
-        if worker.worker_id in fleet.unreachable:
+        if worker.worker_id in fleet.unreachable | fleet.refusing:
             loop.call_later(0.5, lambda: callback(lost))
             return
         if draw < fleet.faults.late_orders:
@@ -274,6 +276,10 @@
             )
             loop.call_later(0.8, lambda: callback(error))
             return
+        if worker_id in fleet.refusing:
+            refused = result.Failure(exceptions.NotSentError(f"{worker_id} refuses"))
+            loop.call_later(WORKER_DELAY_S, lambda: callback(refused))
+            return
         sent_at_s = loop.now_s
 
         def begin() -> None:
@@ -292,6 +298,10 @@
 
         def wait(end_s: float) -> None:
             worker.advance()
+            if worker_id in fleet.refusing:
+                error = result.Failure(exceptions.OutcomeUnknownError(f"{worker_id} reset"))
+                loop.call_later(WORKER_DELAY_S, lambda: callback(error))
+                return
             if worker_id in fleet.answers_lost:
                 error = result.Failure(
                     exceptions.OutcomeUnknownError(f"no answer of worker {worker_id}")
--- /dev/null
+++ b/lycheegate/node/tests/test_exchange.py
@@ -0,0 +1,113 @@
+"""Orders to workers that a scheduler may no longer send."""
+
+import pytest
+
+from lycheegate.jobs import commands, lifecycle, model, scheduling, state, writes
+from lycheegate.metrics import jsonlog
+from lycheegate.node import exchange
+from lycheegate.platform import workers as worker_calls
+
+_CAPACITY = model.Resources(8_000, 8_000, 8)
+_ROUTE = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
+_UNKNOWN = worker_calls.OrderResult(worker_calls.StartOutcome.UNKNOWN)
+
+
+class _Client:
+    """Client of the workers that records orders and leaves them without an answer."""
+
+    def __init__(self):
+        self.starts = []
+        self.stops = []
+        self.reports = []
+
+    def start(self, address, order, epoch, deadline_ms, callback):
+        self.starts.append(callback)
+
+    def stop(self, address, order, epoch, callback):
+        self.stops.append(callback)
+
+    def report(self, *arguments):
+        self.reports.append(arguments)
+
+
+class _Term:
+    """A scheduler's exchange with one worker, and the clock and renewals of its term."""
+
+    def __init__(self):
+        self.now_s = 1.0
+        self.renewed_at_s = 1.0
+        self.later = []
+        self.client = _Client()
+        self.current = state.SchedulerState(1, state.Policy(), 0.0)
+        self.current.workers["w0"] = state.WorkerState(
+            "w0", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+        )
+        worker = self.current.workers["w0"]
+        worker.reported_at_s, worker.clock_ms, worker.clock_at_s = 1.0, 1_000, 1.0
+        self.exchange = exchange.WorkerExchange(
+            self.client,
+            self.current,
+            lambda: self.now_s,
+            jsonlog.JsonLog("a", lambda: self.now_s, len),
+            exchange.TermHooks(
+                lambda command_list: None,
+                lambda: None,
+                lambda reason: None,
+                lambda delay_s, function: self.later.append(function),
+                lambda: False,
+                lambda: self.renewed_at_s,
+            ),
+        )
+
+    def place(self) -> commands.StartRun:
+        """Places a task and returns the order to start it."""
+        step = model.Step(1, model.Resources(1_000, 1_000, 1), 60.0)
+        job = state.JobState(model.Job("0" * 16, "batch", "acme", "x", (step,), 0.0), _ROUTE)
+        lifecycle.add_job(self.current, job, 0.0, 0.0)
+        scheduling.schedule(self.current, 1.0, 1.0)
+        (order,) = writes.complete_batch(self.current, writes.collect_batch(self.current), 2, 1.0)
+        return order
+
+    def run_later(self) -> None:
+        """Runs the functions that were delayed."""
+        later, self.later = self.later, []
+        for function in later:
+            function()
+
+
+@pytest.mark.parametrize(("paused_s", "sent"), [(0.5, 2), (7.9, 2), (8.1, 1), (60.0, 1)])
+def test_start_order_is_not_repeated_after_a_pause(paused_s, sent):
+    """Guards against a task that starts twice because its scheduler's VM was suspended.
+
+    The order got no answer, and the VM wakes when another holder has assumed that the lease of the
+    order has expired. The order must wait for a renewal of the term.
+    """
+    term = _Term()
+    order = term.place()
+    term.exchange.send_start(order)
+    term.now_s += paused_s
+    term.client.starts[0](_UNKNOWN)
+    term.run_later()
+    assert len(term.client.starts) == sent
+
+
+@pytest.mark.parametrize("kind", ["start", "stop", "report"])
+def test_orders_continue_once_the_term_is_renewed(kind):
+    """Guards against orders that are lost for good after a pause that cost no change of holder."""
+    term = _Term()
+    order = term.place()
+    stop = commands.StopRun("w0", order.task, order.number)
+    send = {
+        "start": lambda: term.exchange.send_start(order),
+        "stop": lambda: term.exchange.send_stop(stop),
+        "report": term.exchange.poll_new_workers,
+    }[kind]
+    sent = {"start": term.client.starts, "stop": term.client.stops, "report": term.client.reports}
+    term.now_s += 9.0
+    send()
+    assert sent[kind] == []
+    term.renewed_at_s = term.now_s
+    if kind == "stop":
+        send()
+    term.run_later()
+    assert len(sent[kind]) == 1
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -156,6 +156,28 @@
     _assert_all_succeed(world)
 
 
+@pytest.mark.parametrize(("is_refusing", "expected"), [(True, True), (False, False)])
+def test_crashed_worker_is_given_up_with_its_last_lease(is_refusing, expected):
+    """Guards against work that waits for leases which no call can have renewed.
+
+    Load pattern: workers crash for good. Polls that cannot be sent do not postpone the expiry of
+    the lease; polls without an answer do, because the worker may have received them.
+    """
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 60.0
+    world.submit(simulation.make_job("0" * 16, _make_step(1)))
+    world.claim_term("a")
+    world.run(3.0)
+    lost = next(w for w, f in world.fleet.workers.items() if f.live)
+    (world.fleet.refusing if is_refusing else world.fleet.unreachable).add(lost)
+    world.run(state.Policy().lease_s + 1.0)
+    (starts,) = world.fleet.starts.values()
+    assert (starts == 2) is expected
+    world.run(3.0)
+    assert world.fleet.starts[model.TaskKey("0" * 16, 0, 0, 0)] == 2
+    assert world.fleet.violations == []
+
+
 @pytest.mark.parametrize("gang", [False, True])
 def test_worker_departs_at_short_notice(gang):
     """Guards against work that waits for the lease of a worker that announced its departure.
--- a/lycheegate/utils/exceptions.py
+++ b/lycheegate/utils/exceptions.py
@@ -7,6 +7,7 @@
     "ConditionFailedError",
     "FencedError",
     "LycheegateError",
+    "NotSentError",
     "OutcomeUnknownError",
     "ProtocolError",
     "QueueFullError",
@@ -39,6 +40,10 @@
     """An external system rejected an operation or was unreachable; the operation had no effect."""
 
 
+class NotSentError(UnavailableError):
+    """Nothing of a request was sent, for example because no connection could be opened."""
+
+
 class OutcomeUnknownError(LycheegateError):
     """No usable response to an operation was received; the operation may have taken effect."""
 
