Repeat what failed of a store read, and confirm the configuration once the store is back

Cause: while the store resets connections, a new holder began its read of 17 parts anew after each failure and succeeded once in thousands of tries; a caller got 504 after four resets within 60 ms, although a repetition shows what became of its job.

Change: pages are retried one by one; submissions are repeated until the caller's time limit, with a growing pause; retries are made as soon as the store is reachable, and the first call of a feed after a failure does not wait for changes.

--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -25,9 +25,12 @@
 """Part of a caller's time limit that is reserved for returning the response."""
 RETRY_AFTER_S = 1
 UNAVAILABLE_RETRIES = 2
-MAX_LOST_ANSWERS = 3
-"""Lost answers to tolerate in one call; after more, the caller should try another VM."""
 UNAVAILABLE_PAUSE_S = 0.03
+LOST_ANSWER_PAUSE_S = 0.05
+"""Delay after the first lost answer of a call; doubles with each further one."""
+MAX_LOST_ANSWER_PAUSE_S = 0.4
+MAX_LOST_READS = 3
+"""Lost answers of a read after which the holder of the term is asked instead."""
 MAX_CACHED_STATUSES = 4096
 HOLDER_TIMEOUT_S = 0.5
 
@@ -263,7 +266,7 @@
         def send(timeout_s: float, callback: Callable) -> None:
             self._store.read(key.table, key.part, key.key, key.key + "\0", timeout_s, callback)
 
-        outcome = self._call_store(send, deadline_s)
+        outcome = self._call_store(send, deadline_s, MAX_LOST_READS)
         if not isinstance(outcome, result.Success):
             return outcome
         rows = outcome.unwrap().rows
@@ -275,23 +278,30 @@
 
         return self._call_store(send, deadline_s)
 
-    def _call_store(self, send: Callable[[float, Callable], None], deadline_s: float):
-        """Calls the store, and retries lost answers and refusals within the limits.
+    def _call_store(
+        self,
+        send: Callable[[float, Callable], None],
+        deadline_s: float,
+        max_lost_answers: int | None = None,
+    ) -> storage.StoreResult:
+        """Calls the store until it answers, refuses several times in a row, or the time is up.
 
-        The calls are conditional or idempotent, so repeating one whose answer was lost is safe.
-        After a lost answer, the outcome stays unknown even if later calls are refused, because the
-        call whose answer was lost may have taken effect.
+        The calls are conditional or idempotent, so repeating one whose answer was lost is safe, and
+        the answer to the repetition shows what became of it. After a lost answer, the outcome stays
+        unknown even if later calls are refused, because the call whose answer was lost may have
+        taken effect.
 
         Args:
             send: Makes the call with a time limit in seconds and a callback.
             deadline_s: Time until which calls are made.
+            max_lost_answers: Number of lost answers after which no more calls are made, or None.
         """
         refusals = lost_answers = 0
         unknown: storage.StoreResult | None = None
         while True:
             remaining_s = deadline_s - self._now_s()
             if remaining_s <= 0.0:
-                error = exceptions.OutcomeUnknownError(
+                error = exceptions.UnavailableError(
                     f"time limit of the call reached after {refusals} refused store calls"
                 )
                 return unknown or result.Failure(error)
@@ -304,9 +314,12 @@
             error = outcome.failure()
             if isinstance(error, exceptions.OutcomeUnknownError):
                 unknown = outcome
+                refusals = 0
+                pause_s = LOST_ANSWER_PAUSE_S * 2.0 ** min(lost_answers, 8)
                 lost_answers += 1
-                if lost_answers > MAX_LOST_ANSWERS:
+                if max_lost_answers is not None and lost_answers > max_lost_answers:
                     return unknown
+                threading.Event().wait(min(pause_s, MAX_LOST_ANSWER_PAUSE_S))
             elif isinstance(error, exceptions.UnavailableError):
                 refusals += 1
                 if refusals > UNAVAILABLE_RETRIES:
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -80,9 +80,10 @@
             )
         )
         self._peers: dict[str, str] = {}
+        self._feeds: list[feeds.TableFeed] = []
         direct = stores.PlatformStore(self._client, settings.store_address)
         self._store = relay.FallbackStore(
-            direct, self._client, self._list_peers, read_boottime_s, self._log_reachability
+            direct, self._client, self._list_peers, read_boottime_s, self._handle_reachability
         )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.NodeView()
@@ -158,35 +159,39 @@
         self._log.write("stopped", after_s=round(read_boottime_s() - began_s, 2))
 
     def _start_feeds(self) -> None:
-        feeds.TableFeed(
-            self._store,
-            self._client.call_later,
-            configurations.TABLE,
-            ("",),
-            self._apply_configuration_rows,
-            self._make_error_logger(configurations.TABLE),
-            on_answer=self._confirm_configuration,
-            now_s=read_boottime_s,
-        ).start()
-        feeds.TableFeed(
-            self._store,
-            self._client.call_later,
-            tables.TERMS,
-            (tables.PART,),
-            self._apply_term_rows,
-            self._make_error_logger(tables.TERMS),
-            on_answer=self._locate_answer,
-            now_s=read_boottime_s,
-        ).start()
-        feeds.TableFeed(
-            self._store,
-            self._client.call_later,
-            tables.MEMBERS,
-            (tables.PART,),
-            self._apply_member_rows,
-            self._make_error_logger(tables.MEMBERS),
-            wait_s=MEMBERS_WAIT_S,
-        ).start()
+        self._feeds = [
+            feeds.TableFeed(
+                self._store,
+                self._client.call_later,
+                configurations.TABLE,
+                ("",),
+                self._apply_configuration_rows,
+                self._make_error_logger(configurations.TABLE),
+                on_answer=self._confirm_configuration,
+                now_s=read_boottime_s,
+            ),
+            feeds.TableFeed(
+                self._store,
+                self._client.call_later,
+                tables.TERMS,
+                (tables.PART,),
+                self._apply_term_rows,
+                self._make_error_logger(tables.TERMS),
+                on_answer=self._locate_answer,
+                now_s=read_boottime_s,
+            ),
+            feeds.TableFeed(
+                self._store,
+                self._client.call_later,
+                tables.MEMBERS,
+                (tables.PART,),
+                self._apply_member_rows,
+                self._make_error_logger(tables.MEMBERS),
+                wait_s=MEMBERS_WAIT_S,
+            ),
+        ]
+        for feed in self._feeds:
+            feed.start()
         self._announce_address()
         self._check_claim_periodically()
 
@@ -242,8 +247,17 @@
     def _list_peers(self) -> list[str]:
         return list(self._peers.values())
 
-    def _log_reachability(self, is_unreachable: bool) -> None:
+    def _handle_reachability(self, is_unreachable: bool) -> None:
         self._log.write("store_lost" if is_unreachable else "store_reached")
+        if not is_unreachable:
+            self._client.call_later(0.0, self._retry_store_calls)
+
+    def _retry_store_calls(self) -> None:
+        """Makes the store calls at once that wait for a retry."""
+        for feed in self._feeds:
+            feed.retry_now()
+        if self._scheduler is not None:
+            self._scheduler.retry_store_calls()
 
     def _make_error_logger(self, table: str):
         def log(error: Exception) -> None:
--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -64,6 +64,7 @@
         self._sent_at_s = 0.0
         self._stopped = False
         self._failures = 0
+        self._pending_retry: object | None = None
         self._version = 0
 
     def start(self) -> None:
@@ -72,7 +73,15 @@
             return
         self._sent_at_s = self._now_s()
         parts = [(self._table, part) for part in self._parts]
-        reads.TableRead(self._store, parts, self._handle_content, self._handle_read_error)
+        reads.TableRead(
+            self._store,
+            self._call_later,
+            parts,
+            self._handle_content,
+            self._on_error,
+            lambda: self._stopped,
+            self._jitter,
+        )
 
     def follow_from(self, version: int) -> None:
         """Follows the table from a version at which the caller has already read it."""
@@ -84,21 +93,18 @@
         self._stopped = True
 
     def _handle_content(self, content: reads.TableContent) -> None:
-        if self._stopped:
-            return
         self._failures = 0
         self._version = content.version
         self._deliver(tuple(content.rows), True, content.clock_ms)
         self._follow()
 
-    def _handle_read_error(self, error: Exception) -> None:
-        if not self._stopped:
-            self._retry(error, self.start)
-
     def _follow(self) -> None:
-        if not self._stopped:
-            self._sent_at_s = self._now_s()
-            self._store.follow(self._table, self._version, self._wait_s, self._handle_changes)
+        if self._stopped:
+            return
+        # After a failure, the store answers at once, which confirms the rows that are known.
+        wait_s = 0.0 if self._failures else self._wait_s
+        self._sent_at_s = self._now_s()
+        self._store.follow(self._table, self._version, wait_s, self._handle_changes)
 
     def _handle_changes(self, outcome: storage.StoreResult) -> None:
         if self._stopped:
@@ -109,7 +115,7 @@
                 self._on_error(error)
                 self.start()
             else:
-                self._retry(error, self._follow)
+                self._retry_follow(error)
             return
         self._failures = 0
         changes = outcome.unwrap()
@@ -128,9 +134,21 @@
             # Rows that cannot be applied must not end the feed, on which all later ones depend.
             self._on_error(error)
 
-    def _retry(self, error: Exception, function: Callable[[], None]) -> None:
+    def retry_now(self) -> None:
+        """Makes a retry that is due later at once, because the store is reachable again."""
+        if self._pending_retry is not None:
+            self._pending_retry = None
+            self._follow()
+
+    def _retry_follow(self, error: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
             self._on_error(error)
         limit_s = min(MAX_RETRY_S, RETRY_S * 2.0 ** min(self._failures - 1, 8))
-        self._call_later(self._jitter.uniform(limit_s / 2, limit_s), function)
+        retry = self._pending_retry = object()
+
+        def run() -> None:
+            if self._pending_retry is retry:
+                self.retry_now()
+
+        self._call_later(self._jitter.uniform(limit_s / 2, limit_s), run)
--- a/lycheegate/node/reads.py
+++ b/lycheegate/node/reads.py
@@ -1,5 +1,11 @@
-"""Reads whole tables, with all parts in parallel."""
+"""Reads whole tables, with all parts in parallel.
 
+Handles a store that fails a share of its calls, for example by resetting connections. Only the
+pages that failed are read again: a read of many parts would otherwise hardly ever succeed as a
+whole, and a new scheduler would wait until the store has recovered completely.
+"""
+
+import random
 from collections.abc import Callable, Sequence
 
 from returns import result
@@ -9,6 +15,9 @@
 __all__ = ["TableContent", "TableRead"]
 
 READ_TIMEOUT_S = 1.5
+RETRY_S = 0.1
+"""Delay before the first retry of a page; doubles with each further failure of that page."""
+MAX_RETRY_S = 0.8
 
 TablePart = tuple[str, str]
 """Name of a table, and name of one of its parts."""
@@ -37,41 +46,59 @@
 
     Args:
         store: The store.
+        call_later: Runs a function after a delay in seconds.
         parts: Table parts to read.
         on_done: Called with the content once all parts have been read.
-        on_failed: Called with the first error; no callback follows it.
+        on_error: Called with the first error; the read continues.
+        is_stopped: Returns whether the read is no longer wanted.
+        jitter: Generator of the random part of the delay between retries.
     """
 
     def __init__(
         self,
         store: storage.Store,
+        call_later: Callable,
         parts: Sequence[TablePart],
         on_done: Callable[[TableContent], None],
-        on_failed: Callable[[Exception], None],
+        on_error: Callable[[Exception], None],
+        is_stopped: Callable[[], bool],
+        jitter: random.Random | None = None,
     ):
         self._store = store
+        self._call_later = call_later
         self._on_done = on_done
-        self._on_failed = on_failed
+        self._on_error = on_error
+        self._is_stopped = is_stopped
+        self._jitter = jitter or random.Random()
         self._content = TableContent()
         self._unread_parts = len(parts)
-        self._failed = False
+        self._has_failed = False
         for table, part in parts:
-            self._read_page(table, part, "")
+            self._read_page(table, part, "", 0)
 
-    def _read_page(self, table: str, part: str, first: str) -> None:
+    def _read_page(self, table: str, part: str, first: str, failures: int) -> None:
         def handle(outcome: storage.StoreResult) -> None:
-            self._handle_page(table, part, outcome)
-
-        self._store.read(table, part, first, "", READ_TIMEOUT_S, handle)
-
-    def _handle_page(self, table: str, part: str, outcome: storage.StoreResult) -> None:
-        if self._failed:
-            return
-        if not isinstance(outcome, result.Success):
-            self._failed = True
-            self._on_failed(outcome.failure())
-            return
-        page = outcome.unwrap()
+            if self._is_stopped():
+                return
+            if isinstance(outcome, result.Success):
+                self._add_page(table, part, outcome.unwrap())
+            else:
+                self._retry_page(table, part, first, failures + 1, outcome.failure())
+
+        if not self._is_stopped():
+            self._store.read(table, part, first, "", READ_TIMEOUT_S, handle)
+
+    def _retry_page(
+        self, table: str, part: str, first: str, failures: int, error: Exception
+    ) -> None:
+        if not self._has_failed:
+            self._has_failed = True
+            self._on_error(error)
+        limit_s = min(MAX_RETRY_S, RETRY_S * 2.0 ** min(failures - 1, 8))
+        delay_s = self._jitter.uniform(limit_s / 2, limit_s)
+        self._call_later(delay_s, lambda: self._read_page(table, part, first, failures))
+
+    def _add_page(self, table: str, part: str, page: storage.Page) -> None:
         content = self._content
         # Changes are followed from the oldest version among the pages, so that changes made
         # between the reads of pages or parts are not missed.
@@ -79,7 +106,7 @@
         content.clock_ms = max(content.clock_ms, page.clock_ms)
         content.rows += page.rows
         if page.is_truncated and page.rows:
-            self._read_page(table, part, page.rows[-1].key.key + "\0")
+            self._read_page(table, part, page.rows[-1].key.key + "\0", 0)
             return
         self._unread_parts -= 1
         if not self._unread_parts:
--- a/lycheegate/node/recovery.py
+++ b/lycheegate/node/recovery.py
@@ -7,8 +7,6 @@
 
 __all__ = ["LoadedJobs", "load_jobs"]
 
-RETRY_S = 0.2
-
 
 @dataclasses.dataclass(slots=True)
 class LoadedJobs:
@@ -39,9 +37,10 @@
     store: storage.Store,
     call_later: Callable,
     on_loaded: Callable[[LoadedJobs], None],
+    on_error: Callable[[Exception], None],
     is_stopped: Callable[[], bool],
 ) -> None:
-    """Reads all jobs, then their progress; retries until both succeed.
+    """Reads all jobs, then their progress; pages that cannot be read are retried.
 
     Jobs are read first. Jobs accepted during the reads arrive through the change feed, and only
     the holder of the term changes progress, so none of it can have changed since the term was
@@ -52,21 +51,13 @@
         store: The store.
         call_later: Runs a function after a delay in seconds.
         on_loaded: Called with the rows once all have been read.
+        on_error: Called with the first error of each of the two reads.
         is_stopped: Returns whether the term has ended, in which case nothing more is read.
     """
     loaded = LoadedJobs()
 
-    def read_jobs() -> None:
-        if not is_stopped():
-            reads.TableRead(store, tables.list_job_parts(), handle_jobs, lambda _: retry(read_jobs))
-
-    def read_progress() -> None:
-        if not is_stopped():
-            parts = [(tables.PROGRESS, tables.PART)]
-            reads.TableRead(store, parts, handle_progress, lambda _: retry(read_progress))
-
-    def retry(function: Callable[[], None]) -> None:
-        call_later(RETRY_S, function)
+    def read(parts: list[reads.TablePart], on_done: Callable[[reads.TableContent], None]) -> None:
+        reads.TableRead(store, call_later, parts, on_done, on_error, is_stopped)
 
     def handle_jobs(content: reads.TableContent) -> None:
         loaded.version = content.version
@@ -76,12 +67,11 @@
                 loaded.cancelled.append(job_id)
             else:
                 loaded.jobs[job_id] = row
-        read_progress()
+        read([(tables.PROGRESS, tables.PART)], handle_progress)
 
     def handle_progress(content: reads.TableContent) -> None:
         for row in content.rows:
             loaded.progress[row.key.key] = row
-        if not is_stopped():
-            on_loaded(loaded)
+        on_loaded(loaded)
 
-    read_jobs()
+    read(tables.list_job_parts(), handle_jobs)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -142,7 +142,11 @@
     def start(self) -> None:
         """Loads all jobs and starts scheduling."""
         recovery.load_jobs(
-            self._runtime.store, self._runtime.call_later, self._apply_loaded_jobs, self._is_stopped
+            self._runtime.store,
+            self._runtime.call_later,
+            self._apply_loaded_jobs,
+            lambda error: self._runtime.log.write("term_load_failed", error=str(error)),
+            self._is_stopped,
         )
         self._tick()
 
@@ -163,6 +167,13 @@
         self._releasing = True
         self._write()
 
+    def retry_store_calls(self) -> None:
+        """Makes the store calls at once that wait for a retry."""
+        self._write_not_before_s = 0.0
+        self._jobs_feed.retry_now()
+        self._registry_feed.retry_now()
+        self._write()
+
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Applies a newer configuration."""
         self._state.configuration = configuration
