--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -39,6 +39,7 @@
         self.now_s = 1.0
         self.renewed_at_s = 1.0
         self.later = []
+        self.end_reasons = []
         self.client = _Client()
         self.current = state.SchedulerState(1, state.Policy(), 0.0)
         self.current.workers["w0"] = state.WorkerState(
@@ -54,7 +55,7 @@
             exchange.TermHooks(
                 lambda command_list: None,
                 lambda: None,
-                lambda reason: None,
+                self.end_reasons.append,
                 lambda delay_s, function: self.later.append(function),
                 lambda: False,
                 lambda: self.renewed_at_s,
@@ -152,3 +153,39 @@
     wait_s = term.client.reports[-1][5]
     assert 1.2 <= wait_s <= longest_s
     assert wait_s < term.current.policy.report_stale_s - 0.5
+
+
+@pytest.mark.parametrize("kind", ["report", "start", "stop"])
+def test_term_ends_when_a_worker_has_seen_a_later_one(kind):
+    """Guards against two schedulers that both act after a change of the holder.
+
+    The store is unreachable for the previous holder, so a worker is the first to tell it.
+    """
+    term = _Term()
+    order = term.place()
+    fenced = worker_calls.OrderResult(worker_calls.StartOutcome.FENCED)
+    if kind == "report":
+        term.exchange.poll_new_workers()
+        term.client.reports[-1][-1](result.Failure(exceptions.FencedError("later epoch")))
+    elif kind == "start":
+        term.exchange.send_start(order)
+        term.client.starts[-1](fenced)
+    else:
+        term.exchange.send_stop(commands.StopRun("w0", order.task, order.number))
+        term.client.stops[-1](fenced)
+    assert len(term.end_reasons) == 1
+
+
+def test_report_that_cannot_be_applied_does_not_end_the_polls(monkeypatch):
+    """Guards against a worker that is never polled again after one unexpected report."""
+    term = _Term()
+    term.exchange.poll_new_workers()
+
+    def fail(current, report):
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(exchange.workers, "apply_report", fail)
+    report = workers.Report("w0", 1_000, 0, (), (), term.now_s, term.now_s)
+    term.client.reports[-1][-1](result.Success(report))
+    term.run_later()
+    assert len(term.client.reports) == 2
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -350,6 +350,34 @@
     _assert_all_succeed(world)
 
 
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_departed_worker_is_not_used_again(takes_over):
+    """Guards against work on a worker whose departure was missed.
+
+    Its registration is deleted while the feed loses its history, so that no change reports the
+    deletion, or while the scheduler changes.
+    """
+    world = simulation.World(1, worker_count=3)
+    world.claim_term("a")
+    world.run(1.0)
+    world.store.faults.silent_feeds = True
+    world.unregister("w0")
+    world.run(1.5)
+    world.store.faults.silent_feeds = False
+    world.store.faults.history_lost = True
+    world.run(1.5)
+    world.store.faults.history_lost = False
+    if takes_over:
+        world.claim_term("b")
+    world.run(1.5)
+    for number in range(6):
+        world.submit(simulation.make_job(f"{number:016x}", _make_step(3)))
+    world.run(20.0)
+    _assert_all_succeed(world)
+    scheduler_state = list(world.schedulers.values())[-1]._state
+    assert "w0" not in scheduler_state.workers or not scheduler_state.workers["w0"].registered
+
+
 @pytest.mark.parametrize("seed", range(60))
 def test_random_faults(seed):
     """Guards against broken invariants under combined faults and changes of the holder."""
