Stop nothing for urgent work before the workers have reported to a new scheduler

Change: within 0.5 s of the begin of a term, victims are chosen only once all registered workers have reported. The text on a fenced term stands once in exchange.py instead of three times.

--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -35,6 +35,8 @@
 MAX_WAIT_S = 1.0
 MAX_GUARANTEED_WAIT_S = 0.5
 """Limit for guaranteed work, which must be able to start within a fixed time."""
+SETTLING_S = 0.5
+"""Time from the begin of a term within which the workers report for the first time."""
 MAX_MIXED_COST_RATIO = 0.5
 """A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
 Above it, the room that is freed at once would idle for little gain."""
@@ -57,6 +59,8 @@
 
 def preempt(context: units.PassContext, unit: units.Unit) -> None:
     """Stops less urgent runs so that an urgent unit fits, and reserves their room for it."""
+    if not _is_view_complete(context.current, context.now_s):
+        return
     candidates = context.workers.list_candidates(unit.service, unit.step)
     if not candidates:
         return
@@ -86,6 +90,17 @@
     context.current.schedule_due = True
 
 
+def _is_view_complete(current: state.SchedulerState, now_s: float) -> bool:
+    """Returns whether all workers have reported to this scheduler, or have had time to.
+
+    Until then, room on the others is not known, and the runs that are known would be stopped for
+    urgent work that fits elsewhere.
+    """
+    if now_s - current.began_at_s >= SETTLING_S:
+        return True
+    return all(worker.confirmed for worker in current.workers.values() if worker.registered)
+
+
 def _choose_victims(
     context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
 ) -> preemption.Preemption | None:
--- a/lycheegate/jobs/tests/test_reclaiming.py
+++ b/lycheegate/jobs/tests/test_reclaiming.py
@@ -174,3 +174,25 @@
         assert {unit.key for unit in found.awaited} <= awaited
         assert len(found.awaited) == min(count, len(awaited))
         assert found.cost == pytest.approx(sum(unit.cost for unit in found.victims))
+
+
+@pytest.mark.parametrize(
+    ("age_s", "confirmed", "stops"),
+    [(0.05, False, False), (0.05, True, True), (1.0, False, True)],
+    ids=["others_still_report", "all_have_reported", "one_stays_silent"],
+)
+def test_new_scheduler_stops_nothing_before_the_workers_have_reported(age_s, confirmed, stops):
+    """Guards against work that a change of schedulers costs although there is free room.
+
+    Load pattern: an urgent job waits when another VM takes over. The first worker that reports is
+    full, and the others, which have room, report some milliseconds later.
+    """
+    current = _make_state([[50, 50]])
+    current.began_at_s = 11.0 - age_s
+    current.workers["w1"] = state.WorkerState(
+        "w1", "render", "a:1", "z", "r0", frozenset(), _WHOLE, _WHOLE, confirmed=confirmed
+    )
+    current.workers["w1"].room = model.Resources()
+    step = model.Step(1, model.Resources(4_000, 1_000, 4), 3.0)
+    result = _add_job(current, _URGENT_JOB, "urgent", step, 11.0)
+    assert bool(_list_stopped(result)) is stops
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -169,9 +169,7 @@
     def _handle_report_error(self, worker_id: str, error: Exception) -> None:
         worker = self._state.workers.get(worker_id)
         if isinstance(error, exceptions.FencedError):
-            self._hooks.end_term(
-                f"fenced by worker {worker_id}: it has seen a later epoch than {self._state.epoch}"
-            )
+            self._end_fenced_term(worker_id)
         elif isinstance(error, worker_calls.WrongIncarnationError) and worker is not None:
             self._handle_replaced_worker(worker)
         elif isinstance(error, exceptions.OutcomeUnknownError | exceptions.UnavailableError):
@@ -182,6 +180,12 @@
             self._log.write("report_failed", worker=worker_id, error=str(error))
         self._hooks.call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
 
+    def _end_fenced_term(self, worker_id: str) -> None:
+        """Ends the term because a worker has refused a call with its epoch."""
+        self._hooks.end_term(
+            f"fenced by worker {worker_id}: it has seen a later epoch than {self._state.epoch}"
+        )
+
     def _handle_replaced_worker(self, worker: state.WorkerState) -> None:
         """Ends the runs of a worker whose endpoint is now served by another worker."""
         now_s = self._now_s()
@@ -242,10 +246,7 @@
         outcome = answer.outcome
         key = (order.task, order.number)
         if outcome is worker_calls.StartOutcome.FENCED:
-            self._hooks.end_term(
-                f"fenced by worker {order.worker_id}: "
-                f"it has seen a later epoch than {self._state.epoch}"
-            )
+            self._end_fenced_term(order.worker_id)
         elif outcome is worker_calls.StartOutcome.UNKNOWN:
             self._unknown_starts.add(key)
             # Repeating the order is safe, and the answer shows whether the run has started.
@@ -303,10 +304,7 @@
             return
         now_s = self._now_s()
         if answer.outcome is worker_calls.StartOutcome.FENCED:
-            self._hooks.end_term(
-                f"fenced by worker {order.worker_id}: "
-                f"it has seen a later epoch than {self._state.epoch}"
-            )
+            self._end_fenced_term(order.worker_id)
         elif answer.outcome is worker_calls.StartOutcome.STARTED:
             workers.record_stop_confirmed(self._state, order.task, order.number, now_s)
 
