Send the first polls of a term in groups, and skip passes for reports without a change

Each report without a change also caused a pass over all workers and a look for rows to write.

Change: 64 first polls at a time with 20 ms between, workers with recorded runs first; a report that changes nothing requests a pass only 50 ms after the last one.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -3,6 +3,7 @@
 All functions and callbacks run on the event thread.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -22,6 +23,10 @@
 """The same for a worker without runs, which has no leases to renew. Its report must not become too
 old for new work in between."""
 REPORT_RETRY_S = 0.3
+FIRST_POLLS = 64
+"""Number of workers whose first polls are sent at once when a term begins. All of thousands would
+keep the event thread busy for longer than the term's heartbeat may be overdue."""
+FIRST_POLLS_PAUSE_S = 0.02
 MAX_REPORT_AGE_S = 2.5
 """Age of a worker's last report from which its lease is no longer renewed. Calls whose answers
 are lost may still reach the worker, and would keep alive runs that the scheduler cannot see."""
@@ -37,7 +42,7 @@
 
     Attributes:
         execute: Executes commands.
-        request_pass: Requests a scheduling pass.
+        request_pass: Requests a scheduling pass; False says that nothing has changed.
         end_term: Ends the term for the reason given.
         call_later: Runs a function after a delay in seconds, unless the term has ended.
         is_stopped: Returns whether the term has ended.
@@ -45,7 +50,7 @@
     """
 
     execute: Callable[[list[commands.Command]], None]
-    request_pass: Callable[[], None]
+    request_pass: Callable[[bool], None]
     end_term: Callable[[str], None]
     call_later: Callable[[float, Callable[[], None]], None]
     is_stopped: Callable[[], bool]
@@ -81,11 +86,17 @@
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
 
     def poll_new_workers(self) -> None:
-        """Starts polling the workers that are not polled yet."""
-        for worker_id in list(self._state.workers):
-            if worker_id not in self._polled:
-                self._polled.add(worker_id)
-                self._poll(worker_id, 0.0)
+        """Starts polling the workers that are not polled yet, those with recorded runs first."""
+        new_workers = [w for w in self._state.workers.values() if w.worker_id not in self._polled]
+        new_workers.sort(key=lambda worker: not worker.runs)
+        self._polled.update(worker.worker_id for worker in new_workers)
+        self._send_first_polls(collections.deque(worker.worker_id for worker in new_workers))
+
+    def _send_first_polls(self, worker_ids: collections.deque[str]) -> None:
+        for _ in range(min(FIRST_POLLS, len(worker_ids))):
+            self._poll(worker_ids.popleft(), 0.0)
+        if worker_ids:
+            self._hooks.call_later(FIRST_POLLS_PAUSE_S, lambda: self._send_first_polls(worker_ids))
 
     def resume_polls(self) -> None:
         """Resumes polling the workers whose reported ends have all been stored."""
@@ -144,13 +155,15 @@
             self._handle_report_error(worker_id, error)
             return
         was_confirmed = worker is not None and worker.confirmed
+        report = outcome.unwrap()
         try:
-            self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
+            command_list = workers.apply_report(self._state, report)
+            self._hooks.execute(command_list)
         except Exception as error:
             # A report that cannot be applied must not end the polling of its worker.
             self._handle_report_error(worker_id, error)
             return
-        self._hooks.request_pass()
+        self._hooks.request_pass(bool(command_list or report.ended))
         if worker is None or not was_confirmed:
             self._poll(worker_id, 0.0)
             return
@@ -195,7 +208,7 @@
                 self._hooks.execute(
                     runs.end_run(self._state, run, runs.End.INTERRUPTED, "worker_replaced", now_s)
                 )
-        self._hooks.request_pass()
+        self._hooks.request_pass(True)
 
     def _find_run(self, order: commands.StartRun | commands.StopRun) -> state.Run | None:
         step = runs.find_step(self._state, order.task)
@@ -231,7 +244,7 @@
         if run is not None:
             now_s = self._now_s()
             self._hooks.execute(runs.handle_refused_start(self._state, run, reason, now_s))
-            self._hooks.request_pass()
+            self._hooks.request_pass(True)
 
     def _handle_start_result(
         self, order: commands.StartRun, answer: worker_calls.OrderResult
--- a/lycheegate/node/passes.py
+++ b/lycheegate/node/passes.py
@@ -11,6 +11,9 @@
 """Delay that batches events which arrive close together."""
 MAX_PASS_DELAY_S = 0.06
 """Limit of the delay, well below the objective of urgent jobs."""
+IDLE_PASS_INTERVAL_S = 0.05
+"""Shortest time between passes for reports without a change, of which thousands of workers send
+more than a thousand a second."""
 IDLE_RATIO = 2.0
 """Time between two passes as a multiple of the duration of a pass."""
 
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -96,6 +96,7 @@
         self._writing = False
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
+        self._passed_at_s = 0.0
         self._renewed_at_s = claimed_at_s
         self._renewal_sent_at_s = 0.0
         self._write_not_before_s = 0.0
@@ -304,7 +305,10 @@
 
         self._runtime.call_later(delay_s, run)
 
-    def _request_pass(self) -> None:
+    def _request_pass(self, has_changed: bool = True) -> None:
+        age_s = self._runtime.now_s() - self._passed_at_s
+        if not has_changed and not self._state.schedule_due and age_s < passes.IDLE_PASS_INTERVAL_S:
+            return
         if not self._pass_due and self._loaded:
             self._pass_due = True
             self._call_later(self._pass_delay_s, self._run_pass)
@@ -312,6 +316,7 @@
     def _run_pass(self) -> None:
         self._pass_due = False
         now_s, wall_s = self._runtime.now_s(), self._runtime.wall_s()
+        self._passed_at_s = now_s
         self._execute(lifecycle.advance_jobs(self._state, now_s, wall_s))
         self._execute(evacuation.evacuate(self._state, now_s))
         if self._state.schedule_due and not self._releasing:
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -40,6 +40,7 @@
         self.renewed_at_s = 1.0
         self.later = []
         self.end_reasons = []
+        self.requested_passes = []
         self.client = _Client()
         self.current = state.SchedulerState(1, state.Policy(), 0.0)
         self.current.workers["w0"] = state.WorkerState(
@@ -54,7 +55,7 @@
             jsonlog.JsonLog("a", lambda: self.now_s, len),
             exchange.TermHooks(
                 lambda command_list: None,
-                lambda: None,
+                self.requested_passes.append,
                 self.end_reasons.append,
                 lambda delay_s, function: self.later.append(function),
                 lambda: False,
@@ -189,3 +190,40 @@
     term.client.reports[-1][-1](result.Success(report))
     term.run_later()
     assert len(term.client.reports) == 2
+
+
+def test_first_polls_are_spread():
+    """Guards against a new scheduler that loses its term while it polls thousands of workers.
+
+    Load pattern: a VM takes over 3,000 workers. Their first polls take seconds of processor time on
+    the thread that also renews the term, and each successor would fail in the same way.
+    """
+    term = _Term()
+    for number in range(3_000):
+        term.current.workers[f"x{number}"] = state.WorkerState(
+            f"x{number}", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY
+        )
+    order = term.place()
+    term.exchange.poll_new_workers()
+    rounds = [len(term.client.reports)]
+    assert term.client.reports[0][1] == order.worker_id
+    while term.later:
+        term.run_later()
+        rounds.append(len(term.client.reports) - sum(rounds))
+    assert max(rounds) <= 100
+    assert sum(rounds) == 3_001
+    term.exchange.poll_new_workers()
+    assert len(term.client.reports) == 3_001
+
+
+@pytest.mark.parametrize("ends", [0, 1])
+def test_report_without_change_requests_no_immediate_pass(ends):
+    """Guards against passes after each of a thousand reports a second in which nothing changed."""
+    term = _Term()
+    term.exchange.poll_new_workers()
+    ended = tuple(
+        workers.EndedRun(n + 1, None, 1, exchange.runs.End.DONE, "done", "") for n in range(ends)
+    )
+    report = workers.Report("w0", 1_000, 0, (), ended, term.now_s, term.now_s)
+    term.client.reports[-1][-1](result.Success(report))
+    assert term.requested_passes == [bool(ends)]
