Place no gangs and no last attempts on workers suspected of failing all that they start

From the logs: about 27 workers fail each run within 50 ms. A worker is quarantined only after failures of two jobs, so first and second attempts go to workers that have just failed others, and a task is retried on the worker where it failed if no other has room (job, twice on i-0b2dcb2b7f).

Change: an early failure (0.5 s) makes a worker suspected for 10 s or until a run succeeds there. Suspected workers, those with stalled runs and those where the step has failed get gangs and last attempts only if the other workers could never hold them; other work prefers any other worker, as for stalled ones before.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -1,9 +1,10 @@
-"""Health of workers: quarantine after failures, and detection of stalled runs.
+"""Health of workers: suspicion and quarantine after failures, and detection of stalled runs.
 
 Handles two kinds of faulty workers. Some fail every task at once; their room is always free, so
-most of the queue would be placed on them and fail, and they are quarantined for a while. On
-others, runs make no progress although reports arrive; they get new work only if no other worker
-has room.
+most of the queue would be placed on them and fail. They are suspected from the first early failure,
+and quarantined for a while after failures of several jobs. On others, runs make no progress
+although reports arrive. Both kinds get new work only if no other worker has room; gangs and last
+attempts are not placed on them at all (``placement.list_sound``).
 """
 
 from lycheegate.jobs import estimates, state
@@ -12,9 +13,11 @@
     "MIN_FAILURES",
     "is_quarantined",
     "is_stalled",
+    "is_suspected",
     "list_stalled",
     "record_failure",
     "record_success",
+    "suspect",
 ]
 
 MIN_FAILURES = 2
@@ -29,6 +32,33 @@
 more than the placement."""
 BASE_QUARANTINE_S = 3.0
 MAX_QUARANTINE_S = 20.0
+SUSPICION_S = 10.0
+"""How long a worker stays suspected after a failed run if nothing succeeds on it. It has to end,
+because a suspected worker may get no work that could prove it sound."""
+EARLY_FAILURE_S = 0.5
+"""Age up to which the failure of a run makes its worker suspected. A faulty worker fails a run soon
+after its start, whereas a faulty task may fail at any time."""
+MAX_SUSPECTS_PER_STEP = 3
+"""Number of workers that become suspected because of one step. If it fails on more, the step itself
+is the likely cause."""
+
+
+def suspect(
+    current: state.SchedulerState, run: state.Run, other_workers: int, now_s: float
+) -> None:
+    """Suspects the worker of a failed run, if the worker is a likely cause of the failure.
+
+    Args:
+        current: State of the scheduler.
+        run: The run.
+        other_workers: Number of other workers on which its step has failed.
+        now_s: Time on the scheduler's clock.
+    """
+    worker = current.workers.get(run.worker_id)
+    if worker is None or other_workers >= MAX_SUSPECTS_PER_STEP:
+        return
+    if run.running_since_s is None or now_s - run.running_since_s < EARLY_FAILURE_S:
+        worker.suspected_until_s = now_s + SUSPICION_S
 
 
 def record_failure(
@@ -53,12 +83,18 @@
 
 
 def record_success(current: state.SchedulerState, worker_id: str) -> None:
-    """Clears a worker's failures and ends its quarantine."""
+    """Clears a worker's failures and ends its suspicion and quarantine."""
     worker = current.workers.get(worker_id)
     if worker is not None:
         worker.failures.clear()
         worker.quarantines = 0
         worker.quarantined_until_s = 0.0
+        worker.suspected_until_s = 0.0
+
+
+def is_suspected(worker: state.WorkerState, now_s: float) -> bool:
+    """Returns whether a run has failed early on a worker, and none has succeeded there since."""
+    return now_s < worker.suspected_until_s
 
 
 def is_quarantined(worker: state.WorkerState, now_s: float) -> bool:
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -14,6 +14,7 @@
     "count_fitting",
     "exceeds_every_rack",
     "group_by_rack",
+    "list_sound",
     "place_gang",
     "place_task",
 ]
@@ -29,8 +30,8 @@
         room: Its free resources.
         capacity: Its total resources.
         limit: Maximum number of further tasks of the step that it may run.
-        is_avoided: Whether it is chosen only if no other worker has room, because a task of the
-            step has failed there or some run on it has stalled.
+        is_avoided: Whether it is chosen only if no other worker has room, because a task has
+            failed there or some run on it has stalled.
     """
 
     worker_id: str
@@ -64,6 +65,25 @@
     return racks
 
 
+def list_sound(count: int, need: model.Resources, candidates: list[Candidate]) -> list[Candidate]:
+    """Returns the candidates that are not avoided, or all if these could never hold the tasks.
+
+    Handles workers that fail all that they start, beside jobs with few attempts: one member on such
+    a worker fails the whole gang, and a task that fails on its last attempt fails its job. Such
+    work rather waits for room on other workers.
+
+    Args:
+        count: Number of tasks.
+        need: Resources of one task.
+        candidates: Workers to choose from.
+    """
+    sound = [candidate for candidate in candidates if not candidate.is_avoided]
+    if len(sound) == len(candidates):
+        return candidates
+    capacity = sum(count_fitting(need, c.capacity, c.limit) for c in sound)
+    return sound if capacity >= count else candidates
+
+
 def exceeds_every_rack(count: int, need: model.Resources, candidates: list[Candidate]) -> bool:
     """Returns whether a gang would not fit in any rack even if the rack were empty."""
     return not any(
@@ -115,14 +135,10 @@
         near_rack: Rack that holds the data of the gang, or an empty string.
         may_span: Whether a ``same_rack`` gang may span racks if no rack has room.
     """
-    preferred = [c for c in candidates if not c.is_avoided]
-    for eligible in (preferred, candidates):
-        placement = _place_in_one_rack(count, need, eligible, near_rack)
-        if placement is None and (not same_rack or may_span):
-            placement = _assign_in_order(count, need, sorted(eligible, key=_rank_fullness))
-        if placement is not None:
-            return placement
-    return None
+    placement = _place_in_one_rack(count, need, candidates, near_rack)
+    if placement is None and (not same_rack or may_span):
+        placement = _assign_in_order(count, need, sorted(candidates, key=_rank_fullness))
+    return placement
 
 
 def _place_in_one_rack(
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -57,7 +57,7 @@
                 worker.room,
                 worker.capacity,
                 NO_LIMIT,
-                worker.worker_id in stalled,
+                worker.worker_id in stalled or health.is_suspected(worker, now_s),
             )
             self._by_worker[worker.worker_id] = candidate
             self._by_service.setdefault(worker.service, []).append(candidate)
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -61,7 +61,7 @@
     """Stops less urgent runs so that an urgent unit fits, and reserves their room for it."""
     if not _is_view_complete(context.current, context.now_s):
         return
-    candidates = context.workers.list_candidates(unit.service, unit.step)
+    candidates = units.list_candidates(context, unit)
     if not candidates:
         return
     found = _choose_victims(context, unit, candidates)
@@ -253,7 +253,7 @@
 def plan_reservation(context: units.PassContext, unit: units.Unit) -> None:
     """Reserves room for a blocked gang where running tasks are expected to end first."""
     step = unit.step.step
-    candidates = context.workers.list_candidates(unit.service, unit.step)
+    candidates = units.list_candidates(context, unit)
     if context.ending_units is None:
         context.ending_units = _list_ending_units(context)
     spans = not step.same_rack or placement.exceeds_every_rack(
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -162,6 +162,7 @@
         return result
     if end is End.FAILED:
         health.record_failure(current, run.worker_id, run.task.job_id, now_s)
+        health.suspect(current, run, len(step.avoided_workers - {run.worker_id}), now_s)
         result += _record_failure(current, job, step, run, now_s)
     if step.step.gang and not step.is_done:
         result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -262,7 +262,7 @@
     step = unit.step.step
     if not has_reservation and context.workers.is_full(unit.service, step):
         return None
-    candidates = context.workers.list_candidates(unit.service, unit.step)
+    candidates = units.list_candidates(context, unit)
     if step.gang:
         return placement.place_gang(
             len(unit.indices),
@@ -276,7 +276,7 @@
     only_near = bool(step.near_rack) and waited_s < MAX_LOCALITY_WAIT_RATIO * step.estimate_s
     only_near = only_near and any(c.rack == step.near_rack for c in candidates)
     worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
-    if worker_id is None and not only_near:
+    if worker_id is None and not only_near and not units.is_last_attempt(context, unit):
         context.workers.mark_full(unit.service, step)
     return [worker_id] if worker_id else None
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -265,6 +265,7 @@
         failures: Jobs of its failed runs since its last success or quarantine.
         quarantined_until_s: When its quarantine after failures ends.
         quarantines: Number of consecutive quarantines; the duration doubles with each.
+        suspected_until_s: Time until which it is suspected to fail what it runs.
         unreachable_until_s: Time until which it gets no work because orders were not answered.
     """
 
@@ -299,6 +300,7 @@
     failures: list[str] = dataclasses.field(default_factory=list)
     quarantined_until_s: float = 0.0
     quarantines: int = 0
+    suspected_until_s: float = 0.0
     unreachable_until_s: float = 0.0
 
 
--- a/lycheegate/jobs/tests/test_health.py
+++ b/lycheegate/jobs/tests/test_health.py
@@ -75,3 +75,22 @@
     assert ends[-1] - 10.0 == health.MAX_QUARANTINE_S
     health.record_success(current, "w")
     assert not health.is_quarantined(worker, 10.1)
+
+
+@pytest.mark.parametrize(
+    ("running_since_s", "other_workers", "expected"),
+    [(9.9, 0, True), (None, 0, True), (9.4, 0, False), (9.9, 2, True), (9.9, 3, False)],
+    ids=["early", "unconfirmed", "late", "third_worker", "fourth_worker"],
+)
+def test_early_failure_makes_a_worker_suspected(running_since_s, other_workers, expected):
+    """Guards against work on workers that fail it at once, and workers blamed for bad jobs."""
+    worker = _make_worker()
+    current = _make_state(worker)
+    _add_run(worker, 0, 9.0, 9.0)
+    (run,) = worker.runs.values()
+    run.running_since_s = running_since_s
+    health.suspect(current, run, other_workers, 10.0)
+    assert health.is_suspected(worker, 10.1) is expected
+    assert not health.is_suspected(worker, 10.0 + health.SUSPICION_S)
+    health.record_success(current, "w")
+    assert not health.is_suspected(worker, 10.1)
--- a/lycheegate/jobs/tests/test_job_placement.py
+++ b/lycheegate/jobs/tests/test_job_placement.py
@@ -49,6 +49,27 @@
     assert placement.place_task(_make_need(1), candidates[:1], "", False) == "a"
 
 
+@pytest.mark.parametrize(
+    ("rooms", "avoided", "count", "expected"),
+    [
+        ({"a": 8, "b": 8}, "", 2, "ab"),
+        ({"a": 8, "b": 8}, "a", 1, "b"),
+        # Full workers still count: such work waits for their room.
+        ({"a": 8, "b": 0, "c": 0}, "a", 2, "bc"),
+        ({"a": 8, "b": 8}, "a", 2, "ab"),
+        ({"a": 8}, "a", 1, "a"),
+    ],
+    ids=["none", "one", "sound_ones_are_full", "too_few", "all"],
+)
+def test_sound_workers_are_preferred_unless_they_never_suffice(rooms, avoided, count, expected):
+    """Guards against gangs on faulty workers, and against gangs that could never be placed."""
+    candidates = [
+        _make_candidate(name, room, is_avoided=name in avoided) for name, room in rooms.items()
+    ]
+    sound = placement.list_sound(count, _make_need(8), candidates)
+    assert "".join(candidate.worker_id for candidate in sound) == expected
+
+
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(
     st.lists(st.tuples(st.integers(0, 8), st.integers(0, 2)), min_size=1, max_size=6),
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, headroom, ordering, pool, preemption, state
+from lycheegate.jobs import commands, headroom, ordering, placement, pool, preemption, state
 
-__all__ = ["GANG_INDEX", "PassContext", "Unit"]
+__all__ = ["GANG_INDEX", "PassContext", "Unit", "is_last_attempt", "list_candidates"]
 
 GANG_INDEX = -1
 """Stands for all tasks of a gang in keys of reservations and victims."""
@@ -62,3 +62,17 @@
     ending_units: list[preemption.VictimUnit] | None = None
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_reservations: int = 0
+
+
+def is_last_attempt(context: PassContext, unit: Unit) -> bool:
+    """Returns whether one more failure of a unit's tasks fails its job."""
+    failures = max(unit.step.failures.get(index, 0) for index in unit.indices)
+    return failures + 1 >= state.get_route(context.current, unit.job).max_attempts
+
+
+def list_candidates(context: PassContext, unit: Unit) -> list[placement.Candidate]:
+    """Returns the workers on which a unit may be placed, in this pass or once room is free."""
+    candidates = context.workers.list_candidates(unit.service, unit.step)
+    if unit.step.step.gang or is_last_attempt(context, unit):
+        return placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
+    return candidates
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -18,6 +18,8 @@
 
 WORKER_DELAY_S = 0.002
 STOP_S = 0.2
+FAILURE_S = 0.05
+"""Duration of a run on a faulty worker."""
 MAX_LEASE_S = 6.0
 
 
@@ -87,6 +89,7 @@
                 self._end(run, runs.End.INTERRUPTED, "lapsed")
             elif run.work_left_s <= 0.0:
                 failed = self.fleet.generator.random() < self.fleet.failure_share
+                failed = failed or self.worker_id in self.fleet.faulty
                 self._end(run, runs.End.FAILED if failed else runs.End.DONE, "ended")
 
     def _end(self, run: LiveRun, end: runs.End, reason: str) -> None:
@@ -122,6 +125,8 @@
         self.highest_run_numbers[order.task] = order.number
         self.fleet.check_start(order, self)
         need, work_s = self.fleet.get_work(order.task)
+        if self.worker_id in self.fleet.faulty:
+            work_s = FAILURE_S
         self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
         used = sum((r.need for r in self.live.values()), model.Resources())
         if not used.fits(self.capacity):
@@ -162,6 +167,8 @@
         self.started_at_s: dict[model.TaskKey, float] = {}
         self.violations: list[str] = []
         self.failure_share = 0.0
+        self.faulty: set[str] = set()
+        """Workers that fail all that they start."""
         self.unreachable: set[str] = set()
         """Workers that receive no calls."""
         self.refusing: set[str] = set()
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """The scheduler with fakes of the store and the workers, under faults."""
 
+import dataclasses
+
 import pytest
 
 from lycheegate.jobs import model, progress, state
@@ -418,6 +420,31 @@
         assert world.read_status(job_id).outcome is not None, job_id
 
 
+@pytest.mark.parametrize(
+    ("members", "faulty"),
+    [(1, {"w0"}), (2, {"w0", "w7"}), (4, {"w0", "w7"})],
+    ids=["one_member", "two_members", "four_members"],
+)
+def test_gangs_succeed_beside_faulty_workers(members, faulty):
+    """Guards against jobs that fail because their attempts go to the same few faulty workers.
+
+    Load pattern: some workers fail all that they start within 50 ms, so their room is always free,
+    while gangs with two attempts arrive faster than they can all run at once.
+    """
+    world = simulation.World(1, worker_count=12)
+    world.fleet.faulty = faulty
+    world.fleet.work_s = 3.0
+    route = dataclasses.replace(world.route, max_attempts=2)
+    world.configuration = simulation.make_configuration(route, world.urgent)
+    world.claim_term("a")
+    for number in range(40):
+        gang = _make_step(members, model.Resources(16_000, 32_000, 8), gang=True)
+        world.submit(simulation.make_job(f"{number:016x}", gang), route)
+        world.run(0.1)
+    world.run(60.0)
+    _assert_all_succeed(world)
+
+
 def test_holder_reports_only_stored_status():
     """Guards against reporting an outcome to callers that the next holder does not know."""
     world = simulation.World(1)
