Choose victims for all tasks of an urgent job together, and spread preemption over the jobs

Cause: each task of an urgent gang took the cheapest victims of its own worker. Victims stayed chosen when the room of a later one made them unnecessary, and a gang that makes room for several tasks was compared at its whole cost with victims for one task.

Change: victims are chosen twice, by cost and by cost for each task that they make room for; unnecessary ones are left out, and the cheaper result is used. A unit costs a multiple of its loss if it was interrupted before.

The cases of test_victims_are_chosen_for_all_tasks_together that need it fail before.

--- a/lycheegate/jobs/preemption.py
+++ b/lycheegate/jobs/preemption.py
@@ -26,12 +26,14 @@
             of work that are lost.
         room_by_worker: Resources that stopping it frees, by worker.
         remaining_s: Time until it ends by itself, or None if that is not known.
+        lost_core_s: Work that is lost with it, for the log.
     """
 
     key: tuple
     cost: float
     room_by_worker: dict[str, model.Resources]
     remaining_s: float | None = None
+    lost_core_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +63,10 @@
 ) -> Preemption | None:
     """Returns a low-cost preemption that makes room for all tasks, or None if there is none.
 
-    Tasks are placed one at a time, each on the worker where its victims cost least.
+    Tasks are placed one at a time, each on the worker where its victims cost least. This is done
+    twice: with the cost of each unit, and with its cost for each task that it makes room for, which
+    favors gangs that make room for several. Units that turn out to be unnecessary are then left
+    out, and the cheaper result is returned.
 
     Args:
         count: Number of tasks.
@@ -131,6 +136,29 @@
 
     The victims are in order of their cost.
     """
+    best = _choose_units_for_all(count, need, candidates, victims)
+    if best is None or len(best.victims) < 2:
+        return best
+    shared = [_price_per_task(count, need, victim) for victim in victims]
+    shared.sort(key=lambda item: (item.cost, item.unit.key))
+    found = _choose_units_for_all(count, need, candidates, shared)
+    return found if found is not None and found.cost < best.cost else best
+
+
+def _price_per_task(count: int, need: model.Resources, victim: _PricedUnit) -> _PricedUnit:
+    """Returns a unit with its cost for each of the tasks that it makes room for."""
+    rooms = victim.unit.room_by_worker.values()
+    tasks = min(count, sum(placement.count_fitting(need, room, count) for room in rooms))
+    return dataclasses.replace(victim, cost=victim.cost / max(1, tasks))
+
+
+def _choose_units_for_all(
+    count: int,
+    need: model.Resources,
+    candidates: list[placement.Candidate],
+    victims: list[_PricedUnit],
+) -> Preemption | None:
+    """Returns a preemption that uses the cheapest units for one task after the other, or None."""
     plan = _TentativePlan({c.worker_id: c.room for c in candidates}, {})
     plan.limits = {c.worker_id: c.limit for c in candidates}
     units_by_worker: dict[str, list[_PricedUnit]] = {c.worker_id: [] for c in candidates}
@@ -138,8 +166,7 @@
         for worker_id in victim.unit.room_by_worker:
             if worker_id in units_by_worker:
                 units_by_worker[worker_id].append(victim)
-    placed: list[str] = []
-    while len(placed) < count:
+    for _ in range(count):
         choice = _find_cheapest_worker(need, candidates, units_by_worker, plan)
         if choice is None:
             return None
@@ -148,12 +175,59 @@
             _add_victim(victim, plan)
         plan.rooms[worker_id] = plan.rooms[worker_id] - need
         plan.limits[worker_id] -= 1
-        placed.append(worker_id)
+    return _trim(count, need, candidates, list(plan.chosen.values()))
+
+
+def _trim(
+    count: int,
+    need: model.Resources,
+    candidates: list[placement.Candidate],
+    chosen: list[_PricedUnit],
+) -> Preemption:
+    """Places the tasks with as few of the chosen units as they need, the costly ones left first.
+
+    The room that later units free may make earlier ones unnecessary.
+    """
+    plan = _TentativePlan({c.worker_id: c.room for c in candidates}, {})
+    plan.limits = {c.worker_id: c.limit for c in candidates}
+    for victim in chosen:
+        _add_victim(victim, plan)
+    fitting = {
+        worker_id: placement.count_fitting(need, room, plan.limits[worker_id])
+        for worker_id, room in plan.rooms.items()
+    }
+    spare = sum(fitting.values()) - count
+    for victim in sorted(chosen, key=lambda item: (-item.unit.cost, item.unit.key)):
+        rooms = {
+            worker_id: plan.rooms[worker_id] - freed
+            for worker_id, freed in victim.unit.room_by_worker.items()
+            if worker_id in plan.rooms
+        }
+        without = {
+            worker_id: placement.count_fitting(need, room, plan.limits[worker_id])
+            for worker_id, room in rooms.items()
+        }
+        reduction = sum(fitting[worker_id] - number for worker_id, number in without.items())
+        if reduction <= spare:
+            spare -= reduction
+            plan.rooms.update(rooms)
+            fitting.update(without)
+            del plan.chosen[victim.unit.key]
+    placed = _assign(count, fitting, plan)
     stopped = [victim.unit for victim in plan.chosen.values() if not victim.is_awaited]
     awaited = [victim.unit for victim in plan.chosen.values() if victim.is_awaited]
     return Preemption(placed, stopped, sum(unit.cost for unit in stopped), awaited)
 
 
+def _assign(count: int, fitting: dict[str, int], plan: _TentativePlan) -> list[str]:
+    """Returns a worker for each task, workers on which units are stopped or awaited first."""
+    freed = {w for victim in plan.chosen.values() for w in victim.unit.room_by_worker}
+    placed: list[str] = []
+    for worker_id in sorted(fitting, key=lambda worker_id: worker_id not in freed):
+        placed += [worker_id] * min(fitting[worker_id], count - len(placed))
+    return placed
+
+
 def _find_cheapest_worker(
     need: model.Resources,
     candidates: list[placement.Candidate],
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -77,7 +77,7 @@
         "victims": [":".join(map(str, victim.key)) for victim in found.victims],
         "awaited": len(found.awaited),
         "awaited_s": round(awaited_s, 3),
-        "lost_core_s": round(found.cost, 1),
+        "lost_core_s": round(sum(victim.lost_core_s for victim in found.victims), 1),
         "level": unit.rank.level,
     }
     context.result.append(commands.Decision("preempted", fields))
@@ -194,11 +194,13 @@
 def _make_victim(
     context: units.PassContext, job: state.JobState, step: state.StepState, group: list[state.Run]
 ) -> preemption.VictimUnit:
+    loss = _estimate_loss(context, step, group)
     return preemption.VictimUnit(
         _make_victim_key(job, step, group),
-        _estimate_loss(context, step, group),
+        loss * (1 + _count_interruptions(step, group)),
         _sum_room(group),
         _predict_end_s(group, context.now_s),
+        loss,
     )
 
 
@@ -241,6 +243,22 @@
     return lost_s * ordering.compute_usage(step.step.need)
 
 
+def _count_interruptions(step: state.StepState, group: list[state.Run]) -> int:
+    """Returns how often runs of a group of tasks have ended before without a result.
+
+    A unit that was stopped before costs a multiple of its loss, so that preemption is spread over
+    the jobs and none is stopped again and again.
+    """
+    return max(
+        run.number - 1 - step.failures.get(_get_failure_index(step, run), 0) for run in group
+    )
+
+
+def _get_failure_index(step: state.StepState, run: state.Run) -> int:
+    """Returns the index under which failures of a run are counted."""
+    return 0 if step.step.gang else run.task.index
+
+
 def _stop_victim(context: units.PassContext, key: tuple) -> list[commands.Command]:
     job_id, occurrence, number, index = key
     step = context.current.jobs[job_id].steps[occurrence, number]
--- a/lycheegate/jobs/tests/test_job_placement.py
+++ b/lycheegate/jobs/tests/test_job_placement.py
@@ -141,6 +141,71 @@
         assert len(found.placement) == count
 
 
+@pytest.mark.parametrize(
+    ("units", "count", "need", "stopped"),
+    [
+        # The large unit is needed for the task, which makes the two small ones unnecessary.
+        ([("a", 1, {0: 1}), ("b", 2, {0: 1}), ("c", 9, {0: 6})], 1, 6, "c"),
+        # One gang makes room for three tasks, although each task alone is cheaper elsewhere.
+        (
+            [("a", 5, {0: 8}), ("b", 5, {1: 8}), ("c", 5, {2: 8}), ("g", 9, {3: 8, 4: 8, 5: 8})],
+            3,
+            8,
+            "g",
+        ),
+        ([("a", 5, {0: 8}), ("g", 9, {3: 8, 4: 8, 5: 8})], 1, 8, "a"),
+        ([("a", 2, {0: 8}), ("g", 9, {3: 8, 4: 8, 5: 8})], 4, 8, "ag"),
+    ],
+    ids=["unnecessary_units", "gang_for_several_tasks", "gang_for_one_task", "both"],
+)
+def test_victims_are_chosen_for_all_tasks_together(units, count, need, stopped):
+    """Guards against work that is lost in vain because each task gets victims of its own.
+
+    Load pattern: urgent gangs arrive while the workers are full of batch tasks and batch gangs.
+    """
+    candidates = [_make_candidate(f"w{number}", 0) for number in range(6)]
+    victims = [
+        preemption.VictimUnit(
+            (name,), cost, {f"w{w}": _make_need(size) for w, size in room.items()}
+        )
+        for name, cost, room in units
+    ]
+    found = preemption.choose_victims(
+        count, model.Resources(0, 0, need), candidates, victims, False
+    )
+    assert "".join(sorted(victim.key[0] for victim in found.victims)) == stopped
+    assert len(found.placement) == count
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sets(st.integers(0, 3), min_size=1, max_size=3),
+            st.integers(1, 4),
+            st.integers(1, 20),
+        ),
+        max_size=6,
+    ),
+    st.integers(1, 3),
+    st.sampled_from([2, 4, 8]),
+)
+def test_no_victim_is_unnecessary(units, count, need):
+    """Guards against a victim without which the urgent tasks fit as well."""
+    candidates = [_make_candidate(f"w{number}", 0) for number in range(4)]
+    victims = [
+        preemption.VictimUnit((number,), float(cost), {f"w{w}": _make_need(size) for w in on})
+        for number, (on, size, cost) in enumerate(units)
+    ]
+    found = preemption.choose_victims(
+        count, model.Resources(0, 0, need), candidates, victims, False
+    )
+    if found is None:
+        return
+    rooms = {c.worker_id: 0 for c in candidates}
+    assert _search_cheapest(count, need, rooms, found.victims) == found.cost
+
+
 def test_cost_of_a_gang_counts_once():
     """Guards against a gang whose cost is counted once for each of its members."""
     gang = preemption.VictimUnit(("g",), 10.0, {"w0": _make_need(4), "w1": _make_need(4)})
--- a/lycheegate/jobs/tests/test_reclaiming.py
+++ b/lycheegate/jobs/tests/test_reclaiming.py
@@ -150,6 +150,25 @@
     assert found_s == pytest.approx(expected_s)
 
 
+@pytest.mark.parametrize(
+    ("number", "failures", "stopped"),
+    [(1, 0, {0}), (2, 0, {1}), (2, 1, {0}), (3, 1, {1})],
+    ids=["first_run", "stopped_before", "failed_before", "stopped_and_failed_before"],
+)
+def test_preemption_is_spread_over_the_jobs(number, failures, stopped):
+    """Guards against work that is stopped again and again while other work never is.
+
+    Load pattern: urgent jobs arrive for many seconds while the workers are full of batch work, and
+    some of that is always cheaper to stop than the rest.
+    """
+    current = _make_state([[50], [50]])
+    step = current.jobs[_BATCH_JOB].steps[0, 0]
+    step.runs[0].number = number
+    step.failures[0] = failures
+    urgent = model.Step(1, model.Resources(4_000, 1_000, 4), 3.0)
+    assert _list_stopped(_add_job(current, _URGENT_JOB, "urgent", urgent, 11.0)) == stopped
+
+
 def test_awaited_units_cost_less_than_any_stop():
     """Guards against a unit that is stopped beside others that end by themselves in time."""
     generator = random.Random(3)
