--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -8,7 +8,6 @@
 import time
 
 import werkzeug
-from returns import result
 
 from lycheegate.clients import http
 from lycheegate.entry import server
@@ -18,6 +17,7 @@
     callers,
     feeds,
     holder,
+    members,
     peer_calls,
     relay,
     scheduler,
@@ -37,14 +37,12 @@
 
 CLAIM_CHECK_S = 0.15
 CLAIM_TIMEOUT_S = 1.0
-ANNOUNCE_RETRY_S = 1.0
 CALLER_THREADS = 24
 READINESS_THREADS = 2
 PEER_THREADS = 16
 CONNECTIONS_PER_ORIGIN = 32
 """A VM that relays store calls has the feeds of several peers open in addition to its own."""
 CONNECT_TIMEOUT_S = 0.8
-MEMBERS_WAIT_S = 3.0
 METRICS_PATH = "/metrics"
 KEY_REVOCATION_MARGIN_S = 1.5
 """Part of the time limit for rejecting revoked keys that allows for late answers of feeds."""
@@ -79,11 +77,21 @@
                 connections_per_origin=CONNECTIONS_PER_ORIGIN, connect_timeout_s=CONNECT_TIMEOUT_S
             )
         )
-        self._peers: dict[str, str] = {}
         self._feeds: list[feeds.TableFeed] = []
         direct = stores.PlatformStore(self._client, settings.store_address)
         self._store = relay.FallbackStore(
-            direct, self._client, self._list_peers, read_boottime_s, self._handle_reachability
+            direct,
+            self._client,
+            lambda: self._members.list_peers(),
+            read_boottime_s,
+            self._handle_reachability,
+        )
+        self._members = members.MemberDirectory(
+            self._store,
+            self._client.call_later,
+            settings.node_name,
+            "{}:{}".format(*settings.peer_address),
+            self._make_error_logger(tables.MEMBERS),
         )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
         self._view = callers.NodeView()
@@ -93,7 +101,7 @@
             self._client,
             settings.node_name,
             self._view.term,
-            self._peers.get,
+            self._members.find_address,
             self._holds_term,
             read_boottime_s,
             log,
@@ -101,9 +109,7 @@
         self._scheduler: scheduler.Scheduler | None = None
         self._claiming = False
         self._stopped = threading.Event()
-        self._claim_jitter_s = terms.compute_jitter_s(
-            settings.processor_cores, self._random.random()
-        )
+        self._claim_draw = self._random.random()
         application = callers.CallerApplication(
             self._store,
             self._view,
@@ -180,40 +186,12 @@
                 on_answer=self._locate_answer,
                 now_s=read_boottime_s,
             ),
-            feeds.TableFeed(
-                self._store,
-                self._client.call_later,
-                tables.MEMBERS,
-                (tables.PART,),
-                self._apply_member_rows,
-                self._make_error_logger(tables.MEMBERS),
-                wait_s=MEMBERS_WAIT_S,
-            ),
+            self._members.feed,
         ]
         for feed in self._feeds:
             feed.start()
-        self._announce_address()
         self._check_claim_periodically()
 
-    def _announce_address(self) -> None:
-        """Writes the address at which peers reach this VM."""
-        address = "{}:{}".format(*self._settings.peer_address)
-        key = storage.RowKey(tables.MEMBERS, tables.PART, self._settings.node_name)
-        transaction = storage.Transaction(writes=(storage.Write(key, address.encode()),))
-
-        def retry_failed(outcome: storage.StoreResult) -> None:
-            if not isinstance(outcome, result.Success):
-                self._client.call_later(ANNOUNCE_RETRY_S, self._announce_address)
-
-        self._store.transact(transaction, CLAIM_TIMEOUT_S, retry_failed)
-
-    def _apply_member_rows(
-        self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int
-    ) -> None:
-        for row in rows:
-            if row.key.key != self._settings.node_name and not row.deleted:
-                self._peers[row.key.key] = row.value.decode(errors="replace")
-
     def _notify_scheduler(self, row: storage.Row) -> None:
         """Notifies the scheduler of a job or a cancellation before its feed delivers the row."""
         if self._scheduler is not None:
@@ -244,9 +222,6 @@
             return self._find_status(job_id)
         return self._holder_client.query_status(job_id, timeout_s)
 
-    def _list_peers(self) -> list[str]:
-        return list(self._peers.values())
-
     def _handle_reachability(self, is_unreachable: bool) -> None:
         self._log.write("store_lost" if is_unreachable else "store_reached")
         if not is_unreachable:
@@ -308,9 +283,13 @@
                 f"another VM holds the term: {term_holder.vm} claimed epoch {term_holder.epoch}"
             )
         if self._view.term.heartbeat is not None and self._view.term.heartbeat.is_released:
-            delay_s = terms.RELEASED_JITTER_RATIO * self._claim_jitter_s
+            delay_s = terms.RELEASED_JITTER_RATIO * self._compute_claim_jitter_s()
             self._client.call_later(delay_s, self._claim_if_free)
 
+    def _compute_claim_jitter_s(self) -> float:
+        cores = self._settings.processor_cores
+        return terms.compute_jitter_s(cores, self._claim_draw, self._members.count)
+
     def _check_claim_periodically(self) -> None:
         self._claim_if_free()
         self._client.call_later(CLAIM_CHECK_S, self._check_claim_periodically)
@@ -322,7 +301,7 @@
             return
         self._holder_client.probe()
         now_s = read_boottime_s()
-        if not terms.may_claim(self._view.term, now_s, self._claim_jitter_s):
+        if not terms.may_claim(self._view.term, now_s, self._compute_claim_jitter_s()):
             return
         self._claiming = True
         claim_id = tables.make_claim_id(self._settings.node_name)
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -60,6 +60,12 @@
 
 
 CLAIM_JITTER_S = 0.4
+CLAIM_SPACING_S = 0.01
+"""Mean time between the claims of VMs that see the term expire together. A claim takes some 10 ms
+until the other VMs know of it, and each claim in between is a transaction in the part in which the
+new holder writes."""
+MAX_CLAIM_JITTER_S = 2.0
+"""Limit of the spread, because the rows of VMs that left may count as well."""
 SMALL_VM_DELAY_S = 1.0
 """Claim delay of a VM with almost no processor time."""
 
@@ -171,18 +177,21 @@
     return HEARTBEAT_TIMEOUT_S, 1.0
 
 
-def compute_jitter_s(processor_cores: float, draw: float) -> float:
+def compute_jitter_s(processor_cores: float, draw: float, vms: int = 0) -> float:
     """Returns how long a VM delays its claim to avoid contention with other VMs.
 
     VMs with less than a whole core claim only if no larger VM does, because a burst of jobs keeps
-    the holder's processor busy most of the time.
+    the holder's processor busy most of the time. The claims of many VMs are spread over a longer
+    time; the first of them hardly comes later.
 
     Args:
         processor_cores: Processor time available to the VM, in seconds per second.
         draw: Random number from 0 to 1, which spreads the claims of VMs of the same size.
+        vms: Number of VMs, or 0 if it is not known.
     """
     missing_cores = max(0.0, 1.0 - processor_cores)
-    return CLAIM_JITTER_S * draw + SMALL_VM_DELAY_S * missing_cores
+    spread_s = min(MAX_CLAIM_JITTER_S, max(CLAIM_JITTER_S, CLAIM_SPACING_S * vms))
+    return spread_s * draw + SMALL_VM_DELAY_S * missing_cores
 
 
 def is_heartbeat_overdue(view: TermView, now_s: float) -> bool:
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -1,5 +1,7 @@
 """Rules for claiming the scheduler's term."""
 
+import random
+
 import pytest
 from returns import result
 
@@ -167,3 +169,17 @@
 def test_find_claimed_version(outcome, expected):
     """Guards against a term without a scheduler because a repeated claim conflicts with itself."""
     assert terms.find_claimed_version(outcome, _CLAIMED) == expected
+
+
+@pytest.mark.parametrize(("vms", "most"), [(8, 8), (97, 4), (300, 4), (929, 10)])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_few_vms_claim_at_the_same_time(vms, most, seed):
+    """Guards against a new holder whose first writes wait behind the claims of all other VMs.
+
+    Load pattern: the holder of a large deployment is lost, and all VMs see it at the same time. A
+    VM that learns of a claim, some 10 ms after it was sent, no longer claims.
+    """
+    generator = random.Random(seed)
+    delays_s = sorted(terms.compute_jitter_s(1.0, generator.random(), vms) for _ in range(vms))
+    assert sum(delay_s < delays_s[0] + 0.01 for delay_s in delays_s) <= most
+    assert delays_s[0] < terms.CLAIM_JITTER_S
