Move the worker registry and the deletion of records out of the scheduler's module

Change: node/registry.py applies registry rows, node/deletion.py deletes the records of expired jobs. Behaviour is unchanged.

--- /dev/null
+++ b/lycheegate/node/deletion.py
@@ -0,0 +1,62 @@
+"""Deletion of the records of jobs whose retention time is over."""
+
+from returns import result
+
+from lycheegate.jobs import state
+from lycheegate.metrics import jsonlog
+from lycheegate.node import storage, tables
+
+__all__ = ["MAX_DELETED_JOBS", "MAX_DELETED_ROWS", "RecordDeleter"]
+
+MAX_DELETED_JOBS = 20
+"""Maximum number of jobs that are deleted at a time."""
+MAX_DELETED_ROWS = 45
+"""A transaction holds at most 100 entries; each row needs a condition and a deletion."""
+TIMEOUT_S = 2.0
+
+
+class RecordDeleter:
+    """Deletes records during one term.
+
+    What cannot be deleted is only logged: the holder of the next term finds it and deletes it.
+
+    Args:
+        store: The store.
+        log: Log of decisions.
+        holder_version: Version of the row of the term's holder.
+    """
+
+    def __init__(self, store: storage.Store, log: jsonlog.JsonLog, holder_version: int):
+        self._store = store
+        self._log = log
+        self._holder_version = holder_version
+
+    def delete_job(self, job: state.JobState) -> None:
+        """Deletes a job, then its progress; in the other order, the job could run again."""
+        job_key = tables.get_job_key(job.job.job_id)
+        deletes = [job_key]
+        if job.cancelled:
+            deletes.append(tables.get_cancel_key(job.job.job_id))
+        # The condition keeps a new job that reuses the identifier.
+        condition = storage.Condition(job_key, job.accepted_version)
+
+        def handle_deleted(outcome: storage.StoreResult) -> None:
+            if isinstance(outcome, result.Success):
+                key = tables.get_progress_key(job.job.job_id)
+                self.delete_progress([storage.Condition(key, job.version)])
+            else:
+                self._log_failure(outcome)
+
+        transaction = storage.Transaction((condition,), (), tuple(deletes))
+        self._store.transact(transaction, TIMEOUT_S, handle_deleted)
+
+    def delete_progress(self, conditions: list[storage.Condition]) -> None:
+        """Deletes progress records that still have the versions in the conditions."""
+        term = storage.Condition(tables.HOLDER, self._holder_version)
+        keys = tuple(condition.key for condition in conditions)
+        transaction = storage.Transaction((term, *conditions), (), keys)
+        self._store.transact(transaction, TIMEOUT_S, self._log_failure)
+
+    def _log_failure(self, outcome: storage.StoreResult) -> None:
+        if not isinstance(outcome, result.Success):
+            self._log.write("deletion_failed", error=str(outcome.failure()))
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -22,7 +22,17 @@
     writes,
 )
 from lycheegate.metrics import histograms, jsonlog
-from lycheegate.node import exchange, feeds, passes, recovery, storage, tables, terms
+from lycheegate.node import (
+    deletion,
+    exchange,
+    feeds,
+    passes,
+    recovery,
+    registry,
+    storage,
+    tables,
+    terms,
+)
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
 
@@ -32,9 +42,6 @@
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
-MAX_DELETED_JOBS = 20
-MAX_DELETED_ROWS = 45
-"""A transaction holds at most 100 entries; each row needs a condition and a deletion."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +108,8 @@
         self._renewal_sent_at_s = 0.0
         self._write_not_before_s = 0.0
         self._releasing = False
-        self._registrations: dict[str, workers.Registration] = {}
+        self._registry = registry.WorkerRegistry()
+        self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
         self._exchange = exchange.WorkerExchange(
             runtime.workers,
             self._state,
@@ -209,9 +217,9 @@
         )
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
-        orphans = loaded.list_orphans()[:MAX_DELETED_ROWS]
+        orphans = loaded.list_orphans()[: deletion.MAX_DELETED_ROWS]
         if orphans:
-            self._delete_progress(orphans)
+            self._deleter.delete_progress(orphans)
         self._request_pass()
 
     def _restore_progress(
@@ -280,24 +288,12 @@
     def _apply_registry_rows(
         self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int
     ) -> None:
-        # Nearly all rows are heartbeats, which change nothing that is decoded.
-        registrations = {} if is_full_table else self._registrations
-        has_changed = is_full_table
-        for row in rows:
-            worker_id = row.key.key
-            registration = None
-            if not row.deleted:
-                registration = worker_calls.decode_registration(worker_id, row.value)
-            has_changed = has_changed or registration != registrations.get(worker_id)
-            if registration is None:
-                registrations.pop(worker_id, None)
-            else:
-                registrations[worker_id] = registration
-        if not has_changed:
+        if not self._registry.apply_rows(rows, is_full_table):
             return
-        self._registrations = registrations
         now_s = self._runtime.now_s()
-        self._execute(workers.apply_registrations(self._state, list(registrations.values()), now_s))
+        self._execute(
+            workers.apply_registrations(self._state, self._registry.list_registrations(), now_s)
+        )
         self._exchange.poll_new_workers()
         self._request_pass()
 
@@ -341,40 +337,10 @@
         self._call_later(TICK_S, self._tick)
 
     def _delete_expired(self, now_s: float) -> None:
-        for job in lifecycle.list_expired(self._state, now_s)[:MAX_DELETED_JOBS]:
+        expired = lifecycle.list_expired(self._state, now_s)
+        for job in expired[: deletion.MAX_DELETED_JOBS]:
             lifecycle.remove_job(self._state, job.job.job_id)
-            self._delete_job(job)
-
-    def _delete_job(self, job: state.JobState) -> None:
-        """Deletes a job, then its progress; in the other order, the job could run again."""
-        job_key = tables.get_job_key(job.job.job_id)
-        deletes = [job_key]
-        if job.cancelled:
-            deletes.append(tables.get_cancel_key(job.job.job_id))
-        # The condition keeps a new job that reuses the identifier.
-        condition = storage.Condition(job_key, job.accepted_version)
-
-        def handle_deleted(outcome: storage.StoreResult) -> None:
-            if isinstance(outcome, result.Success):
-                key = tables.get_progress_key(job.job.job_id)
-                self._delete_progress([storage.Condition(key, job.version)])
-            else:
-                self._log_failed_deletion(outcome)
-
-        transaction = storage.Transaction((condition,), (), tuple(deletes))
-        self._runtime.store.transact(transaction, WRITE_TIMEOUT_S, handle_deleted)
-
-    def _delete_progress(self, conditions: list[storage.Condition]) -> None:
-        """Deletes progress records that still have the versions in the conditions."""
-        term = storage.Condition(tables.HOLDER, self._holder_version)
-        keys = tuple(condition.key for condition in conditions)
-        transaction = storage.Transaction((term, *conditions), (), keys)
-        self._runtime.store.transact(transaction, WRITE_TIMEOUT_S, self._log_failed_deletion)
-
-    def _log_failed_deletion(self, outcome: storage.StoreResult) -> None:
-        if not isinstance(outcome, result.Success):
-            # The holder of the next term finds the remaining rows and deletes them.
-            self._runtime.log.write("deletion_failed", error=str(outcome.failure()))
+            self._deleter.delete_job(job)
 
     def _write(self) -> None:
         """Writes changed progress, and the heartbeat if it is due."""
