Log that a worker becomes suspected or quarantined, and follow the members with longer calls

Cause: on-call engineers could not see from the logs why a worker got no gangs. The feed of VM addresses, which hardly change, made a call every 3 s on each VM.

Change: events worker_suspected and worker_quarantined; the two decisions are parts of health.record_failure. The members feed waits 10 s.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -7,7 +7,7 @@
 attempts are not placed on them at all (``placement.list_sound``).
 """
 
-from lycheegate.jobs import estimates, state
+from lycheegate.jobs import commands, estimates, state
 
 __all__ = [
     "MIN_FAILURES",
@@ -17,7 +17,6 @@
     "list_stalled",
     "record_failure",
     "record_success",
-    "suspect",
 ]
 
 MIN_FAILURES = 2
@@ -43,43 +42,56 @@
 is the likely cause."""
 
 
-def suspect(
+def record_failure(
     current: state.SchedulerState, run: state.Run, other_workers: int, now_s: float
-) -> None:
-    """Suspects the worker of a failed run, if the worker is a likely cause of the failure.
+) -> list[commands.Command]:
+    """Records a failed run; its worker becomes suspected or quarantined if it is a likely cause.
+
+    A worker is quarantined for the first time only after failures of several jobs, because
+    failures of a single job are more likely the fault of the job.
 
     Args:
         current: State of the scheduler.
         run: The run.
         other_workers: Number of other workers on which its step has failed.
         now_s: Time on the scheduler's clock.
-    """
-    worker = current.workers.get(run.worker_id)
-    if worker is None or other_workers >= MAX_SUSPECTS_PER_STEP:
-        return
-    if run.running_since_s is None or now_s - run.running_since_s < EARLY_FAILURE_S:
-        worker.suspected_until_s = now_s + SUSPICION_S
-
 
-def record_failure(
-    current: state.SchedulerState, worker_id: str, job_id: str, now_s: float
-) -> None:
-    """Records a failed run and quarantines its worker if needed.
-
-    A worker is quarantined for the first time only after failures of several jobs, because
-    failures of a single job are more likely the fault of the job.
+    Returns:
+        Decisions to be logged.
     """
-    worker = current.workers.get(worker_id)
+    worker = current.workers.get(run.worker_id)
     if worker is None:
-        return
+        return []
+    return [
+        *_suspect(worker, run, other_workers, now_s),
+        *_quarantine(worker, run.task.job_id, now_s),
+    ]
+
+
+def _suspect(
+    worker: state.WorkerState, run: state.Run, other_workers: int, now_s: float
+) -> list[commands.Command]:
+    """Suspects a worker after the early failure of a run."""
+    age_s = 0.0 if run.running_since_s is None else now_s - run.running_since_s
+    if age_s >= EARLY_FAILURE_S or other_workers >= MAX_SUSPECTS_PER_STEP:
+        return []
+    worker.suspected_until_s = now_s + SUSPICION_S
+    fields = {"worker": worker.worker_id, "job": run.task.job_id, "failed_after_s": round(age_s, 3)}
+    return [commands.Decision("worker_suspected", fields)]
+
+
+def _quarantine(worker: state.WorkerState, job_id: str, now_s: float) -> list[commands.Command]:
+    """Quarantines a worker after failures of several jobs, or of one since its last quarantine."""
     if job_id not in worker.failures:
         worker.failures.append(job_id)
     if len(worker.failures) < MIN_FAILURES and not worker.quarantines:
-        return
+        return []
     duration_s = min(MAX_QUARANTINE_S, BASE_QUARANTINE_S * 2.0 ** min(worker.quarantines, 10))
+    fields = {"worker": worker.worker_id, "jobs": list(worker.failures), "for_s": duration_s}
     worker.quarantined_until_s = now_s + duration_s
     worker.quarantines += 1
     worker.failures.clear()
+    return [commands.Decision("worker_quarantined", fields)]
 
 
 def record_success(current: state.SchedulerState, worker_id: str) -> None:
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -161,8 +161,8 @@
         _record_success(current, job, step, run, now_s)
         return result
     if end is End.FAILED:
-        health.record_failure(current, run.worker_id, run.task.job_id, now_s)
-        health.suspect(current, run, len(step.avoided_workers - {run.worker_id}), now_s)
+        other_workers = len(step.avoided_workers - {run.worker_id})
+        result += health.record_failure(current, run, other_workers, now_s)
         result += _record_failure(current, job, step, run, now_s)
     if step.step.gang and not step.is_done:
         result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
--- a/lycheegate/jobs/tests/test_health.py
+++ b/lycheegate/jobs/tests/test_health.py
@@ -18,6 +18,13 @@
     return current
 
 
+def _make_failed_run(job_id, running_since_s=None):
+    task = model.TaskKey(job_id, 0, 0, 0)
+    run = state.Run(task, "w", 1, _NEED, state.RunPhase.RUNNING, 0.0)
+    run.running_since_s = running_since_s
+    return run
+
+
 def _add_run(worker, percent, phase_began_at_s, advanced_at_s, phase=state.RunPhase.RUNNING):
     task = model.TaskKey("j", 0, 0, len(worker.runs))
     run = state.Run(task, "w", 1, _NEED, phase, phase_began_at_s, percent, advanced_at_s)
@@ -58,7 +65,7 @@
     worker = _make_worker()
     current = _make_state(worker)
     for job_id in jobs:
-        health.record_failure(current, "w", job_id, 10.0)
+        health.record_failure(current, _make_failed_run(job_id), 0, 10.0)
     assert health.is_quarantined(worker, 10.1) is expected
 
 
@@ -68,8 +75,8 @@
     current = _make_state(worker)
     ends = []
     for number in range(6):
-        health.record_failure(current, "w", f"a{number}", 10.0)
-        health.record_failure(current, "w", f"b{number}", 10.0)
+        health.record_failure(current, _make_failed_run(f"a{number}"), 0, 10.0)
+        health.record_failure(current, _make_failed_run(f"b{number}"), 0, 10.0)
         ends.append(worker.quarantined_until_s)
     assert ends == sorted(ends)
     assert ends[-1] - 10.0 == health.MAX_QUARANTINE_S
@@ -86,10 +93,9 @@
     """Guards against work on workers that fail it at once, and workers blamed for bad jobs."""
     worker = _make_worker()
     current = _make_state(worker)
-    _add_run(worker, 0, 9.0, 9.0)
-    (run,) = worker.runs.values()
-    run.running_since_s = running_since_s
-    health.suspect(current, run, other_workers, 10.0)
+    run = _make_failed_run("a", running_since_s)
+    decisions = health.record_failure(current, run, other_workers, 10.0)
+    assert [decision.event for decision in decisions] == ["worker_suspected"] * expected
     assert health.is_suspected(worker, 10.1) is expected
     assert not health.is_suspected(worker, 10.0 + health.SUSPICION_S)
     health.record_success(current, "w")
--- a/lycheegate/node/members.py
+++ b/lycheegate/node/members.py
@@ -16,7 +16,7 @@
 
 __all__ = ["MemberDirectory"]
 
-FEED_WAIT_S = 3.0
+FEED_WAIT_S = 10.0
 WRITE_TIMEOUT_S = 1.0
 WRITE_SPACING_S = 0.01
 """Mean time between the writes of VMs that start together; a transaction takes about 4 ms."""
