--- a/lycheegate/jobs/preemption.py
+++ b/lycheegate/jobs/preemption.py
@@ -126,6 +126,12 @@
     chosen: dict[tuple, _PricedUnit] = dataclasses.field(default_factory=dict)
 
 
+def _make_plan(candidates: list[placement.Candidate]) -> _TentativePlan:
+    rooms = {candidate.worker_id: candidate.room for candidate in candidates}
+    limits = {candidate.worker_id: candidate.limit for candidate in candidates}
+    return _TentativePlan(rooms, limits)
+
+
 def _choose_within(
     count: int,
     need: model.Resources,
@@ -159,8 +165,7 @@
     victims: list[_PricedUnit],
 ) -> Preemption | None:
     """Returns a preemption that uses the cheapest units for one task after the other, or None."""
-    plan = _TentativePlan({c.worker_id: c.room for c in candidates}, {})
-    plan.limits = {c.worker_id: c.limit for c in candidates}
+    plan = _make_plan(candidates)
     units_by_worker: dict[str, list[_PricedUnit]] = {c.worker_id: [] for c in candidates}
     for victim in victims:
         for worker_id in victim.unit.room_by_worker:
@@ -188,8 +193,7 @@
 
     The room that later units free may make earlier ones unnecessary.
     """
-    plan = _TentativePlan({c.worker_id: c.room for c in candidates}, {})
-    plan.limits = {c.worker_id: c.limit for c in candidates}
+    plan = _make_plan(candidates)
     for victim in chosen:
         _add_victim(victim, plan)
     fitting = {
@@ -220,7 +224,13 @@
 
 
 def _assign(count: int, fitting: dict[str, int], plan: _TentativePlan) -> list[str]:
-    """Returns a worker for each task, workers on which units are stopped or awaited first."""
+    """Returns a worker for each task, workers on which units are stopped or awaited first.
+
+    Args:
+        count: Number of tasks.
+        fitting: Number of tasks that fit on each worker.
+        plan: The plan with the chosen units.
+    """
     freed = {w for victim in plan.chosen.values() for w in victim.unit.room_by_worker}
     placed: list[str] = []
     for worker_id in sorted(fitting, key=lambda worker_id: worker_id not in freed):
