Tell the next holder of the term which workers are suspected

The holder changes at 4.3, 7.2 and 11.1 s while 31 workers fail what they start. Each new holder suspects them anew (12, 23 and 28 workers) only after runs have failed there, and five jobs fail between 7.6 and 11.7 s.

Change: the holder writes the suspected workers, with the store's clock, beside a heartbeat whenever others are suspected; a VM that claims the term starts with them. At most 200, so that the row stays below the store's limit.

Tests of jobs, node and platform pass.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -15,6 +15,7 @@
     "is_stalled",
     "is_suspected",
     "list_stalled",
+    "list_suspects",
     "record_failure",
     "record_success",
 ]
@@ -41,6 +42,10 @@
 """Number of workers that become suspected because of one step. If it fails on more, the step itself
 is the likely cause."""
 
+MAX_LISTED_SUSPECTS = 200
+"""Maximum number of suspected workers that one scheduler tells the next. It keeps their record
+below the store's limit for a row also with the longest identifiers."""
+
 
 def record_failure(
     current: state.SchedulerState, run: state.Run, other_workers: int, now_s: float
@@ -109,6 +114,24 @@
     return now_s < worker.suspected_until_s
 
 
+def list_suspects(current: state.SchedulerState, now_s: float) -> dict[str, float]:
+    """Returns for how many seconds from now on each suspected worker stays suspected.
+
+    Of many, those that are suspected longest are returned.
+    """
+    until_s = current.inherited_suspects | {
+        worker.worker_id: worker.suspected_until_s
+        for worker in current.workers.values()
+        if is_suspected(worker, now_s)
+    }
+    longest = sorted(until_s, key=lambda worker_id: (-until_s[worker_id], worker_id))
+    return {
+        worker_id: until_s[worker_id] - now_s
+        for worker_id in longest[:MAX_LISTED_SUSPECTS]
+        if until_s[worker_id] > now_s
+    }
+
+
 def is_quarantined(worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker is quarantined because of its failures."""
     return now_s < worker.quarantined_until_s
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -342,6 +342,7 @@
         stalled: Workers that had a stalled run at the last check.
         stall_checked_at_s: When stalled runs were last checked.
         urgent_demand: Recent peak of urgent demand, by service.
+        inherited_suspects: Time until which the previous scheduler suspected workers.
         unlisted_runs_ended: Whether the runs on workers that never registered have been ended.
     """
 
@@ -357,6 +358,7 @@
     stalled: frozenset[str] = frozenset()
     stall_checked_at_s: float = 0.0
     urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
+    inherited_suspects: dict[str, float] = dataclasses.field(default_factory=dict)
     unlisted_runs_ended: bool = False
 
 
--- a/lycheegate/jobs/tests/test_health.py
+++ b/lycheegate/jobs/tests/test_health.py
@@ -100,3 +100,13 @@
     assert not health.is_suspected(worker, 10.0 + health.SUSPICION_S)
     health.record_success(current, "w")
     assert not health.is_suspected(worker, 10.1)
+
+
+def test_list_of_suspects_is_bounded():
+    """Guards against a record of suspected workers that is too large for the store."""
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    current.inherited_suspects = {f"w{number}": 20.0 + number for number in range(1000)}
+    listed = health.list_suspects(current, 10.0)
+    assert len(listed) == health.MAX_LISTED_SUSPECTS
+    assert min(listed.values()) == 810.0
+    assert health.list_suspects(current, 2000.0) == {}
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -343,6 +343,7 @@
             holder_version,
             claimed_at_s,
             self._view.configuration,
+            terms.list_suspects(self._view.term, read_boottime_s()),
             self._handle_term_end,
         )
         self._scheduler.start()
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -12,6 +12,7 @@
 from lycheegate.jobs import (
     commands,
     evacuation,
+    health,
     leases,
     lifecycle,
     model,
@@ -79,6 +80,7 @@
         holder_version: Version of the holder's row.
         claimed_at_s: When the claim was sent. Its answer may be processed much later.
         configuration: Configuration in force, or None.
+        suspects: For how many seconds from now on the last scheduler suspected each worker.
         on_ended: Called once, with the reason, when the term is lost or released.
     """
 
@@ -90,6 +92,7 @@
         holder_version: int,
         claimed_at_s: float,
         configuration: model.Configuration | None,
+        suspects: dict[str, float],
         on_ended: Callable[[str], None],
     ):
         self._runtime = runtime
@@ -98,6 +101,11 @@
         self._on_ended = on_ended
         self._state = state.SchedulerState(holder.epoch, policy, runtime.now_s())
         self._state.configuration = configuration
+        self._state.inherited_suspects = {
+            worker_id: self._state.began_at_s + duration_s
+            for worker_id, duration_s in suspects.items()
+        }
+        self._written_suspects: set[str] | None = None
         self._stopped = False
         self._loaded = False
         self._writing = False
@@ -376,12 +384,23 @@
                 self.epoch, release, pending, self._runtime.store_clock_ms()
             )
             changes.append(storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat)))
+            changes += self._make_suspects_write()
         for write in batch.writes if batch else ():
             key = tables.get_progress_key(write.job_id)
             conditions.append(storage.Condition(key, write.version))
             changes.append(storage.Write(key, write.data))
         return storage.Transaction(tuple(conditions), tuple(changes))
 
+    def _make_suspects_write(self) -> list[storage.Write]:
+        """Returns the write of the suspected workers, if others are suspected than were written."""
+        suspects = health.list_suspects(self._state, self._runtime.now_s())
+        clock_ms = self._runtime.store_clock_ms()
+        if not clock_ms or not self._loaded or suspects.keys() == self._written_suspects:
+            return []
+        self._written_suspects = set(suspects)
+        until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
+        return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
+
     def _handle_written(
         self,
         batch: writes.Batch | None,
@@ -402,6 +421,8 @@
                 self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
             self._write()
             return
+        # The write may have held the suspected workers, so the next one does again.
+        self._written_suspects = None
         error = outcome.failure()
         if isinstance(error, storage.ConflictError):
             self._handle_conflict(batch, error)
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -22,13 +22,16 @@
     "MEMBERS",
     "PART",
     "PROGRESS",
+    "SUSPECTS",
     "TERMS",
     "Heartbeat",
     "Holder",
     "decode_heartbeat",
     "decode_holder",
+    "decode_suspects",
     "encode_heartbeat",
     "encode_holder",
+    "encode_suspects",
     "get_cancel_key",
     "get_job_key",
     "get_progress_key",
@@ -50,6 +53,8 @@
 holder's writes to this part."""
 HEARTBEAT = storage.RowKey(TERMS, PART, "beat")
 """Row of the holder's heartbeat."""
+SUSPECTS = storage.RowKey(TERMS, PART, "suspects")
+"""Row of the workers that the holder suspects, for the holder of the next term."""
 _CANCEL_SUFFIX = "/cancel"
 
 
@@ -156,6 +161,30 @@
     return Heartbeat(*_decode_items(data, (int, bool, dict, int)))
 
 
+def encode_suspects(suspects: dict[str, int]) -> bytes:
+    """Returns the content of the row of suspected workers.
+
+    Args:
+        suspects: Until when each worker is suspected, in milliseconds on the store's clock.
+    """
+    return cbor2.dumps([suspects])
+
+
+def decode_suspects(data: bytes) -> dict[str, int]:
+    """Returns until when each worker is suspected, in milliseconds on the store's clock.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
+    (suspects,) = _decode_items(data, (dict,))
+    for worker_id, until_ms in suspects.items():
+        if not isinstance(worker_id, str) or not isinstance(until_ms, int):
+            raise exceptions.ProtocolError(
+                f"expected worker and time of a suspicion, got {(worker_id, until_ms)!r:.100}"
+            )
+    return suspects
+
+
 def _decode_items(data: bytes, types: tuple[type, ...]) -> list:
     try:
         items = cbor2.loads(data)
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -32,6 +32,7 @@
     "estimate_clock_ms",
     "find_claimed_version",
     "is_heartbeat_overdue",
+    "list_suspects",
     "make_claim",
     "may_claim",
     "record_probe_result",
@@ -89,6 +90,8 @@
         holder_version: Version of the holder's row.
         heartbeat: The holder's heartbeat, or None.
         heartbeat_version: Version of the heartbeat's row.
+        suspects: Until when each worker is suspected, in milliseconds on the store's clock.
+        suspects_version: Version of the row of suspected workers.
         changed_at_s: When a change of either version was last observed.
         read_at_s: When the store last answered.
         clock_ms: The store's clock in that answer, or 0 if not reported.
@@ -102,6 +105,8 @@
     holder_version: int = storage.ABSENT
     heartbeat: tables.Heartbeat | None = None
     heartbeat_version: int = storage.ABSENT
+    suspects: dict[str, int] = dataclasses.field(default_factory=dict)
+    suspects_version: int = storage.ABSENT
     changed_at_s: float = 0.0
     read_at_s: float = 0.0
     clock_ms: int = 0
@@ -141,6 +146,21 @@
             view.heartbeat_version = row.version
             view.changed_at_s = now_s
             view.probe_result = ProbeResult.UNKNOWN
+    # Last, because the term must be known even if this row cannot be decoded.
+    for row in rows:
+        if row.key == tables.SUSPECTS and row.version > view.suspects_version:
+            view.suspects = tables.decode_suspects(row.value)
+            view.suspects_version = row.version
+
+
+def list_suspects(view: TermView, now_s: float) -> dict[str, float]:
+    """Returns for how many seconds from now on each worker is suspected by the last holder."""
+    clock_ms = estimate_clock_ms(view, now_s)
+    return {
+        worker_id: (until_ms - clock_ms) / 1000.0
+        for worker_id, until_ms in view.suspects.items()
+        if until_ms > clock_ms
+    }
 
 
 def may_claim(view: TermView, now_s: float, jitter_s: float) -> bool:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -87,6 +87,7 @@
             version,
             self.loop.now_s if claimed_at_s is None else claimed_at_s,
             self.configuration,
+            terms.list_suspects(view, self.loop.now_s),
             lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -445,6 +445,44 @@
     _assert_all_succeed(world)
 
 
+@pytest.mark.parametrize("lost_write", [False, True])
+def test_next_holder_knows_the_suspected_workers(lost_write):
+    """Guards against jobs that fail because each new holder finds out again who is faulty.
+
+    Load pattern: the holder changes three times in seven seconds while some workers fail all that
+    they start.
+    """
+    world = simulation.World(1, worker_count=4)
+    world.fleet.faulty = {"w3"}
+    world.fleet.work_s = 30.0
+    route = dataclasses.replace(world.route, max_attempts=2)
+    world.configuration = simulation.make_configuration(route, world.urgent)
+    whole = model.Resources(16_000, 32_000, 8)
+    first = world.claim_term("a")
+    world.run(1.0)
+    if lost_write:
+        world.faults.lost_writes = 1.0
+    world.submit(simulation.make_job("0" * 16, _make_step(1, whole, gang=True)), route)
+    world.run(1.0)
+    world.faults.lost_writes = 0.0
+    world.run(3.0)
+    tried = dict(world.fleet.workers["w3"].highest_run_numbers)
+    assert len(tried) == 1
+    first.stop("killed")
+    for vm in ("b", "c"):
+        world.claim_term(vm)
+        # Each holder passes on what it was told, before it could find out by itself.
+        world.run(0.8)
+        world.schedulers[vm].stop("killed")
+    world.claim_term("d")
+    for number in range(1, 4):
+        gang = _make_step(1, whole, gang=True)
+        world.submit(simulation.make_job(f"{number:016x}", gang), route)
+    world.run(2.0)
+    assert world.fleet.workers["w3"].highest_run_numbers == tried
+    assert world.fleet.violations == []
+
+
 def test_holder_reports_only_stored_status():
     """Guards against reporting an outcome to callers that the next holder does not know."""
     world = simulation.World(1)
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -183,3 +183,29 @@
     delays_s = sorted(terms.compute_jitter_s(1.0, generator.random(), vms) for _ in range(vms))
     assert sum(delay_s < delays_s[0] + 0.01 for delay_s in delays_s) <= most
     assert delays_s[0] < terms.CLAIM_JITTER_S
+
+
+@pytest.mark.parametrize(
+    ("value", "clock_ms", "expected"),
+    [
+        (tables.encode_suspects({"w0": 53_000, "w1": 50_500}), 50_000, {"w0": 3.0, "w1": 0.5}),
+        (tables.encode_suspects({"w0": 53_000, "w1": 50_500}), 51_000, {"w0": 2.0}),
+        (tables.encode_suspects({}), 50_000, {}),
+    ],
+)
+def test_suspicion_ends_by_the_clock_of_the_store(value, clock_ms, expected):
+    """Guards against a worker that gets no gangs because an old holder once suspected it."""
+    view = _make_view()
+    terms.apply_rows(view, (storage.Row(tables.SUSPECTS, value, 9),), 12.0, clock_ms)
+    assert terms.list_suspects(view, 12.0) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"\x81\xa1\x01\x02", b"\x81\x80"])
+def test_unreadable_suspects_do_not_hide_the_term(value):
+    """Guards against a VM that does not see a new holder because another row is malformed."""
+    view = _make_view()
+    holder = storage.Row(tables.HOLDER, tables.encode_holder(tables.Holder(4, "b/1")), 10)
+    with pytest.raises(exceptions.ProtocolError):
+        terms.apply_rows(view, (storage.Row(tables.SUSPECTS, value, 9), holder), 12.0, 52_000)
+    assert view.holder.epoch == 4
+    assert terms.list_suspects(view, 12.0) == {}
