Send no first order to a worker that announced its departure while the intention was written

Cause: a run is ordered once its intention is stored.

Change: such an order counts as refused before it was sent, and the task is placed again. Orders that may have been received are repeated as before.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -233,6 +233,11 @@
         if not self._may_act(now_s):
             self._hooks.call_later(REPORT_RETRY_S, lambda: self.send_start(order))
             return
+        is_repeated = (order.task, order.number) in self._unknown_starts
+        if worker is not None and worker.draining and not is_repeated:
+            # It announced its departure while the intention was written, which may take seconds.
+            self.record_refusal(order, "worker_draining")
+            return
         deadline_ms = worker and leases.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
             self.record_refusal(order, "worker_unknown")
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -2,7 +2,8 @@
 
 No task runs twice at the same time or again after an acknowledged success, no task starts before
 the tasks that it depends on have succeeded, no worker's capacity is exceeded, and only tasks of
-submitted jobs run.
+submitted jobs run. Limits of tasks on a worker and required labels are kept, and nothing starts on
+a worker long after it announced its departure.
 """
 
 import dataclasses
@@ -18,6 +19,8 @@
 
 WORKER_DELAY_S = 0.002
 STOP_S = 0.2
+DRAIN_S = 2.0
+"""Time from the announcement of a departure after which nothing may start."""
 FAILURE_S = 0.05
 """Duration of a run on a faulty worker."""
 MAX_LEASE_S = 6.0
@@ -52,6 +55,8 @@
         self.worker_id = worker_id
         self.rack = rack
         self.capacity = capacity
+        self.labels = {"a", rack}
+        self.draining_since_s: float | None = None
         self.born_ms = 1_000
         self.reset()
 
@@ -74,7 +79,8 @@
 
     def clock_ms(self) -> int:
         """Returns the time on the worker's clock."""
-        return int((self.fleet.loop.now_s - self.booted_at_s) * 1000)
+        elapsed_s = self.fleet.loop.now_s - self.booted_at_s
+        return int(elapsed_s * self.fleet.clock_ratio * 1000)
 
     def advance(self) -> None:
         """Advances all runs to the current time."""
@@ -167,6 +173,8 @@
         self.started_at_s: dict[model.TaskKey, float] = {}
         self.violations: list[str] = []
         self.failure_share = 0.0
+        self.clock_ratio = 1.0
+        """Rate of the workers' clocks."""
         self.faulty: set[str] = set()
         """Workers that fail all that they start."""
         self.unreachable: set[str] = set()
@@ -203,12 +211,32 @@
                 self.violations.append(f"started {order.task} while it runs on {other.worker_id}")
         if order.task in self.acknowledged:
             self.violations.append(f"started {order.task} after its success")
+        self._check_constraints(order, job.steps[order.task.step], worker)
         for number in job.steps[order.task.step].depends_on:
             for index in range(job.steps[number].count):
                 before = model.TaskKey(order.task.job_id, order.task.occurrence, number, index)
                 if before not in self.succeeded_at_s:
                     self.violations.append(f"started {order.task} before {before} succeeded")
 
+    def _check_constraints(
+        self, order: commands.StartRun, step: model.Step, worker: FakeWorker
+    ) -> None:
+        """Checks where a task starts."""
+        if step.label and step.label not in worker.labels:
+            self.violations.append(f"started {order.task} on {worker.worker_id} without its label")
+        group = (order.task.job_id, order.task.occurrence, order.task.step)
+        present = sum((t.job_id, t.occurrence, t.step) == group for t in worker.live)
+        if step.max_per_worker and present >= step.max_per_worker:
+            self.violations.append(
+                f"started {order.task} beside {present} tasks of its step on {worker.worker_id}"
+            )
+        since_s = worker.draining_since_s
+        if since_s is not None and self.loop.now_s - since_s > DRAIN_S:
+            self.violations.append(
+                f"started {order.task} {self.loop.now_s - since_s:.1f} s after {worker.worker_id} "
+                "announced its departure"
+            )
+
     def record_success(self, task: model.TaskKey, ended_at_s: float) -> None:
         """Records a success that the scheduler has acknowledged.
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -34,6 +34,10 @@
     ) -> None:
         """Writes the registration of a worker."""
         worker = self.fleet.workers[worker_id]
+        if not draining:
+            worker.draining_since_s = None
+        elif worker.draining_since_s is None:
+            worker.draining_since_s = self.loop.now_s
         text = (
             f'{{"service":"render","address":"10.0.0.1:1","zone":"z",'
             f'"state":"{"draining" if draining else "ready"}",'
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -101,6 +101,27 @@
     assert len(term.client.starts) == sent
 
 
+@pytest.mark.parametrize(("is_repeated", "sent"), [(False, 0), (True, 2)])
+def test_no_first_order_to_a_worker_that_leaves(is_repeated, sent):
+    """Guards against a task that starts on a worker seconds after it announced its departure.
+
+    Load pattern: the store loses answers, so the write of the intention takes seconds. An order
+    that may have been received is repeated all the same, to learn what became of it.
+    """
+    term = _Term()
+    order = term.place()
+    if is_repeated:
+        term.exchange.send_start(order)
+    term.current.workers["w0"].draining = True
+    if is_repeated:
+        term.client.starts[0](_UNKNOWN)
+        term.run_later()
+    else:
+        term.exchange.send_start(order)
+    assert len(term.client.starts) == sent
+    assert bool(term.current.jobs["0" * 16].list_runs()) is is_repeated
+
+
 @pytest.mark.parametrize("kind", ["start", "stop", "report"])
 def test_orders_continue_once_the_term_is_renewed(kind):
     """Guards against orders that are lost for good after a pause that cost no change of holder."""
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -420,6 +420,45 @@
         assert world.read_status(job_id).outcome is not None, job_id
 
 
+@pytest.mark.parametrize("clock_ratio", [1.0, 0.98])
+@pytest.mark.parametrize("seed", range(20))
+def test_constraints_under_random_faults(seed, clock_ratio):
+    """Guards against tasks in the wrong place, or on workers that leave, while faults combine.
+
+    Workers announce their departure and come back, their clocks are slow, answers and writes are
+    lost, and the holder changes, while jobs limit their tasks on a worker or require a label.
+    """
+    world = simulation.World(1000 + seed)
+    draw = world.generator
+    world.fleet.clock_ratio = clock_ratio
+    world.fleet.work_s = 1.5
+    world.claim_term("vm0")
+    for number in range(12):
+        steps = draw.choice(
+            [
+                (_make_step(draw.randint(1, 6), max_per_worker=1),),
+                (_make_step(draw.randint(1, 9), max_per_worker=2, checkpoints=True),),
+                (_make_step(draw.randint(1, 6), label=draw.choice(["r0", "r1"])),),
+                (_make_step(draw.randint(1, 3), _WHOLE, gang=True, label="r1"),),
+            ]
+        )
+        world.submit(simulation.make_job(f"{number:016x}", *steps))
+        world.faults.lost_writes = draw.choice([0.0, 0.1, 0.3])
+        world.faults.lost_orders = draw.choice([0.0, 0.1])
+        world.fleet.unreachable = {w for w in world.fleet.workers if draw.random() < 0.1}
+        for worker_id in sorted(world.fleet.workers):
+            world.register(worker_id, draining=draw.random() < 0.2)
+        world.run(draw.uniform(0.5, 4.0))
+        if draw.random() < 0.3:
+            world.claim_term(f"vm{number + 1}")
+    world.faults.lost_writes = world.faults.lost_orders = 0.0
+    world.fleet.unreachable = set()
+    for worker_id in sorted(world.fleet.workers):
+        world.register(worker_id)
+    world.run(90.0)
+    _assert_all_succeed(world)
+
+
 @pytest.mark.parametrize(
     ("members", "faulty"),
     [(1, {"w0"}), (2, {"w0", "w7"}), (4, {"w0", "w7"})],
