--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -191,6 +191,10 @@
         self.workers[worker_id] = FakeWorker(self, worker_id, rack, capacity)
         return self.workers[worker_id]
 
+    def find_busy_worker(self) -> str:
+        """Returns the identifier of the first worker that runs anything."""
+        return next(worker_id for worker_id, worker in self.workers.items() if worker.live)
+
     def get_work(self, task: model.TaskKey) -> tuple[model.Resources, float]:
         """Returns the resources that a task needs, and the seconds of work in it."""
         return self.specs[task.job_id].steps[task.step].need, self.work_s
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -8,6 +8,9 @@
 from lycheegate.node.tests import fake_store, fake_workers
 from lycheegate.platform import workers as worker_calls
 
+SMALL = model.Resources(1_000, 1_000, 1)
+WHOLE = model.Resources(8_000, 8_000, 8)
+
 
 class World:
     """A store, workers, and VMs that claim terms."""
@@ -134,3 +137,15 @@
     """Returns a job of the given steps."""
     account = fields.pop("account", "acme")
     return model.Job(job_id, route, account, f"spec-{job_id}", steps, 100.0, **fields)
+
+
+def make_step(count: int = 1, need: model.Resources = SMALL, **fields) -> model.Step:
+    """Returns a step of tasks that are declared to take a second."""
+    return model.Step(count, need, 1.0, **fields)
+
+
+def assert_all_succeed(world: World) -> None:
+    """Asserts that all jobs have succeeded and that no worker has seen a violation."""
+    for job_id in world.fleet.specs:
+        assert world.read_status(job_id).outcome is model.Outcome.SUCCEEDED, job_id
+    assert world.fleet.violations == []
