Abandon an answer of the store when it stops arriving, not after a fixed time

Cause: the timeout of a read or a feed request covered the whole transfer. An answer of 791 KB or 1.2 MB, a configuration of some thousand routes, needs 1.3 s or 1.9 s at 5 Mbit/s. The feed ended it after 1.7 s, then after 0.7 s each time, because a retry does not wait for changes, and began again from the first byte. The link was full meanwhile.

Change: requests may have an idle timeout. Their timeout then ends with the first part of the body, and each further part has to arrive within the idle timeout (1 s for the store). A transfer ends after 30 s in any case. Reads and feeds of the store use it; transactions and orders, whose answers are small, do not.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -37,6 +37,8 @@
 }
 # Errors and hang-ups count as readable, because libcurl detects them by reading.
 _READABLE = select.EPOLLIN | select.EPOLLERR | select.EPOLLHUP
+_MAX_TRANSFER_S = 30.0
+"""Time after which an answer is abandoned although it keeps arriving."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,8 +69,11 @@
         url: Absolute URL.
         body: Body, or None.
         headers: Complete header lines.
-        timeout_s: Timeout for the complete answer, including the wait for a connection.
+        timeout_s: Timeout for the complete answer, including the wait for a connection. With
+            ``idle_timeout_s``, it ends with the first part of the body.
         max_body_bytes: Maximum size of the body of the answer.
+        idle_timeout_s: Timeout for each further part of the body, or None. It suits answers of any
+            size: a large one over a slow link may take longer than a lost one is waited for.
     """
 
     method: str
@@ -77,6 +82,7 @@
     headers: tuple[str, ...] = ()
     timeout_s: float = 2.0
     max_body_bytes: int = 4 << 20
+    idle_timeout_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +128,18 @@
 class _Transfer:
     """A request and the answer received so far."""
 
-    __slots__ = ("body", "future", "header_lines", "kind", "origin", "request", "sent", "size")
+    __slots__ = (
+        "body",
+        "due_s",
+        "future",
+        "header_lines",
+        "kind",
+        "origin",
+        "request",
+        "sent",
+        "size",
+        "timer",
+    )
 
     def __init__(self, request: Request, origin: str):
         self.request = request
@@ -133,6 +150,8 @@
         self.header_lines: list[bytes] = []
         self.body: list[bytes] = []
         self.size = 0
+        self.due_s = time.monotonic() + request.timeout_s
+        self.timer: Timer | None = None
 
     def handle_request_start(self, *_: object) -> int:
         """Records that libcurl is about to write the request to a connection.
@@ -151,6 +170,8 @@
         if self.size > self.request.max_body_bytes:
             return 0
         self.body.append(data)
+        if self.request.idle_timeout_s is not None:
+            self.due_s = time.monotonic() + self.request.idle_timeout_s
         return None
 
 
@@ -339,6 +360,21 @@
                 continue
             self._transfers[handle] = transfer
             self._multi.add_handle(handle)
+            if transfer.request.idle_timeout_s is not None:
+                self._check_progress(handle, transfer)
+
+    def _check_progress(self, handle: pycurl.Curl, transfer: _Transfer) -> None:
+        """Abandons a transfer whose next part is overdue, or checks again when it is due."""
+        if self._transfers.get(handle) is not transfer:
+            return
+        remaining_s = transfer.due_s - time.monotonic()
+        if remaining_s > 0.0:
+            transfer.timer = self.call_later(
+                remaining_s, lambda: self._check_progress(handle, transfer)
+            )
+            return
+        message = f"answer stopped arriving after {transfer.size} bytes of its body"
+        self._finish(handle, pycurl.E_OPERATION_TIMEDOUT, message)
 
     def _make_handle(self, request: Request) -> pycurl.Curl:
         """Returns a handle with the options that are the same for all requests of its kind."""
@@ -363,7 +399,8 @@
         # Suppresses the headers that libcurl adds by default, which no server needs.
         headers = ["Accept:", "User-Agent:", "Expect:", *request.headers]
         handle.setopt(pycurl.HTTPHEADER, headers)
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
+        limit_s = request.timeout_s if request.idle_timeout_s is None else _MAX_TRANSFER_S
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(limit_s * 1000)))
         connect_s = min(self._limits.connect_timeout_s, request.timeout_s)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_s * 1000)))
         handle.setopt(pycurl.PREREQFUNCTION, transfer.handle_request_start)
@@ -383,6 +420,8 @@
 
     def _finish(self, handle: pycurl.Curl, code: int, message: str) -> None:
         transfer = self._transfers.pop(handle)
+        if transfer.timer is not None:
+            transfer.timer.cancel()
         self.requests_done += 1
         self.connections_made += handle.getinfo(pycurl.NUM_CONNECTS)
         self.bytes_received += handle.getinfo(pycurl.HEADER_SIZE) + transfer.size
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -15,6 +15,9 @@
 
 FEED_GRACE_S = 0.7
 """Timeout of a feed request beyond its wait time, after which the connection is abandoned."""
+IDLE_TIMEOUT_S = 1.0
+"""Time without a further part of an answer after which the connection is abandoned. Rows are read
+without a limit for the whole answer: a configuration of 1 MB takes 2 s over a link of 5 Mbit/s."""
 
 
 class _RowModel(msgspec.Struct):
@@ -77,7 +80,10 @@
         timeout_s: float,
         callback: Callable[[storage.StoreResult], None],
     ) -> None:
-        """Reads rows with ``first`` <= key < ``end``; empty strings mean no limit."""
+        """Reads rows with ``first`` <= key < ``end``; empty strings mean no limit.
+
+        ``timeout_s`` limits the time until the answer begins to arrive.
+        """
         query = {"table": table, "part": part}
         if first:
             query["from"] = first
@@ -85,7 +91,7 @@
             # Despite its name, "target" is the exclusive upper bound of the range.
             query["target"] = end
         url = f"{self._base_url}/rows-get?{urllib.parse.urlencode(query)}"
-        request = http.Request("GET", url, timeout_s=timeout_s)
+        request = http.Request("GET", url, timeout_s=timeout_s, idle_timeout_s=IDLE_TIMEOUT_S)
         self._send(request, _make_page, callback)
 
     def follow(
@@ -99,7 +105,8 @@
         # In this call, "depends-on" is the version after which changes are returned.
         query = {"table": table, "depends-on": after, "wait-ms": int(wait_s * 1000)}
         url = f"{self._base_url}/rows-feed?{urllib.parse.urlencode(query)}"
-        request = http.Request("GET", url, timeout_s=wait_s + FEED_GRACE_S)
+        timeout_s = wait_s + FEED_GRACE_S
+        request = http.Request("GET", url, timeout_s=timeout_s, idle_timeout_s=IDLE_TIMEOUT_S)
         self._send(request, _make_changes, callback)
 
     def _send(
