Wait for large answers of peers to relayed feed requests

Callers on VMs that were cut off from the store were refused until the cut ended, because these VMs did not receive a large configuration through peers either.

The timeout of a relayed call covered the whole transfer to the peer and from it; the next attempt began anew.

Change: relayed calls have an idle timeout, and the answer to a feed request may begin up to 3 s later. So that a silent peer does not delay a feed more than before, the next peer is called once an answer without changes is overdue.

Evidence: test_relayed_answer_that_keeps_arriving_is_not_abandoned and test_silent_peer_of_a_feed_is_hedged failed before and pass.

--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -31,6 +31,11 @@
 _PROBED_ROW = ("terms", "jobs", "beat", "beat\0")
 """Table, part and range of keys of the row that is read to test the connection to the store."""
 RELAY_GRACE_S = 0.3
+FEED_TRANSFER_S = 3.0
+"""Time that a peer may need beyond that to receive a large answer to a feed request from the store,
+before it begins to answer itself."""
+IDLE_TIMEOUT_S = 1.0
+"""Time without a further part of a peer's answer after which the connection is abandoned."""
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.7
 SUSPICION_S = 0.6
@@ -39,7 +44,8 @@
 """Timeout of that test; a store that is slow for all VMs still answers a read within it."""
 PEER_RETRY_DELAY_S = 2.0
 HEDGE_DELAY_S = 0.3
-"""Time without an answer of a peer after which the next one is called as well."""
+"""Time without an answer of a peer after which the next one is called as well; for a feed request,
+the time that a peer waits for a change is added."""
 _NOT_CALLED_STATUS = 503
 """Status of a peer that has not called the store."""
 MAX_PEERS = 3
@@ -81,6 +87,7 @@
         failure: Outcome if no peer makes the call.
         callback: Receives the outcome once.
         on_avoid: Called with the address of a peer that should not be tried again soon.
+        hedge_delay_s: Time without an answer after which the next peer is called as well.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
         failure: storage.StoreResult,
         callback: Callable[[storage.StoreResult], None],
         on_avoid: Callable[[str], None],
+        hedge_delay_s: float,
     ):
         self._client = client
         self._body = body
@@ -100,18 +108,19 @@
         self._failure = failure
         self._call = _PendingCall(callback)
         self._on_avoid = on_avoid
+        self._hedge_delay_s = hedge_delay_s
         self._waiting_for = 0
 
-    def start(self, is_hedged: bool) -> None:
-        """Calls the first peer; with ``is_hedged``, the next one while it does not answer."""
+    def start(self) -> None:
+        """Calls the first peer, and the next one while it does not answer."""
         self._call_next()
-        if is_hedged and self._call.is_pending and self._peers:
-            self._client.call_later(HEDGE_DELAY_S, self._hedge)
+        if self._call.is_pending and self._peers:
+            self._client.call_later(self._hedge_delay_s, self._hedge)
 
     def _hedge(self) -> None:
         if self._call.is_pending and self._peers:
             self._call_next()
-            self._client.call_later(HEDGE_DELAY_S, self._hedge)
+            self._client.call_later(self._hedge_delay_s, self._hedge)
 
     def _call_next(self) -> None:
         if not self._peers:
@@ -123,7 +132,13 @@
         peer = self._peers.pop(0)
         self._waiting_for += 1
         url = f"http://{peer}{PATH}"
-        request = http.Request("POST", url, self._body, timeout_s=self._timeout_s + RELAY_GRACE_S)
+        request = http.Request(
+            "POST",
+            url,
+            self._body,
+            timeout_s=self._timeout_s + RELAY_GRACE_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+        )
         self._client.send(request).add_done_callback(
             lambda done: self._handle_answer(peer, _decode_response(done.result()))
         )
@@ -318,16 +333,18 @@
                 f"store unreachable from this VM and through {len(peers[:MAX_PEERS])} peers"
             )
         )
+        is_feed = call[0] == _FOLLOW
         relayed = _RelayedCall(
             self._client,
             cbor2.dumps(call),
-            timeout_s,
+            timeout_s + FEED_TRANSFER_S if is_feed else timeout_s,
             peers[:MAX_PEERS],
             failure,
             callback,
             self._avoid_peer,
+            timeout_s + HEDGE_DELAY_S if is_feed else HEDGE_DELAY_S,
         )
-        relayed.start(is_hedged=call[0] != _FOLLOW)
+        relayed.start()
 
     def _avoid_peer(self, peer: str) -> None:
         self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Store calls relayed through peers."""
 
 import dataclasses
+import queue
 from concurrent import futures
 
 import cbor2
@@ -8,6 +9,7 @@
 from returns import result
 
 from lycheegate.clients import http
+from lycheegate.clients.tests import slow_server
 from lycheegate.node import peer_calls, relay, storage
 from lycheegate.utils import exceptions
 
@@ -254,3 +256,50 @@
         peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
     )
     assert application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0])).status_code == 503
+
+
+def _follow_through(address):
+    """Returns the outcome of a feed request through a peer, from a VM cut off from the store."""
+    client = http.HttpClient()
+    outcomes = queue.Queue()
+    try:
+        store = _make_store(_Direct(), client, peers=(address,))
+        store.reachability.is_unreachable = True
+        store.follow("op", 3, 0.0, outcomes.put)
+        return outcomes.get(timeout=20.0)
+    finally:
+        client.close()
+
+
+def test_relayed_answer_that_keeps_arriving_is_not_abandoned():
+    """Guards against a large configuration that never reaches a VM cut off from the store."""
+    row = storage.Row(storage.RowKey("op", "", "config"), b"configuration" * 100, 4)
+    outcome = result.Success(storage.Changes((row,), 4, 17))
+    server = slow_server.SlowServer(relay.encode_outcome(outcome))
+    try:
+        assert _follow_through(server.address) == outcome
+    finally:
+        server.stop()
+
+
+def test_relayed_answer_that_stops_arriving_is_abandoned():
+    """Guards against a feed that waits forever for a peer that went silent midway."""
+    server = slow_server.SlowServer(bytes(1000), parts_sent=3)
+    try:
+        outcome = _follow_through(server.address)
+    finally:
+        server.stop()
+    assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+
+
+def test_silent_peer_of_a_feed_is_hedged():
+    """Guards against a feed that stands still while it waits for a peer that is cut off itself."""
+    client, outcomes = _SilentClient(), []
+    store = _make_store(_Direct(), client)
+    store.reachability.is_unreachable = True
+    store.follow("op", 3, 1.0, outcomes.append)
+    client.run_later()
+    assert len(client.sent) == 2
+    changes = storage.Changes((), 4, 17)
+    client.futures[1].set_result(_respond(result.Success(changes)))
+    assert [outcome.unwrap() for outcome in outcomes] == [changes]
--- a/lycheegate/platform/tests/test_transfers.py
+++ b/lycheegate/platform/tests/test_transfers.py
@@ -1,66 +1,18 @@
 """Answers of the store that take longer to transfer than the store needs to answer."""
 
 import base64
-import contextlib
 import json
 import queue
-import socket
-import threading
 
 import pytest
 from returns import result
 
 from lycheegate.clients import http
+from lycheegate.clients.tests import slow_server
 from lycheegate.platform import store
 from lycheegate.utils import exceptions
 
 _WAIT_S = 20.0
-_PARTS = 8
-_PART_PAUSE_S = 0.25
-"""Pause between the parts of an answer, which takes longer in all than any timeout of a request."""
-
-
-class _SlowServer:
-    """Server of one connection at a time that sends the body of its answer in parts.
-
-    Args:
-        body: Body of each answer.
-        parts_sent: Number of parts to send; the connection is silent after the last of them.
-    """
-
-    def __init__(self, body: bytes, parts_sent: int = _PARTS):
-        self._body = body
-        self._parts_sent = parts_sent
-        self._stopped = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "{}:{}".format(*self._listener.getsockname())
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Closes the server and waits for its thread."""
-        self._stopped.set()
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join(_WAIT_S)
-
-    def _serve(self) -> None:
-        with contextlib.suppress(OSError):
-            while not self._stopped.is_set():
-                connection, _ = self._listener.accept()
-                with connection, contextlib.suppress(OSError):
-                    self._answer(connection)
-
-    def _answer(self, connection: socket.socket) -> None:
-        connection.recv(4096)
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self._body)}\r\n\r\n"
-        connection.sendall(head.encode())
-        size = -(-len(self._body) // _PARTS)
-        for number in range(self._parts_sent):
-            connection.sendall(self._body[number * size : (number + 1) * size])
-            self._stopped.wait(_PART_PAUSE_S)
-        if self._parts_sent < _PARTS:
-            self._stopped.wait(_WAIT_S)
 
 
 @pytest.fixture(name="client")
@@ -93,7 +45,7 @@
     The transfer was ended after a fixed time and began again from its first byte, so a VM whose
     link needs longer never received the configuration and refused all of its callers.
     """
-    server = _SlowServer(_make_body())
+    server = slow_server.SlowServer(_make_body())
     try:
         outcome = _call(kind, client, server.address)
     finally:
@@ -105,7 +57,7 @@
 @pytest.mark.parametrize("kind", ["read", "follow"])
 def test_answer_that_stops_arriving_is_abandoned(client, kind, parts_sent):
     """Guards against a feed that waits forever on a connection which went silent midway."""
-    server = _SlowServer(_make_body(), parts_sent)
+    server = slow_server.SlowServer(_make_body(), parts_sent)
     try:
         outcome = _call(kind, client, server.address)
     finally:
