Compress large answers between VMs

VMs that are cut off from the store receive the configuration through peers. With thousands of routes it takes 1.4 s over a link of 5 Mbit/s; calls of several feeds and of several VMs share such links.

Answers of VMs of earlier releases, and answers to them, stay as they were.

Evidence: test_large_answers_of_peers_are_compressed_if_accepted, test_malformed_compressed_answer_of_a_peer.

--- a/lycheegate/node/peer_calls.py
+++ b/lycheegate/node/peer_calls.py
@@ -11,7 +11,7 @@
 import werkzeug
 
 from lycheegate.jobs import model, progress
-from lycheegate.node import relay, storage, waiting
+from lycheegate.node import compression, relay, storage, waiting
 
 __all__ = [
     "HOLDS_TERM",
@@ -81,7 +81,9 @@
         """Serves one call."""
         request = werkzeug.Request(environ)
         body = environ["wsgi.input"].read(request.content_length or 0)
-        return self._answer(body)(environ, start_response)
+        response = self._answer(body)
+        compression.compress_response(response, request)
+        return response(environ, start_response)
 
     def _answer(self, body: bytes) -> werkzeug.Response:
         try:
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.node import storage
+from lycheegate.node import compression, storage
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -136,6 +136,7 @@
             "POST",
             url,
             self._body,
+            (compression.ACCEPT_HEADER,),
             timeout_s=self._timeout_s + RELAY_GRACE_S,
             idle_timeout_s=IDLE_TIMEOUT_S,
         )
@@ -437,7 +438,7 @@
         # An error after the peer has called the store does not prove that the call had no effect.
         return result.Failure(exceptions.OutcomeUnknownError(text))
     try:
-        return decode_outcome(response.body)
+        return decode_outcome(compression.decompress_body(response))
     except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError, RecursionError) as error:
         return result.Failure(
             exceptions.OutcomeUnknownError(
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import queue
+import zlib
 from concurrent import futures
 
 import cbor2
 import pytest
 from returns import result
+from werkzeug import test as werkzeug_test
 
 from lycheegate.clients import http
 from lycheegate.clients.tests import slow_server
@@ -303,3 +305,51 @@
     changes = storage.Changes((), 4, 17)
     client.futures[1].set_result(_respond(result.Success(changes)))
     assert [outcome.unwrap() for outcome in outcomes] == [changes]
+
+
+def _relay_feed(answer, accepted):
+    """Returns the response of a peer to a feed request."""
+    direct = _Direct(answer)
+    direct.follow = lambda table, after, wait_s, callback: direct._answer(callback)
+    application = peer_calls.PeerApplication(
+        direct,
+        relay.Reachability(),
+        lambda row: None,
+        peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
+    )
+    body = cbor2.dumps(["follow", "op", 3, 0.0])
+    headers = {"Accept-Encoding": accepted} if accepted else {}
+    client = werkzeug_test.Client(application)
+    return client.post(relay.PATH, data=body, headers=headers)
+
+
+@pytest.mark.parametrize("accepted", ["", "deflate"])
+@pytest.mark.parametrize("size", [10, 100_000])
+def test_large_answers_of_peers_are_compressed_if_accepted(size, accepted):
+    """Guards against a VM on a slow link that receives a configuration too late from a peer.
+
+    A peer of an earlier release neither accepts nor sends compressed answers.
+    """
+    row = storage.Row(storage.RowKey("op", "", "config"), b"a" * size, 4)
+    outcome = result.Success(storage.Changes((row,), 4, 17))
+    response = _relay_feed(outcome, accepted)
+    is_compressed = response.headers.get("Content-Encoding") == "deflate"
+    assert is_compressed == bool(accepted and size > 10)
+    if is_compressed:
+        assert len(response.data) < size / 10
+    header_lines = tuple(f"{name}: {value}".encode() for name, value in response.headers.items())
+    client = _Client(result.Success(http.Response(200, header_lines, response.data)))
+    outcomes = []
+    store = _make_store(_Direct(_REFUSED), client)
+    store.transact(storage.Transaction(), 1.0, outcomes.append)
+    assert outcomes == [outcome]
+
+
+@pytest.mark.parametrize("body", [b"", b"x", zlib.compress(b"a" * 1000)[:-5]])
+def test_malformed_compressed_answer_of_a_peer(body):
+    """Guards against a feed that ends because a peer's answer cannot be decompressed."""
+    answer = http.Response(200, (b"Content-Encoding: deflate",), body)
+    outcomes = []
+    store = _make_store(_Direct(_REFUSED), _Client(result.Success(answer)))
+    store.transact(storage.Transaction(), 1.0, outcomes.append)
+    assert type(outcomes[0].failure()) is exceptions.OutcomeUnknownError
