Do not count the store as unreachable while its answers arrive

While VMs that were cut off received a large configuration through peers, the peers on slow links logged store_lost as well, sent their own calls through further peers, and abandoned the answers that they were receiving.

Cause: a small answer that waits behind a large one on a full link times out, and one lost answer made the store count as unreachable. Calls through peers fill the same link.

Change: a lost answer does not count while a part of another answer of the store has arrived within the idle timeout.

Evidence: test_store_whose_answers_arrive_is_reachable (failed before: the call went through a peer) and test_arriving_answer_is_noticed.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -130,11 +130,12 @@
 
     __slots__ = (
         "body",
-        "due_s",
         "future",
         "header_lines",
         "kind",
         "origin",
+        "progressed_at_s",
+        "queued_at_s",
         "request",
         "sent",
         "size",
@@ -150,7 +151,8 @@
         self.header_lines: list[bytes] = []
         self.body: list[bytes] = []
         self.size = 0
-        self.due_s = time.monotonic() + request.timeout_s
+        self.queued_at_s = time.monotonic()
+        self.progressed_at_s: float | None = None
         self.timer: Timer | None = None
 
     def handle_request_start(self, *_: object) -> int:
@@ -171,9 +173,15 @@
             return 0
         self.body.append(data)
         if self.request.idle_timeout_s is not None:
-            self.due_s = time.monotonic() + self.request.idle_timeout_s
+            self.progressed_at_s = time.monotonic()
         return None
 
+    def compute_due_s(self) -> float:
+        """Returns when the next part of the body is overdue, given an idle timeout."""
+        if self.progressed_at_s is None:
+            return self.queued_at_s + self.request.timeout_s
+        return self.progressed_at_s + self.request.idle_timeout_s
+
 
 class HttpClient:
     """HTTP client with a single thread.
@@ -260,6 +268,18 @@
         self._wake()
         return timer
 
+    def is_receiving(self, origin: str) -> bool:
+        """Returns whether an answer of an origin is arriving; for the client's thread.
+
+        Only answers to requests with an idle timeout are considered, since the others are small.
+        """
+        now_s = time.monotonic()
+        return any(
+            transfer.progressed_at_s is not None and now_s < transfer.compute_due_s()
+            for transfer in self._transfers.values()
+            if transfer.origin == origin
+        )
+
     def is_own_thread(self) -> bool:
         """Returns whether the caller runs on the client's thread, which must not block."""
         return threading.current_thread() is self._thread
@@ -367,7 +387,7 @@
         """Abandons a transfer whose next part is overdue, or checks again when it is due."""
         if self._transfers.get(handle) is not transfer:
             return
-        remaining_s = transfer.due_s - time.monotonic()
+        remaining_s = transfer.compute_due_s() - time.monotonic()
         if remaining_s > 0.0:
             transfer.timer = self.call_later(
                 remaining_s, lambda: self._check_progress(handle, transfer)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -85,6 +85,7 @@
             lambda: self._members.list_peers(),
             read_boottime_s,
             self._handle_reachability,
+            direct.is_receiving,
         )
         self._members = members.MemberDirectory(
             self._store,
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -192,6 +192,7 @@
         list_peers: Returns the peer addresses of other VMs.
         now_s: Clock.
         on_change: Called with whether the store is unreachable, each time that changes.
+        is_receiving: Returns whether an answer to a direct call is arriving.
     """
 
     def __init__(
@@ -201,6 +202,7 @@
         list_peers: Callable[[], list[str]],
         now_s: Callable[[], float],
         on_change: Callable[[bool], None],
+        is_receiving: Callable[[], bool] = lambda: False,
     ):
         self.reachability = Reachability()
         self._direct = direct
@@ -208,6 +210,7 @@
         self._list_peers = list_peers
         self._now_s = now_s
         self._on_change = on_change
+        self._is_receiving = is_receiving
         self._avoid_until_s: dict[str, float] = {}
         self._probing = False
         self._testing = False
@@ -304,6 +307,10 @@
             call.finish(result.Failure(error))
 
     def _record_outcome(self, outcome: storage.StoreResult) -> None:
+        if _is_lost(outcome) and self._is_receiving():
+            # A large answer fills the link and delays small ones. Calls through peers would come
+            # over the same link, and their answers would fill it further.
+            return
         was_unreachable = self.reachability.is_unreachable
         self.reachability.update(outcome)
         if was_unreachable != self.reachability.is_unreachable:
@@ -351,6 +358,12 @@
         self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
 
 
+def _is_lost(outcome: storage.StoreResult) -> bool:
+    return not isinstance(outcome, result.Success) and isinstance(
+        outcome.failure(), exceptions.OutcomeUnknownError
+    )
+
+
 def encode_row_key(key: storage.RowKey) -> list[str]:
     """Returns the address of a row as a list of CBOR items."""
     return [key.table, key.part, key.key]
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -86,9 +86,11 @@
     return result.Success(http.Response(200, (), relay.encode_outcome(outcome)))
 
 
-def _make_store(direct, client, peers=("10.0.0.2:7000", "10.0.0.3:7000")):
+def _make_store(
+    direct, client, peers=("10.0.0.2:7000", "10.0.0.3:7000"), is_receiving=lambda: False
+):
     return relay.FallbackStore(
-        direct, client, lambda: list(peers), lambda: 0.0, lambda is_unreachable: None
+        direct, client, lambda: list(peers), lambda: 0.0, lambda is_unreachable: None, is_receiving
     )
 
 
@@ -236,6 +238,23 @@
         assert type(outcome.failure()) is expected
 
 
+def test_store_whose_answers_arrive_is_reachable():
+    """Guards against calls through peers while a large answer fills the link to the store.
+
+    Small answers time out behind it. Calls through peers come over the same link, and made the VM
+    receive the large answer again.
+    """
+    client, outcomes = _SilentClient(), []
+    direct = _SilentStore(_LOST, result.Success(storage.Page((), False, 1)))
+    store = _make_store(direct, client, is_receiving=lambda: True)
+    store.transact(storage.Transaction(), 2.0, outcomes.append)
+    client.run_later()
+    assert outcomes == []
+    store.read("t", "p", "", "", 1.0, outcomes.append)
+    assert direct.calls == 3
+    assert client.sent == []
+
+
 def test_call_without_peers_is_refused():
     """Guards against a call that is never answered when no VM reaches the store."""
     client = _Client()
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -43,8 +43,13 @@
 
     def __init__(self, client: http.HttpClient, address: str):
         self._client = client
+        self._address = address
         self._base_url = f"http://{address}"
 
+    def is_receiving(self) -> bool:
+        """Returns whether an answer of the store is arriving; for the client's thread."""
+        return self._client.is_receiving(self._address)
+
     def transact(
         self,
         transaction: storage.Transaction,
--- a/lycheegate/platform/tests/test_transfers.py
+++ b/lycheegate/platform/tests/test_transfers.py
@@ -53,6 +53,30 @@
     assert [row.version for row in outcome.unwrap().rows] == [4]
 
 
+def test_arriving_answer_is_noticed(client):
+    """Guards against a store that counts as unreachable while a large answer fills the link."""
+    server = slow_server.SlowServer(_make_body(), parts_sent=1)
+    platform_store = store.PlatformStore(client, server.address)
+    outcomes, observed = queue.Queue(), queue.Queue()
+
+    def observe():
+        is_receiving = platform_store.is_receiving()
+        if is_receiving or not outcomes.empty():
+            observed.put(is_receiving)
+        else:
+            client.call_later(0.02, observe)
+
+    try:
+        platform_store.follow("op", 3, 0.0, outcomes.put)
+        client.call_later(0.0, observe)
+        assert observed.get(timeout=_WAIT_S)
+        assert not isinstance(outcomes.get(timeout=_WAIT_S), result.Success)
+        client.call_later(0.0, lambda: observed.put(platform_store.is_receiving()))
+        assert not observed.get(timeout=_WAIT_S)
+    finally:
+        server.stop()
+
+
 @pytest.mark.parametrize("parts_sent", [0, 1, 3])
 @pytest.mark.parametrize("kind", ["read", "follow"])
 def test_answer_that_stops_arriving_is_abandoned(client, kind, parts_sent):
