Wait for acceptance before the fault tests wait for a start

Cause: three tests took the request identifier from the response to a single submission without looking at its status. An entry VM that does not know the owner of the partition refuses with 503 no_owner and request_id null; the tests then waited 45 s for a start of the request None. A peer learns a new owner from its next heartbeat, up to 0.1 s after the lease is in the table, and during a handover there is no owner for about 0.5 s. The fixture waits for neither.

Change: the tests repeat a submission that is refused with no_owner or release_unconfirmed, as callers do, and require status 202 before they wait; the wait of 45 s is unchanged. test_owner_paused_beyond_its_lease suspends the owner after the start of the request, because an owner found before a handover is no longer the one to suspend. A new test holds that a request refused with no_owner leaves no record and runs once when it is repeated.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -208,6 +208,8 @@
         """
         state = self.describe_state()
         logs = {vm_id: entry.read_log() for vm_id, entry in self.entries.items()}
+        # The signal ends a process that has not yet registered its handler.
+        statuses = {vm_id: entry.process.poll() for vm_id, entry in self.entries.items()}
         for entry in self.entries.values():
             if entry.process.poll() is None:
                 entry.send_signal(signal.SIGCONT)
@@ -216,7 +218,7 @@
         lines = [state]
         for vm_id, entry in self.entries.items():
             stacks = entry.read_log()[len(logs[vm_id]) :]
-            lines.append(f"== log of {vm_id}, exit status {entry.process.poll()}")
+            lines.append(f"== log of {vm_id}, exit status {statuses[vm_id]}")
             lines.append(logs[vm_id][-MAX_LOG_CHARACTERS:])
             lines.append(f"== stacks of {vm_id} and lines logged meanwhile")
             lines.append(_merge_equal_stacks(stacks)[:MAX_STACK_CHARACTERS])
--- a/lycheegate/entry/tests/conftest.py
+++ b/lycheegate/entry/tests/conftest.py
@@ -79,18 +79,25 @@
         for n in range(worker_count)
     }
     with deployment.deploy(directory, entries, workers, JOB_CLASSES, **options) as running:
-        running.tokens = [tokens.make_token() for _ in range(2)]
-        hashes = [tokens.hash_token(token) for token in running.tokens]
-        text = NOTE.format(base=0, first=hashes[0], second=hashes[1])
-        apply_note(running, text)
+        put_release_in_force(running)
         running.wait_until_owned([f"{name}/0" for name in data_centres])
-        for entry in running.entries.values():
-            deployment.wait_until(
-                lambda entry=entry: is_ready(entry, 1), TIMEOUT_S, "release in force"
-            )
+        wait_until_ready(running)
         yield running
 
 
+def put_release_in_force(running):
+    """Applies the first release, whose callers have ``running.tokens``."""
+    running.tokens = [tokens.make_token() for _ in range(2)]
+    hashes = [tokens.hash_token(token) for token in running.tokens]
+    apply_note(running, NOTE.format(base=0, first=hashes[0], second=hashes[1]))
+
+
+def wait_until_ready(running):
+    """Waits until the first release is in force on every entry VM."""
+    for entry in running.entries.values():
+        deployment.wait_until(lambda entry=entry: is_ready(entry, 1), TIMEOUT_S, "release in force")
+
+
 def is_ready(entry, release):
     """Returns whether an entry VM accepts requests under at least the given release."""
     try:
--- a/lycheegate/entry/tests/test_faults.py
+++ b/lycheegate/entry/tests/test_faults.py
@@ -12,8 +12,12 @@
 from lycheegate.entry.tests import conftest
 
 PARTITION = "dc1/0"
-CONFIRMATION_TIMEOUT_S = 30.0
-"""Time for a resumed process to confirm its release; ample for a loaded machine."""
+ADMISSION_TIMEOUT_S = 30.0
+"""Time for an entry VM to learn the owner and confirm its release; ample for a loaded machine."""
+
+TEMPORARY_REFUSALS = ("no_owner", "release_unconfirmed")
+"""Reasons for which an entry VM that serves refuses any request for a short time. A peer learns a
+new owner from its next heartbeat, and while a partition is handed over it has no owner."""
 
 
 @pytest.fixture
@@ -43,15 +47,29 @@
     return client.call(address, "POST", "/v1/requests", running.tokens[0], body, key)
 
 
-def _wait_until_started(running, reply):
-    """Waits for the start of the request that a response names; returns its identifier."""
+def _submit_when_admitted(running, vm_id, key, reasons=TEMPORARY_REFUSALS, **body):
+    """Submits until the entry VM refuses for none of the reasons; returns the last response."""
+    deadline_s = time.monotonic() + ADMISSION_TIMEOUT_S
+    while True:
+        reply = _submit(running, vm_id, key, **body)
+        is_temporary = (
+            reply.status == 503 and isinstance(reply.body, dict) and reply.body["reason"] in reasons
+        )
+        if not is_temporary or time.monotonic() > deadline_s:
+            return reply
+        time.sleep(0.1)
+
+
+def _submit_and_wait_until_started(running, vm_id, key, **body):
+    """Waits until a request is accepted and has started at a worker; returns its identifier."""
+    reply = _submit_when_admitted(running, vm_id, key, **body)
+    assert reply.status == 202, reply
     request_id = reply.body["request_id"]
 
     def is_started():
         return running.count_starts().get(request_id)
 
-    description = f"start at a worker of the request of response {reply.status} {reply.body}"
-    deployment.wait_until(is_started, conftest.TIMEOUT_S, description)
+    deployment.wait_until(is_started, conftest.TIMEOUT_S, f"start of {request_id} at a worker")
     return request_id
 
 
@@ -129,29 +147,16 @@
     assert three_vms.count_starts()[replies[0].headers["x-request-id"]] == {0: 1}
 
 
-def _submit_when_confirmed(running, vm_id, key, **body):
-    """Submits until the entry VM has confirmed its release; returns other refusals at once."""
-    deadline_s = time.monotonic() + CONFIRMATION_TIMEOUT_S
-    while True:
-        reply = _submit(running, vm_id, key, **body)
-        is_unconfirmed = (
-            reply.status == 503
-            and isinstance(reply.body, dict)
-            and reply.body["reason"] == "release_unconfirmed"
-        )
-        if not is_unconfirmed or time.monotonic() > deadline_s:
-            return reply
-        time.sleep(0.1)
-
-
 def test_owner_paused_beyond_its_lease(three_vms):
     """Guards against orders of an owner that was replaced while it was suspended."""
-    owner = _find_owner(three_vms)
-    epoch = three_vms.read_lease(PARTITION)["epoch"]
-    survivor = _list_others(three_vms, owner)[0]
+    peer = _list_others(three_vms, _find_owner(three_vms))[0]
     body = {"class": "match", "payload": {"answer": "once", "run_s": 2.0}}
     key = _make_key()
-    _wait_until_started(three_vms, _submit(three_vms, survivor, key, **body))
+    _submit_and_wait_until_started(three_vms, peer, key, **body)
+    # The partition may have been handed over since, and the test must suspend its current owner.
+    lease = three_vms.read_lease(PARTITION)
+    owner, epoch = lease["owner"], lease["epoch"]
+    survivor = _list_others(three_vms, owner)[0]
     three_vms.entries[owner].send_signal(signal.SIGSTOP)
     _wait_until_taken_over(three_vms, epoch)
     ended = conftest.make_caller(three_vms, vm_ids=[survivor]).run(
@@ -162,11 +167,36 @@
     reply = _submit(three_vms, survivor, key, **body, wait_s=30)
     assert (reply.status, reply.body) == (200, b"once")
     # The resumed process serves again, through the new owner.
-    reply = _submit_when_confirmed(three_vms, owner, _make_key(), **{**body, "wait_s": 30})
+    body["wait_s"] = 30
+    reply = _submit_when_admitted(three_vms, owner, _make_key(), ["release_unconfirmed"], **body)
     assert (reply.status, reply.body) == (200, b"once")
     assert all(members == {0: 1} for members in three_vms.count_starts().values())
 
 
+def test_refusal_before_the_first_owner(tmp_path):
+    """Guards against a request that is refused without an owner, and runs or blocks its key.
+
+    The entry VM is ready, but knows no partition until it has read the VM list.
+    """
+    workers = {"w0": conftest.PLACE}
+    entries = {"e0": conftest.PLACE}
+    with deployment.deploy(
+        tmp_path, entries, workers, conftest.JOB_CLASSES, start=False
+    ) as running:
+        running.vms.faults.set(refused=True)
+        running.start_entry("e0").wait_until_listening()
+        conftest.put_release_in_force(running)
+        conftest.wait_until_ready(running)
+        key, body = _make_key(), {"class": "match", "payload": {"answer": "once"}}
+        reply = _submit(running, "e0", key, **body)
+        assert (reply.status, reply.body["reason"]) == (503, "no_owner")
+        assert (reply.body["end"], reply.body["covers"]) == ("not_run", "call")
+        assert running.table.rows.list_rows("request") == []
+        running.vms.faults.clear()
+        request_id = _submit_and_wait_until_started(running, "e0", key, **body)
+        assert running.count_starts() == {request_id: {0: 1}}
+
+
 def test_drain_with_requests_in_flight(three_vms):
     """Guards against a drain that aborts waiting calls or loses running requests."""
     owner = _find_owner(three_vms)
@@ -303,7 +333,7 @@
     """Guards against idempotent work that is lost with its worker."""
     key = _make_key()
     body = {"class": "preview", "payload": {"answer": "again", "run_s": 3.0}}
-    request_id = _wait_until_started(three_vms, _submit(three_vms, "e0", key, **body))
+    request_id = _submit_and_wait_until_started(three_vms, "e0", key, **body)
     (lost,) = [
         name for name, worker in three_vms.workers.items() if request_id in worker.get_starts()
     ]
@@ -317,7 +347,7 @@
     with conftest.run_deployment(tmp_path, policy={"outcome_wait_s": 1.0}) as running:
         key = _make_key()
         body = {"class": "match", "payload": {"run_s": 600}}
-        request_id = _wait_until_started(running, _submit(running, "e0", key, **body))
+        request_id = _submit_and_wait_until_started(running, "e0", key, **body)
         (lost,) = [
             name for name, worker in running.workers.items() if request_id in worker.get_starts()
         ]
