Await the first reports of listed workers before refusing work

Cause: 3 s after a takeover, the core ended each request that fitted on no worker with a report as not_run, reason worker. A listed worker that does not answer for these 3 s counted as absent, although a lost worker is awaited for 60 s. All accepted requests of a partition ended when its workers were silent for a few seconds at a takeover.

Change: the owner passes the listed workers to the core with the event WorkersListed. While one of them has not reported, impossible requests are refused only 60 s after the takeover, with retry_after_s 60; they are refused at once when the last one has reported or has left the list.

--- a/lycheegate/core/admission.py
+++ b/lycheegate/core/admission.py
@@ -60,7 +60,7 @@
 ) -> tuple[str | None, float | None]:
     """Returns the reason to reject a request, or None, and the seconds until a new try, or None."""
     request = job.request
-    if not reports.is_awaiting_reports(state):
+    if reports.is_capacity_known(state):
         impossible = scheduling.find_infeasibility_reason(state.scheduling, request)
         if impossible is not None:
             return impossible, _get_impossible_retry_after_s(state)
@@ -77,8 +77,8 @@
 
 
 def _get_impossible_retry_after_s(state: partition_state.PartitionState) -> float | None:
-    """Returns the seconds until a request may fit again, or None if no worker is lost."""
-    if any(worker.lost_at_s is not None for worker in state.workers.values()):
+    """Returns the seconds until a request may fit, or None if no worker is lost or awaited."""
+    if state.unreported or any(worker.lost_at_s is not None for worker in state.workers.values()):
         return _LOST_CAPACITY_RETRY_AFTER_S
     return None
 
@@ -154,8 +154,8 @@
 def reject_impossible_requests(
     state: partition_state.PartitionState, out: list[commands.Command]
 ) -> None:
-    """Ends waiting requests that no longer fit anywhere after a loss or a release."""
-    if reports.is_awaiting_reports(state):
+    """Ends waiting requests that fit nowhere, unless workers are still awaited."""
+    if not reports.is_capacity_known(state):
         return
     reasons: dict[tuple, str | None] = {}
     for job in [
--- a/lycheegate/core/engine.py
+++ b/lycheegate/core/engine.py
@@ -236,6 +236,24 @@
     admission.cancel_request(state, event.request_id, out)
 
 
+def _on_report(state: PartitionState, event: events.WorkerReported, out: _Commands) -> None:
+    was_known = reports.is_capacity_known(state)
+    reports.handle_report(state, event, out)
+    _reject_if_now_known(state, was_known, out)
+
+
+def _on_listing(state: PartitionState, event: events.WorkersListed, out: _Commands) -> None:
+    was_known = reports.is_capacity_known(state)
+    reports.handle_listing(state, event)
+    _reject_if_now_known(state, was_known, out)
+
+
+def _reject_if_now_known(state: PartitionState, was_known: bool, out: _Commands) -> None:
+    """Rejects impossible requests once the last worker that was awaited has reported or left."""
+    if not was_known and reports.is_capacity_known(state):
+        admission.reject_impossible_requests(state, out)
+
+
 def _on_release(state: PartitionState, event: events.ReleaseApplied, out: _Commands) -> None:
     if event.number <= state.release_number:
         return
@@ -282,7 +300,7 @@
         s, e.attempt_id, out
     ),
     events.AttemptNotRecorded: recovery.handle_attempt_not_recorded,
-    events.WorkerReported: reports.handle_report,
+    events.WorkerReported: _on_report,
     events.WorkerLeaving: lambda s, e, out: losses.mark_leaving(s, e.worker_id, out),
     events.WorkerLost: lambda s, e, out: losses.handle_worker_lost(s, e.worker_id, out),
     events.TaskHeld: _on_task(lambda s, a, m, e, out: attempts.handle_task_held(s, a, m, out)),
@@ -304,6 +322,7 @@
     ),
     events.AnswerStored: lambda s, e, out: attempts.handle_answer_stored(s, e.attempt_id, out),
     events.AnswerBroken: lambda s, e, out: attempts.handle_answer_broken(s, e.attempt_id, out),
+    events.WorkersListed: _on_listing,
     events.ReleaseApplied: _on_release,
     events.Tick: _on_tick,
 }
--- a/lycheegate/core/events.py
+++ b/lycheegate/core/events.py
@@ -30,6 +30,7 @@
     "WorkerLeaving",
     "WorkerLost",
     "WorkerReported",
+    "WorkersListed",
 ]
 
 
@@ -254,6 +255,16 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """The VM list names these workers of the partition, not counting those that are leaving.
+
+    A request that fits only on a worker without a first report under this epoch is not impossible.
+    """
+
+    worker_ids: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseApplied:
     """A release has taken effect.
@@ -293,6 +304,7 @@
     | TaskReleased
     | AnswerStored
     | AnswerBroken
+    | WorkersListed
     | ReleaseApplied
     | Tick
 )
--- a/lycheegate/core/losses.py
+++ b/lycheegate/core/losses.py
@@ -7,7 +7,7 @@
 
 # Time from a loss to the check for requests that no longer fit anywhere. A worker that was only
 # unreachable for a short time, or restarted, has reported again before the check.
-_SWEEP_DELAY_S = 60.0
+SWEEP_DELAY_S = 60.0
 # A lost worker that does not return within this time is removed.
 _REMOVE_LOST_AFTER_S = 3600.0
 
@@ -62,7 +62,7 @@
             _handle_lost_members(state, attempt, worker_id, out)
             if attempt_id not in state.attempts:
                 worker.attempts.pop(attempt_id, None)
-    for delay_s in (_SWEEP_DELAY_S, _REMOVE_LOST_AFTER_S):
+    for delay_s in (SWEEP_DELAY_S, _REMOVE_LOST_AFTER_S):
         partition_state.add_timer(state, state.now_s + delay_s, partition_state.Timer.SWEEP, "")
 
 
--- a/lycheegate/core/reports.py
+++ b/lycheegate/core/reports.py
@@ -13,11 +13,13 @@
     "RECOVERY_WAIT_S",
     "create_recovered_attempt",
     "handle_absent_task",
+    "handle_listing",
     "handle_report",
     "handle_reported_task",
     "handle_task_released",
     "has_restarted",
     "is_awaiting_reports",
+    "is_capacity_known",
     "release_stale_task",
 ]
 
@@ -34,6 +36,28 @@
     return state.recovering or state.now_s < state.epoch_at_s + RECOVERY_WAIT_S
 
 
+def is_capacity_known(state: partition_state.PartitionState) -> bool:
+    """Returns whether a request that fits nowhere now counts as impossible.
+
+    A listed worker that has not reported yet may only be unreachable for a short time, like a lost
+    one, and is awaited for as long.
+    """
+    if is_awaiting_reports(state):
+        return False
+    return not state.unreported or state.now_s >= state.epoch_at_s + losses.SWEEP_DELAY_S
+
+
+def handle_listing(state: partition_state.PartitionState, event: events.WorkersListed) -> None:
+    """Records which listed workers have not reported yet."""
+    unreported = dict.fromkeys(
+        worker_id for worker_id in event.worker_ids if worker_id not in state.workers
+    )
+    due_s = state.epoch_at_s + losses.SWEEP_DELAY_S
+    if unreported and not state.unreported and state.now_s < due_s:
+        partition_state.add_timer(state, due_s, partition_state.Timer.SWEEP, "")
+    state.unreported = unreported
+
+
 def create_recovered_attempt(
     state: partition_state.PartitionState,
     job: partition_state.Job,
@@ -73,6 +97,7 @@
 ) -> None:
     """Adds or updates a worker and reconciles its tasks with the known attempts."""
     worker_id = event.worker.worker_id
+    state.unreported.pop(worker_id, None)
     worker = state.workers.get(worker_id)
     if worker is not None and worker.lost_at_s is None and _has_changed(worker, event.worker):
         losses.handle_worker_lost(state, worker_id, out)
--- a/lycheegate/core/state.py
+++ b/lycheegate/core/state.py
@@ -272,6 +272,7 @@
         capacity_changed: Whether short guarantees have to be determined again.
         unrefreshed: While a worker report is handled, the workers whose placeability is updated
             after it; else None.
+        unreported: Listed workers without a report under this epoch.
     """
 
     partition: str
@@ -309,6 +310,7 @@
     short: dict[tuple[str, str], tuple[int, str]] = dataclasses.field(default_factory=dict)
     capacity_changed: bool = False
     unrefreshed: dict[str, None] | None = None
+    unreported: dict[str, None] = dataclasses.field(default_factory=dict)
 
 
 def create_state(
@@ -400,4 +402,7 @@
         raise exceptions.SnapshotFormatError(
             f"snapshot contains a {type(state).__name__}, not a PartitionState"
         )
+    if not hasattr(state, "unreported"):
+        # Snapshots of earlier builds lack this field.
+        state.unreported = {}
     return state
--- a/lycheegate/core/tests/test_engine.py
+++ b/lycheegate/core/tests/test_engine.py
@@ -291,6 +291,64 @@
     )
 
 
+_SUBMITTED = events.RequestSubmitted(fakes.make_request("r"))
+_RECOVERED = events.RecoveredRequest(fakes.make_request("r"))
+
+
+@pytest.mark.parametrize(
+    ("steps", "reason", "retry_after_s"),
+    [
+        ([(_SUBMITTED, 0.0), (events.Tick(), 59.0)], None, None),
+        ([(_RECOVERED, 0.0), (events.Tick(), 0.5), (events.Tick(), 59.0)], None, None),
+        ([(events.Tick(), 5.0), (_SUBMITTED, 5.0), (events.Tick(), 59.0)], None, None),
+        ([(_SUBMITTED, 0.0), (events.Tick(), 60.0)], "worker", 60.0),
+        ([(events.Tick(), 61.0), (_SUBMITTED, 61.0)], "worker", 60.0),
+        (
+            [(_SUBMITTED, 0.0), (events.Tick(), 5.0), (events.WorkersListed(()), 6.0)],
+            "worker",
+            None,
+        ),
+        (
+            [(_SUBMITTED, 0.0), (events.WorkersListed(()), 1.0), (events.Tick(), 5.0)],
+            "worker",
+            None,
+        ),
+    ],
+)
+def test_await_first_reports_of_listed_workers(steps, reason, retry_after_s):
+    """Guards against ending accepted work because its worker is silent at a takeover.
+
+    A listed worker that does not report within 3 s of the takeover may be unreachable for a few
+    seconds only. One that is no longer listed is not awaited.
+    """
+    state = engine.create_state("suwon/0", policy.PolicySettings(), seed=1)
+    engine.decide(state, events.EpochGained(1), 0.0)
+    engine.decide(state, events.WorkersListed(("w0",)), 0.0)
+    if all(event != _RECOVERED for event, _ in steps):
+        engine.decide(state, events.Tick(), 0.0)
+    out = [command for event, now_s in steps for command in engine.decide(state, event, now_s)]
+    ends = _select(out, commands.EndRequest)
+    assert [(end.end, end.reason, end.retry_after_s) for end in ends] == (
+        [(_End.NOT_RUN, reason, retry_after_s)] if reason else []
+    )
+    if not reason:
+        out = engine.decide(state, events.WorkerReported(_WORKERS[0]), 59.5)
+        assert [hold.request_id for hold in _select(out, commands.HoldTask)] == ["r"]
+
+
+def test_reject_impossible_request_after_the_last_first_report():
+    """Guards against a request that fits nowhere and waits although all workers have reported."""
+    state = engine.create_state("suwon/0", policy.PolicySettings(), seed=1)
+    engine.decide(state, events.EpochGained(1), 0.0)
+    engine.decide(state, events.WorkersListed(("w0", "w1")), 0.0)
+    engine.decide(state, events.Tick(), 0.0)
+    large = fakes.make_request("r", 1, 9)
+    assert not engine.decide(state, events.RequestSubmitted(large), 5.0)
+    assert not engine.decide(state, events.WorkerReported(_WORKERS[0]), 6.0)
+    (end,) = engine.decide(state, events.WorkerReported(_WORKERS[1]), 7.0)
+    assert (end.end, end.reason, end.retry_after_s) == (_End.NOT_RUN, "worker", None)
+
+
 def test_cancel_request_before_its_submission():
     """Guards against running a request whose cancellation arrived before its submission."""
     state = _make_ready_state()
--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -85,6 +85,7 @@
         self._initial_workers = dict(workers)
         self._list_partitions = list_partitions
         self._listed_workers: set[str] = set()
+        self._applied_listing: tuple[str, ...] = ()
         self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_numbers = itertools.count()
@@ -310,9 +311,15 @@
                 self.workers.remove(worker_id)
                 self._listed_workers.discard(worker_id)
         self._listed_workers |= set(workers)
+        self._apply_listing(tuple(sorted(set(workers) - leaving)))
         for worker_id in leaving & set(workers):
             self.workers.mark_leaving(worker_id)
 
+    def _apply_listing(self, worker_ids: tuple[str, ...]) -> None:
+        if worker_ids != self._applied_listing:
+            self._applied_listing = worker_ids
+            self.apply(events.WorkersListed(worker_ids))
+
     def _apply_release(self, release: releases.Release) -> None:
         data_centre = self.partition.rpartition("/")[0]
         names = self._list_partitions(data_centre) or [self.partition]
--- a/lycheegate/entry/tests/test_owner.py
+++ b/lycheegate/entry/tests/test_owner.py
@@ -210,6 +210,22 @@
     )
 
 
+def test_scheduling_core_gets_the_listed_workers(scripted_owner):
+    """Guards against requests that are refused because listed workers have not reported yet."""
+    script, _, _, start = scripted_owner
+    started = start()
+    listed = {
+        name: resources.Worker(name, "127.0.0.1:1", "r", "dc", "rack", 8, 8)
+        for name in ("w0", "w1")
+    }
+    started.set_workers(listed, set())
+    assert script.wait_for(events.WorkersListed).worker_ids == ("w0", "w1")
+    started.set_workers(listed, {"w1"})
+    assert script.wait_for(events.WorkersListed).worker_ids == ("w0",)
+    started.set_workers({}, set())
+    assert script.wait_for(events.WorkersListed).worker_ids == ()
+
+
 def test_rescan_finds_unsubmitted_request(scripted_owner):
     """Guards against a request whose entry VM failed after it created the record."""
     script, table, _, start = scripted_owner
