Recover the other requests when one record is malformed

Cause: records.read raised ProtocolError for a row that is not a request record. At a takeover the read of that record then never reported an outcome, so the recovery never ended: the owner sent no ticks, applied no worker events and answered no submissions for the whole partition.

Change: records.read returns the error. The takeover logs record_malformed for it and goes on; such a record is not read again until the next takeover or rescan.

Measured: with one malformed row beside one valid record, the new test did not see the end of the recovery within 5 s before, and passes now. lycheegate/entry/tests/test_owner.py and test_records.py: 33 passed in 2.4 s.

--- a/lycheegate/entry/owner.py
+++ b/lycheegate/entry/owner.py
@@ -23,6 +23,7 @@
 from lycheegate.entry import execution, partitions, records
 from lycheegate.metrics import histograms, logs
 from lycheegate.model import releases, requests, resources
+from lycheegate.utils import exceptions
 
 __all__ = ["PartitionOwner"]
 
@@ -441,6 +442,9 @@
                 versioned.record.end is None
             ):
                 self._recover(versioned)
+            case result.Failure(exceptions.ProtocolError() as error):
+                # Another read would fail as well, and the other requests must not wait for it.
+                _log.error("record_malformed", request=request_id, reason=error)
             case result.Failure():
                 self.call_later(0.2, lambda: self._recover_one(request_id))
                 return
--- a/lycheegate/entry/records.py
+++ b/lycheegate/entry/records.py
@@ -183,10 +183,22 @@
 def read(
     table: table_module.Table, request_id: str
 ) -> result.Result[VersionedRecord | None, exceptions.LycheegateError]:
-    """Reads a record; returns None if there is none."""
-    return table.read(REQUESTS, request_id).map(
-        lambda row: None if row is None else VersionedRecord(decode(row.value), row.version)
-    )
+    """Reads a record; returns None if there is none.
+
+    It fails with ``ProtocolError`` if the row is not a request record.
+    """
+    return table.read(REQUESTS, request_id).bind(_decode_row)
+
+
+def _decode_row(
+    row: table_module.Row | None,
+) -> result.Result[VersionedRecord | None, exceptions.LycheegateError]:
+    if row is None:
+        return result.Success(None)
+    try:
+        return result.Success(VersionedRecord(decode(row.value), row.version))
+    except exceptions.ProtocolError as error:
+        return result.Failure(error)
 
 
 def create(
--- a/lycheegate/entry/tests/test_owner.py
+++ b/lycheegate/entry/tests/test_owner.py
@@ -8,6 +8,7 @@
 
 from demo import deployment
 from lycheegate.clients import http, workers
+from lycheegate.clients import table as table_module
 from lycheegate.core import commands, events, policy
 from lycheegate.entry import answers, owner, partitions, records
 from lycheegate.metrics import histograms
@@ -131,6 +132,24 @@
     assert script.events.get(timeout=TIMEOUT_S) == events.TaskFinished("t.0")
 
 
+def test_malformed_record_does_not_stop_the_takeover(scripted_owner):
+    """Guards against a partition that stands still because one record cannot be decoded."""
+    script, table, _, start = scripted_owner
+    versioned, _ = records.create(table, make_record()).unwrap()
+    put = table_module.OperationKind.PUT
+    table.transact(
+        [
+            table_module.Operation(put, records.OPEN, f"{PARTITION}/malformed", {}),
+            table_module.Operation(put, records.REQUESTS, "malformed", {"request_id": 1}),
+        ]
+    ).unwrap()
+    started = start()
+    recovered = script.wait_for(events.RecoveredRequest).request.request_id
+    assert recovered == versioned.record.request_id
+    deployment.wait_until(lambda: started._is_recovered, TIMEOUT_S, "recovery")
+    assert list(started.open) == [recovered]
+
+
 def test_attempt_is_in_the_table_before_it_is_reported_as_recorded(scripted_owner):
     """Guards against an order for a non-idempotent request without a recorded attempt."""
     script, table, _, start = scripted_owner
