Continue the scheduler's ticks after an unexpected error

Cause: a tick armed the next one as its last step. An exception in one tick ended the ticks of the term, while the passes that reports request went on renewing it: leases of silent workers no longer expired, and start times and backoffs were no longer honoured.

Change: the next tick is armed in any case. The order of events without errors is the same.

Measured: in the simulation, with an error in one tick before a worker is lost, the job did not end within the longest lease and 6 s before, and succeeds now. lycheegate/node and lycheegate/jobs: 498 passed in 36 s.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -334,6 +334,13 @@
     def _tick(self) -> None:
         if self._stopped:
             return
+        try:
+            self._run_tick()
+        finally:
+            # An unexpected error must not end the ticks, on which leases and due times depend.
+            self._call_later(TICK_S, self._tick)
+
+    def _run_tick(self) -> None:
         if self._loaded:
             now_s = self._runtime.now_s()
             self._execute(leases.check_leases(self._state, now_s))
@@ -342,7 +349,6 @@
             self._state.schedule_due = True
             self._request_pass()
         self._write()
-        self._call_later(TICK_S, self._tick)
 
     def _delete_expired(self, now_s: float) -> None:
         expired = lifecycle.list_expired(self._state, now_s)
--- a/lycheegate/node/tests/test_worker_faults.py
+++ b/lycheegate/node/tests/test_worker_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheegate.jobs import model, state
+from lycheegate.jobs import leases, model, state
 from lycheegate.node.tests import fake_workers, simulation
 
 
@@ -42,6 +42,29 @@
     simulation.assert_all_succeed(world)
 
 
+def test_lost_worker_after_an_error_in_a_tick(monkeypatch):
+    """Guards against one unexpected error that ends the ticks, without which no lease expires."""
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 3.0
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(4)))
+    world.claim_term("a")
+    world.run(1.5)
+    with monkeypatch.context() as patch:
+        patch.setattr(leases, "check_leases", _raise_error)
+        # The HTTP client logs an error of a timer and goes on; the simulated loop raises it.
+        with pytest.raises(RuntimeError, match="unexpected"):
+            world.run(1.0)
+    lost = world.fleet.find_busy_worker()
+    world.fleet.unreachable.add(lost)
+    world.unregister(lost)
+    world.run(fake_workers.MAX_LEASE_S + 6.0)
+    simulation.assert_all_succeed(world)
+
+
+def _raise_error(*_):
+    raise RuntimeError("unexpected")
+
+
 def test_lost_worker():
     """Guards against a lost worker whose lease is extended forever by unanswered calls."""
     world = simulation.World(1, worker_count=2)
