Read the other leases when the row of one partition is malformed

Cause: decode_lease raised KeyError, TypeError or ValueError for a row that is not a lease, and with it the rows of all partitions were dropped at each read. No entry VM claimed any partition that it did not own already.

Change: such a row is logged once as lease_malformed and left out; its partition stays unclaimed, because its owner is unknown and may be live. The other rows are applied.

--- a/lycheegate/entry/control.py
+++ b/lycheegate/entry/control.py
@@ -79,6 +79,8 @@
         self._echo_times_s: dict[str, float] = {}
         self._row_version: int | None = None
         self._is_reading_partitions = False
+        # Versions of the malformed rows in the latest read, so that each is logged once.
+        self._malformed_leases: dict[str, int] = {}
         self._is_reading_head = False
         self._next_heartbeat_s = 0.0
         self._next_head_read_s = 0.0
@@ -460,9 +462,20 @@
         found_rows = found.value_or(None)
         if found_rows is None:
             return
-        by_key = {row.key: rows.decode_lease(row) for row in found_rows}
+        leases: dict[str, ownership.LeaseRow] = {}
+        malformed: dict[str, int] = {}
+        for row in found_rows:
+            try:
+                leases[row.key] = rows.decode_lease(row)
+            except exceptions.ProtocolError as error:
+                malformed[row.key] = row.version
+                if self._malformed_leases.get(row.key) != row.version:
+                    _log.error("lease_malformed", partition=row.key, reason=error)
+        self._malformed_leases = malformed
         for partition in list(self.ownership):
-            self._decide_ownership(partition, ownership.RowRead(by_key.get(partition)))
+            # A partition whose row is malformed has an unknown owner, which may be live.
+            if partition not in malformed:
+                self._decide_ownership(partition, ownership.RowRead(leases.get(partition)))
 
     def _write_lease(self, partition: str, action: ownership.Action) -> Callable[[], None]:
         event = rows.write_lease(self._hooks.table, self.identity, partition, action)
--- a/lycheegate/entry/rows.py
+++ b/lycheegate/entry/rows.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable
 
+import msgspec
 from returns import result
 
 from lycheegate.clients import table as table_module
@@ -61,6 +62,13 @@
     on_member_lost: Callable[[str], None]
 
 
+class _LeaseValue(msgspec.Struct):
+    owner: str
+    boot_id: str
+    epoch: int
+    released: bool = False
+
+
 def write_member(table: table_module.Table, identity: links.Identity, data_centre: str) -> None:
     """Writes the row of this entry VM; a failed write is corrected by the next periodic one."""
     value = {
@@ -108,15 +116,16 @@
 
 
 def decode_lease(row: table_module.Row) -> ownership.LeaseRow:
-    """Returns the lease in a row of table ``partition``."""
-    value = row.value
-    return ownership.LeaseRow(
-        str(value["owner"]),
-        str(value["boot_id"]),
-        int(value["epoch"]),
-        bool(value.get("released", False)),
-        row.version,
-    )
+    """Returns the lease in a row of table ``partition``.
+
+    Raises:
+        ProtocolError: The value of the row is not a lease.
+    """
+    try:
+        value = msgspec.convert(row.value, _LeaseValue)
+    except msgspec.ValidationError as error:
+        raise exceptions.ProtocolError(f"malformed lease of {row.key!r}: {error}") from error
+    return ownership.LeaseRow(value.owner, value.boot_id, value.epoch, value.released, row.version)
 
 
 def _make_success_event(action: ownership.Action, version: int) -> ownership.Event:
