Repeat refused submissions in two more fault tests

Cause: test_accepted_request_survives_kill_of_accepting_vm and test_same_key_at_another_vm submit once to entry VMs that may not know the owner yet, and fail on the refusal 503 no_owner, which is not their subject.

Change: they repeat a submission that is refused with no_owner or release_unconfirmed, as callers do; the statuses, the answers and the number of starts that they require are the same.

--- a/lycheegate/entry/tests/test_faults.py
+++ b/lycheegate/entry/tests/test_faults.py
@@ -127,7 +127,7 @@
     accepting = _list_others(three_vms, _find_owner(three_vms))[0]
     key = _make_key()
     body = {"class": "match", "payload": {"answer": "kept", "run_s": 1.0}}
-    assert _submit(three_vms, accepting, key, **body).status == 202
+    assert _submit_when_admitted(three_vms, accepting, key, **body).status == 202
     three_vms.entries[accepting].send_signal(signal.SIGKILL)
     other = _list_others(three_vms, accepting)[0]
     reply = _submit(three_vms, other, key, **body, wait_s=30)
@@ -141,7 +141,10 @@
     body = {"class": "match", "payload": {"answer": "once", "run_s": 0.5}, "wait_s": 30}
     with concurrent.futures.ThreadPoolExecutor(6) as pool:
         replies = list(
-            pool.map(lambda vm_id: _submit(three_vms, vm_id, key, **body), [*three_vms.entries] * 2)
+            pool.map(
+                lambda vm_id: _submit_when_admitted(three_vms, vm_id, key, **body),
+                [*three_vms.entries] * 2,
+            )
         )
     assert [(reply.status, reply.body) for reply in replies] == [(200, b"once")] * 6
     assert three_vms.count_starts()[replies[0].headers["x-request-id"]] == {0: 1}
