Probe the store also after a probe that was lost behind an arriving answer

Cause: a lost answer does not count while another answer of the store arrives, and _record_outcome then returned before it scheduled the next probe. A VM that counts as cut off makes no other direct calls, and the end of a call that it has abandoned is ignored. After a probe that was lost behind the answer to an abandoned call, nothing ended this state: the VM relayed all calls through peers for good and refused to relay for others.

Change: the next probe is scheduled whenever the store counts as unreachable.

Evidence: test_unreachable_store_is_probed_while_an_answer_arrives failed before (still unreachable, no probe pending) and passes; test_relay.py: 34 passed.

--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -307,14 +307,15 @@
             call.finish(result.Failure(error))
 
     def _record_outcome(self, outcome: storage.StoreResult) -> None:
-        if _is_lost(outcome) and self._is_receiving():
-            # A large answer fills the link and delays small ones. Calls through peers would come
-            # over the same link, and their answers would fill it further.
-            return
-        was_unreachable = self.reachability.is_unreachable
-        self.reachability.update(outcome)
-        if was_unreachable != self.reachability.is_unreachable:
-            self._on_change(self.reachability.is_unreachable)
+        # A large answer fills the link and delays small ones. Calls through peers would come over
+        # the same link, and their answers would fill it further.
+        is_delayed = _is_lost(outcome) and self._is_receiving()
+        if not is_delayed:
+            was_unreachable = self.reachability.is_unreachable
+            self.reachability.update(outcome)
+            if was_unreachable != self.reachability.is_unreachable:
+                self._on_change(self.reachability.is_unreachable)
+        # Also after a delayed probe: while the store is unreachable, only probes call it directly.
         if self.reachability.is_unreachable and not self._probing:
             self._probing = True
             self._client.call_later(PROBE_INTERVAL_S, self._probe)
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -255,6 +255,25 @@
     assert client.sent == []
 
 
+def test_unreachable_store_is_probed_while_an_answer_arrives():
+    """Guards against a VM that relays all its calls for good although it reaches the store.
+
+    The VM counts as cut off and has abandoned its direct calls. The answer to one of them arrives
+    after all, and the probe behind it is lost. Only another probe can find the store reachable.
+    """
+    client, is_receiving = _SilentClient(), False
+    direct = _SilentStore(_LOST, _LOST, result.Success(storage.Page((), False, 1)))
+    store = _make_store(direct, client, is_receiving=lambda: is_receiving)
+    store.transact(storage.Transaction(), 2.0, lambda outcome: None)
+    client.run_later()
+    assert store.reachability.is_unreachable
+    is_receiving = True
+    client.run_later()
+    assert store.reachability.is_unreachable
+    client.run_later()
+    assert not store.reachability.is_unreachable
+
+
 def test_call_without_peers_is_refused():
     """Guards against a call that is never answered when no VM reaches the store."""
     client = _Client()
