Record lost answers to calls of peers like those to own calls

While a VM on a slow link received a large configuration for a peer, a small call of a peer that was lost behind it made the VM count as cut off after all. It then sent its own calls through other VMs over the same link. No store_lost was logged.

Cause: the peers' application changed the reachability itself. It neither considered arriving answers nor logged the change nor started the probes, and did so on a thread of the server.

Change: it passes outcomes to the fallback store, which records them on the event thread.

Evidence: both cases of test_lost_answer_to_a_call_of_a_peer failed before (unreachable while an answer arrives; no probe otherwise) and pass.

--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -136,6 +136,7 @@
             peer_calls.PeerApplication(
                 direct,
                 self._store.reachability,
+                self._store.record_peer_outcome,
                 self._apply_notified_row,
                 peer_calls.TermQueries(self._holds_term, self._find_status),
             ),
--- a/lycheegate/node/peer_calls.py
+++ b/lycheegate/node/peer_calls.py
@@ -61,6 +61,7 @@
     Args:
         store: Client that calls the store directly, not through peers.
         reachability: Whether direct calls reach the store.
+        on_outcome: Receives the outcome of each direct call; called on the thread of the call.
         on_row: Receives a row that a peer has written.
         queries: Answers queries to the holder of the term.
     """
@@ -69,11 +70,13 @@
         self,
         store: storage.Store,
         reachability: relay.Reachability,
+        on_outcome: Callable[[storage.StoreResult], None],
         on_row: Callable[[storage.Row], None],
         queries: TermQueries,
     ):
         self._store = store
         self._reachability = reachability
+        self._on_outcome = on_outcome
         self._on_row = on_row
         self._queries = queries
 
@@ -112,7 +115,7 @@
         if self._reachability.is_unreachable:
             return werkzeug.Response(status=503)
         outcome = self._call_store(kind, arguments)
-        self._reachability.update(outcome)
+        self._on_outcome(outcome)
         return werkzeug.Response(relay.encode_outcome(outcome), mimetype=_CBOR)
 
     def _call_store(self, kind: str, arguments: list) -> storage.StoreResult:
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -251,6 +251,10 @@
             callback,
         )
 
+    def record_peer_outcome(self, outcome: storage.StoreResult) -> None:
+        """Records the outcome of a direct call that was made for a peer; for any thread."""
+        self._client.call_later(0.0, lambda: self._record_outcome(outcome))
+
     def _call(
         self,
         call_directly: Callable[[Callable], None],
--- a/lycheegate/node/tests/test_holder.py
+++ b/lycheegate/node/tests/test_holder.py
@@ -138,7 +138,7 @@
 def test_peer_calls(call, status, body):
     """Guards against wrong answers to queries, and against malformed calls that raise an error."""
     queries = peer_calls.TermQueries(lambda epoch: epoch == 3, {_JOB_ID: _DONE}.get)
-    application = peer_calls.PeerApplication(None, relay.Reachability(), print, queries)
+    application = peer_calls.PeerApplication(None, relay.Reachability(), print, print, queries)
     response = _call(application, call)
     assert response[0] == status
     assert body is None or response[1] == body
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -292,12 +292,39 @@
     application = peer_calls.PeerApplication(
         _Direct(),
         reachability,
+        lambda outcome: None,
         lambda row: None,
         peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
     )
     assert application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0])).status_code == 503
 
 
+@pytest.mark.parametrize(
+    ("is_receiving", "is_unreachable", "probes"), [(True, False, 0), (False, True, 1)]
+)
+def test_lost_answer_to_a_call_of_a_peer(is_receiving, is_unreachable, probes):
+    """Guards against a VM that counts as cut off because of a call that it made for a peer.
+
+    The call was lost behind a large answer, which does not count for the VM's own calls. And if it
+    counts, the connection has to be probed, or the VM may relay all of its own calls for good.
+    """
+    client = _SilentClient()
+    direct = _Direct(_LOST)
+    store = _make_store(direct, client, is_receiving=lambda: is_receiving)
+    application = peer_calls.PeerApplication(
+        direct,
+        store.reachability,
+        store.record_peer_outcome,
+        lambda row: None,
+        peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
+    )
+    response = application._answer(cbor2.dumps(["read", "t", "p", "", "", 1.0]))
+    assert response.status_code == 200
+    client.run_later()
+    assert store.reachability.is_unreachable == is_unreachable
+    assert len(client.later) == probes
+
+
 def _follow_through(address):
     """Returns the outcome of a feed request through a peer, from a VM cut off from the store."""
     client = http.HttpClient()
@@ -352,6 +379,7 @@
     application = peer_calls.PeerApplication(
         direct,
         relay.Reachability(),
+        lambda outcome: None,
         lambda row: None,
         peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
     )
--- a/lycheegate/platform/tests/test_malformed.py
+++ b/lycheegate/platform/tests/test_malformed.py
@@ -222,6 +222,7 @@
     application = peer_calls.PeerApplication(
         _UnreachableStore(),
         relay.Reachability(),
+        lambda outcome: None,
         rows.append,
         peer_calls.TermQueries(lambda epoch: False, {}.get),
     )
@@ -234,6 +235,7 @@
     application = peer_calls.PeerApplication(
         _UnreachableStore(),
         relay.Reachability(),
+        lambda outcome: None,
         lambda row: None,
         peer_calls.TermQueries(lambda epoch: False, {}.get),
     )
