Read what has arrived before a transfer counts as stopped

An answer was abandoned although its parts had arrived in time, because the event thread was busy, or its process suspended, for longer than the idle timeout. The retry began with the first byte.

Cause: timers run until none is due, without a poll in between, and the check of a transfer compared the time of its last read part with the current time. An epoll call that a stop signal interrupts returns without a poll as well.

Change: a transfer is abandoned if a poll that began after the idle timeout found nothing. Timers that are added while others run wait for the next poll.

Evidence: test_answer_that_arrives_while_the_thread_is_busy_is_not_abandoned failed before ("answer stopped arriving after 460 bytes of its body") and passes; test_transfers.py, test_http.py and test_relay.py: 85 passed.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -222,6 +222,7 @@
         self._wake_fd = self._wake_receiver.fileno()
         self._epoll.register(self._wake_fd, select.EPOLLIN)
         self._curl_due_s: float | None = None
+        self._polled_at_s = 0.0
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._update_registration)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_curl_timer)
@@ -312,6 +313,7 @@
             self._fail_all()
 
     def _run_once(self) -> None:
+        self._polled_at_s = time.monotonic()
         for fd, mask in self._epoll.poll(self._compute_wait_s()):
             if fd == self._wake_fd:
                 self._clear_wake()
@@ -387,8 +389,11 @@
         """Abandons a transfer whose next part is overdue, or checks again when it is due."""
         if self._transfers.get(handle) is not transfer:
             return
-        remaining_s = transfer.compute_due_s() - time.monotonic()
-        if remaining_s > 0.0:
+        due_s = transfer.compute_due_s()
+        # After a pause of this thread or its process, parts that arrived in time may wait in the
+        # socket. The transfer is therefore checked again after the next poll, which reads them.
+        if self._polled_at_s < due_s:
+            remaining_s = max(0.0, due_s - time.monotonic())
             transfer.timer = self.call_later(
                 remaining_s, lambda: self._check_progress(handle, transfer)
             )
@@ -482,11 +487,13 @@
             transfer.future.set_result(outcome)
 
     def _run_timers(self) -> None:
-        while True:
-            with self._lock:
-                if not self._timers or self._timers[0][0] > time.monotonic():
-                    return
-                timer = heapq.heappop(self._timers)[2]
+        # Timers that are added meanwhile run after the next poll, also those without a delay.
+        due: list[Timer] = []
+        with self._lock:
+            now_s = time.monotonic()
+            while self._timers and self._timers[0][0] <= now_s:
+                due.append(heapq.heappop(self._timers)[2])
+        for timer in due:
             try:
                 timer.run()
             except Exception:
--- a/lycheegate/platform/tests/test_transfers.py
+++ b/lycheegate/platform/tests/test_transfers.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import queue
+import threading
 
 import pytest
 from returns import result
@@ -13,6 +14,7 @@
 from lycheegate.utils import exceptions
 
 _WAIT_S = 20.0
+_BUSY_S = 1.2 * store.IDLE_TIMEOUT_S
 
 
 @pytest.fixture(name="client")
@@ -87,3 +89,18 @@
     finally:
         server.stop()
     assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+
+
+def test_answer_that_arrives_while_the_thread_is_busy_is_not_abandoned(client):
+    """Guards against a transfer that begins again because the VM, not the connection, paused.
+
+    The parts of the answer wait in the socket while the event thread is busy, or its process is
+    suspended, for longer than the idle timeout.
+    """
+    server = slow_server.SlowServer(_make_body())
+    client.call_later(0.5, lambda: threading.Event().wait(_BUSY_S))
+    try:
+        outcome = _call("read", client, server.address)
+    finally:
+        server.stop()
+    assert isinstance(outcome, result.Success)
