Wait for whole tables that a peer receives over a slow link

A VM that starts, or whose feed has lost its history, while it is cut off from the store reads the configuration through peers. A peer on a link of 5 Mbit/s needs longer than the 1.8 s of such a call to receive 1.2 MB from the store, before it begins to answer.

Cause: the same as in feed requests through peers, which wait 3 s longer for the first part of an answer.

Change: reads of whole parts of tables do so as well. The next peer is called after 0.3 s as before, so a silent peer does not delay them.

Evidence: test_answer_that_takes_long_to_reach_the_peer_is_not_abandoned (store, peer and VM over real connections; 2.8 s until the peer has the answer) failed for the read before and passes; its feed case passed before.

--- a/lycheegate/clients/tests/slow_server.py
+++ b/lycheegate/clients/tests/slow_server.py
@@ -6,8 +6,8 @@
 
 PARTS = 8
 _PART_PAUSE_S = 0.25
-"""Pause between the parts of an answer. All parts together take longer than the timeout of any
-request of the tests."""
+"""Usual pause between the parts of an answer. All parts together take longer than the timeout of
+any request of the tests."""
 _WAIT_S = 20.0
 
 
@@ -17,11 +17,13 @@
     Args:
         body: Body of each answer.
         parts_sent: Number of parts to send; the connection is silent after the last of them.
+        part_pause_s: Pause between the parts.
     """
 
-    def __init__(self, body: bytes, parts_sent: int = PARTS):
+    def __init__(self, body: bytes, parts_sent: int = PARTS, part_pause_s: float = _PART_PAUSE_S):
         self._body = body
         self._parts_sent = parts_sent
+        self._part_pause_s = part_pause_s
         self._stopped = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._listener.getsockname())
@@ -49,6 +51,6 @@
         size = -(-len(self._body) // PARTS)
         for number in range(self._parts_sent):
             connection.sendall(self._body[number * size : (number + 1) * size])
-            self._stopped.wait(_PART_PAUSE_S)
+            self._stopped.wait(self._part_pause_s)
         if self._parts_sent < PARTS:
             self._stopped.wait(_WAIT_S)
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -27,13 +27,14 @@
 ]
 
 PATH = "/relay"
+_READ = "read"
 _FOLLOW = "follow"
 _PROBED_ROW = ("terms", "jobs", "beat", "beat\0")
 """Table, part and range of keys of the row that is read to test the connection to the store."""
 RELAY_GRACE_S = 0.3
-FEED_TRANSFER_S = 3.0
-"""Time that a peer may need beyond that to receive a large answer to a feed request from the store,
-before it begins to answer itself."""
+TRANSFER_S = 3.0
+"""Time that a peer may need beyond that to receive a large answer from the store, before it begins
+to answer itself."""
 IDLE_TIMEOUT_S = 1.0
 """Time without a further part of a peer's answer after which the connection is abandoned."""
 PROBE_INTERVAL_S = 0.5
@@ -233,7 +234,7 @@
         self, table: str, part: str, first: str, end: str, timeout_s: float, callback: Callable
     ) -> None:
         """Reads rows."""
-        call = ["read", table, part, first, end, timeout_s]
+        call = [_READ, table, part, first, end, timeout_s]
         self._call(
             lambda done: self._direct.read(table, part, first, end, timeout_s, done),
             call,
@@ -350,7 +351,7 @@
         relayed = _RelayedCall(
             self._client,
             cbor2.dumps(call),
-            timeout_s + FEED_TRANSFER_S if is_feed else timeout_s,
+            timeout_s + TRANSFER_S if _may_have_large_answer(call) else timeout_s,
             peers[:MAX_PEERS],
             failure,
             callback,
@@ -363,6 +364,15 @@
         self._avoid_until_s[peer] = self._now_s() + PEER_RETRY_DELAY_S
 
 
+def _may_have_large_answer(call: list) -> bool:
+    """Returns whether a call is a feed request or reads a whole part of a table."""
+    kind, *arguments = call
+    if kind == _READ:
+        _table, _part, _first, end, _timeout_s = arguments
+        return not end
+    return kind == _FOLLOW
+
+
 def _is_lost(outcome: storage.StoreResult) -> bool:
     return not isinstance(outcome, result.Success) and isinstance(
         outcome.failure(), exceptions.OutcomeUnknownError
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -1,6 +1,9 @@
 """Store calls relayed through peers."""
 
+import base64
+import contextlib
 import dataclasses
+import json
 import queue
 import zlib
 from concurrent import futures
@@ -12,7 +15,10 @@
 
 from lycheegate.clients import http
 from lycheegate.clients.tests import slow_server
-from lycheegate.node import peer_calls, relay, storage
+from lycheegate.entry import server
+from lycheegate.node import peer_calls, reads, relay, storage
+from lycheegate.platform import store as platform_store
+from lycheegate.settings import models
 from lycheegate.utils import exceptions
 
 _KEY = storage.RowKey("t", "p", "k")
@@ -342,20 +348,65 @@
     """Guards against a large configuration that never reaches a VM cut off from the store."""
     row = storage.Row(storage.RowKey("op", "", "config"), b"configuration" * 100, 4)
     outcome = result.Success(storage.Changes((row,), 4, 17))
-    server = slow_server.SlowServer(relay.encode_outcome(outcome))
+    slow = slow_server.SlowServer(relay.encode_outcome(outcome))
     try:
-        assert _follow_through(server.address) == outcome
+        assert _follow_through(slow.address) == outcome
     finally:
-        server.stop()
+        slow.stop()
+
+
+@contextlib.contextmanager
+def _serve_peer(direct):
+    """Serves the calls of peers with a store client; yields the address."""
+    application = peer_calls.PeerApplication(
+        direct,
+        relay.Reachability(),
+        lambda outcome: None,
+        lambda row: None,
+        peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
+    )
+    peer = server.CallersServer("127.0.0.1", 0, application, models.LimitSettings(caller_threads=2))
+    port = peer.start()
+    try:
+        yield f"127.0.0.1:{port}"
+    finally:
+        peer.stop()
+
+
+@pytest.mark.parametrize("kind", ["read", "follow"])
+def test_answer_that_takes_long_to_reach_the_peer_is_not_abandoned(kind):
+    """Guards against a VM that starts while it is cut off and never receives the configuration.
+
+    The peer itself receives the table over a slow link, before it begins to answer.
+    """
+    row = {"table": "op", "key": "config", "value": base64.b64encode(bytes(999)).decode(), "ver": 4}
+    body = json.dumps({"rows": [row], "ver": 4}).encode()
+    slow = slow_server.SlowServer(body, part_pause_s=0.4)
+    client, peer_client = http.HttpClient(), http.HttpClient()
+    outcomes = queue.Queue()
+    try:
+        with _serve_peer(platform_store.PlatformStore(peer_client, slow.address)) as address:
+            store = _make_store(_Direct(), client, peers=(address,))
+            store.reachability.is_unreachable = True
+            if kind == "read":
+                store.read("op", "", "", "", reads.READ_TIMEOUT_S, outcomes.put)
+            else:
+                store.follow("op", 3, 0.0, outcomes.put)
+            outcome = outcomes.get(timeout=20.0)
+    finally:
+        client.close()
+        peer_client.close()
+        slow.stop()
+    assert [row.version for row in outcome.unwrap().rows] == [4]
 
 
 def test_relayed_answer_that_stops_arriving_is_abandoned():
     """Guards against a feed that waits forever for a peer that went silent midway."""
-    server = slow_server.SlowServer(bytes(1000), parts_sent=3)
+    slow = slow_server.SlowServer(bytes(1000), parts_sent=3)
     try:
-        outcome = _follow_through(server.address)
+        outcome = _follow_through(slow.address)
     finally:
-        server.stop()
+        slow.stop()
     assert type(outcome.failure()) is exceptions.OutcomeUnknownError
 
 
