Confirm a table as of the first page of its read

A configuration counted as confirmed at the time of the last page of its table, up to seconds after its own page was read. Calls with a key that was revoked in between were accepted for that much longer than the time limit allows for (3.5 s of 5 s).

Cause: the version of a read is the oldest of its pages, but its clock was the newest. A page holds 1 MB, so a large configuration fills the first one, and a later page arrives seconds after it over a slow link, or is read again after failures.

Change: the clock of a read is the oldest of its pages as well.

--- a/lycheegate/node/reads.py
+++ b/lycheegate/node/reads.py
@@ -29,7 +29,7 @@
     Attributes:
         rows: The rows.
         version: Version from which to follow changes, so that none is missed.
-        clock_ms: The store's clock in the last answer.
+        clock_ms: The store's clock in the first answer. Rows of that answer may have changed since.
     """
 
     def __init__(self):
@@ -103,7 +103,7 @@
         # Changes are followed from the oldest version among the pages, so that changes made
         # between the reads of pages or parts are not missed.
         content.version = min(content.version or page.version, page.version)
-        content.clock_ms = max(content.clock_ms, page.clock_ms)
+        content.clock_ms = min(content.clock_ms or page.clock_ms, page.clock_ms)
         content.rows += page.rows
         if page.is_truncated and page.rows:
             self._read_page(table, part, page.rows[-1].key.key + "\0", 0)
--- a/lycheegate/node/tests/test_reads.py
+++ b/lycheegate/node/tests/test_reads.py
@@ -172,3 +172,47 @@
     put_at_s = loop.now_s
     _run(loop, 5.0)
     assert seen_at_s["departing"] - put_at_s < 0.5
+
+
+class _SlowlyPagedStore:
+    """Store client whose second page of a table arrives seconds after the first."""
+
+    def __init__(self, loop):
+        self.loop = loop
+
+    def read(self, table, part, first, end, timeout_s, callback):
+        delay_s = 4.0 if first else 0.0
+
+        def answer():
+            row = storage.Row(storage.RowKey(table, part, first + "k"), b"v", 7)
+            clock_ms = int(1000.0 * self.loop.now_s)
+            callback(result.Success(storage.Page((row,), not first, 7, clock_ms)))
+
+        self.loop.call_later(delay_s, answer)
+
+    def follow(self, table, after, wait_s, callback):
+        """Leaves the call without an answer."""
+
+
+def test_table_is_confirmed_as_of_its_first_page():
+    """Guards against a key that is accepted too long after it was revoked.
+
+    Load pattern: a configuration of 1 MB fills the first page of its table, and a later page takes
+    seconds over a slow link or fails at first. The configuration may have changed in between.
+    """
+    loop = fake_store.EventLoop()
+    clocks_ms = []
+    feed = feeds.TableFeed(
+        _SlowlyPagedStore(loop),
+        loop.call_later,
+        "t",
+        ("p",),
+        lambda *_: None,
+        lambda error: None,
+        on_answer=lambda sent_at_s, clock_ms: clocks_ms.append(clock_ms),
+        now_s=lambda: loop.now_s,
+    )
+    first_page_at_s = loop.now_s
+    feed.start()
+    _run(loop, 5.0)
+    assert clocks_ms == [int(1000.0 * first_page_at_s)]
