Repeat relayed feed requests directly once the store is reachable

A feed that waits for silent peers went on waiting after its VM reached the store again: up to 4.8 s without a wait for changes and 7.8 s with one, longer than an unconfirmed configuration is trusted. The VM refused its callers meanwhile.

Cause: since the answer of a peer to a feed request may begin 3 s later, a silent connection is noticed 3 s later. Only a retry that is due is made at once when the store is reachable again, and while a relayed call is pending there is none.

Change: when the store becomes reachable, relayed calls that may wait that long end as unknown, unless the answer of a peer is arriving; the feeds then call the store.

Evidence: test_feed_leaves_silent_peers_once_the_store_is_reachable failed before without an arriving answer, and passes; lycheegate/node: 353 passed. Times from the constants.

--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -111,6 +111,7 @@
         self._on_avoid = on_avoid
         self._hedge_delay_s = hedge_delay_s
         self._waiting_for = 0
+        self._called: list[str] = []
 
     def start(self) -> None:
         """Calls the first peer, and the next one while it does not answer."""
@@ -118,6 +119,11 @@
         if self._call.is_pending and self._peers:
             self._client.call_later(self._hedge_delay_s, self._hedge)
 
+    def abandon(self, outcome: storage.StoreResult) -> None:
+        """Ends the call, unless an answer of a peer is arriving; for the client's thread."""
+        if not any(map(self._client.is_receiving, self._called)):
+            self._call.finish(outcome)
+
     def _hedge(self) -> None:
         if self._call.is_pending and self._peers:
             self._call_next()
@@ -132,6 +138,7 @@
             return
         peer = self._peers.pop(0)
         self._waiting_for += 1
+        self._called.append(peer)
         url = f"http://{peer}{PATH}"
         request = http.Request(
             "POST",
@@ -216,6 +223,8 @@
         self._probing = False
         self._testing = False
         self._pending: set[_PendingCall] = set()
+        self._relayed: set[_RelayedCall] = set()
+        """Relayed calls that may wait for a silent peer for seconds."""
         self._random = random.Random()
 
     def transact(
@@ -311,6 +320,13 @@
         for call in list(abandoned):
             call.finish(result.Failure(error))
 
+    def _abandon_relayed(self) -> None:
+        error = exceptions.OutcomeUnknownError(
+            "store reachable again; call through peers abandoned"
+        )
+        for relayed in list(self._relayed):
+            relayed.abandon(result.Failure(error))
+
     def _record_outcome(self, outcome: storage.StoreResult) -> None:
         # A large answer fills the link and delays small ones. Calls through peers would come over
         # the same link, and their answers would fill it further.
@@ -320,6 +336,8 @@
             self.reachability.update(outcome)
             if was_unreachable != self.reachability.is_unreachable:
                 self._on_change(self.reachability.is_unreachable)
+                if was_unreachable:
+                    self._abandon_relayed()
         # Also after a delayed probe: while the store is unreachable, only probes call it directly.
         if self.reachability.is_unreachable and not self._probing:
             self._probing = True
@@ -348,16 +366,24 @@
             )
         )
         is_feed = call[0] == _FOLLOW
+        is_large = _may_have_large_answer(call)
+
+        def finish(outcome: storage.StoreResult) -> None:
+            self._relayed.discard(relayed)
+            callback(outcome)
+
         relayed = _RelayedCall(
             self._client,
             cbor2.dumps(call),
-            timeout_s + TRANSFER_S if _may_have_large_answer(call) else timeout_s,
+            timeout_s + TRANSFER_S if is_large else timeout_s,
             peers[:MAX_PEERS],
             failure,
-            callback,
+            finish,
             self._avoid_peer,
             timeout_s + HEDGE_DELAY_S if is_feed else HEDGE_DELAY_S,
         )
+        if is_large:
+            self._relayed.add(relayed)
         relayed.start()
 
     def _avoid_peer(self, peer: str) -> None:
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -77,6 +77,10 @@
         self.answers = list(answers)
         self.sent = []
         self.later = []
+        self.receiving_origins = set()
+
+    def is_receiving(self, origin):
+        return origin in self.receiving_origins
 
     def send(self, request):
         self.sent.append(request)
@@ -423,6 +427,26 @@
     assert [outcome.unwrap() for outcome in outcomes] == [changes]
 
 
+@pytest.mark.parametrize("is_answering", [False, True])
+def test_feed_leaves_silent_peers_once_the_store_is_reachable(is_answering):
+    """Guards against refusals for want of a configuration after a VM reaches the store again.
+
+    The feed still waits for peers whose connections are silent, for up to 8 s. An answer that is
+    arriving is not given up, because it would have to be transferred again.
+    """
+    client, outcomes = _SilentClient(), []
+    client.receiving_origins = {"10.0.0.2:7000", "10.0.0.3:7000"} if is_answering else set()
+    store = _make_store(_Direct(_LOST, result.Success(storage.Page((), False, 1))), client)
+    store.read("t", "p", "k", "k\0", 1.0, lambda outcome: None)
+    store.follow("op", 3, 1.0, outcomes.append)
+    assert len(client.sent) == 1
+    client.run_later()
+    assert not store.reachability.is_unreachable
+    assert len(outcomes) == (not is_answering)
+    client.futures[0].set_result(_respond(result.Success(storage.Changes((), 4, 17))))
+    assert len(outcomes) == 1
+
+
 def _relay_feed(answer, accepted):
     """Returns the response of a peer to a feed request."""
     direct = _Direct(answer)
