Let any thread ask whether answers of the store arrive

Cause: a callback runs on the thread of its caller if its request ends before the callback is added. The fallback store then looks for arriving answers on that thread, over a dictionary that the client's thread changes. The exception took the call's outcome with it, and the caller waited until its own time limit.

Change: the search uses a copy of the transfers.

Evidence: test_look_for_arriving_answers_on_another_thread failed before (RuntimeError: dictionary changed size during iteration) and passes.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -270,14 +270,14 @@
         return timer
 
     def is_receiving(self, origin: str) -> bool:
-        """Returns whether an answer of an origin is arriving; for the client's thread.
+        """Returns whether an answer of an origin is arriving; for any thread.
 
         Only answers to requests with an idle timeout are considered, since the others are small.
         """
         now_s = time.monotonic()
         return any(
             transfer.progressed_at_s is not None and now_s < transfer.compute_due_s()
-            for transfer in self._transfers.values()
+            for transfer in list(self._transfers.values())
             if transfer.origin == origin
         )
 
--- a/lycheegate/clients/tests/test_http.py
+++ b/lycheegate/clients/tests/test_http.py
@@ -267,3 +267,39 @@
         monkeypatch.undo()
         client.close()
     assert options[http.pycurl.UPLOAD_BUFFERSIZE] <= 16 << 10
+
+
+class _Origin(str):
+    """Origin that lets the client begin another request each time it is compared."""
+
+    def __new__(cls, text, begin_request):
+        origin = super().__new__(cls, text)
+        origin.begin_request = begin_request
+        return origin
+
+    def __eq__(self, other):
+        self.begin_request()
+        return str.__eq__(self, other)
+
+    __hash__ = str.__hash__
+
+
+def test_look_for_arriving_answers_on_another_thread(standin, client):
+    """Guards against a call without an outcome, which its callback lost with an exception.
+
+    A callback runs on the thread of its caller if its request ends before it is added, while the
+    client's thread begins and ends other requests.
+    """
+    standin.faults.set(stalled=True)
+    pending = []
+
+    def begin_request():
+        pending.append(client.send(_make_request(standin, timeout_s=10.0)))
+        for _ in range(2):
+            polled = threading.Event()
+            client.call_later(0.0, polled.set)
+            assert polled.wait(_WAIT_S)
+
+    begin_request()
+    assert not client.is_receiving(_Origin(standin.address, begin_request))
+    assert len(pending) == 2
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -47,7 +47,7 @@
         self._base_url = f"http://{address}"
 
     def is_receiving(self) -> bool:
-        """Returns whether an answer of the store is arriving; for the client's thread."""
+        """Returns whether an answer of the store is arriving; for any thread."""
         return self._client.is_receiving(self._address)
 
     def transact(
