Reject registry entries whose numbers are too large

Cause: decode_registration caught decoding errors only. A remaining-ms of 400 digits is valid JSON and was divided by 1000.0, which raised OverflowError. The registry applied rows until the one that raised, the feed logged the error and went on after the version of the whole answer, so the rows behind it were lost: departed workers stayed in use, new ones were not seen. In a read of the whole table no worker was applied at all. An entry with a port over 65535, or with a capacity or start time of any size, was accepted as a worker.

Ports are 1 to 65535, capacities at most 10^9, and the fields that are not used have the types of the platform's page.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -43,6 +43,8 @@
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
+MAX_LOGGED_KEY = 40
+"""Characters of a row's key in the log; keys of other writers have up to 200."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +118,7 @@
         self._renewal_sent_at_s = 0.0
         self._write_not_before_s = 0.0
         self._releasing = False
-        self._registry = registry.WorkerRegistry()
+        self._registry = registry.WorkerRegistry(self._log_odd_registration)
         self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
         self._exchange = exchange.WorkerExchange(
             runtime.workers,
@@ -293,6 +295,14 @@
         job = self._state.jobs.get(job_id)
         return job.stored_status if job is not None and self._loaded else None
 
+    def _log_odd_registration(self, worker_id: str, reason: str, size_bytes: int) -> None:
+        self._runtime.log.write(
+            "registration_unreadable",
+            worker=worker_id[:MAX_LOGGED_KEY],
+            reason=reason,
+            bytes=size_bytes,
+        )
+
     def _apply_registry_rows(
         self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int
     ) -> None:
--- /dev/null
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -0,0 +1,216 @@
+"""Rows of other writers, in the registry and in the system's own tables."""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from lycheegate.node import registry, storage
+from lycheegate.platform import workers as worker_calls
+
+_ENTRY = {
+    "service": "render",
+    "address": "10.0.0.1:1",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "capacity": {"cpu": 16000, "mem-mb": 32000, "gpu": 8},
+    "labels": ["a", "r0"],
+    "seq": 4,
+    "born": 1000,
+    "remaining-ms": None,
+}
+_HUGE = "9" * 400
+"""A number that no float holds."""
+_UNREADABLE = "9" * 5000
+"""A number with more digits than Python converts."""
+
+
+def _encode(**fields: str | bytes) -> bytes:
+    """Returns an entry in which fields have other values, which are given as JSON text."""
+    parts = [json.dumps(n).encode() + b":" + json.dumps(v).encode() for n, v in _ENTRY.items()]
+    for name, text in fields.items():
+        value = text if isinstance(text, bytes) else text.encode()
+        parts.append(json.dumps(name.replace("_", "-")).encode() + b":" + value)
+    return b"{" + b",".join(parts) + b"}"
+
+
+ODD_ENTRIES = {
+    "empty": b"",
+    "null": b"null",
+    "array": b"[]",
+    "no fields": b"{}",
+    "cut": _encode()[:-9],
+    "not utf-8": b"\xff\xfe\x00",
+    "not utf-8 in a service": _encode(service=b'"\xff"'),
+    "not utf-8 in another field": _encode(note=b'"\xff"'),
+    "unpaired surrogate": _encode(service='"\\ud800"'),
+    "nested arrays": b"[" * 60_000,
+    "nested objects": b'{"a":' * 10_000 + b"1" + b"}" * 10_000,
+    "nested in labels": _encode(labels="[" * 30_000 + "]" * 30_000),
+    "nested in another field": _encode(note="[" * 30_000 + "]" * 30_000),
+    "service of another type": _encode(service="7"),
+    "state of another type": _encode(state="[]"),
+    "state not named": _encode(state='"resting"'),
+    "version of another type": _encode(version="3"),
+    "slots of another type": _encode(slots='"8"'),
+    "seq of another type": _encode(seq="[4]"),
+    "seq negative": _encode(seq="-1"),
+    "seq too large": _encode(seq=_UNREADABLE),
+    "cold-left-ms of another type": _encode(cold_left_ms='"0"'),
+    "NaN": _encode(slots="NaN"),
+    "Infinity": _encode(born="Infinity"),
+    "labels of another type": _encode(labels='{"a":1}'),
+    "labels not text": _encode(labels='["a",1]'),
+    "labels not text, thousands": _encode(labels=json.dumps(list(range(9_000)))),
+    "capacity of another type": _encode(capacity="[16000,32000,8]"),
+    "capacity negative": _encode(capacity='{"cpu":-1}'),
+    "capacity a float": _encode(capacity='{"cpu":1e300}'),
+    "capacity without end": _encode(capacity='{"cpu":1e999}'),
+    "capacity over the limit": _encode(capacity='{"mem-mb":1000000001}'),
+    "capacity of 64 bits": _encode(capacity=f'{{"gpu":{2**63}}}'),
+    "capacity of 400 digits": _encode(capacity=f'{{"cpu":{_HUGE}}}'),
+    "capacity of 5000 digits": _encode(capacity=f'{{"cpu":{_UNREADABLE}}}'),
+    "born negative": _encode(born="-1"),
+    "born a float": _encode(born="1000.5"),
+    "born a whole float": _encode(born="1000.0"),
+    "born text": _encode(born='"1000"'),
+    "born true": _encode(born="true"),
+    "born null": _encode(born="null"),
+    "born over 64 bits": _encode(born=str(2**64)),
+    "born of 400 digits": _encode(born=_HUGE),
+    "born of 5000 digits": _encode(born=_UNREADABLE),
+    "remaining-ms text": _encode(remaining_ms='"5"'),
+    "remaining-ms a float": _encode(remaining_ms="1e9"),
+    "remaining-ms over 64 bits": _encode(remaining_ms=str(2**64)),
+    "remaining-ms of 400 digits": _encode(remaining_ms=_HUGE),
+    "remaining-ms of 400 digits, negative": _encode(remaining_ms="-" + _HUGE),
+    "port 0": _encode(address='"10.0.0.1:0"'),
+    "port 65536": _encode(address='"10.0.0.1:65536"'),
+    "port 99999": _encode(address='"10.0.0.1:99999"'),
+    "port of 6 digits": _encode(address='"10.0.0.1:100000"'),
+    "port with a sign": _encode(address='"10.0.0.1:+80"'),
+    "port negative": _encode(address='"10.0.0.1:-80"'),
+    "port with a leading 0": _encode(address='"10.0.0.1:080"'),
+    "port of other digits": _encode(address='"10.0.0.1:\u0661"'),
+    "port missing": _encode(address='"10.0.0.1"'),
+    "host missing": _encode(address='":80"'),
+    "host with a path": _encode(address='"10.0.0.1/x:80"'),
+    "host with a user": _encode(address='"a@10.0.0.1:80"'),
+    "host in brackets": _encode(address='"[::1:80"'),
+    "host of other letters": _encode(address='"w\u00f6rker:80"'),
+    "host with a line break": _encode(address='"10.0.0.1:80\\r\\nX: y"'),
+    "line break at the end": _encode(address='"10.0.0.1:80\\n"'),
+    "64 KB": _encode(labels=json.dumps("x" * 65_000)),
+}
+ODD_KEYS = ["", "a b", "a\r\nX: y", "a\nb", "a\0", "w\u00f6rker", "x" * 201, "\x7f"]
+
+
+def make_row(worker_id: str, value: bytes, version: int = 1) -> storage.Row:
+    """Returns a row of the registry."""
+    return storage.Row(storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id), value, version)
+
+
+def _list_ids(workers: registry.WorkerRegistry) -> list[str]:
+    return sorted(registration.worker_id for registration in workers.list_registrations())
+
+
+@pytest.mark.parametrize("is_full_table", [True, False], ids=["table", "changes"])
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_hides_no_other(value, is_full_table):
+    """Guards against one entry of another writer that hides the other workers of its page.
+
+    The rows of an answer are delivered once. An entry that raises while the page is applied hides
+    the new and the departed workers behind it.
+    """
+    odd = []
+    workers = registry.WorkerRegistry(lambda *fields: odd.append(fields))
+    workers.apply_rows((make_row("w0", _encode()), make_row("w9", _encode())), True)
+    deleted = storage.Row(make_row("w9", b"").key, b"", 3, True)
+    rows = (make_row("w1", _encode()), make_row("w2", value), make_row("w3", _encode()), deleted)
+    assert workers.apply_rows(rows, is_full_table)
+    assert _list_ids(workers) == (["w1", "w3"] if is_full_table else ["w0", "w1", "w3"])
+    ((worker_id, reason, size_bytes),) = odd
+    assert (worker_id, size_bytes) == ("w2", len(value))
+    assert 0 < len(reason) < 300
+
+
+@pytest.mark.parametrize("worker_id", ODD_KEYS, ids=ascii)
+def test_odd_key_names_no_worker(worker_id):
+    """Guards against a key that ends in a header of each call of the worker."""
+    workers = registry.WorkerRegistry()
+    workers.apply_rows((make_row(worker_id, _encode()), make_row("w1", _encode())), True)
+    assert _list_ids(workers) == ["w1"]
+
+
+def test_odd_row_is_reported_once():
+    """Guards against a log line for each heartbeat of a writer whose entries are malformed."""
+    odd = []
+    workers = registry.WorkerRegistry(lambda *fields: odd.append(fields[0]))
+    for version in range(1, 6):
+        workers.apply_rows((make_row("w2", b"{}", version),), False)
+    workers.apply_rows((make_row("w2", b"{}", 5),), True)
+    assert odd == ["w2"]
+    workers.apply_rows((make_row("w2", b"[]", 6),), False)
+    assert odd == ["w2"] * 2
+    workers.apply_rows((make_row("w2", _encode(), 7),), False)
+    workers.apply_rows((make_row("w2", b"[]", 8),), False)
+    assert odd == ["w2"] * 3
+
+
+def test_unexpected_error_hides_no_other_entry(monkeypatch):
+    """Guards against the loss of a page by an error that no case of an odd entry foresees."""
+    decode = worker_calls.decode_registration
+
+    def fail(worker_id, data):
+        if worker_id == "w2":
+            raise MemoryError("unexpected")
+        return decode(worker_id, data)
+
+    monkeypatch.setattr(worker_calls, "decode_registration", fail)
+    workers = registry.WorkerRegistry()
+    workers.apply_rows(tuple(make_row(f"w{n}", _encode()) for n in range(1, 4)), True)
+    assert _list_ids(workers) == ["w1", "w3"]
+
+
+_NUMBERS = st.one_of(
+    st.integers(),
+    st.integers(0, 4200).map(lambda digits: 10**digits),
+    st.integers(0, 4200).map(lambda digits: -(10**digits)),
+)
+_VALUES = st.one_of(st.none(), st.booleans(), _NUMBERS, st.floats(), st.text(max_size=9))
+_DOCUMENTS = st.recursive(
+    _VALUES,
+    lambda items: st.one_of(
+        st.lists(items, max_size=4), st.dictionaries(st.text(max_size=9), items, max_size=4)
+    ),
+    max_leaves=8,
+)
+_ENTRIES = st.one_of(
+    st.binary(max_size=60),
+    _DOCUMENTS.map(lambda document: json.dumps(document).encode()),
+    st.dictionaries(st.sampled_from(sorted(_ENTRY)), _DOCUMENTS, max_size=3).map(
+        lambda fields: json.dumps({**_ENTRY, **fields}).encode()
+    ),
+)
+
+
+@hypothesis.example(
+    odd_rows={"w": _encode(remaining_ms=_HUGE), "w\ud800": b"[" * 60_000}, is_full_table=True
+)
+@hypothesis.given(
+    odd_rows=st.dictionaries(
+        st.text(st.characters(exclude_categories=()), max_size=6), _ENTRIES, max_size=4
+    ),
+    is_full_table=st.booleans(),
+)
+def test_any_rows_hide_no_worker(odd_rows, is_full_table):
+    """Guards against rows of other writers that raise, or that hide the workers of their page."""
+    workers = registry.WorkerRegistry()
+    rows = [make_row(worker_id, value) for worker_id, value in odd_rows.items()]
+    rows = [make_row("well-formed-1", _encode()), *rows, make_row("well-formed-2", _encode())]
+    assert workers.apply_rows(tuple(rows), is_full_table)
+    assert {"well-formed-1", "well-formed-2"} <= set(_list_ids(workers))
--- a/lycheegate/platform/tests/test_malformed.py
+++ b/lycheegate/platform/tests/test_malformed.py
@@ -102,8 +102,9 @@
 @hypothesis.given(data=_make_malformed("registration"), worker_id=st.text(min_size=1, max_size=9))
 def test_registration(data, worker_id):
     """Guards against a registry entry of another writer that breaks requests or the capacity."""
-    found = worker_calls.decode_registration(worker_id, data)
-    if found is None:
+    try:
+        found = worker_calls.decode_registration(worker_id, data)
+    except exceptions.ProtocolError:
         return
     assert f"{found.address}{found.worker_id}".isascii()
     assert not set(f"{found.address}{found.worker_id}") & set(" \r\n[]")
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -80,14 +80,16 @@
 def test_invalid_registration_is_ignored(change):
     """Guards against use of a registry entry with a wrong type or an invalid value."""
     data = msgspec.json.encode({**_ENTRY, **change})
-    assert workers.decode_registration("w", data) is None
+    with pytest.raises(exceptions.ProtocolError):
+        workers.decode_registration("w", data)
 
 
 @pytest.mark.parametrize("missing", ["service", "address", "zone", "state", "capacity", "labels"])
 def test_incomplete_registration_is_ignored(missing):
     """Guards against use of a registry entry without one of the required fields."""
     entry = {name: value for name, value in _ENTRY.items() if name != missing}
-    assert workers.decode_registration("w", msgspec.json.encode(entry)) is None
+    with pytest.raises(exceptions.ProtocolError):
+        workers.decode_registration("w", msgspec.json.encode(entry))
 
 
 def test_decode_registration():
@@ -102,7 +104,8 @@
 @pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b'"x"', b"{}"])
 def test_malformed_registration_is_ignored(data):
     """Guards against a malformed entry that stops the processing of the registry feed."""
-    assert workers.decode_registration("w", data) is None
+    with pytest.raises(exceptions.ProtocolError):
+        workers.decode_registration("w", data)
 
 
 @pytest.mark.parametrize(
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -4,12 +4,14 @@
 import enum
 import re
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from returns import result
 
 from lycheegate.clients import http
 from lycheegate.jobs import commands, model, runs, workers
+from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -29,7 +31,8 @@
 _MAX_LISTED_ENDS = 500
 """Number of ends that a worker lists in one report; the others follow once these are acknowledged.
 """
-_ADDRESS = re.compile(r"[0-9A-Za-z.-]{1,253}:[0-9]{1,5}")
+_ADDRESS = re.compile(r"[0-9A-Za-z.-]{1,253}:([1-9][0-9]{0,4})")
+_MAX_PORT = 65535
 _WORKER_ID = re.compile(r"[!-~]{1,200}")
 _END_BY_REASON = {
     "done": runs.End.DONE,
@@ -39,6 +42,8 @@
     "broken": runs.End.INTERRUPTED,
     "alone": runs.End.INTERRUPTED,
 }
+MAX_CAPACITY = 10**9
+"""Largest amount of a resource that a worker may register: a million cores, or a petabyte."""
 ORDER_TIMEOUT_S = 0.5
 REPORT_GRACE_S = 0.8
 """Timeout of a report request beyond its wait time."""
@@ -90,10 +95,13 @@
     clock_ms: int = 0
 
 
-class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+_Capacity = Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
+
+
+class _Resources(msgspec.Struct, rename="kebab"):
+    cpu: _Capacity = 0
+    mem_mb: _Capacity = 0
+    gpu: _Capacity = 0
 
 
 class _Registration(msgspec.Struct, rename="kebab"):
@@ -101,12 +109,18 @@
     address: str
     zone: str
     state: str
-    capacity: _Capacity
+    capacity: _Resources
     labels: list[str]
     """Kind of the worker, then its rack."""
-    born: int = 0
-    remaining_ms: int | None = None
+    born: foreign.Amount = 0
+    remaining_ms: foreign.SignedAmount | None = None
     """Minimum time until the worker shuts down; reported only while it drains."""
+    # The other fields that the platform names are not used. An entry in which one of them has
+    # another type comes from another writer, and names no worker.
+    version: str = ""
+    slots: foreign.Amount = 0
+    seq: foreign.Amount = 0
+    cold_left_ms: int | float = 0
 
 
 class _Answer(msgspec.Struct, rename="kebab"):
@@ -124,24 +138,22 @@
     reason: str = ""
 
 
-def decode_registration(worker_id: str, data: bytes) -> workers.Registration | None:
+def decode_registration(worker_id: str, data: bytes) -> workers.Registration:
     """Decodes an entry of the worker registry.
 
-    Returns:
-        The registration, or None if the entry is malformed or neither ready nor draining.
+    Raises:
+        ProtocolError: The entry names no worker to use: it is malformed, or the worker is neither
+            ready nor draining.
     """
-    try:
-        entry = msgspec.json.decode(data, type=_Registration)
-    except (msgspec.DecodeError, RecursionError):
-        return None
+    entry = foreign.decode_json(data, _Registration)
+    if entry.state not in ("ready", "draining"):
+        raise exceptions.ProtocolError(f"state is {entry.state!r:.30}, not ready or draining")
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise exceptions.ProtocolError("key is not 1 to 200 visible ASCII characters")
+    address = _ADDRESS.fullmatch(entry.address)
+    if address is None or int(address[1]) > _MAX_PORT:
+        raise exceptions.ProtocolError(f"address is not a host and a port from 1 to {_MAX_PORT}")
     capacity = entry.capacity
-    if (
-        entry.state not in ("ready", "draining")
-        or not _WORKER_ID.fullmatch(worker_id)
-        or not _ADDRESS.fullmatch(entry.address)
-        or min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0
-    ):
-        return None
     return workers.Registration(
         worker_id=worker_id,
         service=entry.service,
@@ -152,7 +164,7 @@
         capacity=model.Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         draining=entry.state == "draining",
         born_ms=entry.born,
-        remaining_s=None if entry.remaining_ms is None else entry.remaining_ms / 1000.0,
+        remaining_s=None if entry.remaining_ms is None else max(0, entry.remaining_ms) / 1000.0,
     )
 
 
