Use a worker again after a wrong start time in its registration

Cause: a registration with a later start time counts as a restart, and reports with an earlier one were ignored for the rest of the term. If another writer replaced the row of a worker with a start time in the future, which is a whole number as it should be, the worker was lost after its own row was back: its runs were given up when their lease expired, and it was polled without a pause, because it never became confirmed.

Change: a report with an earlier start time is ignored only if it was requested before the later one became known. One requested afterwards disproves the registration. A registration causes one restart for each start time it names, not one each time the registrations are applied.

Measured: test_workers_whose_rows_are_odd_for_a_while: 4 of 48 cases failed before ("born later"), test_workers_whose_rows_were_never_theirs failed; all pass now. The other 44 cases passed before: a worker whose row cannot be read gets no new work, its runs go on under their leases and none starts elsewhere, and it is used again once its row is valid.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -247,6 +247,8 @@
         registered_remaining_s: Time until it leaves according to its last registration, or None.
         registered: Whether the registry lists it.
         born_ms: Start of its incarnation in milliseconds since 1970, or 0 if unknown.
+        registered_born_ms: The same according to its last registration.
+        restarted_at_s: When its last restart became known, or 0 if none did.
         confirmed: Whether it has reported to this scheduler since the term or the worker started.
         runs: Current runs that may exist on it.
         strays: Resources of its stray runs: runs that it lists and that are not the current run
@@ -282,6 +284,8 @@
     registered_remaining_s: float | None = None
     registered: bool = True
     born_ms: int = 0
+    registered_born_ms: int = 0
+    restarted_at_s: float = 0.0
     confirmed: bool = False
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
     strays: dict[tuple[model.TaskKey, int], model.Resources] = dataclasses.field(
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -162,7 +162,11 @@
         fields = {"worker": worker.worker_id, "rack": worker.rack}
         return [commands.Decision("worker_added", fields)]
     result: list[commands.Command] = []
-    if registration.born_ms and worker.born_ms and registration.born_ms > worker.born_ms:
+    # All registrations are applied whenever one changes. One that the worker's own reports have
+    # disproved must not restart it again each time.
+    is_new = registration.born_ms != worker.registered_born_ms
+    worker.registered_born_ms = registration.born_ms
+    if is_new and worker.born_ms and registration.born_ms > worker.born_ms:
         result += handle_restart(current, worker, registration.born_ms, now_s)
     if registration.draining != worker.draining:
         result.append(
@@ -216,6 +220,7 @@
         registration.capacity,
         registration.draining,
         born_ms=registration.born_ms,
+        registered_born_ms=registration.born_ms,
     )
     worker.leases_expire_at_s = leases.compute_handover_end_s(current)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
@@ -242,10 +247,11 @@
     Args:
         current: State of the scheduler.
         worker: The worker.
-        born_ms: Start of its new incarnation in milliseconds since 1970.
+        born_ms: Start of its incarnation in milliseconds since 1970.
         now_s: Time on the scheduler's clock.
     """
     worker.born_ms = born_ms
+    worker.restarted_at_s = now_s
     worker.processed_end = worker.durable_end = 0
     worker.confirmed = False
     worker.clock_ms = worker.max_deadline_ms = 0
@@ -290,7 +296,9 @@
     now_s = report.received_at_s
     result: list[commands.Command] = []
     if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
-        if report.born_ms < worker.born_ms:
+        # An earlier incarnation cannot answer a request that was sent after the later one became
+        # known. Such an answer shows that another writer has changed the registration.
+        if report.born_ms < worker.born_ms and report.sent_at_s < worker.restarted_at_s:
             return []
         result += handle_restart(current, worker, report.born_ms, now_s)
     worker.born_ms = report.born_ms or worker.born_ms
--- a/lycheegate/node/tests/test_odd_rows.py
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -6,7 +6,9 @@
 import pytest
 from hypothesis import strategies as st
 
+from lycheegate.jobs import model
 from lycheegate.node import registry, storage
+from lycheegate.node.tests import simulation
 from lycheegate.platform import workers as worker_calls
 
 _ENTRY = {
@@ -214,3 +216,75 @@
     rows = [make_row("well-formed-1", _encode()), *rows, make_row("well-formed-2", _encode())]
     assert workers.apply_rows(tuple(rows), is_full_table)
     assert {"well-formed-1", "well-formed-2"} <= set(_list_ids(workers))
+
+
+_MOMENTS = {
+    "cut": _encode()[:-9],
+    "nested": b"[" * 60_000,
+    "remaining-ms of 400 digits": _encode(remaining_ms=_HUGE),
+    "port 99999": _encode(address='"10.0.0.1:99999"'),
+    "capacity of 400 digits": _encode(capacity=f'{{"cpu":{_HUGE}}}'),
+    "capacity of nothing": _encode(capacity="{}"),
+    "state not named": _encode(state='"resting"'),
+    "service not named": _encode(service='"resting"'),
+    "other labels": _encode(labels="[]"),
+    "draining": _encode(state='"draining"', remaining_ms="0"),
+    "born later": _encode(born=str(2**50)),
+    "born earlier": _encode(born="1"),
+}
+
+
+@pytest.mark.parametrize("changes_holder", [False, True], ids=["one holder", "two holders"])
+@pytest.mark.parametrize("odd_s", [1.0, 20.0])
+@pytest.mark.parametrize("value", _MOMENTS.values(), ids=_MOMENTS)
+def test_workers_whose_rows_are_odd_for_a_while(value, odd_s, changes_holder):
+    """Guards against running work that starts elsewhere, and workers that are lost for good.
+
+    Another writer replaces the rows of workers with running work, and each worker writes its own
+    row again later. The holder may change meanwhile. A task may start again only if the lease of
+    its first run has expired, which the fake workers check.
+    """
+    world = simulation.World(1)
+    world.claim_term("a")
+    world.run(2.0)
+    world.fleet.work_s = 4.0
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(24)))
+    world.run(1.0)
+    odd_ids = [worker_id for worker_id, worker in world.fleet.workers.items() if worker.live]
+    assert len(odd_ids) >= 3
+    for worker_id in odd_ids:
+        world.store.put(make_row(worker_id, b"").key, value)
+    world.run(odd_s / 2)
+    if changes_holder:
+        world.schedulers["a"].stop("test")
+        world.claim_term("b")
+    world.run(odd_s / 2)
+    for worker_id in odd_ids:
+        world.register(worker_id)
+    world.run(30.0)
+    simulation.assert_all_succeed(world)
+    if not changes_holder and b"draining" not in value:
+        assert set(world.fleet.starts.values()) == {1}
+    # All workers are in use again: the job needs the whole room of each.
+    world.submit(simulation.make_job("1" * 16, simulation.make_step(6, simulation.WHOLE)))
+    world.run(2.0)
+    assert all(worker.live for worker in world.fleet.workers.values())
+    world.run(15.0)
+    simulation.assert_all_succeed(world)
+
+
+def test_workers_whose_rows_were_never_theirs():
+    """Guards against a scheduler without workers after an odd row of each of them.
+
+    A start time in the future, which is a whole number, made each report appear to come from an
+    earlier incarnation.
+    """
+    world = simulation.World(1)
+    world.claim_term("a")
+    world.run(2.0)
+    for worker_id in world.fleet.workers:
+        world.store.put(make_row(worker_id, b"").key, _encode(born=str(2**50)))
+    world.run(1.0)
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(12)))
+    world.run(5.0)
+    assert world.read_status("0" * 16).outcome is model.Outcome.SUCCEEDED
