Keep runs of a worker whose registration names another one's address

Cause: a call that is answered with 421 ended all runs of its worker at once, because another process had taken its place. If another writer gave a worker the address of another worker, the 421 came from that one, and the tasks were started again while their first runs went on.

Change: a 421 ends runs only if it comes from the address from which the worker last reported to this holder. Otherwise the worker gets no work, a start order sent there counts as refused, and its runs end when their lease has expired.

Cost: runs on a worker that was replaced at its address while the holder changed, and that never reported to the new holder, wait for their lease.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -255,6 +255,7 @@
             of their task.
         unknown_runs: Name and number of listed runs whose job is unknown or whose name cannot be
             parsed. Their resources are unknown, so no work is placed beside them.
+        reported_address: Address from which its last report came, or an empty string.
         reported_at_s: When its last report was received.
         report_sent_at_s: When its last report was requested.
         leases_expire_at_s: When the leases of all runs on it have certainly expired.
@@ -292,6 +293,7 @@
         default_factory=dict
     )
     unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    reported_address: str = ""
     reported_at_s: float = 0.0
     report_sent_at_s: float = 0.0
     leases_expire_at_s: float = 0.0
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -124,14 +124,15 @@
             deadline_ms = leases.compute_deadline_ms(self._state, worker, now_s)
         if deadline_ms is not None:
             recorded = leases.record_deadline(self._state, worker, deadline_ms)
+        address = worker.address
         self._client.report(
-            worker.address,
+            address,
             worker_id,
             self._state.epoch,
             worker.durable_end,
             deadline_ms,
             wait_s,
-            lambda outcome: self._handle_report(worker_id, recorded, outcome),
+            lambda outcome: self._handle_report(worker_id, address, recorded, outcome),
         )
 
     def _may_act(self, now_s: float) -> bool:
@@ -145,6 +146,7 @@
     def _handle_report(
         self,
         worker_id: str,
+        address: str,
         recorded: leases.RecordedDeadline | None,
         outcome: result.Result,
     ) -> None:
@@ -156,8 +158,10 @@
             is_unsent = isinstance(error, exceptions.NotSentError)
             if is_unsent and worker is not None and recorded is not None:
                 leases.revoke_deadline(self._state, worker, recorded)
-            self._handle_report_error(worker_id, error)
+            self._handle_report_error(worker_id, address, error)
             return
+        if worker is not None:
+            worker.reported_address = address
         self._failed_polls.pop(worker_id, None)
         was_confirmed = worker is not None and worker.confirmed
         report = outcome.unwrap()
@@ -166,7 +170,7 @@
             self._hooks.execute(command_list)
         except Exception as error:
             # A report that cannot be applied must not end the polling of its worker.
-            self._handle_report_error(worker_id, error)
+            self._handle_report_error(worker_id, address, error)
             return
         self._hooks.request_pass(bool(command_list or report.ended))
         if worker is None or not was_confirmed:
@@ -184,14 +188,14 @@
             self._awaiting_durable_ends.discard(worker_id)
             self._poll(worker_id, REPORT_WAIT_S)
 
-    def _handle_report_error(self, worker_id: str, error: Exception) -> None:
+    def _handle_report_error(self, worker_id: str, address: str, error: Exception) -> None:
         worker = self._state.workers.get(worker_id)
         failures = self._failed_polls[worker_id] = self._failed_polls.get(worker_id, 0) + 1
         is_first_lost = failures == 1 and isinstance(error, exceptions.OutcomeUnknownError)
         if isinstance(error, exceptions.FencedError):
             self._end_fenced_term(worker_id)
         elif isinstance(error, worker_calls.WrongIncarnationError) and worker is not None:
-            self._handle_replaced_worker(worker)
+            self._handle_replaced_worker(worker, address)
         elif isinstance(error, exceptions.OutcomeUnknownError | exceptions.UnavailableError):
             if worker is not None:
                 # A worker that has just been lost must get no work until it reports again.
@@ -207,10 +211,18 @@
             f"fenced by worker {worker_id}: it has seen a later epoch than {self._state.epoch}"
         )
 
-    def _handle_replaced_worker(self, worker: state.WorkerState) -> None:
-        """Ends the runs of a worker whose endpoint is now served by another worker."""
+    def _handle_replaced_worker(self, worker: state.WorkerState, address: str) -> None:
+        """Ends the runs of a worker whose endpoint is now served by another worker.
+
+        Another worker at an address from which this one never reported proves nothing: another
+        writer may have changed its registration. Its runs end when their lease has expired.
+        """
         now_s = self._now_s()
         worker.registered = False
+        if address != worker.reported_address:
+            worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
+            self._hooks.request_pass(True)
+            return
         for run in list(worker.runs.values()):
             if run.phase is not state.RunPhase.INTENDED:
                 self._hooks.execute(
@@ -243,12 +255,13 @@
             self.record_refusal(order, "worker_unknown")
             return
         leases.record_deadline(self._state, worker, deadline_ms)
+        address = worker.address
         self._client.start(
-            worker.address,
+            address,
             order,
             self._state.epoch,
             deadline_ms,
-            lambda outcome: self._handle_start_result(order, outcome),
+            lambda outcome: self._handle_start_result(order, address, outcome),
         )
 
     def record_refusal(self, order: commands.StartRun, reason: str) -> None:
@@ -260,7 +273,7 @@
             self._hooks.request_pass(True)
 
     def _handle_start_result(
-        self, order: commands.StartRun, answer: worker_calls.OrderResult
+        self, order: commands.StartRun, address: str, answer: worker_calls.OrderResult
     ) -> None:
         if self._hooks.is_stopped():
             return
@@ -289,7 +302,9 @@
                 run.confirmed_at_s = now_s
         elif outcome is worker_calls.StartOutcome.WRONG_INCARNATION:
             if worker is not None:
-                self._handle_replaced_worker(worker)
+                self._handle_replaced_worker(worker, address)
+            if self._find_run(order) is run and run.phase is state.RunPhase.ORDERED:
+                self._handle_start_refusal(order, run, worker, outcome, now_s)
         else:
             self._handle_start_refusal(order, run, worker, outcome, now_s)
 
