Reject reports and clocks that no later call can use

Cause: whatever answers at a registered address with status 200 and an object was taken for a worker. {} was a report without runs and without a clock; a clock, a number of a run or an end, or a percentage had any size, a checkpoint any type. A clock of 400 digits raised OverflowError in the computation of the lease, a number of a run was sent back in the next call, and a checkpoint was stored with the progress of its job. One odd name of a run ("9" * 5000, or a superscript digit) rejected the whole report, so its worker was lost while it listed that run.

Change: numbers are whole and from 0 to 2^53, a report has a clock, percentages are limited to 0..100, a checkpoint is text of at most 4,096 characters, and a run with an odd name is one whose name cannot be parsed. A refusal keeps new work away from the worker whatever its body is.

--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -34,6 +34,9 @@
 _ADDRESS = re.compile(r"[0-9A-Za-z.-]{1,253}:([1-9][0-9]{0,4})")
 _MAX_PORT = 65535
 _WORKER_ID = re.compile(r"[!-~]{1,200}")
+_TASK_NAME = re.compile(r"([^.]*)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})")
+MAX_CHECKPOINT_CHARACTERS = 4096
+"""Longer checkpoints would not fit into the record of their job, which could not be stored."""
 _END_BY_REASON = {
     "done": runs.End.DONE,
     "failed": runs.End.FAILED,
@@ -124,13 +127,13 @@
 
 
 class _Answer(msgspec.Struct, rename="kebab"):
-    clock_ms: int = 0
+    clock_ms: foreign.Amount = 0
     reason: str = ""
 
 
 class _Report(msgspec.Struct, rename="kebab"):
-    clock_ms: int = 0
-    born: int = 0
+    clock_ms: foreign.Amount = 0
+    born: foreign.Amount = 0
     running: list[list] = []
     """Rows of task, run number, checkpoint, percent complete, and load."""
     ended: list[list] = []
@@ -175,9 +178,10 @@
 
 def parse_task(name: str) -> model.TaskKey | None:
     """Returns the task with the given wire name, or None if the name is invalid."""
-    job_id, *numbers = name.split(".")
-    if len(numbers) != 3 or not all(number.isdigit() for number in numbers):
+    found = _TASK_NAME.fullmatch(name)
+    if found is None:
         return None
+    job_id, *numbers = found.groups()
     return model.TaskKey(job_id, *(int(number) for number in numbers))
 
 
@@ -293,8 +297,9 @@
     if response.status in (429, 503):
         return OrderResult(StartOutcome.UNHEALTHY)
     try:
-        answer = msgspec.json.decode(response.body, type=_Answer)
-    except (msgspec.DecodeError, RecursionError):
+        answer = foreign.decode_json(response.body, _Answer)
+    except exceptions.ProtocolError:
+        # The status tells whether the order was executed.
         answer = _Answer()
     if response.status == 200:
         return OrderResult(StartOutcome.STARTED, answer.clock_ms)
@@ -312,13 +317,18 @@
         return result.Failure(
             WrongIncarnationError(f"endpoint no longer belongs to worker {worker_id}")
         )
+    if response.status not in (200, 409):
+        return result.Failure(_make_refusal(worker_id, response.status))
     try:
-        answer = msgspec.json.decode(response.body, type=_Report)
-        if response.status == 409 and answer.reason == "fence":
-            return result.Failure(exceptions.FencedError(0))
-        if response.status != 200:
-            text = f"worker {worker_id} responded with status {response.status} to /hold"
-            return result.Failure(exceptions.UnavailableError(text))
+        answer = foreign.decode_json(response.body, _Report)
+        if response.status == 409:
+            if answer.reason == "fence":
+                return result.Failure(exceptions.FencedError(0))
+            return result.Failure(_make_refusal(worker_id, response.status))
+        if not answer.clock_ms:
+            # A worker always reports its clock. Other programs may answer any call with an empty
+            # object, which would be a report that no run is present.
+            raise ValueError("no clock-ms")
         report = workers.Report(
             worker_id,
             answer.clock_ms,
@@ -329,29 +339,45 @@
             received_at_s,
             lists_all_ends=len(answer.ended) < _MAX_LISTED_ENDS,
         )
-    except (
-        msgspec.DecodeError,
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
-        return result.Failure(
-            exceptions.ProtocolError(f"cannot decode the report of worker {worker_id}: {error}")
-        )
+    except Exception as error:
+        # Whatever a report holds, its worker must be polled again.
+        text = f"cannot decode the report of worker {worker_id}: {error!s:.200}"
+        return result.Failure(exceptions.ProtocolError(text))
     return result.Success(report)
 
 
+def _make_refusal(worker_id: str, status: int) -> exceptions.UnavailableError:
+    return exceptions.UnavailableError(
+        f"worker {worker_id} responded with status {status} to /hold"
+    )
+
+
 def _decode_running(row: list) -> workers.ListedRun:
     name, number, checkpoint, percent, *_ = row
-    return workers.ListedRun(parse_task(name), name, int(number), checkpoint, int(percent))
+    _check_row(number, checkpoint)
+    if type(percent) is not int or not 0 <= percent <= 100:
+        percent = _limit_percent(percent)
+    return workers.ListedRun(parse_task(name), name, number, checkpoint, percent)
+
+
+def _limit_percent(percent: object) -> int:
+    if not isinstance(percent, int | float):
+        raise ValueError(f"expected a percentage, got {percent!r:.40}")
+    return int(min(100, max(0, percent)))
 
 
 def _decode_ended(row: list) -> workers.EndedRun:
     end_number, name, number, reason, *rest = row
     checkpoint = rest[0] if rest else ""
-    return workers.EndedRun(
-        int(end_number), parse_task(name), int(number), _END_BY_REASON[reason], reason, checkpoint
-    )
+    _check_row(number, checkpoint)
+    _check_row(end_number, "")
+    end = _END_BY_REASON[reason]
+    return workers.EndedRun(end_number, parse_task(name), number, end, reason, checkpoint)
+
+
+def _check_row(number: object, checkpoint: object) -> None:
+    """Raises ValueError for a number or a checkpoint that later calls could not send back."""
+    if type(number) is not int or not 0 <= number <= foreign.MAX_WHOLE:
+        raise ValueError(f"expected a number of a run or an end, got {number!r:.40}")
+    if type(checkpoint) is not str or len(checkpoint) > MAX_CHECKPOINT_CHARACTERS:
+        raise ValueError(f"expected a checkpoint, got {checkpoint!r:.40}")
