Decode the rows of the store's answers one by one if one is malformed

Cause: an answer of the store was decoded as a whole. One row with a value that is not base64, a version out of range or a key that is not text made the whole answer an error, and the feed repeated the call from the same version, so it got the same row again for as long as the history held it. Versions and clocks of any size or sign were accepted: a feed that continues from a version of 400 digits never gets another change.

Change: an answer that cannot be decoded is decoded again row by row. A malformed row whose address is readable is passed on without content, which no decoder of a table accepts, so a reader sees that it changed; one without an address is left out. Each version of such a row is logged once. Whatever an answer holds, the call has an outcome.

Not handled: an answer nested over 1,000 deep in a row stays an error as a whole. Values are base64 text, so an entry of another writer cannot cause it.

--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -1,14 +1,17 @@
 """HTTP client of the platform's store."""
 
 import base64
+import re
 import urllib.parse
 from collections.abc import Callable
 
+import logbook
 import msgspec
 from returns import result
 
 from lycheegate.clients import http
 from lycheegate.node import storage
+from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
 
 __all__ = ["PlatformStore"]
@@ -20,24 +23,57 @@
 without a limit for the whole answer: a configuration of 1 MB takes 2 s over a link of 5 Mbit/s."""
 
 
+_log = logbook.Logger("platform.store")
+
+_SURROGATE = re.compile(
+    r"(\\\\|\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2})|\\u[dD][89a-fA-F][0-9a-fA-F]{2}"
+)
+"""An escaped backslash or pair of surrogates, which is kept as the first group, or a surrogate
+without its other half, which is no text."""
+_REPLACEMENT = r"\ufffd"
+MAX_LOGGED_ROWS = 1000
+"""Number of malformed rows that are remembered, so that each version of a row is logged once."""
+
+
 class _RowModel(msgspec.Struct):
     table: str
     key: str
     part: str = ""
     value: str = ""
-    ver: int = 0
+    ver: foreign.Amount = 0
     tombstone: bool = False
     """Whether the row was deleted."""
 
 
-class _Answer(msgspec.Struct, rename={"now_ms": "now-ms"}):
-    rows: list[_RowModel] = []
-    ver: int = 0
+class _RowAddress(msgspec.Struct):
+    """The fields of a row without which it cannot be told which row has changed."""
+
+    table: str
+    key: str
+    part: str = ""
+    ver: foreign.Amount = 0
+
+
+class _AnswerFields(msgspec.Struct, rename={"now_ms": "now-ms"}):
+    ver: foreign.Amount = 0
     truncated: bool = False
-    now_ms: int = 0
+    now_ms: foreign.Amount = 0
     """Reading of the store's monotonic clock, not the time of day."""
 
 
+class _Answer(_AnswerFields):
+    rows: list[_RowModel] = []
+
+
+class _AnswerOfAnyRows(_AnswerFields):
+    """The same while a row is malformed; the others hold."""
+
+    rows: list[msgspec.Raw] = []
+
+
+_Convert = Callable[[_AnswerFields, tuple[storage.Row, ...]], object]
+
+
 class PlatformStore:
     """Implementation of ``storage.Store`` over HTTP."""
 
@@ -74,7 +110,7 @@
             ("Content-Type: application/json",),
             timeout_s,
         )
-        self._send(request, lambda answer: answer.ver, callback)
+        self._send(request, lambda answer, rows: answer.ver, callback)
 
     def read(
         self,
@@ -117,7 +153,7 @@
     def _send(
         self,
         request: http.Request,
-        convert: Callable[[_Answer], object],
+        convert: _Convert,
         callback: Callable[[storage.StoreResult], None],
     ) -> None:
         future = self._client.send(request)
@@ -128,7 +164,7 @@
     return {"table": key.table, "part": key.part, "key": key.key}
 
 
-def _decode(outcome: http.HttpResult, convert: Callable[[_Answer], object]) -> storage.StoreResult:
+def _decode(outcome: http.HttpResult, convert: _Convert) -> storage.StoreResult:
     if not isinstance(outcome, result.Success):
         return outcome
     response = outcome.unwrap()
@@ -145,32 +181,72 @@
             exceptions.ProtocolError(f"store responded with unexpected status {response.status}")
         )
     try:
-        answer = msgspec.json.decode(response.body, type=_Answer)
+        answer, rows = _decode_answer(response.body)
         if response.status == 412:
-            return result.Failure(storage.ConflictError(_make_rows(answer)))
-        return result.Success(convert(answer))
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        # The transaction may have been applied although its response is malformed.
+            return result.Failure(storage.ConflictError(rows))
+        return result.Success(convert(answer, rows))
+    except Exception as error:
+        # Each call needs an outcome, whatever the answer holds: a change feed whose callback is not
+        # called has ended. The transaction may have been applied although its answer is malformed.
         return result.Failure(
             exceptions.OutcomeUnknownError(f"cannot decode the response of the store: {error}")
         )
 
 
-def _make_page(answer: _Answer) -> storage.Page:
-    return storage.Page(_make_rows(answer), answer.truncated, answer.ver, answer.now_ms)
+def _make_page(answer: _AnswerFields, rows: tuple[storage.Row, ...]) -> storage.Page:
+    return storage.Page(rows, answer.truncated, answer.ver, answer.now_ms)
 
 
-def _make_changes(answer: _Answer) -> storage.Changes:
-    return storage.Changes(_make_rows(answer), answer.ver, answer.now_ms)
+def _make_changes(answer: _AnswerFields, rows: tuple[storage.Row, ...]) -> storage.Changes:
+    return storage.Changes(rows, answer.ver, answer.now_ms)
 
 
-def _make_rows(answer: _Answer) -> tuple[storage.Row, ...]:
-    return tuple(
-        storage.Row(
-            storage.RowKey(row.table, row.part, row.key),
-            base64.b64decode(row.value),
-            row.ver,
-            row.tombstone,
-        )
-        for row in answer.rows
-    )
+def _decode_answer(data: bytes) -> tuple[_AnswerFields, tuple[storage.Row, ...]]:
+    """Returns an answer and its rows, without the content of rows that are malformed.
+
+    Raises:
+        ProtocolError: The answer itself is malformed.
+    """
+    try:
+        answer = foreign.decode_json(data, _Answer)
+        return answer, tuple(_make_row(row) for row in answer.rows)
+    except (exceptions.ProtocolError, ValueError):
+        # Text that is malformed in one row would make the whole answer malformed.
+        text = data.decode(errors="replace")
+        text = _SURROGATE.sub(lambda found: found[1] or _REPLACEMENT, text)
+        answer = foreign.decode_json(text.encode(), _AnswerOfAnyRows)
+    rows = (_decode_row(bytes(row)) for row in answer.rows)
+    return answer, tuple(row for row in rows if row is not None)
+
+
+def _make_row(row: _RowModel) -> storage.Row:
+    key = storage.RowKey(row.table, row.part, row.key)
+    return storage.Row(key, base64.b64decode(row.value, validate=True), row.ver, row.tombstone)
+
+
+def _decode_row(data: bytes) -> storage.Row | None:
+    """Returns a row, without content if that cannot be decoded, or None if it has no address."""
+    try:
+        return _make_row(foreign.decode_json(data, _RowModel))
+    except (exceptions.ProtocolError, ValueError) as error:
+        reason = f"{error!s:.200}"
+    try:
+        address = foreign.decode_json(data, _RowAddress)
+    except exceptions.ProtocolError:
+        _log_malformed_row((data[:100],), reason, len(data))
+        return None
+    key = storage.RowKey(address.table, address.part, address.key)
+    _log_malformed_row((key, address.ver), reason, len(data))
+    return storage.Row(key, b"", address.ver)
+
+
+_logged_rows: set[tuple] = set()
+
+
+def _log_malformed_row(row: tuple, reason: str, size_bytes: int) -> None:
+    if row in _logged_rows:
+        return
+    if len(_logged_rows) >= MAX_LOGGED_ROWS:
+        _logged_rows.clear()
+    _logged_rows.add(row)
+    _log.warning("row_malformed row={!r:.120} bytes={} reason={}", row, size_bytes, reason)
--- a/lycheegate/platform/tests/test_odd_answers.py
+++ b/lycheegate/platform/tests/test_odd_answers.py
@@ -3,6 +3,7 @@
 import json
 
 import hypothesis
+import logbook
 import msgspec
 import pytest
 from hypothesis import strategies as st
@@ -10,6 +11,8 @@
 
 from lycheegate.clients import http
 from lycheegate.jobs import commands, leases, lifecycle, model, scheduling, state, workers, writes
+from lycheegate.node import storage
+from lycheegate.platform import store
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
 
@@ -212,3 +215,94 @@
         msgspec.json.encode([deadline_ms, worker.durable_end, worker.processed_end])
         leases.check_leases(current, now_s)
     writes.collect_batch(current)
+
+
+def _make_row(key="k1", **fields):
+    """Returns a row as the store sends it, with fields given as JSON text."""
+    row = {"table": '"t"', "key": json.dumps(key), "value": '"YQ=="', "ver": "4", **fields}
+    return "{" + ",".join(f'"{name}":{text}' for name, text in row.items()) + "}"
+
+
+ODD_ROWS = {
+    "value not base64": (_make_row("odd", value='"!!!a"'), {"odd": b""}),
+    "value cut": (_make_row("odd", value='"YQ="'), {"odd": b""}),
+    "value with other letters": (_make_row("odd", value='"\u00e9"'), {"odd": b""}),
+    "value null": (_make_row("odd", value="null"), {"odd": b""}),
+    "value nested": (_make_row("odd", value="[" * 900 + "]" * 900), {"odd": b""}),
+    "tombstone of another type": (_make_row("odd", tombstone='"yes"'), {"odd": b""}),
+    "version text": (_make_row("odd", ver='"4"'), {}),
+    "version negative": (_make_row("odd", ver="-4"), {}),
+    "version of 400 digits": (_make_row("odd", ver=_HUGE), {}),
+    "version of 5000 digits": (_make_row("odd", ver="9" * 5000), {}),
+    "key a number": (_make_row(key=7), {}),
+    "key an unpaired surrogate": (_make_row("odd").replace('"odd"', '"\\ud800"'), {"\ufffd": b"a"}),
+    "key not utf-8": (_make_row("odd").replace('"odd"', '"\udcff"'), {"\ufffd": b"a"}),
+    "no key": ('{"table":"t","value":"","ver":4}', {}),
+    "null": ("null", {}),
+    "text": ('"x"', {}),
+    "array": ("[]", {}),
+}
+ODD_STORE_ANSWERS = {
+    "empty": b"",
+    "page": b"<html></html>",
+    "cut": b'{"rows":[',
+    "nested": b"[" * 60_000,
+    "nested in a row": f'{{"rows":[{"[" * 60_000}'.encode(),
+    "rows an object": b'{"rows":{},"ver":9}',
+    "version text": b'{"rows":[],"ver":"9"}',
+    "version negative": b'{"rows":[],"ver":-9}',
+    "version of 400 digits": f'{{"rows":[],"ver":{_HUGE}}}'.encode(),
+    "clock of 400 digits": f'{{"rows":[],"ver":9,"now-ms":{_HUGE}}}'.encode(),
+}
+
+
+def _call_store(kind, status, body):
+    found = []
+    client = store.PlatformStore(Client(status, body), "h:1")
+    if kind == "read":
+        client.read("t", "p", "", "", 1.0, found.append)
+    elif kind == "follow":
+        client.follow("t", 4, 1.0, found.append)
+    else:
+        client.transact(storage.Transaction(), 1.0, found.append)
+    (outcome,) = found
+    return outcome
+
+
+@pytest.mark.parametrize("kind", ["read", "follow", "transact"])
+@pytest.mark.parametrize(("odd", "expected"), ODD_ROWS.values(), ids=ODD_ROWS)
+def test_odd_row_does_not_hide_the_others(odd, expected, kind):
+    """Guards against one row that hides all others of its answer, and ends the feed for good.
+
+    A feed repeats the call whose answer cannot be decoded, and would get the same row each time.
+    """
+    emoji = _make_row("k2").replace("k2", r"\ud83d\ude00\\ud800")
+    text = f'{{"rows":[{_make_row("k1")},{odd},{emoji}],"ver":9}}'
+    body = text.encode(errors="surrogateescape")
+    outcome = _call_store(kind, 412 if kind == "transact" else 200, body)
+    rows = (outcome.failure() if kind == "transact" else outcome.unwrap()).rows
+    expected = {"k1": b"a", **expected, "\U0001f600\\ud800": b"a"}
+    assert {row.key.key: row.value for row in rows} == expected
+    assert all(row.version == 4 and not row.deleted for row in rows)
+    if kind != "transact":
+        assert outcome.unwrap().version == 9
+
+
+@pytest.mark.parametrize("kind", ["read", "follow", "transact"])
+@pytest.mark.parametrize("status", [200, 412])
+@pytest.mark.parametrize("body", ODD_STORE_ANSWERS.values(), ids=ODD_STORE_ANSWERS)
+def test_odd_answer_of_the_store_is_an_error(body, status, kind):
+    """Guards against a call without an outcome, and against a version that no change reaches."""
+    outcome = _call_store(kind, status, body)
+    assert isinstance(outcome.failure(), exceptions.OutcomeUnknownError)
+
+
+def test_malformed_row_is_logged_once():
+    """Guards against a log line for each read of a malformed row."""
+    body = f'{{"rows":[{_make_row("once", value="null")}],"ver":9}}'.encode()
+    with logbook.TestHandler() as handler:
+        for _ in range(3):
+            _call_store("read", 200, body)
+        assert len(handler.records) == 1
+        _call_store("read", 200, body.replace(b'"ver":4', b'"ver":5'))
+        assert len(handler.records) == 2
