Reject jobs whose values no scheduling pass bears

Cause: a job's amounts had no upper limit. A need of 400 digits, in a caller's request or in a row of the table of jobs, raised OverflowError in each scheduling pass, so no job was placed, under any holder, while that job was there. Records of jobs and of progress were decoded without their types: a text in the place of a number raised in each pass, or at the take-over, after which the term was renewed and nothing was scheduled.

Change: jobs/validation.py checks a job, its queue and its progress; the decoders of requests, of configurations and of records call it. A request is refused with 400, a record is logged as unreadable and its job left alone.

Measured: node/tests/test_odd_rows.py on the sources before, on an event loop that goes on after an exception as the HTTP client's does: 12 of 12 cases of requests were accepted, with 58 of 228 rows of jobs at a take-over, 58 of 228 in the feed and 4 of 19 rows of progress a sound job beside them did not end in 6 s. All pass now.

--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-from lycheegate.jobs import model, state
+from lycheegate.jobs import model, state, validation
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -88,7 +88,10 @@
             start_at_s=times[1],
             interval_s=times[2],
         )
-        return AcceptedJob(job, model.Route(submission[0], *route_fields))
+        accepted = AcceptedJob(job, model.Route(submission[0], *route_fields))
+        validation.check_job(job)
+        validation.check_route(accepted.route)
+        return accepted
     except _DECODE_ERRORS as error:
         raise exceptions.ProtocolError(
             f"record of job {job_id} cannot be decoded: {error}"
@@ -129,6 +132,7 @@
         for item in steps:
             step = _decode_step_state(job.job, item, now_s)
             job.steps[step.key] = step
+        validation.check_progress(job)
     except _DECODE_ERRORS as error:
         text = f"progress of job {job.job.job_id} cannot be decoded: {error}"
         raise exceptions.ProtocolError(text) from error
--- a/lycheegate/node/tests/test_odd_rows.py
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -2,14 +2,17 @@
 
 import json
 
+import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies as st
 
-from lycheegate.jobs import model
-from lycheegate.node import registry, storage
+from lycheegate.jobs import model, progress
+from lycheegate.node import registry, storage, tables
 from lycheegate.node.tests import simulation
+from lycheegate.platform import submissions
 from lycheegate.platform import workers as worker_calls
+from lycheegate.utils import exceptions
 
 _ENTRY = {
     "service": "render",
@@ -293,3 +296,141 @@
     world.submit(simulation.make_job("0" * 16, simulation.make_step(12)))
     world.run(5.0)
     assert world.read_status("0" * 16).outcome is model.Outcome.SUCCEEDED
+
+
+def _make_steps(**fields):
+    return {"spec": "x", "steps": [{"count": 2, "cpu": 1, **fields}]}
+
+
+_HUGE_WHOLE = 10**400
+ODD_JOBS = {
+    "cpu of 400 digits": _make_steps(cpu=_HUGE_WHOLE),
+    "memory of 400 digits": _make_steps(**{"mem-mb": _HUGE_WHOLE}),
+    "gpu of 400 digits": _make_steps(gpu=_HUGE_WHOLE),
+    "gpu over the limit": _make_steps(gpu=2**53 + 1),
+    "estimate without end": _make_steps(**{"estimate-ms": "inf"}),
+    "estimate not a number": _make_steps(**{"estimate-ms": "nan"}),
+    "estimate over the limit": _make_steps(**{"estimate-ms": 1e300}),
+    "limit of tasks of 400 digits": _make_steps(**{"anti-affinity": _HUGE_WHOLE}),
+    "may-miss of 400 digits": _make_steps(**{"may-miss": _HUGE_WHOLE}),
+    "repeats of 400 digits": {**_make_steps(), "repeats": _HUGE_WHOLE},
+    "start without end": {**_make_steps(), "repeats": 1, "start-at-ms": "inf"},
+    "interval not a number": {**_make_steps(), "repeats": 2, "interval-ms": "nan"},
+}
+
+
+@pytest.mark.parametrize("document", ODD_JOBS.values(), ids=ODD_JOBS)
+def test_odd_job_is_rejected(document):
+    """Guards against a job of one caller that keeps the jobs of all others waiting.
+
+    A need of 400 digits raised in each scheduling pass, so nothing was placed for as long as the
+    job was there, on each holder of the term.
+    """
+    with pytest.raises(exceptions.ProtocolError):
+        submissions.decode_job(json.dumps(document).encode(), "1" * 16, "batch", "acme", 1.0)
+
+
+def _edit_job(path, value):
+    """Returns the record of a job in which one value is replaced."""
+    job = simulation.make_job("1" * 16, simulation.make_step(2))
+    route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
+    items = cbor2.loads(progress.encode_accepted(progress.AcceptedJob(job, route)))
+    *parents, last = path
+    parent = items
+    for index in parents:
+        parent = parent[index]
+    parent[last] = value
+    return cbor2.dumps(items)
+
+
+def _make_progress(step=None, started=True, occurrence=1):
+    return cbor2.dumps([1, "", started, occurrence, [] if step is None else [step]])
+
+
+_PLACES_IN_JOB = {
+    "route": (1, 0),
+    "account": (1, 1),
+    "spec": (1, 2),
+    "accepted": (1, 3),
+    "occurrences": (2, 0),
+    "start": (2, 1),
+    "interval": (2, 2),
+    "steps": (3,),
+    "step": (3, 0),
+    "count": (3, 0, 0),
+    "need": (3, 0, 1),
+    "cpu": (3, 0, 1, 0),
+    "estimate": (3, 0, 2),
+    "depends on": (3, 0, 3),
+    "checkpoints": (3, 0, 4),
+    "gang": (3, 0, 5),
+    "label": (3, 0, 7),
+    "rack": (3, 0, 8),
+    "limit of tasks": (3, 0, 9),
+    "may miss": (3, 0, 13),
+    "service": (4, 2),
+    "priority": (4, 3),
+    "attempts": (4, 4),
+    "stretch": (4, 5),
+    "target": (4, 6),
+}
+ODD_JOB_ROWS = {
+    f"{name} {value!r:.9}": _edit_job(path, value)
+    for name, path in _PLACES_IN_JOB.items()
+    for value in (None, "x", -1, [], [7], {"a": 1}, _HUGE_WHOLE, float("nan"), b"\xff")
+}
+ODD_JOB_ROWS |= {"empty": b"", "not CBOR": b"\xff", "nested": b"\x81" * 60_000}
+_STEP = [[0, 0], [], {}, {0: 1}, {0: "w0"}, {}, 0]
+ODD_PROGRESS = {
+    "empty": b"",
+    "not CBOR": b"\xff",
+    "nested": b"\x81" * 60_000,
+    "occurrence text": _make_progress(_STEP, occurrence="x"),
+    "occurrence of 400 digits": _make_progress(_STEP, occurrence=_HUGE_WHOLE),
+    "started text": _make_progress(_STEP, started="x"),
+    "key text": _make_progress([["x", 0], *_STEP[1:]]),
+    "key negative": _make_progress([[0, -1], *_STEP[1:]]),
+    "key too large": _make_progress([[0, 5], *_STEP[1:]]),
+    "done text": _make_progress([[0, 0], ["x"], *_STEP[2:]]),
+    "done too large": _make_progress([[0, 0], [9], *_STEP[2:]]),
+    "failures text": _make_progress([[0, 0], [], {0: "x"}, *_STEP[3:]]),
+    "run text": _make_progress([[0, 0], [], {}, {0: "x"}, *_STEP[4:]]),
+    "run of 400 digits": _make_progress([[0, 0], [], {}, {0: _HUGE_WHOLE}, *_STEP[4:]]),
+    "run of another task": _make_progress([[0, 0], [], {}, {9: 1}, {9: "w0"}, {}, 0]),
+    "worker a number": _make_progress([[0, 0], [], {}, {0: 1}, {0: 7}, {}, 0]),
+    "worker a list": _make_progress([[0, 0], [], {}, {0: 1}, {0: ["w0"]}, {}, 0]),
+    "checkpoint a number": _make_progress([[0, 0], [], {}, {0: 1}, {0: "w0"}, {0: 5}, 0]),
+    "last failure text": _make_progress([*_STEP[:6], "x"]),
+}
+
+
+@pytest.mark.parametrize("is_late", [False, True], ids=["at a take-over", "in the feed"])
+@pytest.mark.parametrize("value", ODD_JOB_ROWS.values(), ids=ODD_JOB_ROWS)
+def test_odd_row_of_a_job_stops_no_other(value, is_late):
+    """Guards against one row of the table of jobs that ends the scheduling of all jobs."""
+    _run_beside_odd_rows({tables.get_job_key("1" * 16): value}, is_late)
+
+
+@pytest.mark.parametrize("value", ODD_PROGRESS.values(), ids=ODD_PROGRESS)
+def test_odd_progress_of_a_job_stops_no_other(value):
+    """Guards against one row of progress that ends the take-over of all jobs."""
+    record = _edit_job((0,), 1)
+    rows = {tables.get_job_key("1" * 16): record, tables.get_progress_key("1" * 16): value}
+    _run_beside_odd_rows(rows, is_late=False)
+
+
+def _run_beside_odd_rows(rows, is_late):
+    world = simulation.World(1)
+    # A row may hold a job all the same, for example with another label.
+    world.fleet.specs["1" * 16] = simulation.make_job("1" * 16, simulation.make_step(2))
+    if is_late:
+        world.claim_term("a")
+        world.run(2.0)
+    for key, value in rows.items():
+        world.store.put(key, value)
+    if not is_late:
+        world.claim_term("a")
+    world.run(1.0)
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(4)))
+    world.run(6.0)
+    assert world.read_status("0" * 16).outcome is model.Outcome.SUCCEEDED
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from lycheegate.jobs import model
+from lycheegate.jobs import model, validation
+from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
 
 __all__ = ["KEY", "TABLE", "decode_configuration"]
@@ -34,7 +35,7 @@
 
 
 class _Guaranteed(msgspec.Struct):
-    gpu: int = 0
+    gpu: foreign.SignedAmount = 0
 
 
 class _Tenant(msgspec.Struct, rename="kebab"):
@@ -44,7 +45,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: foreign.Amount
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -58,13 +59,19 @@
         ProtocolError: The document is malformed.
     """
     try:
-        document = msgspec.json.decode(data, type=_Configuration, strict=False)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = foreign.decode_json(data, _Configuration, strict=False)
+    except exceptions.ProtocolError as error:
         raise exceptions.ProtocolError(f"cannot decode configuration: {error}") from error
+    routes = {route.name: _make_route(route) for route in document.routes}
+    try:
+        for route in routes.values():
+            validation.check_route(route)
+    except ValueError as error:
+        raise exceptions.ProtocolError(f"configuration {document.version}: {error}") from error
     accounts = {tenant.name: _make_account(tenant) for tenant in document.tenants}
     return model.Configuration(
         version=document.version,
-        routes={route.name: _make_route(route) for route in document.routes},
+        routes=routes,
         services={s.name: model.Service(s.name, s.admission_check) for s in document.services},
         accounts=accounts,
         account_by_key={key: a.name for a in accounts.values() for key in a.keys},
--- a/lycheegate/platform/foreign.py
+++ b/lycheegate/platform/foreign.py
@@ -9,16 +9,13 @@
 
 import msgspec
 
-from lycheegate.utils import exceptions
+from lycheegate.utils import exceptions, numbers
 
-__all__ = ["MAX_WHOLE", "Amount", "SignedAmount", "decode_json"]
+__all__ = ["Amount", "SignedAmount", "decode_json"]
 
-MAX_WHOLE = 1 << 53
-"""Largest whole number accepted in a document. Floats hold it exactly, and it can be encoded again
-in JSON; the same field with 400 digits raises in the first division."""
-Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=numbers.MAX_WHOLE)]
 """Type of a whole number that is not negative."""
-SignedAmount = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+SignedAmount = Annotated[int, msgspec.Meta(ge=-numbers.MAX_WHOLE, le=numbers.MAX_WHOLE)]
 """Type of a whole number that may be negative."""
 
 _T = TypeVar("_T")
--- a/lycheegate/platform/submissions.py
+++ b/lycheegate/platform/submissions.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from lycheegate.jobs import model, progress
+from lycheegate.jobs import model, progress, validation
+from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -19,7 +20,6 @@
 DEADLINE_HEADER = "X-Lycheegate-Deadline-Ms"
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES = 4000
-MAX_TASKS = 100_000
 _STATE_BY_OUTCOME = {
     model.Outcome.SUCCEEDED: "succeeded",
     model.Outcome.FAILED: "failed",
@@ -74,8 +74,8 @@
         ProtocolError: The document is malformed or exceeds a limit.
     """
     try:
-        document = msgspec.json.decode(data, type=_Job, strict=False)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = foreign.decode_json(data, _Job, strict=False)
+    except exceptions.ProtocolError as error:
         raise exceptions.ProtocolError(f"cannot decode job {job_id}: {error}") from error
     if not document.steps or len(document.spec.encode()) > MAX_SPEC_BYTES:
         raise exceptions.ProtocolError(
@@ -88,7 +88,7 @@
             f"got {document.start_at_ms} and {document.interval_ms}"
         )
     steps = tuple(_make_step(step, number) for number, step in enumerate(document.steps))
-    return model.Job(
+    job = model.Job(
         job_id=job_id,
         route=route,
         account=account,
@@ -99,12 +99,17 @@
         start_at_s=document.start_at_ms / 1000.0 if document.repeats else 0.0,
         interval_s=document.interval_ms / 1000.0,
     )
+    try:
+        validation.check_job(job)
+    except ValueError as error:
+        raise exceptions.ProtocolError(f"job {job_id}: {error}") from error
+    return job
 
 
 def _make_step(step: _Step, number: int) -> model.Step:
-    if not 0 < step.count <= MAX_TASKS:
+    if not 0 < step.count <= validation.MAX_TASKS:
         raise exceptions.ProtocolError(
-            f"step {number}: count must be between 1 and {MAX_TASKS}, got {step.count}"
+            f"step {number}: count must be between 1 and {validation.MAX_TASKS}, got {step.count}"
         )
     if any(not 0 <= other < number for other in step.depends_on):
         raise exceptions.ProtocolError(
@@ -120,7 +125,8 @@
         "may-miss": step.may_miss,
     }
     for name, amount in amounts.items():
-        if amount < 0:
+        # NaN is not at least 0 either.
+        if not amount >= 0:
             raise exceptions.ProtocolError(
                 f"step {number}: {name} must be at least 0, got {amount}"
             )
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -12,7 +12,7 @@
 from lycheegate.clients import http
 from lycheegate.jobs import commands, model, runs, workers
 from lycheegate.platform import foreign
-from lycheegate.utils import exceptions
+from lycheegate.utils import exceptions, numbers
 
 __all__ = [
     "REGISTRY_TABLE",
@@ -377,7 +377,7 @@
 
 def _check_row(number: object, checkpoint: object) -> None:
     """Raises ValueError for a number or a checkpoint that later calls could not send back."""
-    if type(number) is not int or not 0 <= number <= foreign.MAX_WHOLE:
+    if type(number) is not int or not 0 <= number <= numbers.MAX_WHOLE:
         raise ValueError(f"expected a number of a run or an end, got {number!r:.40}")
     if type(checkpoint) is not str or len(checkpoint) > MAX_CHECKPOINT_CHARACTERS:
         raise ValueError(f"expected a checkpoint, got {checkpoint!r:.40}")
