Reject rows of the term whose numbers are too large

Cause: the rows of the table of terms were checked for types, not for limits. A heartbeat's time of 400 digits raised OverflowError in the age of the heartbeat, so the check of a claim raised on each VM, and one of a suspicion raised after a claim had been stored, so the term was claimed and not held. A conflict with an unreadable holder raised in the handling of the claim. An unreadable row hid the later rows of its answer.

Change: numbers are whole and from 0 to 2^53, counts of waiting jobs are checked, and each row of an answer is applied by itself.

Open: no VM claims a term whose holder's row cannot be read, because its epoch, which the workers compare, is not known.

--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -13,7 +13,7 @@
 import cbor2
 
 from lycheegate.node import storage
-from lycheegate.utils import exceptions
+from lycheegate.utils import exceptions, numbers
 
 __all__ = [
     "HEARTBEAT",
@@ -158,7 +158,13 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    return Heartbeat(*_decode_items(data, (int, bool, dict, int)))
+    heartbeat = Heartbeat(*_decode_items(data, (int, bool, dict, int)))
+    for route, count in heartbeat.pending.items():
+        if not isinstance(route, str) or not numbers.is_whole(count):
+            raise exceptions.ProtocolError(
+                f"expected queue and number of jobs, got {(route, count)!r:.100}"
+            )
+    return heartbeat
 
 
 def encode_suspects(suspects: dict[str, int]) -> bytes:
@@ -178,13 +184,17 @@
     """
     (suspects,) = _decode_items(data, (dict,))
     for worker_id, until_ms in suspects.items():
-        if not isinstance(worker_id, str) or not isinstance(until_ms, int):
+        if not isinstance(worker_id, str) or not numbers.is_whole(until_ms):
             raise exceptions.ProtocolError(
                 f"expected worker and time of a suspicion, got {(worker_id, until_ms)!r:.100}"
             )
     return suspects
 
 
+def _is_valid(item: object, type_: type) -> bool:
+    return numbers.is_whole(item) if type_ is int else isinstance(item, type_)
+
+
 def _decode_items(data: bytes, types: tuple[type, ...]) -> list:
     try:
         items = cbor2.loads(data)
@@ -194,6 +204,6 @@
         ) from error
     expected = [type_.__name__ for type_ in types]
     is_valid = isinstance(items, list) and len(items) == len(types)
-    if not is_valid or not all(map(isinstance, items, types)):
+    if not is_valid or not all(map(_is_valid, items, types)):
         raise exceptions.ProtocolError(f"expected a row of {expected}, got {items!r:.100}")
     return items
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -17,6 +17,7 @@
 from returns import result
 
 from lycheegate.node import storage, tables
+from lycheegate.utils import exceptions
 
 __all__ = [
     "HEARTBEAT_OVERDUE_S",
@@ -128,7 +129,7 @@
         clock_ms: The store's clock in the answer, or 0 if not reported.
 
     Raises:
-        ProtocolError: A row cannot be decoded.
+        ProtocolError: A row cannot be decoded; the others have been applied.
     """
     if clock_ms:
         view.clock_ms = clock_ms
@@ -136,21 +137,30 @@
     if not view.is_loaded:
         view.changed_at_s = now_s
         view.is_loaded = True
+    unreadable: exceptions.ProtocolError | None = None
     for row in rows:
-        if row.key == tables.HOLDER and row.version > view.holder_version:
-            view.holder = tables.decode_holder(row.value)
-            view.holder_version = row.version
-            view.changed_at_s = now_s
-        elif row.key == tables.HEARTBEAT and row.version > view.heartbeat_version:
-            view.heartbeat = tables.decode_heartbeat(row.value)
-            view.heartbeat_version = row.version
-            view.changed_at_s = now_s
-            view.probe_result = ProbeResult.UNKNOWN
-    # Last, because the term must be known even if this row cannot be decoded.
-    for row in rows:
-        if row.key == tables.SUSPECTS and row.version > view.suspects_version:
-            view.suspects = tables.decode_suspects(row.value)
-            view.suspects_version = row.version
+        try:
+            _apply_row(view, row, now_s)
+        except exceptions.ProtocolError as error:
+            # The other rows hold: a heartbeat must be known although the suspected workers are not.
+            unreadable = unreadable or error
+    if unreadable is not None:
+        raise unreadable
+
+
+def _apply_row(view: TermView, row: storage.Row, now_s: float) -> None:
+    if row.key == tables.HOLDER and row.version > view.holder_version:
+        view.holder = tables.decode_holder(row.value)
+        view.holder_version = row.version
+        view.changed_at_s = now_s
+    elif row.key == tables.HEARTBEAT and row.version > view.heartbeat_version:
+        view.heartbeat = tables.decode_heartbeat(row.value)
+        view.heartbeat_version = row.version
+        view.changed_at_s = now_s
+        view.probe_result = ProbeResult.UNKNOWN
+    elif row.key == tables.SUSPECTS and row.version > view.suspects_version:
+        view.suspects = tables.decode_suspects(row.value)
+        view.suspects_version = row.version
 
 
 def list_suspects(view: TermView, now_s: float) -> dict[str, float]:
@@ -280,6 +290,13 @@
         return outcome.unwrap()
     error = outcome.failure()
     for row in error.rows if isinstance(error, storage.ConflictError) else ():
-        if row.key == tables.HOLDER and tables.decode_holder(row.value) == claimed:
+        if row.key == tables.HOLDER and _is_claim(row, claimed):
             return row.version
     return None
+
+
+def _is_claim(row: storage.Row, claimed: tables.Holder) -> bool:
+    try:
+        return tables.decode_holder(row.value) == claimed
+    except exceptions.ProtocolError:
+        return False
