Continue each chain of calls after an unexpected error

Cause: a change feed, the polls of a worker, the ticks of a term and the checks of a claim each request their next step at the end of the last one. An exception before that ended the chain without a sign: futures and timers log it and go on. Examples that were found: a line of the log that holds an unpaired surrogate raised in the handler of an error; a lease that cannot be computed raised in a poll; an error while a write was prepared left the term marked as writing, and it was neither renewed nor stored anything again; an error in the leases' check ended the ticks.

Change: the next step is requested first or in any case; a call that cannot be made counts as failed; a job that raises is logged and left alone; a line of the log that cannot be encoded is written in ASCII.

--- a/lycheegate/metrics/jsonlog.py
+++ b/lycheegate/metrics/jsonlog.py
@@ -16,6 +16,8 @@
 
 MAX_LINES_PER_S = 300.0
 BURST_LINES = 600.0
+MAX_FIELD = 300
+"""Characters of a field that cannot be encoded."""
 STDOUT_FD = 1
 
 
@@ -56,7 +58,7 @@
         line = {"t": round(now_s, 3), "node": self._node, "event": event, **fields}
         if self.dropped > self._reported_dropped:
             line["dropped"] = self.dropped - self._reported_dropped
-        data = msgspec.json.encode(line) + b"\n"
+        data = _encode(line) + b"\n"
         try:
             written = self._write(data)
         except BlockingIOError:
@@ -67,5 +69,14 @@
             self._reported_dropped = self.dropped
 
 
+def _encode(line: dict[str, Any]) -> bytes:
+    try:
+        return msgspec.json.encode(line)
+    except Exception:
+        # Fields may quote what other systems sent, such as unpaired surrogates. A line that cannot
+        # be written must not end the processing of what it is about.
+        return msgspec.json.encode({name: ascii(value)[:MAX_FIELD] for name, value in line.items()})
+
+
 def _write_stdout(data: bytes) -> int:
     return os.write(STDOUT_FD, data)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -293,8 +293,11 @@
         return terms.compute_jitter_s(cores, self._claim_draw, self._members.count)
 
     def _check_claim_periodically(self) -> None:
-        self._claim_if_free()
-        self._client.call_later(CLAIM_CHECK_S, self._check_claim_periodically)
+        try:
+            self._claim_if_free()
+        finally:
+            # An unexpected error must not end the checks, without which this VM claims no term.
+            self._client.call_later(CLAIM_CHECK_S, self._check_claim_periodically)
 
     def _claim_if_free(self) -> None:
         if self._scheduler is not None or self._claiming or self._is_draining:
@@ -348,7 +351,11 @@
             terms.list_suspects(self._view.term, read_boottime_s()),
             self._handle_term_end,
         )
-        self._scheduler.start()
+        try:
+            self._scheduler.start()
+        except Exception as error:
+            # Otherwise this VM would hold a term in which nothing is scheduled.
+            self._scheduler.stop(f"cannot start: {type(error).__name__}: {error}")
 
     def _handle_term_end(self, reason: str) -> None:
         self._log.write("term_ended", epoch=self._scheduler.epoch, reason=reason)
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -110,6 +110,21 @@
 
     def _poll(self, worker_id: str, wait_s: float) -> None:
         """Requests a report from a worker, and renews the lease of its runs."""
+        self._guard_poll(worker_id, lambda: self._send_poll(worker_id, wait_s))
+
+    def _guard_poll(self, worker_id: str, run_step: Callable[[], None]) -> None:
+        """Runs a step of polling a worker; after an unexpected error, the worker is polled again.
+
+        A step sends or schedules the next poll last, so an error has not left two of them.
+        """
+        try:
+            run_step()
+        except Exception as error:
+            text = f"{type(error).__name__}: {error!s:.200}"
+            self._log.write("poll_failed", worker=worker_id, error=text)
+            self._hooks.call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
+
+    def _send_poll(self, worker_id: str, wait_s: float) -> None:
         worker = self._state.workers.get(worker_id)
         if self._hooks.is_stopped() or worker is None:
             self._polled.discard(worker_id)
@@ -132,7 +147,9 @@
             worker.durable_end,
             deadline_ms,
             wait_s,
-            lambda outcome: self._handle_report(worker_id, address, recorded, outcome),
+            lambda outcome: self._guard_poll(
+                worker_id, lambda: self._handle_report(worker_id, address, recorded, outcome)
+            ),
         )
 
     def _may_act(self, now_s: float) -> bool:
--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -99,8 +99,10 @@
     def _handle_content(self, content: reads.TableContent) -> None:
         self._failures = 0
         self._version = content.version
-        self._deliver(tuple(content.rows), True, content.clock_ms)
-        self._follow()
+        try:
+            self._deliver(tuple(content.rows), True, content.clock_ms)
+        finally:
+            self._follow()
 
     def _follow(self) -> None:
         if self._stopped:
@@ -108,7 +110,11 @@
         # After a failure, the store answers at once, which confirms the rows that are known.
         wait_s = 0.0 if self._failures else self._wait_s
         self._sent_at_s = self._now_s()
-        self._store.follow(self._table, self._version, wait_s, self._handle_changes)
+        try:
+            self._store.follow(self._table, self._version, wait_s, self._handle_changes)
+        except Exception as error:
+            # A call that cannot be made must not end the feed either.
+            self._retry_follow(error)
 
     def _handle_changes(self, outcome: storage.StoreResult) -> None:
         if self._stopped:
@@ -116,19 +122,23 @@
         if not isinstance(outcome, result.Success):
             error = outcome.failure()
             if isinstance(error, storage.HistoryLostError):
-                self._on_error(error)
-                self.start()
+                try:
+                    self._on_error(error)
+                finally:
+                    self.start()
             else:
                 self._retry_follow(error)
             return
         self._failures = 0
         changes = outcome.unwrap()
         self._version = max(self._version, changes.version)
-        self._deliver(changes.rows, False, changes.clock_ms)
-        if self._pause_s and len(changes.rows) < BUSY_ROWS:
-            self._call_later(self._pause_s, self._follow)
-        else:
-            self._follow()
+        try:
+            self._deliver(changes.rows, False, changes.clock_ms)
+        finally:
+            if self._pause_s and len(changes.rows) < BUSY_ROWS:
+                self._call_later(self._pause_s, self._follow)
+            else:
+                self._follow()
 
     def _deliver(self, rows: tuple[storage.Row, ...], is_full_table: bool, clock_ms: int) -> None:
         try:
@@ -146,8 +156,6 @@
 
     def _retry_follow(self, error: Exception) -> None:
         self._failures += 1
-        if self._failures == 1:
-            self._on_error(error)
         limit_s = min(MAX_RETRY_S, RETRY_S * 2.0 ** min(self._failures - 1, 8))
         retry = self._pending_retry = object()
 
@@ -156,3 +164,5 @@
                 self.retry_now()
 
         self._call_later(self._jitter.uniform(limit_s / 2, limit_s), run)
+        if self._failures == 1:
+            self._on_error(error)
--- a/lycheegate/node/reads.py
+++ b/lycheegate/node/reads.py
@@ -86,17 +86,21 @@
                 self._retry_page(table, part, first, failures + 1, outcome.failure())
 
         if not self._is_stopped():
-            self._store.read(table, part, first, "", READ_TIMEOUT_S, handle)
+            try:
+                self._store.read(table, part, first, "", READ_TIMEOUT_S, handle)
+            except Exception as error:
+                # A call that cannot be made must not end the read.
+                self._retry_page(table, part, first, failures + 1, error)
 
     def _retry_page(
         self, table: str, part: str, first: str, failures: int, error: Exception
     ) -> None:
-        if not self._has_failed:
-            self._has_failed = True
-            self._on_error(error)
         limit_s = min(MAX_RETRY_S, RETRY_S * 2.0 ** min(failures - 1, 8))
         delay_s = self._jitter.uniform(limit_s / 2, limit_s)
         self._call_later(delay_s, lambda: self._read_page(table, part, first, failures))
+        if not self._has_failed:
+            self._has_failed = True
+            self._on_error(error)
 
     def _add_page(self, table: str, part: str, page: storage.Page) -> None:
         content = self._content
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -214,10 +214,16 @@
         wall_s = self._runtime.wall_s()
         recovered = 0
         for job_id, row in loaded.jobs.items():
-            job = self._make_job(job_id, row)
-            if job is None or not self._restore_progress(job, loaded.progress.get(job_id), now_s):
+            try:
+                job = self._make_job(job_id, row)
+                record = loaded.progress.get(job_id)
+                if job is None or not self._restore_progress(job, record, now_s):
+                    continue
+                lifecycle.add_job(self._state, job, now_s, wall_s)
+            except Exception as error:
+                # The other jobs must be scheduled; nothing is placed before all are loaded.
+                self._log_unreadable_job(job_id, error)
                 continue
-            lifecycle.add_job(self._state, job, now_s, wall_s)
             recovered += job.is_open
         for job_id in loaded.cancelled:
             self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
@@ -241,7 +247,7 @@
         try:
             progress.decode_progress(job, record.value, now_s)
         except exceptions.ProtocolError as error:
-            self._runtime.log.write("record_unreadable", job=job.job.job_id, error=str(error))
+            self._log_unreadable_job(job.job.job_id, error)
             return False
         job.version = record.version
         job.stored_status = progress.make_status(job)
@@ -251,7 +257,7 @@
         try:
             accepted = progress.decode_accepted(job_id, row.value)
         except exceptions.ProtocolError as error:
-            self._runtime.log.write("record_unreadable", job=job_id, error=str(error))
+            self._log_unreadable_job(job_id, error)
             return None
         return state.JobState(accepted.job, accepted.route, accepted_version=row.version)
 
@@ -264,12 +270,23 @@
             if is_cancel:
                 self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
             elif job_id not in self._state.jobs:
-                job = self._make_job(job_id, row)
-                if job is not None:
-                    lifecycle.add_job(self._state, job, now_s, self._runtime.wall_s())
-                    self._runtime.log.write("job_seen", job=job_id, version=row.version)
+                self._add_seen_job(job_id, row, now_s)
         self._request_pass()
 
+    def _add_seen_job(self, job_id: str, row: storage.Row, now_s: float) -> None:
+        try:
+            job = self._make_job(job_id, row)
+            if job is not None:
+                lifecycle.add_job(self._state, job, now_s, self._runtime.wall_s())
+                self._runtime.log.write("job_seen", job=job_id, version=row.version)
+        except Exception as error:
+            # The other rows of the answer are not delivered again.
+            self._log_unreadable_job(job_id, error)
+
+    def _log_unreadable_job(self, job_id: str, error: Exception) -> None:
+        text = f"{type(error).__name__}: {error!s:.200}"
+        self._runtime.log.write("record_unreadable", job=job_id[:MAX_LOGGED_KEY], error=text)
+
     def apply_notified_row(self, row: storage.Row) -> None:
         """Applies a row of the table of jobs that a VM announced before the feed delivered it."""
         if self._loaded and row.key.table == tables.JOBS:
@@ -380,14 +397,22 @@
         if batch is None and not renew:
             return
         self._writing = True
-        transaction = self._make_transaction(batch, renew, release)
-        if renew:
-            self._renewal_sent_at_s = now_s
-        self._runtime.store.transact(
-            transaction,
-            WRITE_TIMEOUT_S,
-            lambda outcome: self._handle_written(batch, now_s, release, outcome),
-        )
+        try:
+            transaction = self._make_transaction(batch, renew, release)
+            if renew:
+                self._renewal_sent_at_s = now_s
+            self._runtime.store.transact(
+                transaction,
+                WRITE_TIMEOUT_S,
+                lambda outcome: self._handle_written(batch, now_s, release, outcome),
+            )
+        except Exception:
+            # Otherwise the term would neither be renewed nor store anything again.
+            self._writing = False
+            self._renewal_sent_at_s = 0.0
+            if batch is not None:
+                writes.requeue_batch(self._state, batch, {})
+            raise
 
     def _make_transaction(
         self, batch: writes.Batch | None, renew: bool, release: bool
