Ignore members whose rows name no address, and bound the log of reports

Cause: a row of the table of members was used as an address whatever it held, so peers called ports such as 99999, or an empty host, before the next VM. A registration that raised kept those behind it in the list from being applied, each time. A program that is no worker caused a log line for each poll, three a second.

Change: members and registrations check addresses with the same function. A registration that raises is logged, and the others are applied. An error of the reports of a worker is logged once until it changes or a report is read.

--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -123,7 +123,12 @@
     runs_by_worker = _group_recorded_runs(current, registered_ids)
     for registration in registrations:
         recorded_runs = runs_by_worker.get(registration.worker_id, [])
-        result += _apply_registration(current, registration, recorded_runs, now_s)
+        try:
+            result += _apply_registration(current, registration, recorded_runs, now_s)
+        except Exception as error:
+            # The other workers must not depend on one registration.
+            fields = {"worker": registration.worker_id, "error": f"{error!r:.200}"}
+            result.append(commands.Decision("registration_failed", fields))
     for worker in list(current.workers.values()):
         if not worker.registered and not worker.runs and now_s >= worker.leases_expire_at_s:
             _clear_strays(current, worker)
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -86,6 +86,7 @@
         self._polled: set[str] = set()
         self._awaiting_durable_ends: set[str] = set()
         self._failed_polls: dict[str, int] = {}
+        self._logged_errors: dict[str, str] = {}
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
 
     def poll_new_workers(self) -> None:
@@ -129,6 +130,7 @@
         if self._hooks.is_stopped() or worker is None:
             self._polled.discard(worker_id)
             self._failed_polls.pop(worker_id, None)
+            self._logged_errors.pop(worker_id, None)
             return
         now_s = self._now_s()
         if not self._may_act(now_s):
@@ -180,6 +182,7 @@
         if worker is not None:
             worker.reported_address = address
         self._failed_polls.pop(worker_id, None)
+        self._logged_errors.pop(worker_id, None)
         was_confirmed = worker is not None and worker.confirmed
         report = outcome.unwrap()
         try:
@@ -217,7 +220,9 @@
             if worker is not None:
                 # A worker that has just been lost must get no work until it reports again.
                 worker.unreachable_until_s = self._now_s() + runs.UNREACHABLE_S
-        else:
+        elif self._logged_errors.get(worker_id) != str(error):
+            # A program that is no worker gives the same answer to each poll.
+            self._logged_errors[worker_id] = str(error)
             self._log.write("report_failed", worker=worker_id, error=str(error))
         delay_s = 0.0 if is_first_lost else REPORT_RETRY_S
         self._hooks.call_later(delay_s, lambda: self._poll(worker_id, 0.0))
--- a/lycheegate/node/members.py
+++ b/lycheegate/node/members.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from lycheegate.node import feeds, storage, tables
+from lycheegate.utils import addresses as address_checks
 
 __all__ = ["MemberDirectory"]
 
@@ -84,10 +85,13 @@
     def _apply_rows(self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int) -> None:
         addresses = {} if is_full_table else self._addresses.copy()
         for row in rows:
-            if row.deleted:
+            address = row.value.decode("ascii", errors="replace")
+            # The own address comes from the settings. Others may come from other writers.
+            is_usable = address == self._own_address or address_checks.is_address(address)
+            if row.deleted or not is_usable:
                 addresses.pop(row.key.key, None)
             else:
-                addresses[row.key.key] = row.value.decode(errors="replace")
+                addresses[row.key.key] = address
         self._addresses = addresses
         if addresses.get(self._own_vm) != self._own_address and not self._announcing:
             self._announcing = True
--- a/lycheegate/node/tests/test_odd_rows.py
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -1,16 +1,20 @@
 """Rows of other writers, in the registry and in the system's own tables."""
 
+import base64
 import json
+import random
 
 import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies as st
+from returns import result
 
-from lycheegate.jobs import model, progress
-from lycheegate.node import registry, storage, tables
-from lycheegate.node.tests import simulation
-from lycheegate.platform import submissions
+from lycheegate.clients import http
+from lycheegate.jobs import model, progress, workers
+from lycheegate.node import feeds, members, registry, storage, tables
+from lycheegate.node.tests import fake_store, simulation
+from lycheegate.platform import store, submissions
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
 
@@ -119,8 +123,8 @@
     return storage.Row(storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id), value, version)
 
 
-def _list_ids(workers: registry.WorkerRegistry) -> list[str]:
-    return sorted(registration.worker_id for registration in workers.list_registrations())
+def _list_ids(found: registry.WorkerRegistry) -> list[str]:
+    return sorted(registration.worker_id for registration in found.list_registrations())
 
 
 @pytest.mark.parametrize("is_full_table", [True, False], ids=["table", "changes"])
@@ -132,12 +136,12 @@
     the new and the departed workers behind it.
     """
     odd = []
-    workers = registry.WorkerRegistry(lambda *fields: odd.append(fields))
-    workers.apply_rows((make_row("w0", _encode()), make_row("w9", _encode())), True)
+    found = registry.WorkerRegistry(lambda *fields: odd.append(fields))
+    found.apply_rows((make_row("w0", _encode()), make_row("w9", _encode())), True)
     deleted = storage.Row(make_row("w9", b"").key, b"", 3, True)
     rows = (make_row("w1", _encode()), make_row("w2", value), make_row("w3", _encode()), deleted)
-    assert workers.apply_rows(rows, is_full_table)
-    assert _list_ids(workers) == (["w1", "w3"] if is_full_table else ["w0", "w1", "w3"])
+    assert found.apply_rows(rows, is_full_table)
+    assert _list_ids(found) == (["w1", "w3"] if is_full_table else ["w0", "w1", "w3"])
     ((worker_id, reason, size_bytes),) = odd
     assert (worker_id, size_bytes) == ("w2", len(value))
     assert 0 < len(reason) < 300
@@ -146,23 +150,23 @@
 @pytest.mark.parametrize("worker_id", ODD_KEYS, ids=ascii)
 def test_odd_key_names_no_worker(worker_id):
     """Guards against a key that ends in a header of each call of the worker."""
-    workers = registry.WorkerRegistry()
-    workers.apply_rows((make_row(worker_id, _encode()), make_row("w1", _encode())), True)
-    assert _list_ids(workers) == ["w1"]
+    found = registry.WorkerRegistry()
+    found.apply_rows((make_row(worker_id, _encode()), make_row("w1", _encode())), True)
+    assert _list_ids(found) == ["w1"]
 
 
 def test_odd_row_is_reported_once():
     """Guards against a log line for each heartbeat of a writer whose entries are malformed."""
     odd = []
-    workers = registry.WorkerRegistry(lambda *fields: odd.append(fields[0]))
+    found = registry.WorkerRegistry(lambda *fields: odd.append(fields[0]))
     for version in range(1, 6):
-        workers.apply_rows((make_row("w2", b"{}", version),), False)
-    workers.apply_rows((make_row("w2", b"{}", 5),), True)
+        found.apply_rows((make_row("w2", b"{}", version),), False)
+    found.apply_rows((make_row("w2", b"{}", 5),), True)
     assert odd == ["w2"]
-    workers.apply_rows((make_row("w2", b"[]", 6),), False)
+    found.apply_rows((make_row("w2", b"[]", 6),), False)
     assert odd == ["w2"] * 2
-    workers.apply_rows((make_row("w2", _encode(), 7),), False)
-    workers.apply_rows((make_row("w2", b"[]", 8),), False)
+    found.apply_rows((make_row("w2", _encode(), 7),), False)
+    found.apply_rows((make_row("w2", b"[]", 8),), False)
     assert odd == ["w2"] * 3
 
 
@@ -176,9 +180,9 @@
         return decode(worker_id, data)
 
     monkeypatch.setattr(worker_calls, "decode_registration", fail)
-    workers = registry.WorkerRegistry()
-    workers.apply_rows(tuple(make_row(f"w{n}", _encode()) for n in range(1, 4)), True)
-    assert _list_ids(workers) == ["w1", "w3"]
+    found = registry.WorkerRegistry()
+    found.apply_rows(tuple(make_row(f"w{n}", _encode()) for n in range(1, 4)), True)
+    assert _list_ids(found) == ["w1", "w3"]
 
 
 _NUMBERS = st.one_of(
@@ -214,11 +218,11 @@
 )
 def test_any_rows_hide_no_worker(odd_rows, is_full_table):
     """Guards against rows of other writers that raise, or that hide the workers of their page."""
-    workers = registry.WorkerRegistry()
+    found = registry.WorkerRegistry()
     rows = [make_row(worker_id, value) for worker_id, value in odd_rows.items()]
     rows = [make_row("well-formed-1", _encode()), *rows, make_row("well-formed-2", _encode())]
-    assert workers.apply_rows(tuple(rows), is_full_table)
-    assert {"well-formed-1", "well-formed-2"} <= set(_list_ids(workers))
+    assert found.apply_rows(tuple(rows), is_full_table)
+    assert {"well-formed-1", "well-formed-2"} <= set(_list_ids(found))
 
 
 _MOMENTS = {
@@ -434,3 +438,168 @@
     world.submit(simulation.make_job("0" * 16, simulation.make_step(4)))
     world.run(6.0)
     assert world.read_status("0" * 16).outcome is model.Outcome.SUCCEEDED
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\xff\xfe", b"10.0.0.9:99999", b"10.0.0.9:0", b"[::1:80", b"a b:80", b"x:80\r\nX: y"],
+    ids=ascii,
+)
+def test_odd_address_of_a_vm(value):
+    """Guards against a row of the members that is called, or that hides the others."""
+    loop = fake_store.EventLoop()
+    world_store = fake_store.FakeStore(loop, fake_store.Faults(), random.Random(1))
+    errors = []
+    directory = members.MemberDirectory(
+        world_store.connect("a"), loop.call_later, "a", "10.0.0.1:1", errors.append
+    )
+    for vm, address in (("b", b"10.0.0.2:1"), ("c", value), ("d", b"10.0.0.4:1")):
+        world_store.put(storage.RowKey(tables.MEMBERS, tables.PART, vm), address)
+    directory.feed.start()
+    loop.run_until(loop.now_s + 20.0)
+    assert sorted(directory.list_peers()) == ["10.0.0.2:1", "10.0.0.4:1"]
+    assert directory.find_address("c") is None
+    assert errors == []
+
+
+_NEW_ENTRIES = {
+    "address of nobody": _encode(address='"nobody.test:80"'),
+    "address of another worker": _encode(address='"w1.test:80"'),
+    "service not named": _encode(service='"elsewhere"', address='"w1.test:80"'),
+    "largest capacity": _encode(
+        address='"nobody.test:80"',
+        capacity=json.dumps(dict.fromkeys(["cpu", "mem-mb", "gpu"], 10**9)),
+    ),
+    "thousands of labels": _encode(
+        address='"nobody.test:80"', labels=json.dumps([f"l{n}" for n in range(6000)])
+    ),
+    "remaining-ms largest": _encode(address='"nobody.test:80"', remaining_ms=str(2**53)),
+    "born largest": _encode(address='"nobody.test:80"', born=str(2**53)),
+}
+
+
+@pytest.mark.parametrize("value", _NEW_ENTRIES.values(), ids=_NEW_ENTRIES)
+def test_entry_of_a_worker_that_does_not_exist(value):
+    """Guards against work that waits for, or is placed on, a worker that never reports.
+
+    The entry is well-formed, so the worker is polled, but it gets no work before it has reported.
+    """
+    world = simulation.World(1, worker_count=3)
+    world.claim_term("a")
+    for number in range(5):
+        world.store.put(make_row(f"x{number}", b"").key, value)
+    world.run(2.0)
+    for number in range(3):
+        world.submit(
+            simulation.make_job(f"{number}" * 16, simulation.make_step(1, simulation.WHOLE))
+        )
+    world.submit(simulation.make_job("a" * 16, simulation.make_step(9)), world.urgent)
+    world.run(8.0)
+    simulation.assert_all_succeed(world)
+    assert set(world.fleet.starts.values()) == {1}
+
+
+def test_registration_that_raises_hides_no_other(monkeypatch):
+    """Guards against workers that are never added because another one raises before them."""
+    add = workers._add_worker
+
+    def fail(current, registration, *arguments):
+        if registration.worker_id == "w1":
+            raise ArithmeticError("unexpected")
+        return add(current, registration, *arguments)
+
+    monkeypatch.setattr(workers, "_add_worker", fail)
+    world = simulation.World(1, worker_count=3)
+    world.claim_term("a")
+    world.run(2.0)
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(2, simulation.WHOLE)))
+    world.run(4.0)
+    simulation.assert_all_succeed(world)
+    assert any(b"registration_failed" in line for line in world.lines)
+
+
+class _Bodies:
+    """HTTP client whose answers have the given bodies, then that of an idle feed."""
+
+    def __init__(self, loop, bodies):
+        self.loop = loop
+        self.bodies = list(bodies)
+        self.calls = 0
+
+    def send(self, request):
+        """Answers a request after a moment."""
+        self.calls += 1
+        body = self.bodies.pop(0) if self.bodies else b'{"rows":[],"ver":9,"now-ms":5}'
+        future = http.futures.Future()
+        answer = result.Success(http.Response(200, (), body))
+        self.loop.call_later(0.1, lambda: future.set_result(answer))
+        return future
+
+
+def _make_answer(rows):
+    """Returns an answer of the store with rows between two well-formed ones."""
+    items = [(f"{n}", _encode()) for n in ("first", "last")]
+    items[1:1] = rows
+    texts = [
+        value
+        if key is None
+        else json.dumps(
+            {
+                "table": "servers",
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "ver": 4,
+            }
+        ).encode()
+        for key, value in items
+    ]
+    return b'{"rows":[' + b",".join(texts) + b'],"ver":9,"now-ms":5}'
+
+
+_RAW_ROWS = st.one_of(
+    _DOCUMENTS.map(lambda document: json.dumps(document).encode()),
+    st.sampled_from(["table", "part", "key", "value", "ver", "tombstone"]).flatmap(
+        lambda name: _DOCUMENTS.map(
+            lambda document: json.dumps(
+                {"table": "servers", "key": "k", "value": "", "ver": 4, name: document}
+            ).encode()
+        )
+    ),
+)
+
+
+@hypothesis.example(
+    answers=[[("odd", _encode(remaining_ms=_HUGE)), (None, b'{"key":"\\ud800"}')]] * 2, cut=b"["
+)
+@hypothesis.given(
+    answers=st.lists(
+        st.lists(
+            st.one_of(st.tuples(st.text(max_size=6), _ENTRIES), st.tuples(st.none(), _RAW_ROWS)),
+            max_size=3,
+        ),
+        min_size=1,
+        max_size=3,
+    ),
+    cut=st.binary(max_size=30),
+)
+def test_feed_of_any_answers_goes_on(answers, cut):
+    """Guards against rows or answers of any content that end the feed or hide a worker."""
+    loop = fake_store.EventLoop()
+    client = _Bodies(loop, [cut, *map(_make_answer, answers), cut])
+    found = registry.WorkerRegistry()
+    errors = []
+    feed = feeds.TableFeed(
+        store.PlatformStore(client, "h:1"),
+        loop.call_later,
+        "servers",
+        ("",),
+        lambda rows, is_full_table, _: found.apply_rows(rows, is_full_table),
+        errors.append,
+    )
+    feed.start()
+    loop.run_until(loop.now_s + 10.0)
+    assert client.bodies == []
+    assert {"first", "last"} <= set(_list_ids(found))
+    made = client.calls
+    loop.run_until(loop.now_s + 5.0)
+    assert client.calls - made > 20
--- a/lycheegate/node/tests/test_survival.py
+++ b/lycheegate/node/tests/test_survival.py
@@ -218,3 +218,18 @@
     log = jsonlog.JsonLog("a", lambda: 1.0, lambda data: lines.append(data) or len(data))
     log.write("odd", reason=value)
     assert json.loads(lines[0])["event"].strip("'") == "odd"
+
+
+def test_unreadable_reports_are_logged_once(monkeypatch):
+    """Guards against a log that a program which is no worker fills, three lines a second."""
+    world = simulation.World(1, worker_count=1)
+    term = world.claim_term("a")
+    world.run(2.0)
+    failure = result.Failure(exceptions.ProtocolError("cannot decode"))
+
+    def report(*arguments):
+        world.loop.call_later(0.01, lambda: arguments[-1](failure))
+
+    monkeypatch.setattr(term._exchange._client, "report", report)
+    world.run(10.0)
+    assert sum(b"report_failed" in line for line in world.lines) == 1
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -12,7 +12,7 @@
 from lycheegate.clients import http
 from lycheegate.jobs import commands, model, runs, workers
 from lycheegate.platform import foreign
-from lycheegate.utils import exceptions, numbers
+from lycheegate.utils import addresses, exceptions, numbers
 
 __all__ = [
     "REGISTRY_TABLE",
@@ -31,8 +31,6 @@
 _MAX_LISTED_ENDS = 500
 """Number of ends that a worker lists in one report; the others follow once these are acknowledged.
 """
-_ADDRESS = re.compile(r"[0-9A-Za-z.-]{1,253}:([1-9][0-9]{0,4})")
-_MAX_PORT = 65535
 _WORKER_ID = re.compile(r"[!-~]{1,200}")
 _TASK_NAME = re.compile(r"([^.]*)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})")
 MAX_CHECKPOINT_CHARACTERS = 4096
@@ -153,9 +151,8 @@
         raise exceptions.ProtocolError(f"state is {entry.state!r:.30}, not ready or draining")
     if not _WORKER_ID.fullmatch(worker_id):
         raise exceptions.ProtocolError("key is not 1 to 200 visible ASCII characters")
-    address = _ADDRESS.fullmatch(entry.address)
-    if address is None or int(address[1]) > _MAX_PORT:
-        raise exceptions.ProtocolError(f"address is not a host and a port from 1 to {_MAX_PORT}")
+    if not addresses.is_address(entry.address):
+        raise exceptions.ProtocolError("address is not a host and a port from 1 to 65535")
     capacity = entry.capacity
     return workers.Registration(
         worker_id=worker_id,
