Log malformed rows as an event with fields

test_every_log_event_is_documented failed, because the line of a malformed row was a format and not the name of an event.

--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -5,11 +5,11 @@
 import urllib.parse
 from collections.abc import Callable
 
-import logbook
 import msgspec
 from returns import result
 
 from lycheegate.clients import http
+from lycheegate.metrics import logs
 from lycheegate.node import storage
 from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
@@ -23,7 +23,7 @@
 without a limit for the whole answer: a configuration of 1 MB takes 2 s over a link of 5 Mbit/s."""
 
 
-_log = logbook.Logger("platform.store")
+_log = logs.Log("platform.store")
 
 _SURROGATE = re.compile(
     r"(\\\\|\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2})|\\u[dD][89a-fA-F][0-9a-fA-F]{2}"
@@ -249,4 +249,4 @@
     if len(_logged_rows) >= MAX_LOGGED_ROWS:
         _logged_rows.clear()
     _logged_rows.add(row)
-    _log.warning("row_malformed row={!r:.120} bytes={} reason={}", row, size_bytes, reason)
+    _log.warning("row_malformed", row=f"{row!r:.120}", bytes=size_bytes, reason=reason)
