--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -2,8 +2,9 @@
 
 No task runs twice at the same time or again after an acknowledged success, no task starts before
 the tasks that it depends on have succeeded, no worker's capacity is exceeded, and only tasks of
-submitted jobs run. Limits of tasks on a worker and required labels are kept, and nothing starts on
-a worker long after it announced its departure.
+submitted jobs run. Limits of tasks on a worker and required labels are kept, nothing starts on a
+worker long after it announced its departure, and a task that crashes its workers is given up in
+time.
 """
 
 import dataclasses
@@ -24,6 +25,13 @@
 FAILURE_S = 0.05
 """Duration of a run on a faulty worker."""
 MAX_LEASE_S = 6.0
+CRASH_DELAY_S = 0.02
+"""Time from the start of a deadly task until its worker crashes."""
+CRASH_DOWN_S = 3.0
+"""Time from a crash until the worker is back."""
+CRASHES_UNTIL_COUNT = 3
+"""Number of crashes under a task from which its further starts are counted."""
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,6 +143,11 @@
         if self.worker_id in self.fleet.faulty:
             work_s = FAILURE_S
         self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
+        if order.task in self.fleet.deadly:
+            born_ms = self.born_ms
+            self.fleet.loop.call_later(
+                CRASH_DELAY_S, lambda: self.fleet.crash_incarnation(self, born_ms)
+            )
         used = sum((r.need for r in self.live.values()), model.Resources())
         if not used.fits(self.capacity):
             self.fleet.violations.append(
@@ -184,6 +197,15 @@
         """Workers that have crashed: no connection can be opened to them."""
         self.answers_lost: set[str] = set()
         """Workers that receive calls but whose answers are lost."""
+        self.replaced: set[str] = set()
+        """Workers whose address now belongs to another worker."""
+        self.deadly: set[model.TaskKey] = set()
+        """Tasks that crash each worker that starts them."""
+        self.crashes: dict[model.TaskKey, int] = {}
+        """Number of workers that each deadly task has crashed."""
+        self.starts_after_crashes: dict[model.TaskKey, int] = {}
+        self.on_returned: Callable[[str], None] = lambda worker_id: None
+        """Called with a worker that is back after a crash."""
         self.work_s = 1.0
         self.ends_per_report = 500
 
@@ -192,6 +214,25 @@
         self.workers[worker_id] = FakeWorker(self, worker_id, rack, capacity)
         return self.workers[worker_id]
 
+    def crash_incarnation(self, worker: FakeWorker, born_ms: int) -> None:
+        """Crashes a worker because of the deadly tasks on it, unless it has restarted since."""
+        if worker.born_ms != born_ms or worker.worker_id in self.refusing | self.replaced:
+            return
+        for task in worker.live.keys() & self.deadly:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
+        self.crash(worker.worker_id)
+
+    def crash(self, worker_id: str) -> None:
+        """Crashes a worker, which loses its runs and is back after a while."""
+        self.workers[worker_id].reset()
+        self.refusing.add(worker_id)
+        self.loop.call_later(CRASH_DOWN_S, lambda: self._return_worker(worker_id))
+
+    def _return_worker(self, worker_id: str) -> None:
+        self.workers[worker_id].restart()
+        self.refusing.discard(worker_id)
+        self.on_returned(worker_id)
+
     def find_busy_worker(self) -> str:
         """Returns the identifier of the first worker that runs anything."""
         return next(worker_id for worker_id, worker in self.workers.items() if worker.live)
@@ -204,6 +245,7 @@
         """Checks the invariants that apply when a task starts."""
         self.starts[order.task] = self.starts.get(order.task, 0) + 1
         self.started_at_s[order.task] = self.loop.now_s
+        self._check_crashes(order.task)
         job = self.specs.get(order.task.job_id)
         if job is None or order.spec != job.spec:
             self.violations.append(
@@ -223,6 +265,17 @@
                 if before not in self.succeeded_at_s:
                     self.violations.append(f"started {order.task} before {before} succeeded")
 
+    def _check_crashes(self, task: model.TaskKey) -> None:
+        """Checks that a task under which several workers have crashed is given up."""
+        if self.crashes.get(task, 0) < CRASHES_UNTIL_COUNT:
+            return
+        count = self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
+        if count > MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(
+                f"started {task} {count} times after {CRASHES_UNTIL_COUNT} workers had crashed "
+                "under it"
+            )
+
     def _check_constraints(
         self, order: commands.StartRun, step: model.Step, worker: FakeWorker
     ) -> None:
@@ -309,6 +362,10 @@
             loop.call_later(0.5, lambda: callback(lost))
             return
         draw = fleet.generator.random()
+        if worker.worker_id in fleet.replaced:
+            replaced = worker_calls.OrderResult(worker_calls.StartOutcome.WRONG_INCARNATION)
+            loop.call_later(WORKER_DELAY_S, lambda: callback(replaced))
+            return
         if worker.worker_id in fleet.unreachable | fleet.refusing:
             loop.call_later(0.5, lambda: callback(lost))
             return
@@ -325,6 +382,9 @@
             return
 
         def arrive() -> None:
+            if worker.worker_id in fleet.refusing | fleet.replaced:
+                loop.call_later(0.5, lambda: callback(lost))
+                return
             answer = worker_calls.OrderResult(execute(), worker.clock_ms())
             if draw < fleet.faults.late_orders + fleet.faults.lost_orders:
                 loop.call_later(0.5, lambda: callback(lost))
@@ -346,6 +406,10 @@
             )
             loop.call_later(0.8, lambda: callback(error))
             return
+        if worker_id in fleet.replaced:
+            replaced = result.Failure(worker_calls.WrongIncarnationError(worker_id))
+            loop.call_later(WORKER_DELAY_S, lambda: callback(replaced))
+            return
         if worker_id in fleet.refusing:
             refused = result.Failure(exceptions.NotSentError(f"{worker_id} refuses"))
             loop.call_later(WORKER_DELAY_S, lambda: callback(refused))
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -21,6 +21,9 @@
         self.faults = fake_store.Faults()
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
         self.fleet = fake_workers.Fleet(self.loop, self.faults, self.generator)
+        self.fleet.on_returned = self._register_returned
+        self.returns_under_new_ids = False
+        """Whether a worker that is back after a crash has another identifier."""
         self.schedulers: dict[str, scheduler.Scheduler] = {}
         self.lines: list[bytes] = []
         self.route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
@@ -50,6 +53,18 @@
         text += "}" if remaining_ms is None else f',"remaining-ms":{remaining_ms}}}'
         self.store.put(storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id), text.encode())
 
+    def _register_returned(self, worker_id: str) -> None:
+        """Writes the registration of a worker that is back after a crash."""
+        if not self.returns_under_new_ids:
+            self.register(worker_id)
+            return
+        crashed = self.fleet.workers[worker_id]
+        new_id = f"{worker_id}+"
+        self.fleet.replaced.add(worker_id)
+        self.fleet.add(new_id, crashed.rack, crashed.capacity)
+        self.unregister(worker_id)
+        self.register(new_id)
+
     def unregister(self, worker_id: str) -> None:
         """Deletes the registration of a worker."""
         key = storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id)
