Give up tasks that crash the workers that start them

Records named neither crashes nor the incarnation of a run's worker, so a new holder could not have known.

Change: such a run ends as CRASHED. The crash counts for its task if the worker had confirmed the start and had not reported the run 0.5 s later; one a run for a gang. A replaced worker, a later born, and an expired lease of a worker that is no longer registered are crashes; silence, and a worker that announced its departure, are not. After three crashes the job fails, long-running ones included. A task with a crash is tried on a worker without new runs, beside which nothing is placed until it has survived; an additional report 0.55 s after its start shows that. Counts and incarnations are stored with the next intention at the latest; records without them are read as before and written unchanged if there is nothing to add. New in the log: worker_crashed, task_given_up.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -133,7 +133,7 @@
         if phase is _INTENDED or (phase is _RUNNING and not has_expired):
             continue
         if has_expired:
-            result += runs.end_run(current, run, runs.End.INTERRUPTED, "lease_lapsed", now_s)
+            result += runs.end_run(current, run, _classify_lapse(worker), "lease_lapsed", now_s)
         elif phase is _ORDERED:
             result += _handle_start_timeout(current, run, worker, now_s)
         else:
@@ -141,6 +141,15 @@
     return result
 
 
+def _classify_lapse(worker: state.WorkerState) -> runs.End:
+    """Returns how the runs ended on a worker whose leases have expired.
+
+    A worker that was only unreachable is still registered, and one that left has announced it.
+    """
+    has_crashed = not worker.registered and not worker.draining
+    return runs.End.CRASHED if has_crashed else runs.End.INTERRUPTED
+
+
 def _end_unlisted_runs(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Ends the runs that an earlier term recorded on workers that never registered with this one.
 
@@ -150,7 +159,7 @@
     for job in list(current.jobs.values()):
         for run in job.list_runs():
             if run.worker_id not in current.workers:
-                result += runs.end_run(current, run, runs.End.INTERRUPTED, "lease_lapsed", now_s)
+                result += runs.end_run(current, run, runs.End.CRASHED, "worker_unlisted", now_s)
     return result
 
 
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -5,7 +5,9 @@
 room only shrinks while tasks are placed.
 """
 
-from lycheegate.jobs import health, model, placement, state
+import dataclasses
+
+from lycheegate.jobs import crashes, health, model, placement, state
 
 __all__ = ["WorkerPool", "is_eligible", "is_usable"]
 
@@ -44,6 +46,8 @@
     def __init__(self, current: state.SchedulerState, now_s: float):
         self._by_service: dict[str, list[placement.Candidate]] = {}
         self._by_worker: dict[str, placement.Candidate] = {}
+        self._workers = current.workers
+        self._on_trial = {w.worker_id for w in current.workers.values() if w.trials}
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
         self._unplaceable_needs: dict[tuple[str, str], list[model.Resources]] = {}
@@ -68,9 +72,31 @@
         """Returns whether a worker may get new work in this pass."""
         return worker_id in self._by_worker
 
+    def is_on_trial(self, worker_id: str) -> bool:
+        """Returns whether a worker runs a task that may crash it, and should get no other work."""
+        return worker_id in self._on_trial
+
+    def begin_trial(self, worker_id: str) -> None:
+        """Keeps the other work of this pass from a worker on which a suspect task was placed."""
+        self._on_trial.add(worker_id)
+
+    def list_for_trial(self, candidates: list[placement.Candidate]) -> list[placement.Candidate]:
+        """Returns the candidates for a task that may crash its worker.
+
+        Workers with new runs are left out, because it would not be known which of them was the
+        cause of a crash; those without any runs are preferred, because the others lose theirs.
+        """
+        return [
+            dataclasses.replace(c, is_avoided=c.is_avoided or bool(self._workers[c.worker_id].runs))
+            for c in candidates
+            if not crashes.has_new_runs(self._workers[c.worker_id])
+        ]
+
     def list_candidates(self, service: str, step: state.StepState) -> list[placement.Candidate]:
         """Returns the workers that may run tasks of a step."""
         labeled = self._list_labeled(service, step.step.label)
+        if self._on_trial:
+            labeled = [c for c in labeled if c.worker_id not in self._on_trial]
         if not step.avoided_workers and not step.step.max_per_worker:
             return labeled
         run_counts: dict[str, int] = {}
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -190,6 +190,11 @@
 
 
 def _encode_step_state(step: state.StepState) -> list:
+    """Returns a step's progress; what is known of crashes follows only if there is any."""
+    incarnations = {
+        index: run.worker_born_ms for index, run in step.runs.items() if run.worker_born_ms
+    }
+    crash_fields = [incarnations, step.crashes, step.last_crashed_numbers]
     return [
         list(step.key),
         sorted(step.done),
@@ -198,11 +203,13 @@
         {index: run.worker_id for index, run in step.runs.items()},
         {index: value for index, value in step.checkpoints.items() if index not in step.done},
         step.last_failed_number,
+        *(crash_fields if any(crash_fields) else ()),
     ]
 
 
 def _decode_step_state(job: model.Job, item: list, now_s: float) -> state.StepState:
-    key, done, failures, numbers, workers, checkpoints, last_failed_number = item
+    key, done, failures, numbers, workers, checkpoints, last_failed_number, *crash_fields = item
+    incarnations, crashes, last_crashed_numbers = crash_fields or ({}, {}, {})
     occurrence, number = key
     step = state.StepState((occurrence, number), job.steps[number])
     step.done = set(done)
@@ -210,6 +217,8 @@
     step.run_numbers = dict(numbers)
     step.checkpoints = dict(checkpoints)
     step.last_failed_number = last_failed_number
+    step.crashes = dict(crashes)
+    step.last_crashed_numbers = dict(last_crashed_numbers)
     for index, worker_id in workers.items():
         step.runs[index] = state.Run(
             task=model.TaskKey(job.job_id, occurrence, number, index),
@@ -220,5 +229,6 @@
             phase_began_at_s=now_s,
             advanced_at_s=now_s,
             baseline_percent=None,
+            worker_born_ms=incarnations.get(index, 0),
         )
     return step
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -3,7 +3,7 @@
 import enum
 from typing import Any
 
-from lycheegate.jobs import commands, estimates, health, model, ordering, state
+from lycheegate.jobs import commands, crashes, estimates, health, model, ordering, state
 
 __all__ = [
     "End",
@@ -33,6 +33,8 @@
     """Failed because of the task or the worker; counts towards ``Route.max_attempts``."""
     INTERRUPTED = "interrupted"
     """Stopped, or ended with its gang or because its lease expired; does not count."""
+    CRASHED = "crashed"
+    """Lost because its worker crashed or was replaced; counts in ``crashes``."""
 
 
 def find_step(current: state.SchedulerState, task: model.TaskKey) -> state.StepState | None:
@@ -69,9 +71,12 @@
     task = model.TaskKey(job.job.job_id, *step.key, index)
     run = state.Run(task, worker.worker_id, number, step.step.need, state.RunPhase.INTENDED, now_s)
     run.advanced_at_s = now_s
+    run.worker_born_ms = worker.born_ms
     step.run_numbers[index] = number
     step.runs[index] = run
     worker.runs[task] = run
+    if crashes.is_suspect(step, [index]):
+        worker.trials.add(task)
     worker.room = worker.room - run.need
     job.started = True
     job.dirty = True
@@ -114,6 +119,7 @@
     worker = current.workers.get(run.worker_id)
     if worker is not None and worker.runs.get(run.task) is run:
         del worker.runs[run.task]
+        worker.trials.discard(run.task)
         worker.room = worker.room + run.need
     job = current.jobs.get(run.task.job_id)
     step = find_step(current, run.task)
@@ -164,6 +170,8 @@
         other_workers = len(step.avoided_workers - {run.worker_id})
         result += health.record_failure(current, run, other_workers, now_s)
         result += _record_failure(current, job, step, run, now_s)
+    if end is End.CRASHED:
+        result += _record_crash(current, job, step, run, now_s)
     if step.step.gang and not step.is_done:
         result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
     return result
@@ -226,11 +234,47 @@
     limit = state.get_route(current, job).max_attempts
     if step.step.long_running or failures < limit or job.outcome is not None:
         return []
+    return _fail_job(current, job, {"failures": failures, "limit": limit}, now_s)
+
+
+def _record_crash(
+    current: state.SchedulerState,
+    job: state.JobState,
+    step: state.StepState,
+    run: state.Run,
+    now_s: float,
+) -> list[commands.Command]:
+    """Counts a crash for the task that may be its cause, and gives the task up after several."""
+    result = crashes.record_crash(current, job, step, run)
+    count = crashes.get_crashes(step, run.task.index)
+    if not result or count < crashes.MAX_CRASHES or job.outcome is not None:
+        return result
+    fields = {
+        "job": run.task.job_id,
+        "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
+        "crashes": count,
+        "limit": crashes.MAX_CRASHES,
+    }
+    result.append(commands.Decision("task_given_up", fields))
+    return result + _fail_job(current, job, {"crashes": count, "limit": crashes.MAX_CRASHES}, now_s)
+
+
+def _fail_job(
+    current: state.SchedulerState, job: state.JobState, cause: dict[str, int], now_s: float
+) -> list[commands.Command]:
+    """Ends a job as failed and stops its runs.
+
+    Args:
+        current: State of the scheduler.
+        job: The job.
+        cause: What was counted and its limit, for the log.
+        now_s: Time on the scheduler's clock.
+    """
     job.outcome = model.Outcome.FAILED
     job.ended_at_s = now_s
-    fields = {"job": run.task.job_id, "failures": failures, "limit": limit}
+    job.dirty = True
     return [
-        commands.Decision("job_failed", fields),
+        commands.Decision("job_failed", {"job": job.job.job_id, **cause}),
         *stop_job(current, job, state.StopReason.JOB_FAILED, now_s),
     ]
 
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -4,6 +4,7 @@
 
 from lycheegate.jobs import (
     commands,
+    crashes,
     headroom,
     lifecycle,
     model,
@@ -241,7 +242,9 @@
             need_by_worker.get(worker_id, model.Resources()) + reservation.need
         )
     if not all(
-        context.workers.is_usable(worker_id) and need.fits(context.current.workers[worker_id].room)
+        context.workers.is_usable(worker_id)
+        and not context.workers.is_on_trial(worker_id)
+        and need.fits(context.current.workers[worker_id].room)
         for worker_id, need in need_by_worker.items()
     ):
         return None
@@ -276,7 +279,10 @@
     only_near = bool(step.near_rack) and waited_s < MAX_LOCALITY_WAIT_RATIO * step.estimate_s
     only_near = only_near and any(c.rack == step.near_rack for c in candidates)
     worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
-    if worker_id is None and not only_near and not units.is_last_attempt(context, unit):
+    is_restricted = units.is_last_attempt(context, unit) or crashes.is_suspect(
+        unit.step, unit.indices
+    )
+    if worker_id is None and not only_near and not is_restricted:
         context.workers.mark_full(unit.service, step)
     return [worker_id] if worker_id else None
 
@@ -293,6 +299,8 @@
     for index, worker_id, number in zip(unit.indices, chosen, numbers, strict=True):
         worker = context.current.workers[worker_id]
         context.workers.allocate(worker_id, step.step.need)
+        if crashes.is_suspect(step, [index]):
+            context.workers.begin_trial(worker_id)
         runs.add_run(context.current, unit.job, step, index, worker, number, context.now_s)
     fields = {
         "job": unit.job.job.job_id,
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -111,6 +111,10 @@
         running_since_s: When its worker confirmed its start, or None.
         baseline_percent: Progress from which its speed is measured, or None until it is known.
         baseline_at_s: When that progress was reported, or None for the start of the phase.
+        worker_born_ms: Incarnation of the worker that it was placed on, or that has listed it, in
+            milliseconds since 1970, or 0 if unknown.
+        has_survived: Whether its worker has listed it long enough after its start that it is not
+            the cause of a later crash.
     """
 
     task: model.TaskKey
@@ -128,6 +132,8 @@
     running_since_s: float | None = None
     baseline_percent: int | None = 0
     baseline_at_s: float | None = None
+    worker_born_ms: int = 0
+    has_survived: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,6 +153,9 @@
         last_failed_number: Number of the last run that was counted as failed; failed runs of
             several members of a gang count once.
         ready_since_s: When its tasks could first start, or None.
+        crashes: Number of workers that may have crashed because of each task; those of a gang count
+            for task 0.
+        last_crashed_numbers: Number of the last run of each task for which a crash was counted.
     """
 
     key: StepKey
@@ -160,6 +169,8 @@
     not_before_s: float = 0.0
     last_failed_number: int = 0
     ready_since_s: float | None = None
+    crashes: dict[int, int] = dataclasses.field(default_factory=dict)
+    last_crashed_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
@@ -270,6 +281,8 @@
         quarantines: Number of consecutive quarantines; the duration doubles with each.
         suspected_until_s: Time until which it is suspected to fail what it runs.
         unreachable_until_s: Time until which it gets no work because orders were not answered.
+        trials: Tasks that run on it although other workers have crashed soon after their start.
+            Until they have survived, no other work is placed beside them.
     """
 
     worker_id: str
@@ -308,6 +321,7 @@
     quarantines: int = 0
     suspected_until_s: float = 0.0
     unreachable_until_s: float = 0.0
+    trials: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -0,0 +1,206 @@
+"""Crashes of workers: for which tasks they count, and how these are tried again."""
+
+import pytest
+
+from lycheegate.jobs import (
+    commands,
+    crashes,
+    leases,
+    lifecycle,
+    model,
+    progress,
+    runs,
+    scheduling,
+    state,
+    workers,
+    writes,
+)
+
+_CAPACITY = model.Resources(8_000, 8_000, 8)
+_NEED = model.Resources(1_000, 1_000, 1)
+_ROUTE = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
+_BORN_MS = 1_000
+
+
+def _add_worker(current: state.SchedulerState, worker_id: str) -> state.WorkerState:
+    worker = state.WorkerState(
+        worker_id, "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+    )
+    worker.born_ms = _BORN_MS
+    current.workers[worker_id] = worker
+    return worker
+
+
+def _make_state(worker_count: int = 1) -> state.SchedulerState:
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    for number in range(worker_count):
+        _add_worker(current, f"w{number}")
+    return current
+
+
+def _add_job(current: state.SchedulerState, job_id: str, **fields) -> state.JobState:
+    step = model.Step(fields.pop("count", 1), _NEED, 60.0, **fields)
+    job = state.JobState(model.Job(job_id, "batch", "acme", "x", (step,), 0.0), _ROUTE)
+    lifecycle.add_job(current, job, 0.0, 0.0)
+    return job
+
+
+def _start(current: state.SchedulerState, now_s: float) -> None:
+    """Places what waits, and sends the orders."""
+    for worker in current.workers.values():
+        worker.reported_at_s = now_s
+    current.schedule_due = True
+    scheduling.schedule(current, now_s, now_s)
+    writes.complete_batch(current, writes.collect_batch(current), 2, now_s)
+
+
+def _report(current: state.SchedulerState, born_ms: int, now_s: float, *listed: state.Run) -> list:
+    """Applies a report of w0 that lists some runs."""
+    rows = tuple(workers.ListedRun(r.task, "", r.number, "", 1) for r in listed)
+    report = workers.Report("w0", int(now_s * 1000), born_ms, rows, (), now_s, now_s)
+    return workers.apply_report(current, report)
+
+
+@pytest.mark.parametrize(
+    ("confirmed", "listed_after_s", "restarted", "expected"),
+    [
+        (True, None, True, 1),
+        (True, crashes.SURVIVAL_S / 2, True, 1),
+        (True, crashes.SURVIVAL_S, True, 0),
+        (True, None, False, 0),
+        (False, None, True, 0),
+    ],
+    ids=["crashed", "listed_early", "survived", "not_restarted", "unanswered"],
+)
+def test_crash_counts_soon_after_a_confirmed_start(confirmed, listed_after_s, restarted, expected):
+    """Guards against tasks that are given up because their workers crash for another reason."""
+    current = _make_state()
+    job = _add_job(current, "0" * 16)
+    _start(current, 1.0)
+    (run,) = job.list_runs()
+    run.confirmed_at_s = 2.0
+    if confirmed:
+        runs.record_start_confirmed(current, run, 2.0)
+    if listed_after_s is not None:
+        _report(current, _BORN_MS, 2.0 + listed_after_s, run)
+    _report(current, _BORN_MS + restarted, 4.0)
+    assert job.list_runs() == []
+    assert crashes.get_crashes(job.steps[0, 0], 0) == expected
+
+
+@pytest.mark.parametrize(
+    ("registered", "draining", "expected"),
+    [(True, False, 0), (False, False, 1), (False, True, 0)],
+    ids=["silent", "unregistered", "departed"],
+)
+def test_expired_lease_counts_only_for_a_worker_that_is_gone(registered, draining, expected):
+    """Guards against crashes that are counted for workers that are only silent or have left."""
+    current = _make_state()
+    job = _add_job(current, "0" * 16)
+    _start(current, 1.0)
+    (run,) = job.list_runs()
+    runs.record_start_confirmed(current, run, 2.0)
+    worker = current.workers["w0"]
+    worker.registered, worker.draining = registered, draining
+    leases.check_leases(current, 60.0)
+    assert job.list_runs() == []
+    assert crashes.get_crashes(job.steps[0, 0], 0) == expected
+
+
+def test_gang_counts_once_for_each_run():
+    """Guards against a gang that is given up after one run whose members crash several workers."""
+    current = _make_state(3)
+    job = _add_job(current, "0" * 16, count=3, gang=True)
+    _start(current, 1.0)
+    step = job.steps[0, 0]
+    members = job.list_runs()
+    for run in members:
+        runs.record_start_confirmed(current, run, 1.0)
+    for run in members:
+        runs.end_run(current, run, runs.End.CRASHED, "worker_replaced", 4.0)
+    assert step.crashes == {0: 1}
+    assert job.outcome is None
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_job_fails_after_several_crashes(long_running):
+    """Guards against a task that is started for ever, and against a log that names no cause."""
+    current = _make_state(4)
+    job = _add_job(current, "0" * 16, long_running=long_running)
+    result: list[commands.Command] = []
+    for number in range(crashes.MAX_CRASHES):
+        assert job.outcome is None
+        _start(current, 10.0 * number)
+        (run,) = job.list_runs()
+        runs.record_start_confirmed(current, run, 10.0 * number)
+        result += runs.end_run(current, run, runs.End.CRASHED, "worker_replaced", 10.0 * number + 3)
+    assert job.outcome is model.Outcome.FAILED
+    events = [c.event for c in result if isinstance(c, commands.Decision)]
+    assert events.count("worker_crashed") == crashes.MAX_CRASHES
+    assert events[-2:] == ["task_given_up", "job_failed"]
+
+
+def test_long_running_task_is_cleared_once_it_has_run_for_a_while():
+    """Guards against long-running work that is given up after unrelated crashes, months apart."""
+    current = _make_state()
+    job = _add_job(current, "0" * 16, long_running=True)
+    step = job.steps[0, 0]
+    step.crashes = {0: 2}
+    _start(current, 1.0)
+    (run,) = job.list_runs()
+    runs.record_start_confirmed(current, run, 1.0)
+    _report(current, _BORN_MS, 2.0, run)
+    assert step.crashes == {0: 2}
+    assert current.workers["w0"].trials == set()
+    _report(current, _BORN_MS, 20.0, run)
+    assert step.crashes == {}
+    assert job.dirty
+
+
+def test_suspect_task_is_tried_apart_from_new_runs():
+    """Guards against a crash that counts for several tasks although one of them was tried before.
+
+    Load pattern: tasks wait beside one that has crashed a worker, while there is room for all of
+    them on one worker.
+    """
+    current = _make_state(3)
+    old = _add_job(current, "0" * 16)
+    _start(current, 1.0)
+    (old_run,) = old.list_runs()
+    old_run.has_survived = True
+    suspect = _add_job(current, "1" * 16)
+    suspect.steps[0, 0].crashes = {0: 1}
+    others = _add_job(current, "2" * 16, count=4)
+    _start(current, 2.0)
+    (suspect_run,) = suspect.list_runs()
+    placed_beside = {run.worker_id for run in others.list_runs()}
+    assert len(others.list_runs()) == 4
+    # The worker without any runs is preferred to the one where another task would be lost.
+    assert suspect_run.worker_id not in {old_run.worker_id, *placed_beside}
+    late = _add_job(current, "3" * 16, count=30)
+    _start(current, 3.0)
+    assert suspect_run.worker_id not in {run.worker_id for run in late.list_runs()}
+
+
+def test_next_holder_reads_crashes_and_incarnations():
+    """Guards against crashes that the next holder does not know or does not notice."""
+    current = _make_state(2)
+    job = _add_job(current, "0" * 16)
+    job.steps[0, 0].crashes = {0: 1}
+    job.steps[0, 0].last_crashed_numbers = {0: 1}
+    job.steps[0, 0].run_numbers = {0: 1}
+    _start(current, 1.0)
+    restored = state.JobState(job.job, _ROUTE)
+    progress.decode_progress(restored, progress.encode_progress(job), 5.0)
+    (run,) = restored.list_runs()
+    assert run.worker_born_ms == _BORN_MS
+    following = state.SchedulerState(2, state.Policy(), 5.0)
+    lifecycle.add_job(following, restored, 5.0, 5.0)
+    registration = workers.Registration(
+        run.worker_id, "render", "a:1", "z", "r0", frozenset(), _CAPACITY, False, _BORN_MS + 1
+    )
+    workers.apply_registrations(following, [registration], 5.0)
+    assert following.workers[run.worker_id].trials == {run.task}
+    report = workers.Report(run.worker_id, 1_000, _BORN_MS + 1, (), (), 6.0, 6.0)
+    workers.apply_report(following, report)
+    assert crashes.get_crashes(restored.steps[0, 0], 0) == 2
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -2,7 +2,16 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, headroom, ordering, placement, pool, preemption, state
+from lycheegate.jobs import (
+    commands,
+    crashes,
+    headroom,
+    ordering,
+    placement,
+    pool,
+    preemption,
+    state,
+)
 
 __all__ = ["GANG_INDEX", "PassContext", "Unit", "is_last_attempt", "list_candidates"]
 
@@ -73,6 +82,8 @@
 def list_candidates(context: PassContext, unit: Unit) -> list[placement.Candidate]:
     """Returns the workers on which a unit may be placed, in this pass or once room is free."""
     candidates = context.workers.list_candidates(unit.service, unit.step)
+    if crashes.is_suspect(unit.step, unit.indices):
+        candidates = context.workers.list_for_trial(candidates)
     if unit.step.step.gang or is_last_attempt(context, unit):
         return placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
     return candidates
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, leases, model, runs, state
+from lycheegate.jobs import commands, crashes, leases, model, runs, state
 
 __all__ = [
     "EndedRun",
@@ -236,6 +236,9 @@
         worker.runs = {run.task: run for run in recorded_runs}
     for run in worker.runs.values():
         worker.room = worker.room - run.need
+        step = runs.find_step(current, run.task)
+        if step is not None and crashes.is_suspect(step, [run.task.index]):
+            worker.trials.add(run.task)
     current.workers[worker.worker_id] = worker
     return worker
 
@@ -386,7 +389,7 @@
         present.add((listed.task, listed.number))
         run = worker.runs.get(listed.task)
         if run is not None and run.number == listed.number:
-            _update_run(current, run, listed, now_s)
+            _update_run(current, worker, run, listed, now_s)
         else:
             result += _handle_stray(current, worker, listed)
     if worker.unknown_runs and not unknown_runs:
@@ -398,10 +401,17 @@
 
 
 def _update_run(
-    current: state.SchedulerState, run: state.Run, listed: ListedRun, now_s: float
+    current: state.SchedulerState,
+    worker: state.WorkerState,
+    run: state.Run,
+    listed: ListedRun,
+    now_s: float,
 ) -> None:
     if run.phase is state.RunPhase.ORDERED:
         runs.record_start_confirmed(current, run, now_s)
+    step = runs.find_step(current, run.task)
+    if step is not None:
+        crashes.record_report(current.jobs[run.task.job_id], step, run, worker, now_s)
     if listed.percent != run.percent:
         run.percent = listed.percent
         run.advanced_at_s = now_s
@@ -450,12 +460,11 @@
     for run in list(worker.runs.values()):
         if (run.task, run.number) in present or run.phase is state.RunPhase.INTENDED:
             continue
-        recovered = (
-            run.phase is state.RunPhase.ORDERED and run.phase_began_at_s <= current.began_at_s
-        )
         confirmed = run.confirmed_at_s is not None and run.confirmed_at_s < sent_at_s
-        if recovered or confirmed:
-            result += runs.end_run(current, run, runs.End.INTERRUPTED, "absent", now_s)
+        if confirmed or crashes.is_recovered(current, run):
+            has_restarted = 0 < run.worker_born_ms < worker.born_ms
+            end = runs.End.CRASHED if has_restarted else runs.End.INTERRUPTED
+            result += runs.end_run(current, run, end, "absent", now_s)
     for key, need in list(worker.strays.items()):
         if key not in present:
             del worker.strays[key]
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from lycheegate.jobs import commands, leases, model, runs, state, workers
+from lycheegate.jobs import commands, crashes, leases, model, runs, state, workers
 from lycheegate.metrics import jsonlog
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
@@ -32,6 +32,9 @@
 MAX_REPORT_AGE_S = 2.5
 """Age of a worker's last report from which its lease is no longer renewed. Calls whose answers
 are lost may still reach the worker, and would keep alive runs that the scheduler cannot see."""
+TRIAL_REPORT_DELAY_S = crashes.SURVIVAL_S + 0.05
+"""Time after the start of a task that may crash its worker until an additional report is requested,
+so that a later crash for another reason does not count for the task."""
 DURABLE_ENDS_PAUSE_S = 0.4
 """Maximum delay before a worker whose reported ends are not yet stored is polled again. A worker
 answers at once while it lists ends, so polling it without a delay would loop while the store is
@@ -202,6 +205,27 @@
             return
         self._poll(worker_id, _get_report_wait_s(worker))
 
+    def _check_trial(self, worker_id: str) -> None:
+        """Requests a report beside the polls, to learn whether a task on trial has survived."""
+        worker = self._state.workers.get(worker_id)
+        if worker is None or not worker.trials or not self._may_act(self._now_s()):
+            return
+        self._client.report(
+            worker.address,
+            worker_id,
+            self._state.epoch,
+            worker.durable_end,
+            None,
+            0.0,
+            self._handle_trial_report,
+        )
+
+    def _handle_trial_report(self, outcome: result.Result) -> None:
+        # The polls handle errors.
+        if not self._hooks.is_stopped() and isinstance(outcome, result.Success):
+            self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
+            self._hooks.request_pass(True)
+
     def _resume_poll(self, worker_id: str) -> None:
         """Resumes polling a worker whose last report listed ends that were not stored yet."""
         if worker_id in self._awaiting_durable_ends:
@@ -245,11 +269,11 @@
             worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
             self._hooks.request_pass(True)
             return
+        # A worker that has announced its departure has left as planned.
+        end = runs.End.INTERRUPTED if worker.draining else runs.End.CRASHED
         for run in list(worker.runs.values()):
             if run.phase is not state.RunPhase.INTENDED:
-                self._hooks.execute(
-                    runs.end_run(self._state, run, runs.End.INTERRUPTED, "worker_replaced", now_s)
-                )
+                self._hooks.execute(runs.end_run(self._state, run, end, "worker_replaced", now_s))
         self._hooks.request_pass(True)
 
     def _find_run(self, order: commands.StartRun | commands.StopRun) -> state.Run | None:
@@ -318,6 +342,10 @@
             self._unknown_starts.discard(key)
             if run.phase is state.RunPhase.ORDERED:
                 runs.record_start_confirmed(self._state, run, now_s)
+            if worker is not None and run.task in worker.trials:
+                self._hooks.call_later(
+                    TRIAL_REPORT_DELAY_S, lambda: self._check_trial(order.worker_id)
+                )
         elif outcome is worker_calls.StartOutcome.OLD_RUN:
             # The run has already ended or been stopped; the next report shows which.
             if run.phase is state.RunPhase.ORDERED:
