--- a/lycheegate/jobs/tests/test_job_reservations.py
+++ b/lycheegate/jobs/tests/test_job_reservations.py
@@ -101,3 +101,15 @@
     assert current.jobs["0" * 15 + "1"].list_runs() == []
     _schedule(current, 2.3)
     assert len(current.jobs["0" * 15 + "1"].list_runs()) == 1
+
+
+@pytest.mark.parametrize(("accelerators", "kept"), [(8, True), (7, False)])
+def test_reservation_is_dropped_when_its_worker_shrinks(accelerators, kept):
+    """Guards against an urgent task that waits for room that its worker no longer has."""
+    current = _make_state()
+    worker = current.workers["w0"]
+    capacity = dataclasses.replace(_CAPACITY, accelerators=accelerators)
+    worker.room = worker.room + capacity - worker.capacity
+    worker.capacity = capacity
+    _schedule(current, 2.1)
+    assert bool(current.reservations) is kept
--- a/lycheegate/jobs/tests/test_registrations.py
+++ b/lycheegate/jobs/tests/test_registrations.py
@@ -1,5 +1,7 @@
 """Registrations of workers with a new scheduler."""
 
+import dataclasses
+
 import pytest
 
 from lycheegate.jobs import lifecycle, model, progress, runs, state, workers
@@ -54,3 +56,17 @@
         "w1": 6,
         "w2": 8,
     }
+
+
+@pytest.mark.parametrize("accelerators", [4, 8, 16])
+def test_changed_capacity_requests_a_pass(accelerators):
+    """Guards against work that waits for the next tick although a worker has grown."""
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    registration = _make_registration("w0")
+    workers.apply_registrations(current, [registration], 1.0)
+    current.schedule_due = False
+    capacity = dataclasses.replace(_CAPACITY, accelerators=accelerators)
+    resized = dataclasses.replace(registration, capacity=capacity)
+    workers.apply_registrations(current, [resized], 2.0)
+    assert current.schedule_due is (capacity != _CAPACITY)
+    assert current.workers["w0"].room == capacity
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -25,6 +25,8 @@
 FAILURE_S = 0.05
 """Duration of a run on a faulty worker."""
 MAX_LEASE_S = 6.0
+SHRINK_GRACE_S = 4.5
+"""Time after which a smaller capacity counts: 3 s and a heartbeat."""
 CRASH_DELAY_S = 0.02
 """Time from the start of a deadly task until its worker crashes."""
 CRASH_DOWN_S = 3.0
@@ -64,6 +66,8 @@
         self.address = f"{worker_id}.test:80"
         self.rack = rack
         self.capacity = capacity
+        self.previous_capacities: list[tuple[float, model.Resources]] = []
+        """Earlier capacities, each with the time at which it changed."""
         self.labels = {"a", rack}
         self.draining_since_s: float | None = None
         self.born_ms = 1_000
@@ -86,6 +90,19 @@
         self.born_ms += 1_000
         self.reset()
 
+    def resize(self, capacity: model.Resources) -> None:
+        """Changes the capacity; runs that exceed it go on."""
+        self.previous_capacities.append((self.fleet.loop.now_s, self.capacity))
+        self.capacity = capacity
+
+    def compute_limit(self) -> model.Resources:
+        """Returns the largest capacity that a start may still rely on."""
+        limit = self.capacity
+        for changed_at_s, capacity in self.previous_capacities:
+            if self.fleet.loop.now_s - changed_at_s <= SHRINK_GRACE_S:
+                limit = limit.max(capacity)
+        return limit
+
     def clock_ms(self) -> int:
         """Returns the time on the worker's clock."""
         elapsed_s = self.fleet.loop.now_s - self.booted_at_s
@@ -149,9 +166,10 @@
                 CRASH_DELAY_S, lambda: self.fleet.crash_incarnation(self, born_ms)
             )
         used = sum((r.need for r in self.live.values()), model.Resources())
-        if not used.fits(self.capacity):
+        limit = self.compute_limit()
+        if not used.fits(limit):
             self.fleet.violations.append(
-                f"capacity of {self.worker_id} exceeded by {order.task}: {used} of {self.capacity}"
+                f"capacity of {self.worker_id} exceeded by {order.task}: {used} of {limit}"
             )
         return worker_calls.StartOutcome.STARTED
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -47,7 +47,8 @@
         text = (
             f'{{"service":"render","address":"{worker.address}","zone":"z",'
             f'"state":"{"draining" if draining else "ready"}",'
-            f'"capacity":{{"cpu":16000,"mem-mb":32000,"gpu":8}},'
+            f'"capacity":{{"cpu":{worker.capacity.cpu_millicores},'
+            f'"mem-mb":{worker.capacity.memory_mb},"gpu":{worker.capacity.accelerators}}},'
             f'"labels":["a","{worker.rack}"],"born":{worker.born_ms}'
         )
         text += "}" if remaining_ms is None else f',"remaining-ms":{remaining_ms}}}'
@@ -65,6 +66,11 @@
         self.unregister(worker_id)
         self.register(new_id)
 
+    def resize(self, worker_id: str, capacity: model.Resources) -> None:
+        """Changes the capacity of a worker, which registers it."""
+        self.fleet.workers[worker_id].resize(capacity)
+        self.register(worker_id)
+
     def unregister(self, worker_id: str) -> None:
         """Deletes the registration of a worker."""
         key = storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id)
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -122,6 +122,34 @@
     assert bool(term.current.jobs["0" * 16].list_runs()) is is_repeated
 
 
+@pytest.mark.parametrize("is_repeated", [False, True])
+@pytest.mark.parametrize(("accelerators", "is_sent"), [(8, True), (1, True), (0, False)])
+def test_no_order_beyond_a_capacity_that_has_shrunk(accelerators, is_sent, is_repeated):
+    """Guards against a start on room that its worker lost after the task was placed.
+
+    Load pattern: the store loses answers, so the write of the intention takes seconds. A first
+    order is not sent. One that may have been received is stopped instead of repeated.
+    """
+    term = _Term()
+    order = term.place()
+    if is_repeated:
+        term.exchange.send_start(order)
+    capacity = model.Resources(8_000, 8_000, accelerators)
+    registration = workers.Registration(
+        "w0", "render", "a:1", "z", "r0", frozenset(), capacity, False, 1
+    )
+    workers.apply_registrations(term.current, [registration], 1.5)
+    if is_repeated:
+        term.client.starts[0](_UNKNOWN)
+        term.run_later()
+    else:
+        term.exchange.send_start(order)
+    assert len(term.client.starts) == is_sent + is_repeated
+    phases = [run.phase for run in term.current.jobs["0" * 16].list_runs()]
+    expected = [state.RunPhase.STOPPING] if is_repeated else []
+    assert phases == ([state.RunPhase.ORDERED] if is_sent else expected)
+
+
 @pytest.mark.parametrize("kind", ["start", "stop", "report"])
 def test_orders_continue_once_the_term_is_renewed(kind):
     """Guards against orders that are lost for good after a pause that cost no change of holder."""
