Check the room of a worker again when an order is sent

Cause: the capacity that a task was placed on may be gone when its intention is stored, which takes seconds while the store loses answers; the order was sent all the same. A worker's growth did not request a pass, and a reservation was kept on a worker that had become too small for it.

Change: a first order is refused as worker_shrunk if its worker has less than its runs need of a resource that the run uses; a run whose order may have been received is stopped, with its gang, instead of ordered again. A changed capacity requests a pass and is logged as worker_resized. Reservations that no longer fit their worker are dropped.

--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -10,6 +10,7 @@
     "add_run",
     "end_run",
     "find_step",
+    "exceeds_capacity",
     "handle_refused_start",
     "record_start_confirmed",
     "remove_run",
@@ -83,6 +84,19 @@
     return run
 
 
+def exceeds_capacity(worker: state.WorkerState, run: state.Run) -> bool:
+    """Returns whether a run uses a resource of which its worker has less than its runs need.
+
+    The worker had room for the run when it was placed, so it has shrunk since.
+    """
+    need, room = run.need, worker.room
+    return (
+        (need.cpu_millicores > 0 > room.cpu_millicores)
+        or (need.memory_mb > 0 > room.memory_mb)
+        or (need.accelerators > 0 > room.accelerators)
+    )
+
+
 def record_start_confirmed(current: state.SchedulerState, run: state.Run, now_s: float) -> None:
     """Records that the worker has confirmed the start of a run."""
     run.confirmed_at_s = now_s
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -143,7 +143,8 @@
     """Drops reservations that are no longer valid.
 
     A reservation is dropped if it has expired, if its tasks are no longer waiting, or if one of
-    its workers cannot be used or belongs to another service than the queue now uses.
+    its workers cannot be used, has become too small, or belongs to another service than the queue
+    now uses.
 
     Args:
         current: State of the scheduler.
@@ -156,18 +157,27 @@
             service is not None
             and now_s <= reservation.expires_s
             and all(
-                _may_hold(current, reservation, worker_id, service, now_s)
-                for worker_id in reservation.placement.values()
+                _may_hold(current, reservation, worker_id, need, service, now_s)
+                for worker_id, need in _sum_reserved_room(reservation).items()
             )
         )
         if not is_kept:
             del current.reservations[key]
 
 
+def _sum_reserved_room(reservation: state.Reservation) -> dict[str, model.Resources]:
+    """Returns the resources that a reservation holds on each of its workers."""
+    result: dict[str, model.Resources] = {}
+    for worker_id in reservation.placement.values():
+        result[worker_id] = result.get(worker_id, model.Resources()) + reservation.need
+    return result
+
+
 def _may_hold(
     current: state.SchedulerState,
     reservation: state.Reservation,
     worker_id: str,
+    need: model.Resources,
     service: str,
     now_s: float,
 ) -> bool:
@@ -177,7 +187,7 @@
     worker is silent for a moment, because otherwise more runs would be stopped elsewhere.
     """
     worker = current.workers.get(worker_id)
-    if worker is None or worker.service != service:
+    if worker is None or worker.service != service or not need.fits(worker.capacity):
         return False
     if reservation.preempts:
         return pool.is_eligible(worker, now_s)
@@ -236,16 +246,11 @@
     reservation = context.current.reservations.get(unit.reservation_key)
     if reservation is None or set(reservation.placement) != set(unit.indices):
         return None
-    need_by_worker: dict[str, model.Resources] = {}
-    for worker_id in reservation.placement.values():
-        need_by_worker[worker_id] = (
-            need_by_worker.get(worker_id, model.Resources()) + reservation.need
-        )
     if not all(
         context.workers.is_usable(worker_id)
         and not context.workers.is_on_trial(worker_id)
         and need.fits(context.current.workers[worker_id].room)
-        for worker_id, need in need_by_worker.items()
+        for worker_id, need in _sum_reserved_room(reservation).items()
     ):
         return None
     return [reservation.placement[index] for index in unit.indices]
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -180,6 +180,9 @@
             )
         )
         current.schedule_due = True
+    if registration.capacity != worker.capacity:
+        result.append(_make_resize_decision(worker, registration.capacity))
+        current.schedule_due = True
     used = worker.capacity - worker.room
     worker.draining = registration.draining
     _update_leave_time(worker, registration.remaining_s, now_s)
@@ -193,6 +196,15 @@
     return result
 
 
+def _make_resize_decision(worker: state.WorkerState, capacity: model.Resources) -> commands.Command:
+    fields = {
+        "worker": worker.worker_id,
+        "from": dataclasses.astuple(worker.capacity),
+        "to": dataclasses.astuple(capacity),
+    }
+    return commands.Decision("worker_resized", fields)
+
+
 def _update_leave_time(worker: state.WorkerState, remaining_s: float | None, now_s: float) -> None:
     """Updates the time at which a worker leaves.
 
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -296,6 +296,9 @@
             # It announced its departure while the intention was written, which may take seconds.
             self.record_refusal(order, "worker_draining")
             return
+        if worker is not None and runs.exceeds_capacity(worker, run):
+            self._withdraw_start(order, run, is_repeated)
+            return
         deadline_ms = worker and leases.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
             self.record_refusal(order, "worker_unknown")
@@ -310,6 +313,20 @@
             lambda outcome: self._handle_start_result(order, address, outcome),
         )
 
+    def _withdraw_start(
+        self, order: commands.StartRun, run: state.Run, may_have_started: bool
+    ) -> None:
+        """Withdraws a run that its worker, which has shrunk, has no room for."""
+        if not may_have_started:
+            self.record_refusal(order, "worker_shrunk")
+            return
+        now_s, reason = self._now_s(), state.StopReason.UNANSWERED
+        step = runs.find_step(self._state, run.task)
+        if step is not None and step.step.gang:
+            self._hooks.execute(runs.stop_step(self._state, step, reason, now_s))
+        else:
+            self._hooks.execute(runs.stop_run(self._state, run, reason, now_s))
+
     def record_refusal(self, order: commands.StartRun, reason: str) -> None:
         """Records that an order to start a run definitely had no effect."""
         run = self._find_run(order)
