--- a/lycheegate/node/tests/test_deadly_tasks.py
+++ b/lycheegate/node/tests/test_deadly_tasks.py
@@ -111,3 +111,33 @@
         world.run(2.0)
     world.run(60.0)
     simulation.assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("deadly", [False, True], ids=["innocent", "deadly"])
+@pytest.mark.parametrize("returns_under_new_ids", [False, True], ids=["same_id", "new_id"])
+@pytest.mark.parametrize("seed", range(12))
+def test_crashes_of_many_workers_at_once(seed, returns_under_new_ids, deadly):
+    """Guards against jobs that fail because many workers crash for another reason.
+
+    Load pattern: over half of the workers crash at once every few seconds, so that lost tasks have
+    often just started when the next of these crashes comes. A deadly task is given up all the same.
+    """
+    world = simulation.World(seed, worker_count=18)
+    world.returns_under_new_ids = returns_under_new_ids
+    world.fleet.work_s = 2.5
+    world.claim_term("a")
+    if deadly:
+        world.fleet.deadly = {model.TaskKey(DEADLY, 0, 0, 0)}
+        world.submit(simulation.make_job(DEADLY, simulation.make_step()))
+    for number in range(6):
+        world.submit(simulation.make_job(f"{number:016x}", simulation.make_step(12)))
+        world.run(world.generator.uniform(3.2, 3.8))
+        for worker_id in sorted(world.fleet.workers):
+            is_present = worker_id not in world.fleet.replaced | world.fleet.refusing
+            if is_present and world.generator.random() < 0.6:
+                world.fleet.crash(worker_id)
+    world.run(60.0)
+    if deadly:
+        assert_only_deadly_job_failed(world)
+    else:
+        simulation.assert_all_succeed(world)
