Weigh a crash less if many workers crash at the same time

Cause: after a crash of many workers, their tasks start again together, and are new again when the next such crash comes. Three of these crashes failed jobs that could be done.

Change: a crash weighs 3 in place of 5 of 15 if at least two workers without new runs, not leaving and not silent for long, are found to have crashed within 2 s before or after. The verdict comes with the next pass after a delay, in which crashes of other workers may be found; from the second crash on, the delay also holds back the next start, and doubles. A task that crashes workers is started five times at most.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -3,26 +3,46 @@
 Handles jobs some of whose tasks crash each worker soon after it has started them. All other runs on
 such a worker are lost with it. A crash therefore counts only for those runs on the worker that it
 had not reported for a while after their start. A task for which a crash counts is tried apart from
-other new runs, so that a further crash counts for no other task; after ``MAX_CRASHES`` its job
-fails. The numbers of crashes are part of the job's progress record, and each recorded run names the
+other new runs, so that a further crash counts for no other task; after three its job fails.
+
+Also handles crashes of many workers for another reason, after which the lost tasks start together
+and are new again when the next such crash comes. If workers without new runs crash at about the
+same time, a crash weighs less, so that five fail a job.
+
+The weights of the crashes are part of the job's progress record, and each recorded run names the
 incarnation of its worker, so that the next holder also counts crashes between two terms.
 """
 
 from lycheegate.jobs import commands, state
 
 __all__ = [
-    "MAX_CRASHES",
+    "CRASH_WEIGHT",
+    "MAX_CRASH_WEIGHT",
     "SURVIVAL_S",
-    "get_crashes",
+    "WEIGHT_AMONG_OTHERS",
+    "get_crash_weight",
     "has_new_runs",
     "is_recovered",
     "is_suspect",
+    "list_given_up",
     "record_crash",
     "record_report",
+    "record_worker_crash",
 ]
 
-MAX_CRASHES = 3
-"""Number of crashes after which a task is given up. Two may be a coincidence."""
+CRASH_WEIGHT = 5
+WEIGHT_AMONG_OTHERS = 3
+"""Weight of a crash at about the same time as crashes of workers without new runs. It is not 0,
+because a task that crashes workers must not be started six times."""
+MAX_CRASH_WEIGHT = 15
+"""Weight from which a task is given up. Two crashes may be a coincidence."""
+BASE_DELAY_S = 0.5
+"""Delay before the next start after a second crash; doubles with each further one. After the last
+one, it leaves time to find the crashes of other workers."""
+OTHER_CRASHES = 2
+"""Number of crashes of workers without new runs from which another reason is likely."""
+OTHER_CRASHES_WINDOW_S = 2.0
+"""How long these are remembered. Workers that crash together are not back at the same moment."""
 SURVIVAL_S = 0.5
 """Time after its start from which a reported run is not the cause of a later crash."""
 CLEARING_S = 10.0
@@ -30,9 +50,9 @@
 matters for long-running tasks, of which each is near several crashes in months."""
 
 
-def get_crashes(step: state.StepState, index: int) -> int:
-    """Returns the number of crashes that count for a task; a gang has one number."""
-    return step.crashes.get(_get_counted_index(step, index), 0)
+def get_crash_weight(step: state.StepState, index: int) -> int:
+    """Returns the weight of the crashes that count for a task; a gang has one."""
+    return step.crash_weights.get(_get_counted_index(step, index), 0)
 
 
 def _get_counted_index(step: state.StepState, index: int) -> int:
@@ -41,7 +61,7 @@
 
 def is_suspect(step: state.StepState, indices: list[int]) -> bool:
     """Returns whether a crash counts for one of some tasks of a step."""
-    return bool(step.crashes) and any(get_crashes(step, index) for index in indices)
+    return bool(step.crash_weights) and any(get_crash_weight(step, index) for index in indices)
 
 
 def has_new_runs(worker: state.WorkerState) -> bool:
@@ -71,16 +91,63 @@
     run.has_survived = True
     worker.trials.discard(run.task)
     index = _get_counted_index(step, run.task.index)
-    if index in step.crashes and now_s - run.running_since_s >= CLEARING_S:
-        del step.crashes[index]
+    if index in step.crash_weights and now_s - run.running_since_s >= CLEARING_S:
+        del step.crash_weights[index]
         job.dirty = True
 
 
+def record_worker_crash(
+    current: state.SchedulerState, worker: state.WorkerState, now_s: float
+) -> None:
+    """Records the crash of a worker if none of its runs may be the cause.
+
+    New runs on a worker that was silent for long may have ended with its leases, so nothing is
+    concluded from the crash of such a worker.
+    """
+    is_long_silent = now_s - worker.reported_at_s >= current.policy.lease_s
+    if worker.draining or is_long_silent or has_new_runs(worker):
+        return
+    current.other_crashes_at_s.append(now_s)
+    if _has_other_reason(current, now_s):
+        _reduce_weights(current, now_s)
+
+
+def _has_other_reason(current: state.SchedulerState, now_s: float) -> bool:
+    """Returns whether so many workers crashed lately that new runs are not the likely reason."""
+    recent = [t for t in current.other_crashes_at_s if now_s - t <= OTHER_CRASHES_WINDOW_S]
+    current.other_crashes_at_s = recent
+    return len(recent) >= OTHER_CRASHES
+
+
+def _reduce_weights(current: state.SchedulerState, now_s: float) -> None:
+    """Reduces the weights of the crashes that were counted before another reason was found."""
+    counted, current.counted_crashes = current.counted_crashes, []
+    for crash in counted:
+        job = current.jobs.get(crash.job_id)
+        step = job.steps.get(crash.step_key) if job is not None else None
+        is_recent = now_s - crash.counted_at_s <= OTHER_CRASHES_WINDOW_S
+        if is_recent and step is not None and crash.index in step.crash_weights:
+            step.crash_weights[crash.index] -= CRASH_WEIGHT - WEIGHT_AMONG_OTHERS
+            job.dirty = True
+
+
+def list_given_up(step: state.StepState, now_s: float) -> list[int]:
+    """Returns the tasks of a step that have crashed too many workers.
+
+    They are named only some time after the last crash, until which the step starts nothing, because
+    the crashes of other workers may not have been found yet.
+    """
+    if not step.crash_weights or now_s < step.not_before_s:
+        return []
+    return [i for i, weight in step.crash_weights.items() if weight >= MAX_CRASH_WEIGHT]
+
+
 def record_crash(
     current: state.SchedulerState,
     job: state.JobState,
     step: state.StepState,
     run: state.Run,
+    now_s: float,
 ) -> list[commands.Command]:
     """Counts a crash for the task of a run that was lost with its worker, if it may be the cause.
 
@@ -91,6 +158,7 @@
         job: The job of the run.
         step: The step of the run.
         run: The run, which has ended.
+        now_s: Time on the scheduler's clock.
 
     Returns:
         The decision to be logged, or nothing if the crash does not count.
@@ -101,18 +169,37 @@
     if run.number <= step.last_crashed_numbers.get(index, 0):
         return []
     step.last_crashed_numbers[index] = run.number
-    step.crashes[index] = step.crashes.get(index, 0) + 1
+    weight = CRASH_WEIGHT
+    if _has_other_reason(current, now_s):
+        weight = WEIGHT_AMONG_OTHERS
+    else:
+        counted = state.CountedCrash(now_s, run.task.job_id, step.key, index)
+        current.counted_crashes.append(counted)
+    step.crash_weights[index] = step.crash_weights.get(index, 0) + weight
+    step.not_before_s = max(step.not_before_s, now_s + _compute_delay_s(step.crash_weights[index]))
     job.dirty = True
     fields = {
         "job": run.task.job_id,
         "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
         "worker": run.worker_id,
         "run": run.number,
-        "crashes": step.crashes[index],
+        "weight": weight,
+        "total": step.crash_weights[index],
     }
     return [commands.Decision("worker_crashed", fields)]
 
 
+def _compute_delay_s(weight: int) -> float:
+    """Returns the delay before the next start, or before the verdict, after a crash.
+
+    It grows with each crash, so that the next start does not meet the next of several crashes that
+    come at regular intervals. The first retry is immediate.
+    """
+    if weight <= CRASH_WEIGHT:
+        return 0.0
+    return BASE_DELAY_S * 2.0 ** (weight // CRASH_WEIGHT - 1)
+
+
 def _may_be_cause(current: state.SchedulerState, run: state.Run) -> bool:
     """Returns whether a run that was lost with its worker may be the cause of the crash.
 
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -46,9 +46,12 @@
 def advance_jobs(
     current: state.SchedulerState, now_s: float, wall_s: float
 ) -> list[commands.Command]:
-    """Opens occurrences that are due and marks jobs as succeeded whose steps are all done."""
+    """Opens occurrences that are due, and ends jobs that are done or have a task to give up."""
     result: list[commands.Command] = []
     for job in state.iterate_open_jobs(current):
+        result += runs.give_up_tasks(current, job, now_s)
+        if not job.is_open:
+            continue
         _close_finished_occurrences(job)
         if _open_due_occurrences(job, wall_s):
             current.schedule_due = True
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -194,7 +194,7 @@
     incarnations = {
         index: run.worker_born_ms for index, run in step.runs.items() if run.worker_born_ms
     }
-    crash_fields = [incarnations, step.crashes, step.last_crashed_numbers]
+    crash_fields = [incarnations, step.crash_weights, step.last_crashed_numbers]
     return [
         list(step.key),
         sorted(step.done),
@@ -209,7 +209,7 @@
 
 def _decode_step_state(job: model.Job, item: list, now_s: float) -> state.StepState:
     key, done, failures, numbers, workers, checkpoints, last_failed_number, *crash_fields = item
-    incarnations, crashes, last_crashed_numbers = crash_fields or ({}, {}, {})
+    incarnations, crash_weights, last_crashed_numbers = crash_fields or ({}, {}, {})
     occurrence, number = key
     step = state.StepState((occurrence, number), job.steps[number])
     step.done = set(done)
@@ -217,7 +217,7 @@
     step.run_numbers = dict(numbers)
     step.checkpoints = dict(checkpoints)
     step.last_failed_number = last_failed_number
-    step.crashes = dict(crashes)
+    step.crash_weights = dict(crash_weights)
     step.last_crashed_numbers = dict(last_crashed_numbers)
     for index, worker_id in workers.items():
         step.runs[index] = state.Run(
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -10,6 +10,7 @@
     "add_run",
     "end_run",
     "find_step",
+    "give_up_tasks",
     "exceeds_capacity",
     "handle_refused_start",
     "record_start_confirmed",
@@ -185,7 +186,7 @@
         result += health.record_failure(current, run, other_workers, now_s)
         result += _record_failure(current, job, step, run, now_s)
     if end is End.CRASHED:
-        result += _record_crash(current, job, step, run, now_s)
+        result += crashes.record_crash(current, job, step, run, now_s)
     if step.step.gang and not step.is_done:
         result += stop_step(current, step, state.StopReason.GANG_ENDED, now_s)
     return result
@@ -251,26 +252,25 @@
     return _fail_job(current, job, {"failures": failures, "limit": limit}, now_s)
 
 
-def _record_crash(
-    current: state.SchedulerState,
-    job: state.JobState,
-    step: state.StepState,
-    run: state.Run,
-    now_s: float,
+def give_up_tasks(
+    current: state.SchedulerState, job: state.JobState, now_s: float
 ) -> list[commands.Command]:
-    """Counts a crash for the task that may be its cause, and gives the task up after several."""
-    result = crashes.record_crash(current, job, step, run)
-    count = crashes.get_crashes(step, run.task.index)
-    if not result or count < crashes.MAX_CRASHES or job.outcome is not None:
-        return result
-    fields = {
-        "job": run.task.job_id,
-        "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
-        "crashes": count,
-        "limit": crashes.MAX_CRASHES,
-    }
-    result.append(commands.Decision("task_given_up", fields))
-    return result + _fail_job(current, job, {"crashes": count, "limit": crashes.MAX_CRASHES}, now_s)
+    """Fails an open job if one of its tasks has crashed too many workers."""
+    for step in job.steps.values():
+        for index in crashes.list_given_up(step, now_s):
+            weight = crashes.get_crash_weight(step, index)
+            fields = {
+                "job": job.job.job_id,
+                "task": f"{step.key[0]}.{step.key[1]}.{index}",
+                "weight": weight,
+                "limit": crashes.MAX_CRASH_WEIGHT,
+            }
+            cause = {"crash_weight": weight, "limit": crashes.MAX_CRASH_WEIGHT}
+            return [
+                commands.Decision("task_given_up", fields),
+                *_fail_job(current, job, cause, now_s),
+            ]
+    return []
 
 
 def _fail_job(
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -10,6 +10,7 @@
 from lycheegate.jobs import headroom, model
 
 __all__ = [
+    "CountedCrash",
     "JobState",
     "JobStatus",
     "Policy",
@@ -153,8 +154,8 @@
         last_failed_number: Number of the last run that was counted as failed; failed runs of
             several members of a gang count once.
         ready_since_s: When its tasks could first start, or None.
-        crashes: Number of workers that may have crashed because of each task; those of a gang count
-            for task 0.
+        crash_weights: Sum of the weights of the crashes of workers that each task may have caused;
+            those of a gang count for task 0.
         last_crashed_numbers: Number of the last run of each task for which a crash was counted.
     """
 
@@ -169,7 +170,7 @@
     not_before_s: float = 0.0
     last_failed_number: int = 0
     ready_since_s: float | None = None
-    crashes: dict[int, int] = dataclasses.field(default_factory=dict)
+    crash_weights: dict[int, int] = dataclasses.field(default_factory=dict)
     last_crashed_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
 
     @property
@@ -281,6 +282,7 @@
         quarantines: Number of consecutive quarantines; the duration doubles with each.
         suspected_until_s: Time until which it is suspected to fail what it runs.
         unreachable_until_s: Time until which it gets no work because orders were not answered.
+        is_replaced: Whether another worker was found at its endpoint.
         trials: Tasks that run on it although other workers have crashed soon after their start.
             Until they have survived, no other work is placed beside them.
     """
@@ -321,9 +323,27 @@
     quarantines: int = 0
     suspected_until_s: float = 0.0
     unreachable_until_s: float = 0.0
+    is_replaced: bool = False
     trials: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountedCrash:
+    """A crash of a worker that was counted for a task.
+
+    Attributes:
+        counted_at_s: When it was counted.
+        job_id: Job of the task.
+        step_key: Step of the task.
+        index: Index under which it was counted.
+    """
+
+    counted_at_s: float
+    job_id: str
+    step_key: StepKey
+    index: int
+
+
 @dataclasses.dataclass(slots=True)
 class Reservation:
     """Room that is reserved for waiting tasks until the runs that still use it have ended.
@@ -364,6 +384,8 @@
         urgent_demand: Recent peak of urgent demand, by service.
         inherited_suspects: Time until which the previous scheduler suspected workers.
         unlisted_runs_ended: Whether the runs on workers that never registered have been ended.
+        other_crashes_at_s: When workers without new runs were last found to have crashed.
+        counted_crashes: Crashes with full weight that were counted lately.
     """
 
     epoch: int
@@ -380,6 +402,8 @@
     urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
     inherited_suspects: dict[str, float] = dataclasses.field(default_factory=dict)
     unlisted_runs_ended: bool = False
+    other_crashes_at_s: list[float] = dataclasses.field(default_factory=list)
+    counted_crashes: list[CountedCrash] = dataclasses.field(default_factory=list)
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -270,6 +270,7 @@
         born_ms: Start of its incarnation in milliseconds since 1970.
         now_s: Time on the scheduler's clock.
     """
+    crashes.record_worker_crash(current, worker, now_s)
     worker.born_ms = born_ms
     worker.restarted_at_s = now_s
     worker.processed_end = worker.durable_end = 0
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -269,6 +269,9 @@
             worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
             self._hooks.request_pass(True)
             return
+        if not worker.is_replaced:
+            worker.is_replaced = True
+            crashes.record_worker_crash(self._state, worker, now_s)
         # A worker that has announced its departure has left as planned.
         end = runs.End.INTERRUPTED if worker.draining else runs.End.CRASHED
         for run in list(worker.runs.values()):
