--- a/lycheegate/node/tests/test_deadly_tasks.py
+++ b/lycheegate/node/tests/test_deadly_tasks.py
@@ -141,3 +141,20 @@
         assert_only_deadly_job_failed(world)
     else:
         simulation.assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("returns_under_new_ids", [False, True], ids=["same_id", "new_id"])
+@pytest.mark.parametrize("lost_orders", [0.3, 0.5, 1.0])
+@pytest.mark.parametrize("seed", range(8))
+def test_crash_after_a_lost_answer_counts(seed, lost_orders, returns_under_new_ids):
+    """Guards against a deadly task that is never given up because its starts are not answered.
+
+    The answer to the order is lost, or the worker crashes before it is sent.
+    """
+    world = make_world(seed, returns_under_new_ids)
+    world.faults.lost_orders = lost_orders
+    world.claim_term("a")
+    world.run(60.0)
+    world.faults.lost_orders = 0.0
+    world.run(30.0)
+    assert_only_deadly_job_failed(world)
