Count a crash just after a start that was not answered

Cause: a crash counted only for a run whose start was confirmed, so a deadly task whose answers were lost was started without end.

Change: the loss of a worker's first report marks the runs that were ordered at most 0.2 s before it. If the worker turns out to have crashed, the crash counts for them. An order to a worker that was already down does not follow its last report that closely, because its connections were reset.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -26,6 +26,7 @@
     "is_suspect",
     "list_given_up",
     "record_crash",
+    "record_lost_report",
     "record_report",
     "record_worker_crash",
 ]
@@ -45,6 +46,9 @@
 """How long these are remembered. Workers that crash together are not back at the same moment."""
 SURVIVAL_S = 0.5
 """Time after its start from which a reported run is not the cause of a later crash."""
+LOST_REPORT_S = 0.2
+"""Time from a start order to the loss of the worker's report within which the run that was ordered
+may be the cause. A worker that crashes resets its connections."""
 CLEARING_S = 10.0
 """Time after its start from which a reported run proves that its task does not crash workers. It
 matters for long-running tasks, of which each is near several crashes in months."""
@@ -96,6 +100,17 @@
         job.dirty = True
 
 
+def record_lost_report(worker: state.WorkerState, now_s: float) -> None:
+    """Records that the first report of a worker was lost, for the runs that were just ordered.
+
+    A worker that was down before would have lost its report before the order.
+    """
+    for run in worker.runs.values():
+        is_ordered = run.phase is state.RunPhase.ORDERED
+        if is_ordered and now_s - run.phase_began_at_s <= LOST_REPORT_S:
+            run.may_have_started = True
+
+
 def record_worker_crash(
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> None:
@@ -203,12 +218,14 @@
 def _may_be_cause(current: state.SchedulerState, run: state.Run) -> bool:
     """Returns whether a run that was lost with its worker may be the cause of the crash.
 
-    The worker has confirmed the start of such a run, or an earlier holder may have received the
-    confirmation. An order that was never answered was probably sent to a worker that was down.
+    The worker has confirmed the start of such a run, or was lost just after the order, or an
+    earlier holder may have received the confirmation. Any other order that was never answered was
+    probably sent to a worker that was down.
     """
     if run.has_survived or run.phase is state.RunPhase.INTENDED:
         return False
-    return run.running_since_s is not None or is_recovered(current, run)
+    has_started = run.running_since_s is not None or run.may_have_started
+    return has_started or is_recovered(current, run)
 
 
 def is_recovered(current: state.SchedulerState, run: state.Run) -> bool:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -114,6 +114,8 @@
         baseline_at_s: When that progress was reported, or None for the start of the phase.
         worker_born_ms: Incarnation of the worker that it was placed on, or that has listed it, in
             milliseconds since 1970, or 0 if unknown.
+        may_have_started: Whether its worker was lost so soon after the order for the run that the
+            run may be the cause, although its start was not confirmed.
         has_survived: Whether its worker has listed it long enough after its start that it is not
             the cause of a later crash.
     """
@@ -134,6 +136,7 @@
     baseline_percent: int | None = 0
     baseline_at_s: float | None = None
     worker_born_ms: int = 0
+    may_have_started: bool = False
     has_survived: bool = False
 
 
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -242,6 +242,8 @@
             self._handle_replaced_worker(worker, address)
         elif isinstance(error, exceptions.OutcomeUnknownError | exceptions.UnavailableError):
             if worker is not None:
+                if is_first_lost:
+                    crashes.record_lost_report(worker, self._now_s())
                 # A worker that has just been lost must get no work until it reports again.
                 worker.unreachable_until_s = self._now_s() + runs.UNREACHABLE_S
         elif self._logged_errors.get(worker_id) != str(error):
