Give a fake worker that returns under another identifier the address of the crashed one

Its identifier, which was part of its address, has a character that addresses must not have, so its registration was rejected since registrations are checked.

--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -62,7 +62,7 @@
         crashed = self.fleet.workers[worker_id]
         new_id = f"{worker_id}+"
         self.fleet.replaced.add(worker_id)
-        self.fleet.add(new_id, crashed.rack, crashed.capacity)
+        self.fleet.add(new_id, crashed.rack, crashed.capacity).address = crashed.address
         self.unregister(worker_id)
         self.register(new_id)
 
