Forget counted crashes, and survive a trial report that cannot be applied

Cause: crashes with full weight were only removed when their weights were reduced, so their list grew for as long as a term lasted. An unexpected error in the additional report of a trial was not logged like that of a poll.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -136,16 +136,24 @@
 
 def _reduce_weights(current: state.SchedulerState, now_s: float) -> None:
     """Reduces the weights of the crashes that were counted before another reason was found."""
-    counted, current.counted_crashes = current.counted_crashes, []
+    counted, current.counted_crashes = _list_recent(current, now_s), []
     for crash in counted:
         job = current.jobs.get(crash.job_id)
         step = job.steps.get(crash.step_key) if job is not None else None
-        is_recent = now_s - crash.counted_at_s <= OTHER_CRASHES_WINDOW_S
-        if is_recent and step is not None and crash.index in step.crash_weights:
+        if step is not None and crash.index in step.crash_weights:
             step.crash_weights[crash.index] -= CRASH_WEIGHT - WEIGHT_AMONG_OTHERS
             job.dirty = True
 
 
+def _list_recent(current: state.SchedulerState, now_s: float) -> list[state.CountedCrash]:
+    """Returns the counted crashes whose weight may still be reduced."""
+    return [
+        crash
+        for crash in current.counted_crashes
+        if now_s - crash.counted_at_s <= OTHER_CRASHES_WINDOW_S
+    ]
+
+
 def list_given_up(step: state.StepState, now_s: float) -> list[int]:
     """Returns the tasks of a step that have crashed too many workers.
 
@@ -189,7 +197,7 @@
         weight = WEIGHT_AMONG_OTHERS
     else:
         counted = state.CountedCrash(now_s, run.task.job_id, step.key, index)
-        current.counted_crashes.append(counted)
+        current.counted_crashes = [*_list_recent(current, now_s), counted]
     step.crash_weights[index] = step.crash_weights.get(index, 0) + weight
     step.not_before_s = max(step.not_before_s, now_s + _compute_delay_s(step.crash_weights[index]))
     job.dirty = True
--- a/lycheegate/jobs/tests/test_crashes.py
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -146,6 +146,18 @@
     assert crashes.get_crash_weight(job.steps[0, 0], 0) == expected
 
 
+def test_counted_crashes_are_forgotten():
+    """Guards against a list of crashes that grows for as long as a term lasts."""
+    current = _make_state()
+    job = _add_job(current, "0" * 16)
+    for number in range(2):
+        _start(current, 20.0 * number)
+        (run,) = job.list_runs()
+        runs.record_start_confirmed(current, run, 20.0 * number)
+        runs.end_run(current, run, runs.End.CRASHED, "worker_replaced", 20.0 * number + 3.0)
+        assert len(current.counted_crashes) == 1
+
+
 def test_gang_counts_once_for_each_run():
     """Guards against a gang that is given up after one run whose members crash several workers."""
     current = _make_state(3)
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -221,10 +221,15 @@
         )
 
     def _handle_trial_report(self, outcome: result.Result) -> None:
-        # The polls handle errors.
-        if not self._hooks.is_stopped() and isinstance(outcome, result.Success):
-            self._hooks.execute(workers.apply_report(self._state, outcome.unwrap()))
-            self._hooks.request_pass(True)
+        # The polls handle lost reports.
+        if self._hooks.is_stopped() or not isinstance(outcome, result.Success):
+            return
+        report = outcome.unwrap()
+        try:
+            self._hooks.execute(workers.apply_report(self._state, report))
+        except Exception as error:
+            self._log.write("report_failed", worker=report.worker_id, error=str(error))
+        self._hooks.request_pass(True)
 
     def _resume_poll(self, worker_id: str) -> None:
         """Resumes polling a worker whose last report listed ends that were not stored yet."""
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -247,6 +247,22 @@
     assert len(term.client.reports) == 2
 
 
+def test_trial_report_that_cannot_be_applied_is_logged(monkeypatch):
+    """Guards against one report beside the polls that ends the event thread."""
+    term = _Term()
+    term.current.workers["w0"].trials.add(model.TaskKey("0" * 16, 0, 0, 0))
+
+    def fail(current, report):
+        raise TypeError("unexpected")
+
+    monkeypatch.setattr(workers, "apply_report", fail)
+    term.exchange._check_trial("w0")
+    report = workers.Report("w0", 1_000, 1, (), (), 1.0, 1.0)
+    (*_, callback) = term.client.reports[-1]
+    callback(result.Success(report))
+    assert term.requested_passes == [True]
+
+
 def test_first_polls_are_spread():
     """Guards against a new scheduler that loses its term while it polls thousands of workers.
 
