Keep the index of a gang's counts and the wait of a step in the step's state

The index under which the failures and crashes of a gang count stood three times, and the time that a step has waited three times; both are methods of StepState now. The exchange keeps the workers whose last poll failed as a set, because only the first failure matters. Behaviour stays the same; the tests of jobs and node pass.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -56,11 +56,7 @@
 
 def get_crash_weight(step: state.StepState, index: int) -> int:
     """Returns the weight of the crashes that count for a task; a gang has one."""
-    return step.crash_weights.get(_get_counted_index(step, index), 0)
-
-
-def _get_counted_index(step: state.StepState, index: int) -> int:
-    return 0 if step.step.gang else index
+    return step.crash_weights.get(step.get_counted_index(index), 0)
 
 
 def is_suspect(step: state.StepState, indices: list[int]) -> bool:
@@ -94,7 +90,7 @@
         return
     run.has_survived = True
     worker.trials.discard(run.task)
-    index = _get_counted_index(step, run.task.index)
+    index = step.get_counted_index(run.task.index)
     if index in step.crash_weights and now_s - run.running_since_s >= CLEARING_S:
         del step.crash_weights[index]
         job.dirty = True
@@ -188,7 +184,7 @@
     """
     if not _may_be_cause(current, run):
         return []
-    index = _get_counted_index(step, run.task.index)
+    index = step.get_counted_index(run.task.index)
     if run.number <= step.last_crashed_numbers.get(index, 0):
         return []
     step.last_crashed_numbers[index] = run.number
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -117,7 +117,7 @@
     route = state.get_route(context.current, unit.job)
     objective_s = ordering.compute_objective_s(unit.job, route)
     slack_s = objective_s - context.wall_s - ordering.compute_remaining_s(unit.job)
-    waited_s = context.now_s - (unit.step.ready_since_s or context.now_s)
+    waited_s = unit.step.compute_waited_s(context.now_s)
     wait_s = compute_wait_s(level, slack_s, waited_s)
     found = choose(wait_s)
     if found is None or not found.awaited or not found.victims:
@@ -250,15 +250,11 @@
     the jobs and none is stopped again and again.
     """
     return max(
-        run.number - 1 - step.failures.get(_get_failure_index(step, run), 0) for run in group
+        run.number - 1 - step.failures.get(step.get_counted_index(run.task.index), 0)
+        for run in group
     )
 
 
-def _get_failure_index(step: state.StepState, run: state.Run) -> int:
-    """Returns the index under which failures of a run are counted."""
-    return 0 if step.step.gang else run.task.index
-
-
 def _stop_victim(context: units.PassContext, key: tuple) -> list[commands.Command]:
     job_id, occurrence, number, index = key
     step = context.current.jobs[job_id].steps[occurrence, number]
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -235,7 +235,7 @@
     run: state.Run,
     now_s: float,
 ) -> list[commands.Command]:
-    index = 0 if step.step.gang else run.task.index
+    index = step.get_counted_index(run.task.index)
     if step.step.gang and run.number <= step.last_failed_number:
         return []
     step.last_failed_number = run.number
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -280,7 +280,7 @@
             step.near_rack,
             may_span=placement.exceeds_every_rack(len(unit.indices), step.need, candidates),
         )
-    waited_s = context.now_s - (unit.step.ready_since_s or context.now_s)
+    waited_s = unit.step.compute_waited_s(context.now_s)
     only_near = bool(step.near_rack) and waited_s < MAX_LOCALITY_WAIT_RATIO * step.estimate_s
     only_near = only_near and any(c.rack == step.near_rack for c in candidates)
     worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
@@ -314,7 +314,7 @@
         "run": numbers[0],
         "workers": sorted(set(chosen)),
         "level": unit.rank.level,
-        "waited_s": round(context.now_s - (step.ready_since_s or context.now_s), 3),
+        "waited_s": round(step.compute_waited_s(context.now_s), 3),
         "configuration": context.current.configuration.version
         if context.current.configuration
         else 0,
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -181,6 +181,14 @@
         """Whether all tasks have succeeded."""
         return len(self.done) >= self.step.count
 
+    def get_counted_index(self, index: int) -> int:
+        """Returns the task for which failures and crashes of a task count; 0 for a gang."""
+        return 0 if self.step.gang else index
+
+    def compute_waited_s(self, now_s: float) -> float:
+        """Returns for how long tasks have been ready to start, or 0 if none is."""
+        return 0.0 if self.ready_since_s is None else now_s - self.ready_since_s
+
     def list_unplaced(self) -> list[int]:
         """Returns the tasks that have neither succeeded nor a run that may exist on a worker."""
         if self.is_done:
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -88,7 +88,7 @@
         self._hooks = hooks
         self._polled: set[str] = set()
         self._awaiting_durable_ends: set[str] = set()
-        self._failed_polls: dict[str, int] = {}
+        self._failed_polls: set[str] = set()
         self._logged_errors: dict[str, str] = {}
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
 
@@ -132,7 +132,7 @@
         worker = self._state.workers.get(worker_id)
         if self._hooks.is_stopped() or worker is None:
             self._polled.discard(worker_id)
-            self._failed_polls.pop(worker_id, None)
+            self._failed_polls.discard(worker_id)
             self._logged_errors.pop(worker_id, None)
             return
         now_s = self._now_s()
@@ -184,7 +184,7 @@
             return
         if worker is not None:
             worker.reported_address = address
-        self._failed_polls.pop(worker_id, None)
+        self._failed_polls.discard(worker_id)
         self._logged_errors.pop(worker_id, None)
         was_confirmed = worker is not None and worker.confirmed
         report = outcome.unwrap()
@@ -239,8 +239,10 @@
 
     def _handle_report_error(self, worker_id: str, address: str, error: Exception) -> None:
         worker = self._state.workers.get(worker_id)
-        failures = self._failed_polls[worker_id] = self._failed_polls.get(worker_id, 0) + 1
-        is_first_lost = failures == 1 and isinstance(error, exceptions.OutcomeUnknownError)
+        is_first_lost = worker_id not in self._failed_polls and isinstance(
+            error, exceptions.OutcomeUnknownError
+        )
+        self._failed_polls.add(worker_id)
         if isinstance(error, exceptions.FencedError):
             self._end_fenced_term(worker_id)
         elif isinstance(error, worker_calls.WrongIncarnationError) and worker is not None:
