--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """One accepted job whose progress fits into no row stops the work of all jobs."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -10,13 +11,15 @@
 
 from standin import harness, worker  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption takes place; without it, the case must hold."""
 TASKS = 5000
 WORKERS = 24
 JOBS_WITHOUT_TROUBLE = 8
 """Jobs among which the same tasks are divided without the disruption."""
 ORDINARY_JOBS = 8
 PAUSE_S = 1.5
-SPAN_S = 3.0
+FINISH_S, SPAN_S = 14.0, 3.0
 
 
 async def play(case: harness.Case) -> str:
@@ -63,11 +66,12 @@
         while time.monotonic() < until_s:
             look()
             await asyncio.sleep(0.05)
-    until_s = time.monotonic() + SPAN_S + 1.0
+    until_s = time.monotonic() + FINISH_S + SPAN_S + 1.0
     while time.monotonic() < until_s:
         look()
         await asyncio.sleep(0.05)
-    late = {job_id: round(s, 2) for job_id, s in waited_s.items() if s > SPAN_S}
+    # Judged are the jobs that have nothing running from `finish_s` after the last one came.
+    late = {job_id: round(s, 2) for job_id, s in waited_s.items() if job_id not in begun}
     case.record(
         "checked",
         waited_too_long_s=late,
@@ -87,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run_case(str(FOLDER), play))
+    sys.exit(harness.run_case(str(FOLDER), play, HAS_TROUBLE))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A cancelled task runs on after its holder was lost while its worker was out of reach."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -10,6 +11,10 @@
 
 from standin import harness, web, worker  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption takes place; without it, the case must hold."""
+WORKERS = 6
+"""One of them is cut off, within the share of 0.17 of the site's entry of this kind."""
 CUT_S = 2.2
 """Length of the cut of the worker, below the 5.5 s of the site's entry of this kind."""
 CANCEL_AFTER_S = 0.2
@@ -24,8 +29,8 @@
     """Cancels a job whose worker is cut off, and ends the holder before the cut ends."""
     case.put_configuration(1)
     case.watch_renewals()
-    for name in ("i-0001", "i-0002"):
-        await case.add_worker(name).start()
+    for number in range(WORKERS):
+        await case.add_worker(f"i-000{number}").start()
     await case.start_vms(3)
     job_id = case.make_job_id()
     need = worker.Need(cpu=26000, mem_mb=38000, gpu=4)
@@ -76,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run_case(str(FOLDER), play))
+    sys.exit(harness.run_case(str(FOLDER), play, HAS_TROUBLE))
--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -150,6 +150,20 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
+    def slow_down(self, count: int) -> list[subprocess.Popen]:
+        """Keeps the process on one core that it shares with busy processes, which it returns.
+
+        These end by themselves after a minute.
+        """
+        core = max(os.sched_getaffinity(0))
+        for thread in os.listdir(f"/proc/{self._process.pid}/task"):
+            os.sched_setaffinity(int(thread), {core})
+        loop = (
+            f"import os, time; os.sched_setaffinity(0, {{{core}}}); end = time.time() + 60\n"
+            "while time.time() < end: pass"
+        )
+        return [subprocess.Popen([sys.executable, "-c", loop]) for _ in range(count)]
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -178,6 +192,7 @@
 
     Args:
         folder: Folder of the case, in which the record is written.
+        has_trouble: Whether the disruption takes place.
 
     Attributes:
         has_trouble: Whether the disruption takes place.
@@ -185,14 +200,16 @@
         vms: The VMs.
         workers: The workers, by identifier.
         needs: What the tasks of each job and step use.
+        helpers: Further processes, which end with the case.
     """
 
-    def __init__(self, folder: pathlib.Path):
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, folder: pathlib.Path, has_trouble: bool):
+        self.has_trouble = has_trouble
         self.store = stores.Store()
         self.vms: list[Vm] = []
         self.workers: dict[str, worker.Worker] = {}
         self.needs: dict[tuple[str, int], worker.Need] = {}
+        self.helpers: list[subprocess.Popen] = []
         self._began_at_s = time.monotonic()
         self._record_file = (folder / "record.txt").open("w", encoding="utf-8")
         self._temporary = tempfile.TemporaryDirectory(prefix="lycheegate-case-")
@@ -351,6 +368,9 @@
 
     async def close(self) -> None:
         """Ends all processes that the case started."""
+        for helper in self.helpers:
+            helper.kill()
+            helper.wait()
         for vm in self.vms:
             vm.send_signal(signal.SIGCONT)
             vm.send_signal(signal.SIGKILL)
@@ -389,16 +409,17 @@
     raise CaseError("no free ports")
 
 
-def run_case(folder: str, play: Callable[[Case], Awaitable[str]]) -> int:
+def run_case(folder: str, play: Callable[[Case], Awaitable[str]], has_trouble: bool) -> int:
     """Runs a case and returns its exit status: 0 if the rule held, 1 if broken, 2 if not run.
 
     Args:
         folder: Folder of the case.
         play: Plays it; returns how the rule was broken, or an empty string if it held.
+        has_trouble: Whether the disruption takes place.
     """
 
     async def run() -> int:
-        case = Case(pathlib.Path(folder))
+        case = Case(pathlib.Path(folder), has_trouble)
         status = NOT_RUN
         try:
             async with asyncio.timeout(LIMIT_S):
