Log each order to stop a run, and the recorded runs of a term

Cause: the log of a holder does not tell which runs it orders to stop, nor which runs it has taken over from records. After a change of holders, a task of a cancelled job that runs on may be one that the new holder does not know, one that it never orders to stop, or one whose stop order the worker does not follow; the log is the same for all three.

Change: runs.stop_run logs `stop_ordered` with the job, task, worker, run and reason, and `term_loaded` has the number of recorded runs of open jobs (`runs`) and of ended ones (`runs_of_ended_jobs`).

--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -192,15 +192,19 @@
     return result
 
 
-def _make_end_fields(run: state.Run, end: End, reason: str, now_s: float) -> dict[str, Any]:
-    """Returns the log fields of the end of a run, with its loss unless it has succeeded."""
-    fields: dict[str, Any] = {
+def _make_run_fields(run: state.Run) -> dict[str, Any]:
+    """Returns the log fields that name a run."""
+    return {
         "job": run.task.job_id,
         "task": f"{run.task.occurrence}.{run.task.step}.{run.task.index}",
         "worker": run.worker_id,
         "run": run.number,
-        "end": reason,
     }
+
+
+def _make_end_fields(run: state.Run, end: End, reason: str, now_s: float) -> dict[str, Any]:
+    """Returns the log fields of the end of a run, with its loss unless it has succeeded."""
+    fields: dict[str, Any] = {**_make_run_fields(run), "end": reason}
     if end is End.DONE:
         return fields
     if run.stop_reason is not None:
@@ -307,7 +311,11 @@
     run.stop_reason = reason
     run.confirmed_at_s = None
     run.stop_sent_at_s = now_s
-    return [commands.StopRun(run.worker_id, run.task, run.number)]
+    fields = {**_make_run_fields(run), "reason": reason.value}
+    return [
+        commands.Decision("stop_ordered", fields),
+        commands.StopRun(run.worker_id, run.task, run.number),
+    ]
 
 
 def stop_step(
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -228,9 +228,7 @@
         for job_id in loaded.cancelled:
             self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
         self._loaded = True
-        self._runtime.log.write(
-            "term_loaded", epoch=self.epoch, jobs=len(loaded.jobs), open=recovered
-        )
+        self._log_loaded_term(len(loaded.jobs), recovered)
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
         orphans = loaded.list_orphans()[: deletion.MAX_DELETED_ROWS]
@@ -238,6 +236,20 @@
             self._deleter.delete_progress(orphans)
         self._request_pass()
 
+    def _log_loaded_term(self, jobs: int, open_jobs: int) -> None:
+        """Logs the jobs that the term begins with, and the runs that may exist on workers."""
+        runs_by_openness = {True: 0, False: 0}
+        for job in self._state.jobs.values():
+            runs_by_openness[job.is_open] += len(job.list_runs())
+        self._runtime.log.write(
+            "term_loaded",
+            epoch=self.epoch,
+            jobs=jobs,
+            open=open_jobs,
+            runs=runs_by_openness[True],
+            runs_of_ended_jobs=runs_by_openness[False],
+        )
+
     def _restore_progress(
         self, job: state.JobState, record: storage.Row | None, now_s: float
     ) -> bool:
