Stop the runs of ended jobs that a new holder finds on workers

Cause: a progress record names the runs that may exist, but not which of them are being stopped. The next holder restored the runs of an ended job as ordered, took them as running once they were listed, and renewed their leases; cancel_job does nothing for a job that has ended, and an order to stop is repeated only by the holder that has sent it. The same holds for jobs that failed or were given up, for tasks that succeeded in an earlier run, and for a holder that releases its term.

Change: runs.find_stop_reason says why no run of a task may go on, and each run that a worker lists is checked against it. This does not depend on how the holder came to own the run, nor on the format of the record.

--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -10,6 +10,7 @@
     "add_run",
     "end_run",
     "find_step",
+    "find_stop_reason",
     "give_up_tasks",
     "exceeds_capacity",
     "handle_refused_start",
@@ -297,6 +298,23 @@
     ]
 
 
+def find_stop_reason(
+    job: state.JobState, step: state.StepState, task: model.TaskKey
+) -> state.StopReason | None:
+    """Returns why no run of a task may go on, or None if one may.
+
+    A stop order may be lost together with the holder that would repeat it. Records do not tell
+    which runs are being stopped, so the next holder concludes it from the job and the task.
+    """
+    if job.cancelled or job.outcome is model.Outcome.CANCELLED:
+        return state.StopReason.CANCELLED
+    if job.outcome is model.Outcome.FAILED:
+        return state.StopReason.JOB_FAILED
+    if job.outcome is model.Outcome.SUCCEEDED or task.index in step.done:
+        return state.StopReason.SUPERSEDED
+    return None
+
+
 def stop_run(
     current: state.SchedulerState, run: state.Run, reason: state.StopReason, now_s: float
 ) -> list[commands.Command]:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -402,7 +402,7 @@
         present.add((listed.task, listed.number))
         run = worker.runs.get(listed.task)
         if run is not None and run.number == listed.number:
-            _update_run(current, worker, run, listed, now_s)
+            result += _update_run(current, worker, run, listed, now_s)
         else:
             result += _handle_stray(current, worker, listed)
     if worker.unknown_runs and not unknown_runs:
@@ -419,12 +419,10 @@
     run: state.Run,
     listed: ListedRun,
     now_s: float,
-) -> None:
+) -> list[commands.Command]:
+    """Updates a run from its entry in a report; returns a stop order if it must not go on."""
     if run.phase is state.RunPhase.ORDERED:
         runs.record_start_confirmed(current, run, now_s)
-    step = runs.find_step(current, run.task)
-    if step is not None:
-        crashes.record_report(current.jobs[run.task.job_id], step, run, worker, now_s)
     if listed.percent != run.percent:
         run.percent = listed.percent
         run.advanced_at_s = now_s
@@ -432,6 +430,13 @@
         run.baseline_percent, run.baseline_at_s = run.percent, now_s
     if listed.checkpoint:
         run.checkpoint = listed.checkpoint
+    step = runs.find_step(current, run.task)
+    if step is None:
+        return []
+    job = current.jobs[run.task.job_id]
+    crashes.record_report(job, step, run, worker, now_s)
+    reason = runs.find_stop_reason(job, step, run.task)
+    return runs.stop_run(current, run, reason, now_s) if reason is not None else []
 
 
 def _handle_stray(
