Hold back a record that the store rejects, and no other

Cause: the heartbeat of the term and the progress of up to 40 jobs are in one transaction. Its rejection was handled like a lost answer, so the same transaction was sent again every 0.15 s. The ends of all other jobs were not acknowledged either, since an end counted as stored only when no progress at all waited to be written.

Change: a rejection (4xx other than 410, 412 and 429) is an error of its own, also through a peer. After one, the heartbeat is written alone and the jobs in halves, until the rejected record is alone; it is held back for 1 s, and twice as long after each further rejection, and `record_rejected` is logged. An end that is not stored holds back only the later ends of its own worker, which is tracked by job.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -73,7 +73,7 @@
 def run_pass(scheduler_state: state.SchedulerState, now_s: float) -> None:
     """Runs a scheduling pass and completes its writes immediately."""
     scheduling.schedule(scheduler_state, now_s, now_s)
-    while (batch := writes.collect_batch(scheduler_state)) is not None:
+    while (batch := writes.collect_batch(scheduler_state, now_s)) is not None:
         writes.complete_batch(scheduler_state, batch, 2, now_s)
 
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "CountedCrash",
+    "EndSource",
     "JobState",
     "JobStatus",
     "Policy",
@@ -29,6 +30,8 @@
 
 StepKey = tuple[int, int]
 """Occurrence and step number within a job."""
+EndSource = tuple[str, int]
+"""Worker that numbers ends of runs, and its incarnation in milliseconds since 1970."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,6 +230,10 @@
         dirty: Whether its progress has changed since it was last written.
         ended_at_s: When it ended, or when this scheduler loaded it as ended, on the scheduler's
             clock.
+        unstored_ends: First end of a run whose effect is not stored yet, by worker and its
+            incarnation.
+        write_not_before_s: Time before which its progress is not written, on the scheduler's clock.
+        rejections: Number of times in a row that the store rejected its progress.
     """
 
     job: model.Job
@@ -241,6 +248,9 @@
     next_occurrence: int = 0
     dirty: bool = False
     ended_at_s: float | None = None
+    unstored_ends: dict[EndSource, int] = dataclasses.field(default_factory=dict)
+    write_not_before_s: float = 0.0
+    rejections: int = 0
 
     @property
     def is_open(self) -> bool:
--- a/lycheegate/jobs/tests/test_crashes.py
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -51,7 +51,7 @@
         worker.reported_at_s = now_s
     current.schedule_due = True
     scheduling.schedule(current, now_s, now_s)
-    writes.complete_batch(current, writes.collect_batch(current), 2, now_s)
+    writes.complete_batch(current, writes.collect_batch(current, now_s), 2, now_s)
 
 
 def _report(current: state.SchedulerState, born_ms: int, now_s: float, *listed: state.Run) -> list:
--- a/lycheegate/jobs/tests/test_estimates.py
+++ b/lycheegate/jobs/tests/test_estimates.py
@@ -21,7 +21,7 @@
     job.steps[0, 0].checkpoints[0] = checkpoint
     current.workers["w0"].reported_at_s = 1.0
     scheduling.schedule(current, 1.0, 1.0)
-    writes.complete_batch(current, writes.collect_batch(current), 2, 1.0)
+    writes.complete_batch(current, writes.collect_batch(current, 1.0), 2, 1.0)
     (run,) = job.list_runs()
     runs.record_start_confirmed(current, run, 1.0)
     return current, run
--- a/lycheegate/jobs/tests/test_run_ends.py
+++ b/lycheegate/jobs/tests/test_run_ends.py
@@ -19,7 +19,7 @@
     job = state.JobState(model.Job("0" * 16, "batch", "acme", "x", (step,), 0.0), _ROUTE)
     lifecycle.add_job(current, job, 0.0, 0.0)
     scheduling.schedule(current, 1.0, 1.0)
-    writes.complete_batch(current, writes.collect_batch(current), 2, 1.0)
+    writes.complete_batch(current, writes.collect_batch(current, 1.0), 2, 1.0)
     (run,) = job.list_runs()
     runs.record_start_confirmed(current, run, 2.0)
     return current, run
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -351,17 +351,25 @@
         if ended.end_number <= worker.processed_end:
             continue
         worker.processed_end = ended.end_number
-        if ended.task is None:
-            continue
-        run = worker.runs.get(ended.task)
-        if run is not None and run.number == ended.number:
-            run.checkpoint = ended.checkpoint or run.checkpoint
-            result += runs.end_run(current, run, ended.end, ended.reason, now_s)
-            continue
-        result += _apply_superseded_end(current, worker, ended, now_s)
+        if ended.task is not None:
+            result += _apply_end(current, worker, ended, now_s)
+            job = current.jobs.get(ended.task.job_id)
+            if job is not None and job.dirty:
+                source = (worker.worker_id, worker.born_ms)
+                job.unstored_ends.setdefault(source, ended.end_number)
     return result
 
 
+def _apply_end(
+    current: state.SchedulerState, worker: state.WorkerState, ended: EndedRun, now_s: float
+) -> list[commands.Command]:
+    run = worker.runs.get(ended.task)
+    if run is None or run.number != ended.number:
+        return _apply_superseded_end(current, worker, ended, now_s)
+    run.checkpoint = ended.checkpoint or run.checkpoint
+    return runs.end_run(current, run, ended.end, ended.reason, now_s)
+
+
 def _apply_superseded_end(
     current: state.SchedulerState, worker: state.WorkerState, ended: EndedRun, now_s: float
 ) -> list[commands.Command]:
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -3,17 +3,55 @@
 A run is ordered only after its intention is durable, and the end of a run is acknowledged to its
 worker only after the effect of the end is durable. Each write has the condition that the record
 still has the version that was last seen, so a delayed write cannot replace a newer record.
+
+Handles records that the store rejects. The jobs of a rejected batch are written in smaller ones
+until the record that is rejected is found; it is then held back, and no other job waits for it.
 """
 
 import dataclasses
 
 from lycheegate.jobs import commands, model, progress, state
 
-__all__ = ["Batch", "ProgressWrite", "collect_batch", "complete_batch", "requeue_batch"]
+__all__ = [
+    "Batch",
+    "BatchSize",
+    "ProgressWrite",
+    "collect_batch",
+    "complete_batch",
+    "reject_batch",
+    "requeue_batch",
+]
 
 MAX_JOBS = 40
 """Maximum number of jobs in one transaction; each takes a condition and a write out of the 100
 entries that a transaction may have."""
+BASE_REJECTION_DELAY_S = 1.0
+"""Delay before a rejected record is written again; doubles with each further rejection."""
+MAX_REJECTION_DELAY_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class BatchSize:
+    """Number of jobs that the next batch may hold.
+
+    Attributes:
+        max_jobs: The number; below ``MAX_JOBS`` while a rejected record is searched for.
+    """
+
+    max_jobs: int = MAX_JOBS
+
+    @property
+    def is_searching(self) -> bool:
+        """Whether a rejected record is searched for, so that the heartbeat is written alone."""
+        return self.max_jobs < MAX_JOBS
+
+    def record_rejected(self, jobs: int) -> None:
+        """Records that a batch of a number of jobs was rejected."""
+        self.max_jobs = max(1, jobs // 2)
+
+    def record_written(self) -> None:
+        """Records that a batch was written."""
+        self.max_jobs = min(MAX_JOBS, 2 * self.max_jobs)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +64,8 @@
         data: The encoded record.
         status: Status that callers see once the record is written.
         intended: Runs (task and number) that may be ordered once the record is written.
+        ends: First end of a run whose effect is stored with the record, by worker and its
+            incarnation.
     """
 
     job_id: str
@@ -33,6 +73,7 @@
     data: bytes
     status: state.JobStatus
     intended: tuple[tuple[model.TaskKey, int], ...]
+    ends: dict[state.EndSource, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,11 +82,9 @@
 
     Attributes:
         writes: The records.
-        ends: By worker, the number of its last end of a run whose effect the records include.
     """
 
     writes: tuple[ProgressWrite, ...]
-    ends: dict[str, int]
 
     @property
     def has_intentions(self) -> bool:
@@ -53,19 +92,21 @@
         return any(write.intended for write in self.writes)
 
 
-def collect_batch(current: state.SchedulerState) -> Batch | None:
-    """Returns the batch to write now, or None; the caller writes only one batch at a time."""
-    dirty = [job for job in current.jobs.values() if job.dirty]
-    if not dirty:
-        _advance_durable_ends(
-            current, {w.worker_id: w.processed_end for w in current.workers.values()}
-        )
+def collect_batch(
+    current: state.SchedulerState, now_s: float, max_jobs: int = MAX_JOBS
+) -> Batch | None:
+    """Returns the batch to write now, or None; the caller writes only one batch at a time.
+
+    Args:
+        current: State of the scheduler.
+        now_s: Time on the scheduler's clock.
+        max_jobs: Maximum number of jobs in the batch.
+    """
+    due = [job for job in current.jobs.values() if job.dirty and now_s >= job.write_not_before_s]
+    if not due:
+        _advance_durable_ends(current)
         return None
-    writes = tuple(_make_write(job) for job in dirty[:MAX_JOBS])
-    ends: dict[str, int] = {}
-    if len(dirty) <= MAX_JOBS:
-        ends = {worker.worker_id: worker.processed_end for worker in current.workers.values()}
-    return Batch(writes, ends)
+    return Batch(tuple(_make_write(job) for job in due[:max_jobs]))
 
 
 def _make_write(job: state.JobState) -> ProgressWrite:
@@ -75,7 +116,8 @@
         (run.task, run.number) for run in job.list_runs() if run.phase is state.RunPhase.INTENDED
     )
     data, status = progress.encode_progress(job), progress.make_status(job)
-    return ProgressWrite(job.job.job_id, job.version, data, status, intended)
+    ends, job.unstored_ends = job.unstored_ends, {}
+    return ProgressWrite(job.job.job_id, job.version, data, status, intended, ends)
 
 
 def complete_batch(
@@ -96,11 +138,12 @@
             continue
         job.version = version
         job.stored_status = write.status
+        job.rejections = 0
         intended = set(write.intended)
         for run in job.list_runs():
             if run.phase is state.RunPhase.INTENDED and (run.task, run.number) in intended:
                 result.append(_order_start(job, run, now_s))
-    _advance_durable_ends(current, batch.ends)
+    _advance_durable_ends(current)
     return result
 
 
@@ -115,13 +158,19 @@
     return commands.StartRun(run.worker_id, run.task, run.number, job.job.spec, checkpoint)
 
 
-def _advance_durable_ends(current: state.SchedulerState, ends: dict[str, int]) -> None:
-    for worker_id, end_number in ends.items():
-        worker = current.workers.get(worker_id)
-        # The numbering of ends starts again when a worker restarts, so a batch from before the
-        # restart may have a higher number.
-        if worker is not None and end_number <= worker.processed_end:
-            worker.durable_end = max(worker.durable_end, end_number)
+def _advance_durable_ends(current: state.SchedulerState) -> None:
+    """Computes up to which end the effects of a worker's ends are stored; nothing is being written.
+
+    An end whose effect is not stored holds back only those of its own worker.
+    """
+    first_unstored: dict[state.EndSource, int] = {}
+    for job in current.jobs.values():
+        for source, end_number in job.unstored_ends.items():
+            first_unstored[source] = min(end_number, first_unstored.get(source, end_number))
+    for worker in current.workers.values():
+        first = first_unstored.get((worker.worker_id, worker.born_ms))
+        stored = worker.processed_end if first is None else first - 1
+        worker.durable_end = max(worker.durable_end, stored)
 
 
 def requeue_batch(current: state.SchedulerState, batch: Batch, versions: dict[str, int]) -> None:
@@ -141,3 +190,33 @@
         if job is not None:
             job.version = versions.get(write.job_id, job.version)
             job.dirty = True
+            # The ends of the batch are older than those that were processed since.
+            job.unstored_ends |= write.ends
+
+
+def reject_batch(
+    current: state.SchedulerState, batch: Batch, reason: str, now_s: float
+) -> list[commands.Command]:
+    """Handles a batch that the store rejects, and would reject again.
+
+    A record that was alone in its batch is held back for a while. Its job starts nothing more, and
+    the ends of its runs are not acknowledged, until it can be stored.
+
+    Args:
+        current: State of the scheduler.
+        batch: The batch.
+        reason: The store's answer, for the log.
+        now_s: Time on the scheduler's clock.
+    """
+    requeue_batch(current, batch, {})
+    result: list[commands.Command] = []
+    for write in batch.writes if len(batch.writes) == 1 else ():
+        job = current.jobs.get(write.job_id)
+        if job is None:
+            continue
+        delay_s = min(MAX_REJECTION_DELAY_S, BASE_REJECTION_DELAY_S * 2.0 ** min(job.rejections, 8))
+        job.rejections += 1
+        job.write_not_before_s = now_s + delay_s
+        fields = {"job": write.job_id, "bytes": len(write.data), "error": reason}
+        result.append(commands.Decision("record_rejected", {**fields, "retry_in_s": delay_s}))
+    return result
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -456,6 +456,8 @@
         return cbor2.dumps(["history_lost", str(error)])
     if isinstance(error, exceptions.UnavailableError):
         return cbor2.dumps(["unavailable", str(error)])
+    if isinstance(error, storage.RejectedError):
+        return cbor2.dumps(["rejected", str(error)])
     return cbor2.dumps(["unknown", str(error)])
 
 
@@ -478,6 +480,8 @@
         return result.Failure(storage.HistoryLostError(fields[0]))
     if kind == "unavailable":
         return result.Failure(exceptions.UnavailableError(fields[0]))
+    if kind == "rejected":
+        return result.Failure(storage.RejectedError(fields[0]))
     return result.Failure(exceptions.OutcomeUnknownError(f"peer reported {kind!r}: {fields}"))
 
 
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -111,6 +111,7 @@
         self._stopped = False
         self._loaded = False
         self._writing = False
+        self._batch_size = writes.BatchSize()
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
         self._passed_at_s = 0.0
@@ -400,12 +401,15 @@
         now_s = self._runtime.now_s()
         if self._writing or self._stopped or now_s < self._write_not_before_s:
             return
-        batch = writes.collect_batch(self._state) if self._loaded else None
+        renew = now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
+        batch = None
+        if self._loaded and not (renew and self._batch_size.is_searching):
+            batch = writes.collect_batch(self._state, now_s, self._batch_size.max_jobs)
         # Orders are sent after the write of their intentions, so the write that releases the term
         # must hold none. It may hold ends of runs; the next holder reads from the workers those
         # that are not stored.
         release = self._releasing and (batch is None or not batch.has_intentions)
-        renew = release or now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
+        renew = renew or release
         if batch is None and not renew:
             return
         self._writing = True
@@ -471,6 +475,7 @@
                 self.stop("released")
                 return
             if batch is not None:
+                self._batch_size.record_written()
                 self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
             self._write()
             return
@@ -480,6 +485,9 @@
         if isinstance(error, storage.ConflictError):
             self._handle_conflict(batch, error)
             return
+        if isinstance(error, storage.RejectedError) and batch is not None:
+            self._handle_rejection(batch, error)
+            return
         if batch is not None:
             writes.requeue_batch(self._state, batch, {})
         # Makes the next write include the heartbeat.
@@ -500,6 +508,14 @@
             return
         self._execute(orders)
 
+    def _handle_rejection(self, batch: writes.Batch, error: storage.RejectedError) -> None:
+        """Writes the heartbeat alone, then the jobs in smaller batches."""
+        self._batch_size.record_rejected(len(batch.writes))
+        now_s = self._runtime.now_s()
+        self._execute(writes.reject_batch(self._state, batch, str(error), now_s))
+        self._renewal_sent_at_s = 0.0
+        self._write()
+
     def _handle_conflict(self, batch: writes.Batch | None, error: storage.ConflictError) -> None:
         versions = {row.key: row.version for row in error.rows}
         if versions.get(tables.HOLDER) != self._holder_version:
--- a/lycheegate/node/storage.py
+++ b/lycheegate/node/storage.py
@@ -15,6 +15,7 @@
     "ConflictError",
     "HistoryLostError",
     "Page",
+    "RejectedError",
     "Row",
     "RowKey",
     "Store",
@@ -127,13 +128,17 @@
         return f"transaction conditions not met; current rows: {found or 'none'}"
 
 
+class RejectedError(exceptions.ProtocolError):
+    """The store rejected a call as invalid; it would reject the same call again."""
+
+
 class HistoryLostError(exceptions.LycheegateError):
     """The changes after the given version are no longer available; the rows must be read again."""
 
 
 StoreResult = result.Result
 """Success, or a failure with one of ``ConflictError``, ``HistoryLostError``, ``UnavailableError``
-(the call had no effect), ``OutcomeUnknownError`` and ``ProtocolError``."""
+(the call had no effect), ``OutcomeUnknownError``, ``RejectedError`` and ``ProtocolError``."""
 
 
 class Store(Protocol):
--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -1,9 +1,10 @@
-"""Deterministic fake of the store, on one event loop with a fake clock.
+"""Deterministic fake of the store, on one event loop with a fake clock, with the store's limits.
 
 Simulates lost answers, calls that take effect late, VMs that the store refuses, slow transactions,
 and change feeds that lost their history or stay silent. Random faults use a seeded generator.
 """
 
+import base64
 import dataclasses
 import heapq
 import itertools
@@ -16,6 +17,9 @@
 from lycheegate.utils import exceptions
 
 MAX_PART_QUEUE_S = 1.0
+MAX_ROW_BYTES = 65_536
+MAX_CALL_BYTES = 1_000_000
+MAX_CALL_ENTRIES = 100
 STORE_DELAY_S = 0.004
 
 
@@ -67,6 +71,10 @@
         self.rows: dict[storage.RowKey, storage.Row] = {}
         self.changes: list[storage.Row] = []
         self.version = 1
+        self.rejections: list[str] = []
+        """Reasons for which transactions were rejected."""
+        self.rejected_keys: set[storage.RowKey] = set()
+        """Rows that the store does not accept."""
         self._busy_until_s: dict[str, float] = {}
 
     def connect(self, vm: str) -> "FakeStoreClient":
@@ -83,6 +91,10 @@
             if (row.version if row else storage.ABSENT) != condition.version:
                 found = [self.rows.get(item.key) for item in transaction.conditions]
                 return result.Failure(storage.ConflictError(tuple(r for r in found if r)))
+        rejection = self._check_limits(transaction)
+        if rejection:
+            self.rejections.append(rejection)
+            return result.Failure(storage.RejectedError(rejection))
         self.version += 1
         for write in transaction.writes:
             row = storage.Row(write.key, write.value, self.version)
@@ -93,6 +105,17 @@
                 self.changes.append(storage.Row(key, b"", self.version, True))
         return result.Success(self.version)
 
+    def _check_limits(self, transaction: storage.Transaction) -> str:
+        """Returns why the store rejects a transaction, or an empty string."""
+        entries = [*transaction.conditions, *transaction.writes, *transaction.deletes]
+        if len(entries) > MAX_CALL_ENTRIES:
+            return f"{len(entries)} entries"
+        for write in transaction.writes:
+            if len(write.value) > MAX_ROW_BYTES or write.key in self.rejected_keys:
+                return f"row {write.key.key} of {len(write.value)} bytes"
+        size = sum(len(base64.b64encode(write.value)) for write in transaction.writes)
+        return f"call of {size} bytes" if size > MAX_CALL_BYTES else ""
+
     def enqueue(self, transaction: storage.Transaction) -> float | None:
         """Queues a transaction; returns when it will be applied, or None if its part refuses it."""
         key = (transaction.conditions or transaction.writes)[0].key
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -75,7 +75,9 @@
         job = state.JobState(model.Job("0" * 16, "batch", "acme", "x", (step,), 0.0), _ROUTE)
         lifecycle.add_job(self.current, job, 0.0, 0.0)
         scheduling.schedule(self.current, 1.0, 1.0)
-        (order,) = writes.complete_batch(self.current, writes.collect_batch(self.current), 2, 1.0)
+        (order,) = writes.complete_batch(
+            self.current, writes.collect_batch(self.current, 1.0), 2, 1.0
+        )
         return order
 
     def run_later(self) -> None:
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -176,6 +176,10 @@
         return result.Failure(
             storage.HistoryLostError("status 410: store has discarded the requested changes")
         )
+    if 400 <= response.status < 500 and response.status != 412:
+        return result.Failure(
+            storage.RejectedError(f"store rejected the call with status {response.status}")
+        )
     if response.status not in (200, 412):
         return result.Failure(
             exceptions.ProtocolError(f"store responded with unexpected status {response.status}")
--- a/lycheegate/platform/tests/test_odd_answers.py
+++ b/lycheegate/platform/tests/test_odd_answers.py
@@ -199,7 +199,7 @@
     job = model.Job("0" * 16, "q", "t", "x", (model.Step(1, need, 1.0),), 0.0)
     lifecycle.add_job(current, state.JobState(job, route), 0.0, 0.0)
     scheduling.schedule(current, 1.0, 1.0)
-    writes.complete_batch(current, writes.collect_batch(current), 2, 1.0)
+    writes.complete_batch(current, writes.collect_batch(current, 1.0), 2, 1.0)
     document = {"clock-ms": clock_ms, "born": born, "running": running, "ended": ended}
     outcome = _get_report(200, json.dumps(document).encode())
     if not isinstance(outcome, result.Success):
@@ -214,7 +214,7 @@
         leases.record_deadline(current, worker, deadline_ms)
         msgspec.json.encode([deadline_ms, worker.durable_end, worker.processed_end])
         leases.check_leases(current, now_s)
-    writes.collect_batch(current)
+    writes.collect_batch(current, 1.0)
 
 
 def _make_row(key="k1", **fields):
