Store the progress of jobs that are too large for a row

Cause: a progress record names the number, worker and incarnation of each run. It grows by some 30 bytes for each running task, to 159 KB for 5,000, and a row of the store holds 64 KB. A batch of 40 records that fit could be 3.5 MB, where a call holds 1 MB.

Change: a record that is larger than a row has a compact form of its steps: differences of task numbers, a table of workers, compressed. If that is too large as well, it is divided into pages, which are written in the same transaction as the record and read by the next holder. Checkpoints are left out before the pages exceed a call; runs never are. A batch has at most 250 KB; a larger record is written by itself and without the heartbeat, and compact records are rewritten at a limited rate. The size of a row is taken from platform.row-bytes. Records that fit into a row keep their form.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -9,6 +9,7 @@
 
 from lycheegate.jobs import leases, lifecycle, model, progress, scheduling, state, workers, writes
 
+LIMITS = progress.RecordLimits(49_152, 600_000)
 SIZES = (24, 176, 930)
 TASKS_PER_WORKER = 10
 GANG = 64
@@ -117,7 +118,7 @@
         (
             job.job.job_id,
             progress.encode_accepted(progress.AcceptedJob(job.job, job.route)),
-            progress.encode_progress(job),
+            progress.encode_progress(job, LIMITS).data,
         )
         for job in previous.jobs.values()
     ]
@@ -151,7 +152,7 @@
         )
         first_job = next(iter(scheduler_state.jobs.values()))
         figures["progress_write_ms"] = measure_median_ms(
-            lambda job=first_job: progress.encode_progress(job)
+            lambda job=first_job: progress.encode_progress(job, LIMITS).data
         )
         figures["urgent_gang_ms"] = measure_median_ms(
             make_gang_placer(scheduler_state, min(GANG, size // 2)), 3
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -33,9 +33,7 @@
     if job is None or job.cancelled or job.outcome is not None:
         return []
     job.cancelled = True
-    job.outcome = model.Outcome.CANCELLED
-    job.ended_at_s = now_s
-    job.dirty = True
+    job.end(model.Outcome.CANCELLED, now_s)
     current.schedule_due = True
     return [
         commands.Decision("job_cancelled", {"job": job_id}),
@@ -56,9 +54,7 @@
         if _open_due_occurrences(job, wall_s):
             current.schedule_due = True
         if job.next_occurrence >= job.job.occurrences and _is_done(job):
-            job.outcome = model.Outcome.SUCCEEDED
-            job.ended_at_s = now_s
-            job.dirty = True
+            job.end(model.Outcome.SUCCEEDED, now_s)
             fields = {"job": job.job.job_id, "account": job.job.account, "route": job.job.route}
             fields["after_s"] = round(wall_s - job.job.accepted_at_s, 3)
             result.append(commands.Decision("job_succeeded", fields))
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -3,18 +3,23 @@
 A record is a list in CBOR whose first item is the number of the format. A progress record lists
 every run that may exist on a worker. It is written before the first order for a run is sent, so
 the scheduler of the next term knows which tasks may run where.
+
+A progress record that is too large for a row has the compact form of its steps. If that is too
+large as well, it is divided into pages, which are written together with the record.
 """
 
 import dataclasses
 
 import cbor2
 
-from lycheegate.jobs import model, state, validation
+from lycheegate.jobs import compact, model, state, validation
 from lycheegate.utils import exceptions
 
 __all__ = [
     "AcceptedJob",
     "JobStatus",
+    "ProgressRecord",
+    "RecordLimits",
     "decode_accepted",
     "decode_progress",
     "decode_status",
@@ -24,6 +29,10 @@
 ]
 
 FORMAT = 1
+COMPACT_FORMAT = 2
+"""Format of a progress record whose steps are compact: as bytes, or as the number of pages."""
+HEADER_BYTES = 64
+"""Upper limit of the size of a compact record without its steps."""
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     TypeError,
@@ -98,34 +107,80 @@
         ) from error
 
 
-def encode_progress(job: state.JobState) -> bytes:
-    """Returns the record of a job's progress."""
-    steps = [] if job.outcome is not None and not job.list_runs() else list(job.steps.values())
-    return cbor2.dumps(
-        [
-            FORMAT,
-            job.outcome.value if job.outcome else "",
-            job.started,
-            job.next_occurrence,
-            [_encode_step_state(step) for step in steps],
-        ]
-    )
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordLimits:
+    """Limits of the size of a progress record, in bytes.
+
+    Attributes:
+        row_bytes: Maximum size of the record, and of each of its pages.
+        total_bytes: Maximum size of all pages.
+    """
+
+    row_bytes: int
+    total_bytes: int
 
 
-def decode_progress(job: state.JobState, data: bytes, now_s: float) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgressRecord:
+    """The record of a job's progress.
+
+    Attributes:
+        data: The record.
+        plain_bytes: Size of the record in the plain form.
+        pages: Pages of the steps, if these do not fit into the record.
+        is_compact: Whether its steps have the compact form.
+        omits_checkpoints: Whether checkpoints were left out because the pages were too large.
+    """
+
+    data: bytes
+    plain_bytes: int
+    pages: tuple[bytes, ...] = ()
+    is_compact: bool = False
+    omits_checkpoints: bool = False
+
+
+def encode_progress(job: state.JobState, limits: RecordLimits) -> ProgressRecord:
+    """Returns the record of a job's progress, in the plain form if that fits into a row."""
+    steps = [] if job.outcome is not None and not job.list_runs() else list(job.steps.values())
+    items = [_encode_step_state(step) for step in steps]
+    header = [job.outcome.value if job.outcome else "", job.started, job.next_occurrence]
+    data = cbor2.dumps([FORMAT, *header, items])
+    plain_bytes = len(data)
+    if plain_bytes <= limits.row_bytes:
+        return ProgressRecord(data, plain_bytes)
+    packed = compact.pack_steps(items)
+    omits_checkpoints = len(packed) > limits.total_bytes
+    if omits_checkpoints:
+        packed = compact.pack_steps(items, keep_checkpoints=False)
+    if len(packed) + HEADER_BYTES <= limits.row_bytes:
+        data = cbor2.dumps([COMPACT_FORMAT, *header, packed])
+        return ProgressRecord(data, plain_bytes, (), True, omits_checkpoints)
+    size = limits.row_bytes
+    pages = tuple(packed[first : first + size] for first in range(0, len(packed), size))
+    data = cbor2.dumps([COMPACT_FORMAT, *header, len(pages)])
+    return ProgressRecord(data, plain_bytes, pages, True, omits_checkpoints)
+
+
+def decode_progress(
+    job: state.JobState, data: bytes, now_s: float, pages: tuple[bytes, ...] = ()
+) -> None:
     """Restores a job's progress from a record; its runs become ordered but not confirmed.
 
     Args:
         job: State of the job, which is changed.
         data: The record.
         now_s: Time on the scheduler's clock.
+        pages: The pages of the record.
 
     Raises:
         ProtocolError: The record cannot be decoded.
     """
     try:
         format_, outcome, started, next_occurrence, steps = cbor2.loads(data)
-        _check_format(format_)
+        if format_ == COMPACT_FORMAT:
+            steps = _unpack_steps(steps, pages)
+        else:
+            _check_format(format_)
         job.outcome = model.Outcome(outcome) if outcome else None
         job.started = started
         job.next_occurrence = next_occurrence
@@ -140,6 +195,14 @@
         job.ended_at_s = now_s
 
 
+def _unpack_steps(steps: bytes | int, pages: tuple[bytes, ...]) -> list[list]:
+    if isinstance(steps, bytes):
+        return compact.unpack_steps(steps)
+    if steps != len(pages):
+        raise ValueError(f"expected {steps!r:.40} pages, got {len(pages)}")
+    return compact.unpack_steps(b"".join(pages))
+
+
 def make_status(job: state.JobState) -> JobStatus:
     """Returns the status that callers see once a job's current progress is stored."""
     return JobStatus(job.outcome, job.started)
@@ -152,8 +215,9 @@
         ProtocolError: The record cannot be decoded.
     """
     try:
-        format_, outcome, started, _, _ = cbor2.loads(data)
-        _check_format(format_)
+        format_, outcome, started, _, steps = cbor2.loads(data)
+        if format_ != COMPACT_FORMAT or not isinstance(steps, bytes | int):
+            _check_format(format_)
         return JobStatus(model.Outcome(outcome) if outcome else None, bool(started))
     except _DECODE_ERRORS as error:
         raise exceptions.ProtocolError(f"progress record cannot be decoded: {error}") from error
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -289,9 +289,7 @@
         cause: What was counted and its limit, for the log.
         now_s: Time on the scheduler's clock.
     """
-    job.outcome = model.Outcome.FAILED
-    job.ended_at_s = now_s
-    job.dirty = True
+    job.end(model.Outcome.FAILED, now_s)
     return [
         commands.Decision("job_failed", {"job": job.job.job_id, **cause}),
         *stop_job(current, job, state.StopReason.JOB_FAILED, now_s),
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -52,6 +52,7 @@
         retention_s: How long the status of ended jobs is kept for callers.
         handover_s: How long after its last renewal of the term the previous scheduler may have
             renewed leases of runs.
+        max_row_bytes: Maximum size of a row in the store.
     """
 
     lease_s: float = 5.0
@@ -65,6 +66,7 @@
     reservation_s: float = 20.0
     retention_s: float = 150.0
     handover_s: float = 8.0
+    max_row_bytes: int = 49_152
 
 
 class RunPhase(enum.IntEnum):
@@ -220,6 +222,8 @@
         job: The job as it was accepted.
         route: Its queue as it was when the job was accepted.
         version: Version of its progress record in the store, or 0 if there is none.
+        stored_pages: Number of pages of that record; the highest that is possible while the outcome
+            of a write is unknown.
         accepted_version: Version of its record of acceptance in the store.
         stored_status: Status according to the stored progress record, which callers see.
         steps: Steps of the open occurrences.
@@ -232,6 +236,7 @@
             clock.
         unstored_ends: First end of a run whose effect is not stored yet, by worker and its
             incarnation.
+        written_at_s: When its progress was last written, on the scheduler's clock.
         write_not_before_s: Time before which its progress is not written, on the scheduler's clock.
         rejections: Number of times in a row that the store rejected its progress.
     """
@@ -239,6 +244,7 @@
     job: model.Job
     route: model.Route
     version: int = 0
+    stored_pages: int = 0
     accepted_version: int = 0
     stored_status: JobStatus = JobStatus(None, False)
     steps: dict[StepKey, StepState] = dataclasses.field(default_factory=dict)
@@ -249,6 +255,7 @@
     dirty: bool = False
     ended_at_s: float | None = None
     unstored_ends: dict[EndSource, int] = dataclasses.field(default_factory=dict)
+    written_at_s: float = 0.0
     write_not_before_s: float = 0.0
     rejections: int = 0
 
@@ -257,6 +264,13 @@
         """Whether its tasks may still be started."""
         return self.outcome is None and not self.cancelled
 
+    def end(self, outcome: model.Outcome, now_s: float) -> None:
+        """Records how the job has ended, which is written without a delay."""
+        self.outcome = outcome
+        self.ended_at_s = now_s
+        self.dirty = True
+        self.write_not_before_s = 0.0
+
     def list_runs(self) -> list[Run]:
         """Returns all runs that may exist on workers."""
         return [run for step in self.steps.values() for run in step.runs.values()]
--- a/lycheegate/jobs/tests/test_crashes.py
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -16,6 +16,7 @@
     writes,
 )
 
+_LIMITS = progress.RecordLimits(49_152, 600_000)
 _CAPACITY = model.Resources(8_000, 8_000, 8)
 _NEED = model.Resources(1_000, 1_000, 1)
 _ROUTE = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
@@ -247,7 +248,7 @@
     job.steps[0, 0].run_numbers = {0: 1}
     _start(current, 1.0)
     restored = state.JobState(job.job, _ROUTE)
-    progress.decode_progress(restored, progress.encode_progress(job), 5.0)
+    progress.decode_progress(restored, progress.encode_progress(job, _LIMITS).data, 5.0)
     (run,) = restored.list_runs()
     assert run.worker_born_ms == _BORN_MS
     following = state.SchedulerState(2, state.Policy(), 5.0)
--- a/lycheegate/jobs/tests/test_registrations.py
+++ b/lycheegate/jobs/tests/test_registrations.py
@@ -8,6 +8,7 @@
 
 _CAPACITY = model.Resources(8_000, 8_000, 8)
 _NEED = model.Resources(1_000, 1_000, 1)
+_LIMITS = progress.RecordLimits(49_152, 600_000)
 _ROUTE = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
 
 
@@ -29,7 +30,7 @@
         )
         runs.add_run(previous, job, job.steps[0, 0], index, worker, 1, 0.0)
     restored = state.JobState(job.job, _ROUTE)
-    progress.decode_progress(restored, progress.encode_progress(job), 1.0)
+    progress.decode_progress(restored, progress.encode_progress(job, _LIMITS).data, 1.0)
     return restored
 
 
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -6,6 +6,9 @@
 
 Handles records that the store rejects. The jobs of a rejected batch are written in smaller ones
 until the record that is rejected is found; it is then held back, and no other job waits for it.
+
+Also handles jobs of thousands of tasks, whose records are large. A batch has a limited size, and a
+record that is larger is written by itself, without the heartbeat, and not with each change.
 """
 
 import dataclasses
@@ -25,6 +28,17 @@
 MAX_JOBS = 40
 """Maximum number of jobs in one transaction; each takes a condition and a write out of the 100
 entries that a transaction may have."""
+MAX_ENTRIES = 84
+"""Maximum number of entries of a batch; the others are for the rows of the term."""
+MAX_BATCH_BYTES = 250_000
+"""Maximum size of a batch that may hold the heartbeat. It takes 0.4 s over a link of 5 Mbit/s."""
+MAX_CALL_BYTES = 980_000
+"""Maximum size of a batch that holds one large record; the store accepts calls of 1 MB."""
+ENTRY_BYTES = 200
+"""Upper limit of the size of an entry of a transaction without the value."""
+REWRITE_BYTES_PER_S = 1_000_000
+"""Rate at which a compact record is rewritten, by its size in the plain form. Each change rewrites
+the whole record, which takes up to 0.06 s of processor time for 1 MB."""
 BASE_REJECTION_DELAY_S = 1.0
 """Delay before a rejected record is written again; doubles with each further rejection."""
 MAX_REJECTION_DELAY_S = 30.0
@@ -61,7 +75,8 @@
     Attributes:
         job_id: Identifier of the job.
         version: Version that the stored record must have.
-        data: The encoded record.
+        record: The encoded record.
+        stored_pages: Number of pages that may be stored.
         status: Status that callers see once the record is written.
         intended: Runs (task and number) that may be ordered once the record is written.
         ends: First end of a run whose effect is stored with the record, by worker and its
@@ -70,11 +85,28 @@
 
     job_id: str
     version: int
-    data: bytes
+    record: progress.ProgressRecord
+    stored_pages: int
     status: state.JobStatus
     intended: tuple[tuple[model.TaskKey, int], ...]
     ends: dict[state.EndSource, int]
 
+    @property
+    def entries(self) -> int:
+        """Number of entries of the transaction: a condition, the record, and the pages."""
+        return 2 + max(self.stored_pages, len(self.record.pages))
+
+    @property
+    def size_bytes(self) -> int:
+        """Upper limit of the size of its entries, whose values are in Base64."""
+        sizes = map(len, (self.record.data, *self.record.pages))
+        return sum(map(_compute_base64_bytes, sizes)) + ENTRY_BYTES * self.entries
+
+    @property
+    def is_large(self) -> bool:
+        """Whether it is written by itself."""
+        return self.size_bytes > MAX_BATCH_BYTES or self.entries > MAX_ENTRIES // 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
@@ -91,9 +123,22 @@
         """Whether start orders follow once it is written."""
         return any(write.intended for write in self.writes)
 
+    def list_decisions(self) -> list[commands.Command]:
+        """Returns the decisions to be logged."""
+        return [
+            commands.Decision(
+                "checkpoints_omitted", {"job": write.job_id, "bytes": write.size_bytes}
+            )
+            for write in self.writes
+            if write.record.omits_checkpoints
+        ]
+
 
 def collect_batch(
-    current: state.SchedulerState, now_s: float, max_jobs: int = MAX_JOBS
+    current: state.SchedulerState,
+    now_s: float,
+    max_jobs: int = MAX_JOBS,
+    has_heartbeat: bool = False,
 ) -> Batch | None:
     """Returns the batch to write now, or None; the caller writes only one batch at a time.
 
@@ -101,23 +146,61 @@
         current: State of the scheduler.
         now_s: Time on the scheduler's clock.
         max_jobs: Maximum number of jobs in the batch.
+        has_heartbeat: Whether the heartbeat is written with the batch, so that no large record is.
     """
     due = [job for job in current.jobs.values() if job.dirty and now_s >= job.write_not_before_s]
     if not due:
         _advance_durable_ends(current)
         return None
-    return Batch(tuple(_make_write(job) for job in due[:max_jobs]))
+    # Those that have waited longest go first, so that a large record is alone in a batch at last.
+    due.sort(key=lambda job: job.written_at_s)
+    writes: list[ProgressWrite] = []
+    entries = size_bytes = 0
+    for job in due:
+        write = _make_write(job, current.policy.max_row_bytes)
+        if write.is_large and (writes or has_heartbeat):
+            continue
+        entries += write.entries
+        size_bytes += write.size_bytes
+        if writes and (entries > MAX_ENTRIES or size_bytes > MAX_BATCH_BYTES):
+            break
+        _record_collected(job, write, now_s)
+        writes.append(write)
+        if write.is_large or len(writes) >= max_jobs:
+            break
+    return Batch(tuple(writes)) if writes else None
+
+
+def _record_collected(job: state.JobState, write: ProgressWrite, now_s: float) -> None:
+    """Marks a job as clean, as its progress is about to be written."""
+    job.dirty = False
+    job.unstored_ends = {}
+    job.written_at_s = now_s
+    if write.record.is_compact:
+        job.write_not_before_s = now_s + write.record.plain_bytes / REWRITE_BYTES_PER_S
 
 
-def _make_write(job: state.JobState) -> ProgressWrite:
-    """Encodes a job's progress and marks the job as clean."""
-    job.dirty = False
+def _make_write(job: state.JobState, max_row_bytes: int) -> ProgressWrite:
     intended = tuple(
         (run.task, run.number) for run in job.list_runs() if run.phase is state.RunPhase.INTENDED
     )
-    data, status = progress.encode_progress(job), progress.make_status(job)
-    ends, job.unstored_ends = job.unstored_ends, {}
-    return ProgressWrite(job.job.job_id, job.version, data, status, intended, ends)
+    record = progress.encode_progress(job, _make_limits(max_row_bytes))
+    status = progress.make_status(job)
+    return ProgressWrite(
+        job.job.job_id, job.version, record, job.stored_pages, status, intended, job.unstored_ends
+    )
+
+
+def _make_limits(max_row_bytes: int) -> progress.RecordLimits:
+    """Returns the limits of a record that is alone in its batch, all of its pages included."""
+    page_bytes = _compute_base64_bytes(max_row_bytes) + ENTRY_BYTES
+    pages = min(MAX_ENTRIES - 2, MAX_CALL_BYTES // page_bytes - 1)
+    return progress.RecordLimits(max_row_bytes, max(1, pages) * max_row_bytes)
+
+
+def _compute_base64_bytes(size_bytes: int) -> int:
+    """Returns the size of a value in Base64."""
+    return (size_bytes + 2) // 3 * 4
 
 
 def complete_batch(
@@ -137,6 +220,7 @@
         if job is None:
             continue
         job.version = version
+        job.stored_pages = len(write.record.pages)
         job.stored_status = write.status
         job.rejections = 0
         intended = set(write.intended)
@@ -189,6 +273,7 @@
         job = current.jobs.get(write.job_id)
         if job is not None:
             job.version = versions.get(write.job_id, job.version)
+            job.stored_pages = max(job.stored_pages, len(write.record.pages))
             job.dirty = True
             # The ends of the batch are older than those that were processed since.
             job.unstored_ends |= write.ends
@@ -217,6 +302,6 @@
         delay_s = min(MAX_REJECTION_DELAY_S, BASE_REJECTION_DELAY_S * 2.0 ** min(job.rejections, 8))
         job.rejections += 1
         job.write_not_before_s = now_s + delay_s
-        fields = {"job": write.job_id, "bytes": len(write.data), "error": reason}
+        fields = {"job": write.job_id, "bytes": write.size_bytes, "error": reason}
         result.append(commands.Decision("record_rejected", {**fields, "retry_in_s": delay_s}))
     return result
--- a/lycheegate/node/deletion.py
+++ b/lycheegate/node/deletion.py
@@ -42,19 +42,28 @@
 
         def handle_deleted(outcome: storage.StoreResult) -> None:
             if isinstance(outcome, result.Success):
-                key = tables.get_progress_key(job.job.job_id)
-                self.delete_progress([storage.Condition(key, job.version)])
+                job_id = job.job.job_id
+                pages = [tables.get_page_key(job_id, n) for n in range(job.stored_pages)]
+                key = tables.get_progress_key(job_id)
+                self.delete_progress([storage.Condition(key, job.version)], pages)
             else:
                 self._log_failure(outcome)
 
         transaction = storage.Transaction((condition,), (), tuple(deletes))
         self._store.transact(transaction, TIMEOUT_S, handle_deleted)
 
-    def delete_progress(self, conditions: list[storage.Condition]) -> None:
-        """Deletes progress records that still have the versions in the conditions."""
+    def delete_progress(
+        self, conditions: list[storage.Condition], pages: list[storage.RowKey]
+    ) -> None:
+        """Deletes progress records that still have the versions in the conditions.
+
+        Args:
+            conditions: The records and their versions.
+            pages: Pages of these records.
+        """
         term = storage.Condition(tables.HOLDER, self._holder_version)
         keys = tuple(condition.key for condition in conditions)
-        transaction = storage.Transaction((term, *conditions), (), keys)
+        transaction = storage.Transaction((term, *conditions), (), (*keys, *pages))
         self._store.transact(transaction, TIMEOUT_S, self._log_failure)
 
     def _log_failure(self, outcome: storage.StoreResult) -> None:
--- a/lycheegate/node/recovery.py
+++ b/lycheegate/node/recovery.py
@@ -16,19 +16,22 @@
         jobs: Rows of accepted jobs, by job identifier.
         cancelled: Identifiers of cancelled jobs.
         progress: Rows of progress records, by job identifier.
+        pages: Rows of the pages of each record that has any, in their order.
         version: Version from which to follow changes of the table of jobs.
     """
 
     jobs: dict[str, storage.Row] = dataclasses.field(default_factory=dict)
     cancelled: list[str] = dataclasses.field(default_factory=list)
     progress: dict[str, storage.Row] = dataclasses.field(default_factory=dict)
+    pages: dict[str, list[storage.Row]] = dataclasses.field(default_factory=dict)
     version: int = 0
 
     def list_orphans(self) -> list[storage.Condition]:
-        """Returns the progress records whose jobs have been deleted, with the versions read."""
+        """Returns the rows of progress whose jobs have been deleted, with the versions read."""
+        pages = [(job_id, row) for job_id, rows in self.pages.items() for row in rows]
         return [
             storage.Condition(row.key, row.version)
-            for job_id, row in self.progress.items()
+            for job_id, row in (*self.progress.items(), *pages)
             if job_id not in self.jobs
         ]
 
@@ -67,11 +70,15 @@
                 loaded.cancelled.append(job_id)
             else:
                 loaded.jobs[job_id] = row
-        read([(tables.PROGRESS, tables.PART)], handle_progress)
+        read([(tables.PROGRESS, tables.PART), (tables.PAGES, tables.PART)], handle_progress)
 
     def handle_progress(content: reads.TableContent) -> None:
-        for row in content.rows:
-            loaded.progress[row.key.key] = row
+        for row in sorted(content.rows, key=lambda row: row.key.key):
+            if row.key.table == tables.PROGRESS:
+                loaded.progress[row.key.key] = row
+            else:
+                job_id = tables.split_page_key(row.key.key)
+                loaded.pages.setdefault(job_id, []).append(row)
         on_loaded(loaded)
 
     read(tables.list_job_parts(), handle_jobs)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -218,7 +218,8 @@
             try:
                 job = self._make_job(job_id, row)
                 record = loaded.progress.get(job_id)
-                if job is None or not self._restore_progress(job, record, now_s):
+                pages = loaded.pages.get(job_id, [])
+                if job is None or not self._restore_progress(job, record, pages, now_s):
                     continue
                 lifecycle.add_job(self._state, job, now_s, wall_s)
             except Exception as error:
@@ -234,7 +235,7 @@
         self._registry_feed.start()
         orphans = loaded.list_orphans()[: deletion.MAX_DELETED_ROWS]
         if orphans:
-            self._deleter.delete_progress(orphans)
+            self._deleter.delete_progress(orphans, [])
         self._request_pass()
 
     def _log_loaded_term(self, jobs: int, open_jobs: int) -> None:
@@ -252,17 +253,23 @@
         )
 
     def _restore_progress(
-        self, job: state.JobState, record: storage.Row | None, now_s: float
+        self,
+        job: state.JobState,
+        record: storage.Row | None,
+        pages: list[storage.Row],
+        now_s: float,
     ) -> bool:
         """Restores a job's progress; returns whether the record could be decoded."""
         if record is None:
             return True
         try:
-            progress.decode_progress(job, record.value, now_s)
+            contents = tuple(row.value for row in pages)
+            progress.decode_progress(job, record.value, now_s, contents)
         except exceptions.ProtocolError as error:
             self._log_unreadable_job(job.job.job_id, error)
             return False
         job.version = record.version
+        job.stored_pages = len(pages)
         job.stored_status = progress.make_status(job)
         return True
 
@@ -404,7 +411,11 @@
         renew = now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
         batch = None
         if self._loaded and not (renew and self._batch_size.is_searching):
-            batch = writes.collect_batch(self._state, now_s, self._batch_size.max_jobs)
+            batch = writes.collect_batch(
+                self._state, now_s, self._batch_size.max_jobs, renew or self._releasing
+            )
+        if batch is not None:
+            self._execute(batch.list_decisions())
         # Orders are sent after the write of their intentions, so the write that releases the term
         # must hold none. It may hold ends of runs; the next holder reads from the workers those
         # that are not stored.
@@ -442,11 +453,16 @@
             )
             changes.append(storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat)))
             changes += self._make_suspects_write()
+        deletes: list[storage.RowKey] = []
         for write in batch.writes if batch else ():
             key = tables.get_progress_key(write.job_id)
             conditions.append(storage.Condition(key, write.version))
-            changes.append(storage.Write(key, write.data))
-        return storage.Transaction(tuple(conditions), tuple(changes))
+            changes.append(storage.Write(key, write.record.data))
+            for number, page in enumerate(write.record.pages):
+                changes.append(storage.Write(tables.get_page_key(write.job_id, number), page))
+            for number in range(len(write.record.pages), write.stored_pages):
+                deletes.append(tables.get_page_key(write.job_id, number))
+        return storage.Transaction(tuple(conditions), tuple(changes), tuple(deletes))
 
     def _make_suspects_write(self) -> list[storage.Write]:
         """Returns the write of the suspected workers, if others are suspected than were written."""
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -20,6 +20,7 @@
     "HOLDER",
     "JOBS",
     "MEMBERS",
+    "PAGES",
     "PART",
     "PROGRESS",
     "SUSPECTS",
@@ -34,10 +35,12 @@
     "encode_suspects",
     "get_cancel_key",
     "get_job_key",
+    "get_page_key",
     "get_progress_key",
     "list_job_parts",
     "make_claim_id",
     "split_job_key",
+    "split_page_key",
 ]
 
 PART = "jobs"
@@ -45,6 +48,8 @@
 JOB_PARTS = 16
 JOBS = "jobs"
 PROGRESS = "progress"
+PAGES = "progress-pages"
+"""Table of the pages of progress records that do not fit into one row."""
 TERMS = "terms"
 MEMBERS = "members"
 """Table of the peer addresses of VMs, by name of the VM."""
@@ -123,6 +128,16 @@
     return storage.RowKey(PROGRESS, PART, job_id)
 
 
+def get_page_key(job_id: str, number: int) -> storage.RowKey:
+    """Returns the address of a page of a job's progress, by its number from 0."""
+    return storage.RowKey(PAGES, PART, f"{job_id}/{number:03}")
+
+
+def split_page_key(key: str) -> str:
+    """Returns the job that a key of the table of pages names."""
+    return key.partition("/")[0]
+
+
 def split_job_key(key: str) -> tuple[str, bool]:
     """Returns the job that a key of the table of jobs names, and whether the row cancels it."""
     if key.endswith(_CANCEL_SUFFIX):
--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -73,6 +73,7 @@
         self.version = 1
         self.rejections: list[str] = []
         """Reasons for which transactions were rejected."""
+        self.max_row_bytes = MAX_ROW_BYTES
         self.rejected_keys: set[storage.RowKey] = set()
         """Rows that the store does not accept."""
         self._busy_until_s: dict[str, float] = {}
@@ -111,7 +112,7 @@
         if len(entries) > MAX_CALL_ENTRIES:
             return f"{len(entries)} entries"
         for write in transaction.writes:
-            if len(write.value) > MAX_ROW_BYTES or write.key in self.rejected_keys:
+            if len(write.value) > self.max_row_bytes or write.key in self.rejected_keys:
                 return f"row {write.key.key} of {len(write.value)} bytes"
         size = sum(len(base64.b64encode(write.value)) for write in transaction.writes)
         return f"call of {size} bytes" if size > MAX_CALL_BYTES else ""
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -22,6 +22,8 @@
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
         self.fleet = fake_workers.Fleet(self.loop, self.faults, self.generator)
         self.fleet.on_returned = self._register_returned
+        self.policy = state.Policy()
+        """Limits of the schedulers that claim a term from now on."""
         self.returns_under_new_ids = False
         """Whether a worker that is back after a crash has another identifier."""
         self.schedulers: dict[str, scheduler.Scheduler] = {}
@@ -110,7 +112,7 @@
         )
         new_scheduler = scheduler.Scheduler(
             runtime,
-            state.Policy(),
+            self.policy,
             holder,
             version,
             self.loop.now_s if claimed_at_s is None else claimed_at_s,
--- a/lycheegate/platform/settings.py
+++ b/lycheegate/platform/settings.py
@@ -13,6 +13,7 @@
 """Environment variable with the path of the settings file."""
 MS_PER_S = 1000.0
 MIN_LEASE_S = 1.0
+MIN_ROW_BYTES = 1024
 LEASE_MARGIN_S = 1.0
 """Difference between the longest lease that workers grant and the lease that is requested.
 
@@ -165,5 +166,12 @@
         stop_s=reader.read_number("bounds.stop-ms", 200.0) / MS_PER_S,
         restore_s=reader.read_number("bounds.restore-ms", 100.0) / MS_PER_S,
         # Ended jobs are kept 30 s longer than callers may query their status.
+        max_row_bytes=_read_row_bytes(reader),
         retention_s=reader.read_number("bounds.status_s", 120.0) + 30.0,
     )
+
+
+def _read_row_bytes(reader: _FieldReader) -> int:
+    """Returns the maximum size of a row, such that its text in Base64 does not exceed the limit."""
+    limit_bytes = reader.read_number("platform.row-bytes", 65536.0)
+    return max(MIN_ROW_BYTES, int(limit_bytes) // 4 * 3)
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -298,7 +298,9 @@
         submissions.decode_job(text.encode(), "0" * 16, "q", "t", 12.5)
 
 
-@pytest.mark.parametrize("data", [b"", b"\xff", b"\x80", b"\x85\x02\x60\xf4\x00\x80"])
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"\x80", b"\x85\x02\x60\xf4\x00\x80", b"\x85\x03\x60\xf4\x00\x00"]
+)
 def test_malformed_progress_is_rejected(data):
     """Guards against a corrupt or newer record that is read as no progress."""
     with pytest.raises(exceptions.ProtocolError):
--- a/lycheegate/tests/test_recorded_bytes.py
+++ b/lycheegate/tests/test_recorded_bytes.py
@@ -30,6 +30,7 @@
 )
 _HOLD = commands.HoldTask("t.0", "r", 1, resources.MemberPlacement("w", 2, 3), True)
 _STOP = commands.StopTask("t.0", "w", commands.StopMode.CHECKPOINT, 2.0)
+_LIMITS = progress.RecordLimits(49_152, 600_000)
 _JOB_ID = "5c0e7a21d94b36f8"
 
 
@@ -42,7 +43,7 @@
     job = state.JobState(accepted.job, accepted.route)
     progress.decode_progress(job, data, 0.0)
     assert progress.decode_status(data) == progress.make_status(job)
-    return progress.encode_progress(job)
+    return progress.encode_progress(job, _LIMITS).data
 
 
 def _recode_outcome(data: bytes) -> bytes:
