Bound the search for a rejected record, and survive one that cannot be encoded

Cause: the size of the next batch was halved by a rejection and doubled by a success, whichever jobs it held. Among jobs whose progress changes as fast as it is written, the rejected record stayed in batches of the same size, one in three of which was rejected again. Also, an unexpected error while one record is encoded ended the collection of the batch, so that no job was written again.

Change: each job carries the number of jobs that a batch with it may hold. A rejection halves it for the jobs of that batch, and a write resets it; such jobs are not written with the heartbeat. A record that cannot be encoded is held back like a rejected one.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "CountedCrash",
+    "MAX_BATCH_JOBS",
     "EndSource",
     "JobState",
     "JobStatus",
@@ -30,6 +31,9 @@
 
 StepKey = tuple[int, int]
 """Occurrence and step number within a job."""
+MAX_BATCH_JOBS = 40
+"""Maximum number of jobs in one transaction; each takes a condition and a write out of the 100
+entries that a transaction may have."""
 EndSource = tuple[str, int]
 """Worker that numbers ends of runs, and its incarnation in milliseconds since 1970."""
 
@@ -239,6 +243,7 @@
         written_at_s: When its progress was last written, on the scheduler's clock.
         write_not_before_s: Time before which its progress is not written, on the scheduler's clock.
         rejections: Number of times in a row that the store rejected its progress.
+        max_batch_jobs: Maximum number of jobs in a batch that holds its progress.
     """
 
     job: model.Job
@@ -258,6 +263,7 @@
     written_at_s: float = 0.0
     write_not_before_s: float = 0.0
     rejections: int = 0
+    max_batch_jobs: int = MAX_BATCH_JOBS
 
     @property
     def is_open(self) -> bool:
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -4,8 +4,9 @@
 worker only after the effect of the end is durable. Each write has the condition that the record
 still has the version that was last seen, so a delayed write cannot replace a newer record.
 
-Handles records that the store rejects. The jobs of a rejected batch are written in smaller ones
-until the record that is rejected is found; it is then held back, and no other job waits for it.
+Handles records that the store rejects. The jobs of a rejected batch are written in batches of half
+the size, and without the heartbeat, until each has been written or was rejected alone. That one is
+held back for a while, and no other job waits for it.
 
 Also handles jobs of thousands of tasks, whose records are large. A batch has a limited size, and a
 record that is larger is written by itself, without the heartbeat, and not with each change.
@@ -17,7 +18,6 @@
 
 __all__ = [
     "Batch",
-    "BatchSize",
     "ProgressWrite",
     "collect_batch",
     "complete_batch",
@@ -25,9 +25,6 @@
     "requeue_batch",
 ]
 
-MAX_JOBS = 40
-"""Maximum number of jobs in one transaction; each takes a condition and a write out of the 100
-entries that a transaction may have."""
 MAX_ENTRIES = 84
 """Maximum number of entries of a batch; the others are for the rows of the term."""
 MAX_BATCH_BYTES = 250_000
@@ -44,30 +41,6 @@
 MAX_REJECTION_DELAY_S = 30.0
 
 
-@dataclasses.dataclass(slots=True)
-class BatchSize:
-    """Number of jobs that the next batch may hold.
-
-    Attributes:
-        max_jobs: The number; below ``MAX_JOBS`` while a rejected record is searched for.
-    """
-
-    max_jobs: int = MAX_JOBS
-
-    @property
-    def is_searching(self) -> bool:
-        """Whether a rejected record is searched for, so that the heartbeat is written alone."""
-        return self.max_jobs < MAX_JOBS
-
-    def record_rejected(self, jobs: int) -> None:
-        """Records that a batch of a number of jobs was rejected."""
-        self.max_jobs = max(1, jobs // 2)
-
-    def record_written(self) -> None:
-        """Records that a batch was written."""
-        self.max_jobs = min(MAX_JOBS, 2 * self.max_jobs)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProgressWrite:
     """A progress record to write.
@@ -113,40 +86,29 @@
     """Progress records that are written in one transaction.
 
     Attributes:
-        writes: The records.
+        writes: The records; empty if none could be encoded.
+        decisions: Decisions to be logged.
     """
 
     writes: tuple[ProgressWrite, ...]
+    decisions: tuple[commands.Command, ...] = ()
 
     @property
     def has_intentions(self) -> bool:
         """Whether start orders follow once it is written."""
         return any(write.intended for write in self.writes)
 
-    def list_decisions(self) -> list[commands.Command]:
-        """Returns the decisions to be logged."""
-        return [
-            commands.Decision(
-                "checkpoints_omitted", {"job": write.job_id, "bytes": write.size_bytes}
-            )
-            for write in self.writes
-            if write.record.omits_checkpoints
-        ]
-
 
 def collect_batch(
-    current: state.SchedulerState,
-    now_s: float,
-    max_jobs: int = MAX_JOBS,
-    has_heartbeat: bool = False,
+    current: state.SchedulerState, now_s: float, has_heartbeat: bool = False
 ) -> Batch | None:
     """Returns the batch to write now, or None; the caller writes only one batch at a time.
 
     Args:
         current: State of the scheduler.
         now_s: Time on the scheduler's clock.
-        max_jobs: Maximum number of jobs in the batch.
-        has_heartbeat: Whether the heartbeat is written with the batch, so that no large record is.
+        has_heartbeat: Whether the heartbeat is written with the batch, which then holds no large
+            record, and none that was rejected.
     """
     due = [job for job in current.jobs.values() if job.dirty and now_s >= job.write_not_before_s]
     if not due:
@@ -155,9 +117,22 @@
     # Those that have waited longest go first, so that a large record is alone in a batch at last.
     due.sort(key=lambda job: job.written_at_s)
     writes: list[ProgressWrite] = []
+    decisions: list[commands.Command] = []
     entries = size_bytes = 0
+    max_jobs = state.MAX_BATCH_JOBS
     for job in due:
-        write = _make_write(job, current.policy.max_row_bytes)
+        if len(writes) >= max_jobs:
+            break
+        if len(writes) >= job.max_batch_jobs or (
+            has_heartbeat and job.max_batch_jobs < state.MAX_BATCH_JOBS
+        ):
+            continue
+        try:
+            write = _make_write(job, current.policy.max_row_bytes)
+        except Exception as error:
+            # One job must not keep the others from being written.
+            decisions.append(_hold_back(job, 0, f"{type(error).__name__}: {error!s:.200}", now_s))
+            continue
         if write.is_large and (writes or has_heartbeat):
             continue
         entries += write.entries
@@ -166,9 +141,11 @@
             break
         _record_collected(job, write, now_s)
         writes.append(write)
-        if write.is_large or len(writes) >= max_jobs:
-            break
-    return Batch(tuple(writes)) if writes else None
+        if write.record.omits_checkpoints:
+            fields = {"job": write.job_id, "bytes": write.size_bytes}
+            decisions.append(commands.Decision("checkpoints_omitted", fields))
+        max_jobs = 1 if write.is_large else min(max_jobs, job.max_batch_jobs)
+    return Batch(tuple(writes), tuple(decisions)) if writes or decisions else None
 
 
 def _record_collected(job: state.JobState, write: ProgressWrite, now_s: float) -> None:
@@ -223,6 +200,7 @@
         job.stored_pages = len(write.record.pages)
         job.stored_status = write.status
         job.rejections = 0
+        job.max_batch_jobs = state.MAX_BATCH_JOBS
         intended = set(write.intended)
         for run in job.list_runs():
             if run.phase is state.RunPhase.INTENDED and (run.task, run.number) in intended:
@@ -295,13 +273,20 @@
     """
     requeue_batch(current, batch, {})
     result: list[commands.Command] = []
-    for write in batch.writes if len(batch.writes) == 1 else ():
+    for write in batch.writes:
         job = current.jobs.get(write.job_id)
         if job is None:
             continue
-        delay_s = min(MAX_REJECTION_DELAY_S, BASE_REJECTION_DELAY_S * 2.0 ** min(job.rejections, 8))
-        job.rejections += 1
-        job.write_not_before_s = now_s + delay_s
-        fields = {"job": write.job_id, "bytes": write.size_bytes, "error": reason}
-        result.append(commands.Decision("record_rejected", {**fields, "retry_in_s": delay_s}))
+        job.max_batch_jobs = max(1, len(batch.writes) // 2)
+        if len(batch.writes) == 1:
+            result.append(_hold_back(job, write.size_bytes, reason, now_s))
     return result
+
+
+def _hold_back(job: state.JobState, size_bytes: int, reason: str, now_s: float) -> commands.Command:
+    """Holds a job's record back, and returns the decision to be logged."""
+    delay_s = min(MAX_REJECTION_DELAY_S, BASE_REJECTION_DELAY_S * 2.0 ** min(job.rejections, 8))
+    job.rejections += 1
+    job.write_not_before_s = now_s + delay_s
+    fields = {"job": job.job.job_id, "bytes": size_bytes, "error": reason, "retry_in_s": delay_s}
+    return commands.Decision("record_rejected", fields)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -111,7 +111,6 @@
         self._stopped = False
         self._loaded = False
         self._writing = False
-        self._batch_size = writes.BatchSize()
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
         self._passed_at_s = 0.0
@@ -409,13 +408,7 @@
         if self._writing or self._stopped or now_s < self._write_not_before_s:
             return
         renew = now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
-        batch = None
-        if self._loaded and not (renew and self._batch_size.is_searching):
-            batch = writes.collect_batch(
-                self._state, now_s, self._batch_size.max_jobs, renew or self._releasing
-            )
-        if batch is not None:
-            self._execute(batch.list_decisions())
+        batch = self._collect_batch(now_s, renew or self._releasing)
         # Orders are sent after the write of their intentions, so the write that releases the term
         # must hold none. It may hold ends of runs; the next holder reads from the workers those
         # that are not stored.
@@ -441,6 +434,16 @@
                 writes.requeue_batch(self._state, batch, {})
             raise
 
+    def _collect_batch(self, now_s: float, has_heartbeat: bool) -> writes.Batch | None:
+        """Returns the progress to write now, or None."""
+        if not self._loaded:
+            return None
+        batch = writes.collect_batch(self._state, now_s, has_heartbeat)
+        if batch is None:
+            return None
+        self._execute(list(batch.decisions))
+        return batch if batch.writes else None
+
     def _make_transaction(
         self, batch: writes.Batch | None, renew: bool, release: bool
     ) -> storage.Transaction:
@@ -491,7 +494,6 @@
                 self.stop("released")
                 return
             if batch is not None:
-                self._batch_size.record_written()
                 self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
             self._write()
             return
@@ -525,8 +527,7 @@
         self._execute(orders)
 
     def _handle_rejection(self, batch: writes.Batch, error: storage.RejectedError) -> None:
-        """Writes the heartbeat alone, then the jobs in smaller batches."""
-        self._batch_size.record_rejected(len(batch.writes))
+        """Writes the heartbeat without the jobs of the batch, then these in smaller batches."""
         now_s = self._runtime.now_s()
         self._execute(writes.reject_batch(self._state, batch, str(error), now_s))
         self._renewal_sent_at_s = 0.0
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -103,6 +103,11 @@
                 limit = limit.max(capacity)
         return limit
 
+    def count_live(self) -> int:
+        """Returns the number of runs that are present."""
+        self.advance()
+        return len(self.live)
+
     def clock_ms(self) -> int:
         """Returns the time on the worker's clock."""
         elapsed_s = self.fleet.loop.now_s - self.booted_at_s
--- a/lycheegate/node/tests/test_rejected_writes.py
+++ b/lycheegate/node/tests/test_rejected_writes.py
@@ -47,6 +47,37 @@
     assert len(world.store.rejections) < 20
 
 
+def test_rejected_record_among_jobs_that_change_all_the_time():
+    """Guards against a search for the rejected record that starts anew with each batch.
+
+    Load pattern: the progress of other jobs changes as fast as it is written.
+    """
+    world = _start_world(60)
+    world.fleet.work_s = 1000.0
+    holder = world.schedulers["a"]
+    world.run(0.2)
+    for _ in range(200):
+        for job in holder._state.jobs.values():
+            job.dirty = True
+        world.run(0.02)
+    assert len(world.store.rejections) < 20
+    assert sum(worker.count_live() for worker in world.fleet.workers.values()) == 48
+
+
+def test_progress_that_cannot_be_encoded():
+    """Guards against an unexpected error with one job that ends the writes of all."""
+    world = _start_world(5)
+    world.store.rejected_keys.clear()
+    holder = world.schedulers["a"]
+    world.run(0.05)
+    holder._state.jobs[REJECTED_ID].steps[0, 0].checkpoints[0] = object()
+    holder._state.jobs[REJECTED_ID].dirty = True
+    world.run(10.0)
+    for number in range(5):
+        assert world.read_status(f"{number:016x}").outcome is model.Outcome.SUCCEEDED
+    assert b'"event":"record_rejected"' in b"".join(world.lines)
+
+
 def test_record_is_written_once_the_store_accepts_it():
     """Guards against a job that stays held back although its record can be stored."""
     world = _start_world(3)
