Divide the counts of waiting jobs among rows

Cause: the heartbeat of the term holds the number of waiting jobs of each queue. With jobs waiting on 4,200 queues whose names have 40 characters, it has 180 KB, and the store rejects it: the term is neither renewed nor can it be kept by the next holder, and no job starts.

Change: the heartbeat has at most 16 KB. Further counts are in up to six rows, which are written when they change and name the epoch, so that those of an earlier term do not count. `counts_omitted` is logged if even these have no room.

--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -236,10 +236,8 @@
     ) -> werkzeug.Response:
         if request.method != "GET":
             return werkzeug.Response(status=405)
-        heartbeat = self._view.term.heartbeat
-        if heartbeat is None:
-            return _make_json(submissions.encode_pending(0))
-        return _make_json(submissions.encode_pending(heartbeat.pending.get(route.name, 0)))
+        count = terms.count_pending(self._view.term, route.name)
+        return _make_json(submissions.encode_pending(count))
 
     def _read_status(self, job_id: str, deadline_s: float) -> storage.StoreResult:
         """Reads the status of a job; success holds it, or None if there is no such job."""
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -25,6 +25,7 @@
 from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import (
     deletion,
+    division,
     exchange,
     feeds,
     passes,
@@ -43,6 +44,8 @@
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
+HEARTBEAT_BYTES = 16_000
+"""Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
 MAX_LOGGED_KEY = 40
 """Characters of a row's key in the log; keys of other writers have up to 200."""
 
@@ -108,6 +111,9 @@
             for worker_id, duration_s in suspects.items()
         }
         self._written_suspects: set[str] | None = None
+        self._written_counts: dict[int, dict[str, int] | None] = {}
+        """Counts of waiting jobs in each further row, or None if these may differ."""
+        self._omitted_counts = 0
         self._stopped = False
         self._loaded = False
         self._writing = False
@@ -450,11 +456,7 @@
         conditions = [storage.Condition(tables.HOLDER, self._holder_version)]
         changes: list[storage.Write] = []
         if renew:
-            pending = lifecycle.count_pending(self._state)
-            heartbeat = tables.Heartbeat(
-                self.epoch, release, pending, self._runtime.store_clock_ms()
-            )
-            changes.append(storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat)))
+            changes += self._make_heartbeat_writes(release)
             changes += self._make_suspects_write()
         deletes: list[storage.RowKey] = []
         for write in batch.writes if batch else ():
@@ -467,6 +469,29 @@
                 deletes.append(tables.get_page_key(write.job_id, number))
         return storage.Transaction(tuple(conditions), tuple(changes), tuple(deletes))
 
+    def _make_heartbeat_writes(self, release: bool) -> list[storage.Write]:
+        """Returns the writes of the heartbeat and of the counts that have no room in it."""
+        pending = division.divide_entries(
+            sorted(lifecycle.count_pending(self._state).items()),
+            HEARTBEAT_BYTES,
+            self._state.policy.max_row_bytes,
+            1 + tables.MAX_COUNT_ROWS,
+        )
+        if pending.omitted != self._omitted_counts:
+            self._omitted_counts = pending.omitted
+            self._runtime.log.write("counts_omitted", queues=pending.omitted)
+        first, *others = pending.rows
+        heartbeat = tables.Heartbeat(self.epoch, release, first, self._runtime.store_clock_ms())
+        result = [storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat))]
+        # Rows that are not needed any more are emptied.
+        others += [{}] * (len(self._written_counts) - len(others))
+        for number, counts in enumerate(others):
+            if self._written_counts.get(number) != counts:
+                self._written_counts[number] = counts
+                data = tables.encode_counts(tables.PendingCounts(self.epoch, counts))
+                result.append(storage.Write(tables.get_counts_key(number), data))
+        return result
+
     def _make_suspects_write(self) -> list[storage.Write]:
         """Returns the write of the suspected workers, if others are suspected than were written."""
         suspects = health.list_suspects(self._state, self._runtime.now_s())
@@ -497,8 +522,9 @@
                 self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
             self._write()
             return
-        # The write may have held the suspected workers, so the next one does again.
+        # The write may have held these, so the next one does again.
         self._written_suspects = None
+        self._written_counts = dict.fromkeys(self._written_counts)
         error = outcome.failure()
         if isinstance(error, storage.ConflictError):
             self._handle_conflict(batch, error)
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "HEARTBEAT",
+    "MAX_COUNT_ROWS",
     "HOLDER",
     "JOBS",
     "MEMBERS",
@@ -27,16 +28,21 @@
     "TERMS",
     "Heartbeat",
     "Holder",
+    "PendingCounts",
+    "decode_counts",
     "decode_heartbeat",
     "decode_holder",
     "decode_suspects",
+    "encode_counts",
     "encode_heartbeat",
     "encode_holder",
     "encode_suspects",
     "get_cancel_key",
+    "get_counts_key",
     "get_job_key",
     "get_page_key",
     "get_progress_key",
+    "is_counts_key",
     "list_job_parts",
     "make_claim_id",
     "split_job_key",
@@ -60,6 +66,10 @@
 """Row of the holder's heartbeat."""
 SUSPECTS = storage.RowKey(TERMS, PART, "suspects")
 """Row of the workers that the holder suspects, for the holder of the next term."""
+MAX_COUNT_ROWS = 6
+"""Number of further rows of counts of waiting jobs. They fit into one call with a batch of
+progress."""
+_COUNTS_PREFIX = "counts-"
 _CANCEL_SUFFIX = "/cancel"
 
 
@@ -88,7 +98,8 @@
     Attributes:
         epoch: Number of the term.
         is_released: Whether the holder has released the term.
-        pending: Number of jobs that have not started, by queue.
+        pending: Number of jobs that have not started, by queue; those of further queues are in
+            other rows if there are many.
         sent_at_ms: When it was sent, on the store's clock, or 0 if that clock was unknown.
     """
 
@@ -98,6 +109,19 @@
     sent_at_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingCounts:
+    """Further counts of waiting jobs, which do not fit into the heartbeat.
+
+    Attributes:
+        epoch: Number of the term.
+        pending: Number of jobs that have not started, by queue.
+    """
+
+    epoch: int
+    pending: dict[str, int]
+
+
 def make_claim_id(vm: str) -> str:
     """Returns a new identifier for a claim by a VM."""
     return f"{vm}/{uuid.uuid4().hex[:12]}"
@@ -145,6 +169,16 @@
     return key, False
 
 
+def get_counts_key(number: int) -> storage.RowKey:
+    """Returns the address of a row of further counts of waiting jobs, by its number from 0."""
+    return storage.RowKey(TERMS, PART, f"{_COUNTS_PREFIX}{number}")
+
+
+def is_counts_key(key: storage.RowKey) -> bool:
+    """Returns whether a row of the table of terms holds further counts of waiting jobs."""
+    return key.table == TERMS and key.key.startswith(_COUNTS_PREFIX)
+
+
 def encode_holder(holder: Holder) -> bytes:
     """Returns the content of the holder's row."""
     return cbor2.dumps([holder.epoch, holder.claim_id])
@@ -174,14 +208,26 @@
         ProtocolError: The row cannot be decoded.
     """
     heartbeat = Heartbeat(*_decode_items(data, (int, bool, dict, int)))
-    for route, count in heartbeat.pending.items():
-        if not isinstance(route, str) or not numbers.is_whole(count):
-            raise exceptions.ProtocolError(
-                f"expected queue and number of jobs, got {(route, count)!r:.100}"
-            )
+    _check_numbers(heartbeat.pending, "queue and number of jobs")
     return heartbeat
 
 
+def encode_counts(counts: PendingCounts) -> bytes:
+    """Returns the content of a row of further counts of waiting jobs."""
+    return cbor2.dumps([counts.epoch, counts.pending])
+
+
+def decode_counts(data: bytes) -> PendingCounts:
+    """Returns the further counts of waiting jobs that a row holds.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
+    counts = PendingCounts(*_decode_items(data, (int, dict)))
+    _check_numbers(counts.pending, "queue and number of jobs")
+    return counts
+
+
 def encode_suspects(suspects: dict[str, int]) -> bytes:
     """Returns the content of the row of suspected workers.
 
@@ -198,14 +244,16 @@
         ProtocolError: The row cannot be decoded.
     """
     (suspects,) = _decode_items(data, (dict,))
-    for worker_id, until_ms in suspects.items():
-        if not isinstance(worker_id, str) or not numbers.is_whole(until_ms):
-            raise exceptions.ProtocolError(
-                f"expected worker and time of a suspicion, got {(worker_id, until_ms)!r:.100}"
-            )
+    _check_numbers(suspects, "worker and time of a suspicion")
     return suspects
 
 
+def _check_numbers(entries: dict, expected: str) -> None:
+    for name, number in entries.items():
+        if not isinstance(name, str) or not numbers.is_whole(number):
+            raise exceptions.ProtocolError(f"expected {expected}, got {(name, number)!r:.100}")
+
+
 def _is_valid(item: object, type_: type) -> bool:
     return numbers.is_whole(item) if type_ is int else isinstance(item, type_)
 
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -30,6 +30,7 @@
     "TermView",
     "apply_rows",
     "compute_jitter_s",
+    "count_pending",
     "estimate_clock_ms",
     "find_claimed_version",
     "is_heartbeat_overdue",
@@ -91,6 +92,7 @@
         holder_version: Version of the holder's row.
         heartbeat: The holder's heartbeat, or None.
         heartbeat_version: Version of the heartbeat's row.
+        more_counts: Further counts of waiting jobs, by the key of their row.
         suspects: Until when each worker is suspected, in milliseconds on the store's clock.
         suspects_version: Version of the row of suspected workers.
         changed_at_s: When a change of either version was last observed.
@@ -106,6 +108,7 @@
     holder_version: int = storage.ABSENT
     heartbeat: tables.Heartbeat | None = None
     heartbeat_version: int = storage.ABSENT
+    more_counts: dict[str, tables.PendingCounts] = dataclasses.field(default_factory=dict)
     suspects: dict[str, int] = dataclasses.field(default_factory=dict)
     suspects_version: int = storage.ABSENT
     changed_at_s: float = 0.0
@@ -161,6 +164,20 @@
     elif row.key == tables.SUSPECTS and row.version > view.suspects_version:
         view.suspects = tables.decode_suspects(row.value)
         view.suspects_version = row.version
+    elif tables.is_counts_key(row.key) and not row.deleted:
+        view.more_counts[row.key.key] = tables.decode_counts(row.value)
+
+
+def count_pending(view: TermView, route: str) -> int:
+    """Returns the number of jobs of a queue that have not started, as of the last heartbeat."""
+    if view.heartbeat is None:
+        return 0
+    if route in view.heartbeat.pending:
+        return view.heartbeat.pending[route]
+    for counts in list(view.more_counts.values()):
+        if counts.epoch == view.heartbeat.epoch and route in counts.pending:
+            return counts.pending[route]
+    return 0
 
 
 def list_suspects(view: TermView, now_s: float) -> dict[str, float]:
