Refuse or compress a job that fits into no row before it is accepted

The record of a job of some 2,200 steps was rejected by the store (3,000 steps: 89,787 bytes); the caller got 504, which does not tell whether the job was accepted, and sent it again in vain. The number of tasks was limited for each step and not for the job, nor for its open occurrences, so progress could outgrow a call to the store.

Change: the steps of a record that is too large are compressed. A job that is too large even so is refused with 413, and one of more than 100,000 tasks with 400; both name the figure and the limit. Occurrences open as far as their tasks stay within 100,000; at least one does. Jobs that were accepted before keep running.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -117,7 +117,7 @@
     records = [
         (
             job.job.job_id,
-            progress.encode_accepted(progress.AcceptedJob(job.job, job.route)),
+            progress.encode_accepted(progress.AcceptedJob(job.job, job.route), 49_152),
             progress.encode_progress(job, LIMITS).data,
         )
         for job in previous.jobs.values()
--- a/lycheegate/jobs/compact.py
+++ b/lycheegate/jobs/compact.py
@@ -13,7 +13,7 @@
 
 import cbor2
 
-__all__ = ["pack_steps", "unpack_steps"]
+__all__ = ["compress", "decompress", "pack_steps", "unpack_steps"]
 
 MAX_UNPACKED_BYTES = 16 << 20
 """Limit of the size before compression, so that a malformed record cannot fill the memory."""
@@ -34,13 +34,27 @@
     """
     places: dict[_Place, int] = {}
     packed = [_pack_step(item, places, keep_checkpoints) for item in items]
-    data = cbor2.dumps([[list(place) for place in places], packed])
-    return zlib.compress(data, COMPRESSION_LEVEL)
+    return compress(cbor2.dumps([[list(place) for place in places], packed]))
 
 
 def unpack_steps(data: bytes) -> list[list]:
     """Returns the progress of steps, as in a plain record, from its compact form.
 
+    Raises:
+        ValueError: The data cannot be decompressed.
+    """
+    places, packed = cbor2.loads(decompress(data))
+    return [_unpack_step(item, places) for item in packed]
+
+
+def compress(data: bytes) -> bytes:
+    """Returns data in compressed form."""
+    return zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decompress(data: bytes) -> bytes:
+    """Returns compressed data in its original form.
+
     Raises:
         ValueError: The data cannot be decompressed.
     """
@@ -53,8 +67,7 @@
         raise ValueError(
             f"{len(data)} bytes are truncated or decompress to over {MAX_UNPACKED_BYTES} bytes"
         )
-    places, packed = cbor2.loads(plain)
-    return [_unpack_step(item, places) for item in packed]
+    return plain
 
 
 def _pack_step(item: list, places: dict[_Place, int], keep_checkpoints: bool) -> list:
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -1,6 +1,6 @@
 """Life cycle of jobs from acceptance to the end: occurrences, dependencies, cancellation."""
 
-from lycheegate.jobs import commands, model, runs, state
+from lycheegate.jobs import commands, model, runs, state, validation
 
 __all__ = [
     "add_job",
@@ -72,7 +72,7 @@
         job.is_open
         and job.next_occurrence < job.job.occurrences
         and job.job.compute_due_s(job.next_occurrence) <= wall_s
-        and len(job.steps) < MAX_OPEN_OCCURRENCES * max(1, len(job.job.steps))
+        and len(job.steps) < _compute_max_open(job.job) * max(1, len(job.job.steps))
     ):
         occurrence = job.next_occurrence
         for number, step in enumerate(job.job.steps):
@@ -82,6 +82,12 @@
     return opened
 
 
+def _compute_max_open(job: model.Job) -> int:
+    """Returns the maximum number of open occurrences, whose progress must fit into its record."""
+    tasks = sum(step.count for step in job.steps)
+    return max(1, min(MAX_OPEN_OCCURRENCES, validation.MAX_TASKS // max(1, tasks)))
+
+
 def _close_finished_occurrences(job: state.JobState) -> None:
     """Removes occurrences whose tasks have all succeeded and have no runs left on workers."""
     for occurrence in {key[0] for key in job.steps}:
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -30,7 +30,7 @@
 
 FORMAT = 1
 COMPACT_FORMAT = 2
-"""Format of a progress record whose steps are compact: as bytes, or as the number of pages."""
+"""Format of a record whose steps are compact: as bytes, or as the number of pages."""
 HEADER_BYTES = 64
 """Upper limit of the size of a compact record without its steps."""
 _DECODE_ERRORS = (
@@ -54,27 +54,34 @@
     route: model.Route
 
 
-def encode_accepted(accepted: AcceptedJob) -> bytes:
-    """Returns the record of an accepted job."""
+def encode_accepted(accepted: AcceptedJob, max_bytes: int) -> bytes:
+    """Returns the record of an accepted job; its steps are compressed if it is too large otherwise.
+
+    Args:
+        accepted: The job.
+        max_bytes: Maximum size of a plain record.
+
+    Returns:
+        The record, which may still be too large.
+    """
     job, route = accepted.job, accepted.route
     steps = [_encode_step(step) for step in job.steps]
-    return cbor2.dumps(
-        [
-            FORMAT,
-            [job.route, job.account, job.spec, job.accepted_at_s],
-            [job.occurrences, job.start_at_s, job.interval_s],
-            steps,
-            [
-                route.host,
-                route.path_prefix,
-                route.service,
-                route.priority,
-                route.max_attempts,
-                route.stretch_ratio,
-                route.target_s,
-            ],
-        ]
-    )
+    submission = [job.route, job.account, job.spec, job.accepted_at_s]
+    times = [job.occurrences, job.start_at_s, job.interval_s]
+    route_fields = [
+        route.host,
+        route.path_prefix,
+        route.service,
+        route.priority,
+        route.max_attempts,
+        route.stretch_ratio,
+        route.target_s,
+    ]
+    data = cbor2.dumps([FORMAT, submission, times, steps, route_fields])
+    if len(data) <= max_bytes:
+        return data
+    packed = compact.compress(cbor2.dumps(steps))
+    return cbor2.dumps([COMPACT_FORMAT, submission, times, packed, route_fields])
 
 
 def decode_accepted(job_id: str, data: bytes) -> AcceptedJob:
@@ -85,7 +92,10 @@
     """
     try:
         format_, submission, times, steps, route_fields = cbor2.loads(data)
-        _check_format(format_)
+        if format_ == COMPACT_FORMAT:
+            steps = cbor2.loads(compact.decompress(steps))
+        else:
+            _check_format(format_)
         job = model.Job(
             job_id=job_id,
             route=submission[0],
--- a/lycheegate/jobs/tests/test_compact.py
+++ b/lycheegate/jobs/tests/test_compact.py
@@ -5,7 +5,7 @@
 import cbor2
 import pytest
 
-from lycheegate.jobs import compact, model, progress, state, writes
+from lycheegate.jobs import compact, lifecycle, model, progress, state, writes
 from lycheegate.utils import exceptions
 
 LIMITS = progress.RecordLimits(49_152, 600_000)
@@ -172,3 +172,30 @@
     assert len(data) < 1 << 20
     with pytest.raises(ValueError, match="decompress to over"):
         compact.unpack_steps(data)
+
+
+@pytest.mark.parametrize(
+    ("count", "steps", "expected"), [(1, 2, 50), (20_000, 2, 2), (90_000, 1, 1)]
+)
+def test_open_occurrences_are_limited_by_their_tasks(count, steps, expected):
+    """Guards against a repeated job whose open occurrences together fit into no call."""
+    step = model.Step(count, model.Resources(100, 128, 0))
+    job = model.Job(JOB_ID, "batch", "acme", "x", (step,) * steps, 0.0, occurrences=100)
+    current = state.SchedulerState(1, state.Policy(), 0.0)
+    lifecycle.add_job(current, state.JobState(job, _ROUTE), 0.0, 0.0)
+    assert current.jobs[JOB_ID].next_occurrence == expected
+
+
+@pytest.mark.parametrize(
+    "packed", [b"", b"\0", 1, compact.compress(b"\xff"), compact.compress(b"")]
+)
+def test_malformed_compact_job(packed):
+    """Guards against a malformed row of a job that raises while a term begins."""
+    step = model.Step(1, model.Resources(100, 128, 0))
+    job = model.Job(JOB_ID, "batch", "acme", "x", (step,) * 3_000, 0.0)
+    data = progress.encode_accepted(progress.AcceptedJob(job, _ROUTE), 49_152)
+    assert progress.decode_accepted(JOB_ID, data).job == job
+    fields = cbor2.loads(data)
+    fields[3] = packed
+    with pytest.raises(exceptions.ProtocolError):
+        progress.decode_accepted(JOB_ID, cbor2.dumps(fields))
--- a/lycheegate/jobs/validation.py
+++ b/lycheegate/jobs/validation.py
@@ -7,10 +7,11 @@
 from lycheegate.jobs import model, state
 from lycheegate.utils import numbers
 
-__all__ = ["MAX_TASKS", "check_job", "check_progress", "check_route"]
+__all__ = ["MAX_TASKS", "check_job", "check_progress", "check_route", "check_submitted_size"]
 
 MAX_TASKS = 100_000
-"""Maximum number of tasks of a step."""
+"""Maximum number of tasks of a step, and of a submitted job. The progress of that many tasks fits
+into one call to the store."""
 
 
 def check_job(job: model.Job) -> None:
@@ -32,6 +33,17 @@
         _check_step(number, step)
 
 
+def check_submitted_size(job: model.Job) -> None:
+    """Checks the number of tasks of a job before it is accepted.
+
+    Raises:
+        ValueError: The job has too many tasks.
+    """
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
+        raise ValueError(f"expected at most {MAX_TASKS} tasks in all steps, got {tasks}")
+
+
 def _check_step(number: int, step: model.Step) -> None:
     _check_whole(f"step {number}: count", step.count, 1)
     if step.count > MAX_TASKS:
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -64,6 +64,7 @@
         max_configuration_age_s: Age of the last confirmation above which no key is trusted.
         notify: Notifies the scheduler of a row that has been written.
         query_holder: Returns the stored status of a job as the term's holder reports it, or None.
+        max_row_bytes: Maximum size of a row in the store.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         max_configuration_age_s: float,
         notify: Callable[[storage.Row], None],
         query_holder: Callable[[str, float], progress.JobStatus | None],
+        max_row_bytes: int,
     ):
         self._store = store
         self._view = view
@@ -85,6 +87,7 @@
         self._max_configuration_age_s = max_configuration_age_s
         self._notify = notify
         self._query_holder = query_holder
+        self._max_row_bytes = max_row_bytes
         self._ended_statuses: collections.OrderedDict[str, progress.JobStatus] = (
             collections.OrderedDict()
         )
@@ -161,7 +164,14 @@
         except exceptions.ProtocolError as error:
             self._log.write("job_invalid", job=job_id, error=str(error))
             return werkzeug.Response(str(error), status=400)
-        record = progress.encode_accepted(progress.AcceptedJob(job, route))
+        record = progress.encode_accepted(progress.AcceptedJob(job, route), self._max_row_bytes)
+        if len(record) > self._max_row_bytes:
+            text = (
+                f"job {job_id}: expected a job that takes at most {self._max_row_bytes} bytes to "
+                f"store, got {len(record)} bytes for {len(job.steps)} steps"
+            )
+            self._log.write("job_invalid", job=job_id, error=text)
+            return werkzeug.Response(text, status=413)
         job_key = tables.get_job_key(job_id)
         transaction = storage.Transaction(
             conditions=(storage.Condition(job_key, storage.ABSENT),),
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -120,6 +120,7 @@
             settings.revoke_s - KEY_REVOCATION_MARGIN_S,
             self._notify_scheduler,
             self._query_holder,
+            settings.policy.max_row_bytes,
         )
         self._caller_server = server.CallersServer(
             *settings.callers_address,
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -81,7 +81,7 @@
     def submit(self, job: model.Job, route: model.Route | None = None) -> None:
         """Writes a job as the node does when it accepts one."""
         self.fleet.specs[job.job_id] = job
-        record = progress.encode_accepted(progress.AcceptedJob(job, route or self.route))
+        record = progress.encode_accepted(progress.AcceptedJob(job, route or self.route), 49_152)
         self.store.put(tables.get_job_key(job.job_id), record)
 
     def cancel(self, job_id: str) -> None:
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -1,6 +1,7 @@
 """The callers' interface over a fake store."""
 
 import io
+import random
 import threading
 
 import msgspec
@@ -14,6 +15,8 @@
 from lycheegate.utils import exceptions
 
 _JOB_ID = "5c0e7a21d94b36f8"
+MAX_ROW_BYTES = 49_152
+MAX_BODY_BYTES = 262_144
 _JOB_BODY = b'{"spec":"x","steps":[{"count":2,"cpu":100}]}'
 
 
@@ -62,7 +65,7 @@
     public = model.Route("p", "h.example", "/open/", "s", 1, 3, 3.0, 1.0, True)
     account = model.Account("acme", frozenset({"k"}))
     view.configuration = model.Configuration(
-        1, {"q": route, "p": public}, {}, {"acme": account}, {"k": "acme"}, 1000
+        1, {"q": route, "p": public}, {}, {"acme": account}, {"k": "acme"}, MAX_BODY_BYTES
     )
     rows, holder_statuses = [], {}
     application = callers.CallerApplication(
@@ -74,6 +77,7 @@
         3.5,
         rows.append,
         lambda job_id, timeout_s: holder_statuses.get(job_id),
+        MAX_ROW_BYTES,
     )
     application.holder_statuses = holder_statuses
     return store, view, application, rows
@@ -103,7 +107,7 @@
         ({"host": "other.example"}, 404),
         ({"path": "/q/not-an-id"}, 404),
         ({"body": b"{}"}, 400),
-        ({"body": b"x" * 2000}, 413),
+        ({"body": b"x" * (MAX_BODY_BYTES + 1)}, 413),
     ],
 )
 def test_submit(fields, status):
@@ -115,6 +119,47 @@
     assert bool(store.rows) == (status == 200)
 
 
+def _make_body(steps: list[dict]) -> bytes:
+    return msgspec.json.encode({"spec": "x", "steps": steps})
+
+
+@pytest.mark.parametrize(
+    ("steps", "status", "text"),
+    [
+        ([{"cpu": 100, "depends-on": [n - 1] if n else []} for n in range(3_000)], 200, ""),
+        ([{"count": 50_000}, {"count": 50_000}], 200, ""),
+        (
+            [{"count": 50_000}, {"count": 50_001}],
+            400,
+            "at most 100000 tasks in all steps, got 100001",
+        ),
+        ([{"count": 100_001}], 400, "between 1 and 100000, got 100001"),
+        (
+            [{"requirements": f"{random.Random(n).getrandbits(256):064x}"} for n in range(2_000)],
+            413,
+            "at most 49152 bytes to store, got",
+        ),
+    ],
+)
+def test_submission_of_a_large_job(steps, status, text):
+    """Guards against a job that is accepted or answered with 504 although no row can hold it.
+
+    The store rejects its record, and the caller sends it again until it gives up.
+    """
+    store, _, application, rows = _make_application()
+    response = _call(application, "POST", body=_make_body(steps))
+    assert response.status_code == status
+    assert text in response.text
+    assert len(rows) == len(store.rows) == (status == 200)
+    for row in store.rows.values():
+        assert len(row.value) <= MAX_ROW_BYTES
+        job = progress.decode_accepted(_JOB_ID, row.value).job
+        assert [step.count for step in job.steps] == [step.get("count", 1) for step in steps]
+        assert [list(step.depends_on) for step in job.steps] == [
+            step.get("depends-on", []) for step in steps
+        ]
+
+
 def test_repeated_submission_is_idempotent():
     """Guards against a second job from a repeated submission."""
     store, _, application, rows = _make_application()
--- a/lycheegate/node/tests/test_odd_rows.py
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -338,7 +338,7 @@
     """Returns the record of a job in which one value is replaced."""
     job = simulation.make_job("1" * 16, simulation.make_step(2))
     route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
-    items = cbor2.loads(progress.encode_accepted(progress.AcceptedJob(job, route)))
+    items = cbor2.loads(progress.encode_accepted(progress.AcceptedJob(job, route), 49_152))
     *parents, last = path
     parent = items
     for index in parents:
--- a/lycheegate/node/tests/test_store_layout.py
+++ b/lycheegate/node/tests/test_store_layout.py
@@ -50,7 +50,7 @@
     for _ in range(50):
         job = simulation.make_job(f"{generator.getrandbits(64):016x}", _TASK)
         world.fleet.specs[job.job_id] = job
-        record = progress.encode_accepted(progress.AcceptedJob(job, world.route))
+        record = progress.encode_accepted(progress.AcceptedJob(job, world.route), 49_152)
         key = tables.get_job_key(job.job_id)
         transaction = storage.Transaction(
             (storage.Condition(key, storage.ABSENT),), (storage.Write(key, record),)
--- a/lycheegate/platform/submissions.py
+++ b/lycheegate/platform/submissions.py
@@ -101,6 +101,7 @@
     )
     try:
         validation.check_job(job)
+        validation.check_submitted_size(job)
     except ValueError as error:
         raise exceptions.ProtocolError(f"job {job_id}: {error}") from error
     return job
--- a/lycheegate/platform/tests/test_malformed.py
+++ b/lycheegate/platform/tests/test_malformed.py
@@ -133,7 +133,7 @@
     for step in job.steps:
         assert model.Resources().fits(step.need)
     route = model.Route("r", "h", "/p/", "s", 1, 3, 3.0, 1.0)
-    record = progress.encode_accepted(progress.AcceptedJob(job, route))
+    record = progress.encode_accepted(progress.AcceptedJob(job, route), 49_152)
     assert progress.decode_accepted(_JOB_ID, record).job == job
 
 
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -273,7 +273,7 @@
     )
     job = submissions.decode_job(data, "0" * 16, "q", "t", 12.5)
     route = model.Route("q", "h", "/p/", "s", 1, 4, 3.0, 1.0)
-    record = progress.encode_accepted(progress.AcceptedJob(job, route))
+    record = progress.encode_accepted(progress.AcceptedJob(job, route), 49_152)
     assert progress.decode_accepted("0" * 16, record) == progress.AcceptedJob(job, route)
     assert job.steps[1].max_per_worker == 2
     assert job.steps[1].near_rack == "r1"
--- a/lycheegate/tests/test_recorded_bytes.py
+++ b/lycheegate/tests/test_recorded_bytes.py
@@ -73,7 +73,9 @@
     "peer message": lambda data: messages.encode(messages.decode(data)),
     "request record": lambda data: _recode_json(records.decode, records.encode, data),
     "release": lambda data: _recode_json(encoding.decode_release, encoding.encode_release, data),
-    "accepted job": lambda data: progress.encode_accepted(progress.decode_accepted(_JOB_ID, data)),
+    "accepted job": lambda data: progress.encode_accepted(
+        progress.decode_accepted(_JOB_ID, data), 49_152
+    ),
     "job progress": _recode_progress,
     "term holder": lambda data: tables.encode_holder(tables.decode_holder(data)),
     "term heartbeat": lambda data: tables.encode_heartbeat(tables.decode_heartbeat(data)),
