Keep the future of a request that is answered before its sender runs again

Cause: HttpClient.send queued the transfer, woke the client's thread and then read transfer.future. That thread deletes the attribute once the answer has been passed on, which on a slow VM can be before the sending thread runs again.

Change: send takes the future before the transfer is queued. No other object is used by one thread after another may have cleared it: searched for deletions of attributes in clients, node, entry and peers.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -245,6 +245,8 @@
         except ValueError as error:
             origin, refusal = request.url, f"request not sent: {error}"
         transfer = _Transfer(request, origin)
+        # Once the transfer is queued, the client's thread may finish it and release its answer.
+        future = transfer.future
         with self._lock:
             if refusal:
                 pass
@@ -260,10 +262,10 @@
                 self._queued.append(transfer)
         if refusal:
             error = exceptions.NotSentError(f"{origin}: {refusal}")
-            transfer.future.set_result(result.Failure(error))
+            future.set_result(result.Failure(error))
         else:
             self._wake()
-        return transfer.future
+        return future
 
     def call_later(self, delay_s: float, function: Callable[[], None]) -> Timer:
         """Calls a function on the client's thread after a delay."""
--- a/lycheegate/clients/tests/test_http.py
+++ b/lycheegate/clients/tests/test_http.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP client."""
 
+import heapq
 import random
 import threading
+import time
 import weakref
 
 import pytest
@@ -55,6 +57,35 @@
     assert client.bytes_received > 40 * 30
 
 
+class _SlowWakeClient(http.HttpClient):
+    """Client whose caller goes on only after the answer has arrived, as on a slow VM."""
+
+    def _wake(self):
+        super()._wake()
+        deadline_s = time.monotonic() + _WAIT_S
+        while self.requests_done < 1 and time.monotonic() < deadline_s:
+            time.sleep(0.001)
+        # The handle is idle, and its last answer released, once another timer has run.
+        released = threading.Event()
+        with self._lock:
+            heapq.heappush(self._timers, (0.0, -1, http.Timer(released.set)))
+        self._wake_sender.send(b"x")
+        released.wait(_WAIT_S)
+
+
+def test_answer_before_the_caller_runs_again(standin):
+    """Guards against an error of ``send`` after the request was sent and answered.
+
+    The caller of a job got 500 for it, although the job was stored and ran.
+    """
+    standin.objects["k"] = b"content"
+    client = _SlowWakeClient()
+    try:
+        assert _send(client, _make_request(standin)).unwrap().body == b"content"
+    finally:
+        client.close()
+
+
 @pytest.mark.parametrize("warm", [False, True])
 @pytest.mark.parametrize("method", ["GET", "PUT", "POST", "DELETE"])
 @pytest.mark.parametrize("fault", ["lose_answers", "lose_requests"])
