Answer an unexpected error of a caller's call with 504, and log it

Cause: an unexpected error while a call of a job was served went to the HTTP server, which answered 500 without a log line.

Change: such an error is logged as `call_failed` with the path, which names the job, and answered with 504, after which callers come again with the same identifier.

--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -96,7 +96,14 @@
     def __call__(self, environ: dict, start_response: Callable):
         """Serves one call."""
         request = werkzeug.Request(environ)
-        response = self._answer(request)
+        try:
+            response = self._answer(request)
+        except Exception as error:
+            # A change may have been made, so the caller must come again with the same identifier,
+            # as after any 504. It gives up after 500.
+            text = f"{type(error).__name__}: {error!s:.200}"
+            self._log.write("call_failed", method=request.method, path=request.path, error=text)
+            response = werkzeug.Response(status=504)
         if self._view.drain_ends_s is not None:
             response.headers["Connection"] = "close"
         return response(environ, start_response)
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -176,6 +176,30 @@
     assert response.headers["Retry-After"]
 
 
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_unexpected_error_is_answered_as_unknown(method, is_stored):
+    """Guards against a 500 for a call that may have taken effect, after which callers give up."""
+    store, _, application, _ = _make_application()
+    lines = []
+    application._log = jsonlog.JsonLog(
+        "vm", lambda: 0.0, lambda data: lines.append(data) or len(data)
+    )
+    if is_stored:
+        application._notify = lambda row: 1 // 0
+        if method != "POST":
+            assert _call(application, "POST", body=_JOB_BODY).status_code == 504
+    else:
+        store.read = store.transact = lambda *args: 1 // 0
+    response = _call(application, method, body=_JOB_BODY if method == "POST" else b"")
+    expected = 200 if is_stored and method == "GET" else 504
+    assert response.status_code == expected
+    if expected == 504:
+        assert b'"event":"call_failed"' in lines[-1]
+        assert _JOB_ID.encode() in lines[-1]
+        assert b"ZeroDivisionError" in lines[-1]
+
+
 _REFUSED = exceptions.UnavailableError("429")
 _LOST = exceptions.OutcomeUnknownError("no answer within 0.7 s")
 
