Know a job until its row is deleted, and one whose progress cannot be read

Cause: an ended job was forgotten when its deletion was sent. If the store refused the deletion, its row was taken for that of a new job the next time the table of jobs was read as a whole, as after a loss of the store's history, and the job ran again. So did a job whose progress could not be read at the start of the term, for example after a return to an earlier build: it was left out at first, and added without progress by such a read.

Change: a job stays in the state until its row is known to be deleted, and a failed deletion is repeated after 2 s. The versions of the rows deleted last are remembered for reads that were made before. A new job with the same identifier waits until the old one is removed. Jobs that could not be read are not added during the term.

--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -120,11 +120,12 @@
         for job in current.jobs.values()
         if job.ended_at_s is not None
         and now_s - job.ended_at_s > current.policy.retention_s
+        and now_s >= job.delete_not_before_s
         and not job.list_runs()
         and not job.dirty
     ]
 
 
 def remove_job(current: state.SchedulerState, job_id: str) -> None:
-    """Removes a job from the state; the caller deletes its records."""
+    """Removes a job whose row has been deleted from the state."""
     current.jobs.pop(job_id, None)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -238,6 +238,8 @@
         dirty: Whether its progress has changed since it was last written.
         ended_at_s: When it ended, or when this scheduler loaded it as ended, on the scheduler's
             clock.
+        delete_not_before_s: Time before which its records are not deleted; infinite while they are
+            being deleted.
         unstored_ends: First end of a run whose effect is not stored yet, by worker and its
             incarnation.
         written_at_s: When its progress was last written, on the scheduler's clock.
@@ -259,6 +261,7 @@
     next_occurrence: int = 0
     dirty: bool = False
     ended_at_s: float | None = None
+    delete_not_before_s: float = 0.0
     unstored_ends: dict[EndSource, int] = dataclasses.field(default_factory=dict)
     written_at_s: float = 0.0
     write_not_before_s: float = 0.0
--- a/lycheegate/node/deletion.py
+++ b/lycheegate/node/deletion.py
@@ -1,4 +1,10 @@
-"""Deletion of the records of jobs whose retention time is over."""
+"""Deletion of the records of jobs whose retention time is over.
+
+A job is known to the scheduler until its row has been deleted. Otherwise the row would be taken for
+that of a new job when the table is read again, and the job would run again.
+"""
+
+from collections.abc import Callable
 
 from returns import result
 
@@ -13,12 +19,15 @@
 MAX_DELETED_ROWS = 45
 """A transaction holds at most 100 entries; each row needs a condition and a deletion."""
 TIMEOUT_S = 2.0
+RETRY_S = 2.0
+"""Delay before a deletion that failed is repeated."""
 
 
 class RecordDeleter:
     """Deletes records during one term.
 
-    What cannot be deleted is only logged: the holder of the next term finds it and deletes it.
+    Progress that cannot be deleted is only logged: the holder of the next term finds it without its
+    job and deletes it.
 
     Args:
         store: The store.
@@ -31,8 +40,13 @@
         self._log = log
         self._holder_version = holder_version
 
-    def delete_job(self, job: state.JobState) -> None:
-        """Deletes a job, then its progress; in the other order, the job could run again."""
+    def delete_job(self, job: state.JobState, on_done: Callable[[bool], None]) -> None:
+        """Deletes a job, then its progress; in the other order, the job could run again.
+
+        Args:
+            job: The job.
+            on_done: Called with whether the row of the job is known to be deleted.
+        """
         job_key = tables.get_job_key(job.job.job_id)
         deletes = [job_key]
         if job.cancelled:
@@ -41,13 +55,18 @@
         condition = storage.Condition(job_key, job.accepted_version)
 
         def handle_deleted(outcome: storage.StoreResult) -> None:
-            if isinstance(outcome, result.Success):
+            # On a conflict, an earlier deletion whose answer was lost has taken effect.
+            is_deleted = isinstance(outcome, result.Success) or isinstance(
+                outcome.failure(), storage.ConflictError
+            )
+            if is_deleted:
                 job_id = job.job.job_id
                 pages = [tables.get_page_key(job_id, n) for n in range(job.stored_pages)]
                 key = tables.get_progress_key(job_id)
                 self.delete_progress([storage.Condition(key, job.version)], pages)
             else:
                 self._log_failure(outcome)
+            on_done(is_deleted)
 
         transaction = storage.Transaction((condition,), (), tuple(deletes))
         self._store.transact(transaction, TIMEOUT_S, handle_deleted)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -4,7 +4,10 @@
 return. Except where noted, all functions and callbacks run on the event thread.
 """
 
+import collections
 import dataclasses
+import functools
+import math
 from collections.abc import Callable
 
 from returns import result
@@ -46,6 +49,8 @@
 REGISTRY_PAUSE_S = 0.3
 HEARTBEAT_BYTES = 16_000
 """Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
+MAX_DELETED_VERSIONS = 10_000
+"""Number of deleted jobs that are remembered; a read of the table takes seconds."""
 MAX_LOGGED_KEY = 40
 """Characters of a row's key in the log; keys of other writers have up to 200."""
 
@@ -114,6 +119,12 @@
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
+        self._unreadable_jobs: set[str] = set()
+        """Jobs whose records could not be read at the start of the term; they may have run."""
+        self._deleted_versions: collections.OrderedDict[str, int] = collections.OrderedDict()
+        """Versions of the rows of the jobs that were deleted last."""
+        self._reused_rows: dict[str, storage.Row] = {}
+        """Rows of new jobs that have the identifier of one whose records are being deleted."""
         self._stopped = False
         self._loaded = False
         self._writing = False
@@ -225,10 +236,12 @@
                 record = loaded.progress.get(job_id)
                 pages = loaded.pages.get(job_id, [])
                 if job is None or not self._restore_progress(job, record, pages, now_s):
+                    self._unreadable_jobs.add(job_id)
                     continue
                 lifecycle.add_job(self._state, job, now_s, wall_s)
             except Exception as error:
                 # The other jobs must be scheduled; nothing is placed before all are loaded.
+                self._unreadable_jobs.add(job_id)
                 self._log_unreadable_job(job_id, error)
                 continue
             recovered += job.is_open
@@ -294,10 +307,27 @@
                 continue
             if is_cancel:
                 self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
-            elif job_id not in self._state.jobs:
+            elif job_id in self._state.jobs:
+                self._record_reused_row(self._state.jobs[job_id], row)
+            elif self._is_new(job_id, row):
                 self._add_seen_job(job_id, row, now_s)
         self._request_pass()
 
+    def _record_reused_row(self, job: state.JobState, row: storage.Row) -> None:
+        """Keeps the row of a new job until the job that had its identifier has been removed."""
+        is_being_deleted = job.delete_not_before_s == math.inf
+        if is_being_deleted and row.version > job.accepted_version:
+            self._reused_rows[job.job.job_id] = row
+
+    def _is_new(self, job_id: str, row: storage.Row) -> bool:
+        """Returns whether the row of a job that is not known is that of a new one.
+
+        A read of the whole table that was made before a deletion may arrive after it.
+        """
+        if job_id in self._unreadable_jobs:
+            return False
+        return row.version > self._deleted_versions.get(job_id, storage.ABSENT)
+
     def _add_seen_job(self, job_id: str, row: storage.Row, now_s: float) -> None:
         try:
             job = self._make_job(job_id, row)
@@ -405,8 +435,25 @@
     def _delete_expired(self, now_s: float) -> None:
         expired = lifecycle.list_expired(self._state, now_s)
         for job in expired[: deletion.MAX_DELETED_JOBS]:
-            lifecycle.remove_job(self._state, job.job.job_id)
-            self._deleter.delete_job(job)
+            job.delete_not_before_s = math.inf
+            self._deleter.delete_job(job, functools.partial(self._handle_deleted, job))
+
+    def _handle_deleted(self, job: state.JobState, is_deleted: bool) -> None:
+        """Removes a job whose row was deleted, or deletes the row again later."""
+        if self._stopped:
+            return
+        if not is_deleted:
+            job.delete_not_before_s = self._runtime.now_s() + deletion.RETRY_S
+            return
+        job_id = job.job.job_id
+        lifecycle.remove_job(self._state, job_id)
+        self._deleted_versions[job_id] = job.accepted_version
+        if len(self._deleted_versions) > MAX_DELETED_VERSIONS:
+            self._deleted_versions.popitem(last=False)
+        # A new job may have got the identifier while the deletion was on its way.
+        row = self._reused_rows.pop(job_id, None)
+        if row is not None:
+            self._add_seen_job(job_id, row, self._runtime.now_s())
 
     def _write(self) -> None:
         """Writes changed progress, and the heartbeat if it is due."""
--- a/lycheegate/node/tests/test_store_layout.py
+++ b/lycheegate/node/tests/test_store_layout.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from lycheegate.jobs import model, progress
+from lycheegate.jobs import model, progress, state
 from lycheegate.node import storage, tables, terms
 from lycheegate.node.tests import fake_store, simulation
 
@@ -118,3 +118,51 @@
     world.submit(job)
     world.run(_LATEST_WRITE_S)
     assert tables.get_progress_key(_JOB_ID) in world.store.rows
+
+
+def _reread_jobs(world: simulation.World) -> None:
+    """Lets the holder read the whole table of jobs, as after a loss of the store's history."""
+    world.faults.history_lost = True
+    world.run(3.0)
+    world.faults.history_lost = False
+    world.run(5.0)
+
+
+@pytest.mark.parametrize("is_applied", [False, True])
+def test_job_whose_deletion_fails_does_not_run_again(is_applied):
+    """Guards against an ended job that runs again, because its row was found after it had expired.
+
+    The job was forgotten before its row was deleted. The deletion was refused, or its answer lost.
+    """
+    world = simulation.World(1)
+    world.policy = state.Policy(retention_s=5.0)
+    world.submit(simulation.make_job(_JOB_ID, _TASK))
+    world.claim_term("a")
+    world.run(4.0)
+    for _ in range(300):
+        world.run(0.01)
+        if _JOB_ID in world.schedulers["a"]._state.jobs:
+            world.faults.refused_vms = set() if is_applied else {"a"}
+            world.faults.lost_writes = 1.0 if is_applied else 0.0
+    world.faults.refused_vms = set()
+    world.faults.lost_writes = 0.0
+    _reread_jobs(world)
+    assert sum(world.fleet.starts.values()) == 1
+    world.run(30.0)
+    assert not [key for key in world.store.rows if key.table in (tables.JOBS, tables.PROGRESS)]
+    assert world.fleet.violations == []
+
+
+def test_job_with_unreadable_progress_does_not_run_again():
+    """Guards against a job that runs again because its progress was written by a later build."""
+    world = simulation.World(1)
+    world.submit(simulation.make_job(_JOB_ID, _TASK))
+    holder = world.claim_term("a")
+    world.run(4.0)
+    holder.stop("killed")
+    world.store.put(tables.get_progress_key(_JOB_ID), b"\x85\x03\x60\xf5\x01\x80")
+    world.claim_term("b")
+    world.run(2.0)
+    _reread_jobs(world)
+    assert sum(world.fleet.starts.values()) == 1
+    assert world.fleet.violations == []
