Delete the cancellation of a job with it in each case

Cause: the row of a cancellation was deleted only if the scheduler that deleted the job had cancelled it. If the job had ended before, or an earlier holder had stored that it was cancelled, the row stayed in the store for good, and each new holder read it.

Change: a job knows whether the store holds a cancellation of it, however it ended.

--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -30,7 +30,10 @@
 def cancel_job(current: state.SchedulerState, job_id: str, now_s: float) -> list[commands.Command]:
     """Cancels a job and stops its runs; does nothing if the job has ended or does not exist."""
     job = current.jobs.get(job_id)
-    if job is None or job.cancelled or job.outcome is not None:
+    if job is None:
+        return []
+    job.has_cancellation = True
+    if job.cancelled or job.outcome is not None:
         return []
     job.cancelled = True
     job.end(model.Outcome.CANCELLED, now_s)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -232,7 +232,8 @@
         stored_status: Status according to the stored progress record, which callers see.
         steps: Steps of the open occurrences.
         outcome: How it ended, or None.
-        cancelled: Whether its caller has cancelled it.
+        cancelled: Whether its caller has cancelled it before it ended.
+        has_cancellation: Whether the store holds a cancellation of it.
         started: Whether any of its tasks was ever placed.
         next_occurrence: First occurrence that was not opened yet.
         dirty: Whether its progress has changed since it was last written.
@@ -257,6 +258,7 @@
     steps: dict[StepKey, StepState] = dataclasses.field(default_factory=dict)
     outcome: model.Outcome | None = None
     cancelled: bool = False
+    has_cancellation: bool = False
     started: bool = False
     next_occurrence: int = 0
     dirty: bool = False
--- a/lycheegate/node/deletion.py
+++ b/lycheegate/node/deletion.py
@@ -49,7 +49,7 @@
         """
         job_key = tables.get_job_key(job.job.job_id)
         deletes = [job_key]
-        if job.cancelled:
+        if job.has_cancellation:
             deletes.append(tables.get_cancel_key(job.job.job_id))
         # The condition keeps a new job that reuses the identifier.
         condition = storage.Condition(job_key, job.accepted_version)
--- a/lycheegate/node/tests/test_store_layout.py
+++ b/lycheegate/node/tests/test_store_layout.py
@@ -81,6 +81,29 @@
     assert not [key for key in world.store.rows if key.table in (tables.JOBS, tables.PROGRESS)]
 
 
+@pytest.mark.parametrize(
+    ("cancelled_after_s", "new_holder_after_s"), [(0.5, 1.0), (0.5, None), (3.0, None), (3.0, 3.2)]
+)
+def test_cancellation_is_deleted_with_its_job(cancelled_after_s, new_holder_after_s):
+    """Guards against cancellations that stay in the store for good.
+
+    The job had ended when it was cancelled, or another holder had stored that it was cancelled.
+    """
+    world = simulation.World(1)
+    world.policy = state.Policy(retention_s=5.0)
+    world.submit(simulation.make_job(_JOB_ID, _TASK))
+    holder = world.claim_term("a")
+    world.run(cancelled_after_s)
+    world.cancel(_JOB_ID)
+    world.run(0.1)
+    if new_holder_after_s is not None:
+        world.run(new_holder_after_s - cancelled_after_s)
+        holder.stop("killed")
+        world.claim_term("b")
+    world.run(30.0)
+    assert not [key for key in world.store.rows if key.table in (tables.JOBS, tables.PROGRESS)]
+
+
 def test_progress_outlives_its_job():
     """Guards against a job that runs again because its progress was deleted before it.
 
