Place nothing by the registration of an earlier incarnation of a worker

Cause: a worker that crashes and returns under its identifier as a smaller kind, or with other labels, reports before its new registration is read.

Change: a worker whose reports are of a later incarnation than its registration is not eligible. An order that was placed before is withdrawn, or its run stopped if an earlier order may have started it.

--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -19,6 +19,7 @@
     """Returns whether a worker may get new work as soon as it reports."""
     return (
         worker.registered
+        and worker.has_current_registration
         and not worker.draining
         and not worker.unknown_runs
         and not health.is_quarantined(worker, now_s)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -372,6 +372,14 @@
     is_replaced: bool = False
     trials: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
+    @property
+    def has_current_registration(self) -> bool:
+        """Whether its registration is not that of an earlier incarnation.
+
+        A worker may return under its identifier with other capacity, labels or service.
+        """
+        return not self.registered_born_ms or self.registered_born_ms >= self.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CountedCrash:
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -308,8 +308,11 @@
             # It announced its departure while the intention was written, which may take seconds.
             self.record_refusal(order, "worker_draining")
             return
+        if worker is not None and not worker.has_current_registration:
+            self._withdraw_start(order, run, is_repeated, "worker_not_registered_anew")
+            return
         if worker is not None and runs.exceeds_capacity(worker, run):
-            self._withdraw_start(order, run, is_repeated)
+            self._withdraw_start(order, run, is_repeated, "worker_shrunk")
             return
         deadline_ms = worker and leases.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
@@ -326,18 +329,18 @@
         )
 
     def _withdraw_start(
-        self, order: commands.StartRun, run: state.Run, may_have_started: bool
+        self, order: commands.StartRun, run: state.Run, may_have_started: bool, reason: str
     ) -> None:
-        """Withdraws a run that its worker, which has shrunk, has no room for."""
+        """Withdraws a run whose worker no longer is as it was when the run was placed."""
         if not may_have_started:
-            self.record_refusal(order, "worker_shrunk")
+            self.record_refusal(order, reason)
             return
-        now_s, reason = self._now_s(), state.StopReason.UNANSWERED
+        now_s, stop_reason = self._now_s(), state.StopReason.UNANSWERED
         step = runs.find_step(self._state, run.task)
         if step is not None and step.step.gang:
-            self._hooks.execute(runs.stop_step(self._state, step, reason, now_s))
+            self._hooks.execute(runs.stop_step(self._state, step, stop_reason, now_s))
         else:
-            self._hooks.execute(runs.stop_run(self._state, run, reason, now_s))
+            self._hooks.execute(runs.stop_run(self._state, run, stop_reason, now_s))
 
     def record_refusal(self, order: commands.StartRun, reason: str) -> None:
         """Records that an order to start a run definitely had no effect."""
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -1,5 +1,6 @@
 """Simulated store, workers and scheduler VMs, on one event loop with a fake clock."""
 
+import json
 import random
 
 from lycheegate.jobs import model, progress, state
@@ -51,7 +52,7 @@
             f'"state":"{"draining" if draining else "ready"}",'
             f'"capacity":{{"cpu":{worker.capacity.cpu_millicores},'
             f'"mem-mb":{worker.capacity.memory_mb},"gpu":{worker.capacity.accelerators}}},'
-            f'"labels":["a","{worker.rack}"],"born":{worker.born_ms}'
+            f'"labels":{json.dumps(sorted(worker.labels))},"born":{worker.born_ms}'
         )
         text += "}" if remaining_ms is None else f',"remaining-ms":{remaining_ms}}}'
         self.store.put(storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id), text.encode())
--- a/lycheegate/node/tests/test_changing_capacity.py
+++ b/lycheegate/node/tests/test_changing_capacity.py
@@ -62,3 +62,34 @@
     world.resize("w0", _FULL)
     world.run(4.0)
     simulation.assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("late_orders", [0.0, 0.2])
+@pytest.mark.parametrize("delay_s", [0.0, 0.3, 0.8, 2.0])
+@pytest.mark.parametrize("label", ["", "big"])
+def test_worker_that_returns_as_a_smaller_kind(label, delay_s, late_orders):
+    """Guards against starts by the registration of an earlier incarnation of the worker.
+
+    Load pattern: more work waits than fits; a worker crashes, is back under its identifier with
+    less capacity and without its label, and reports before it is registered anew.
+    """
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 30.0
+    for worker in world.fleet.workers.values():
+        worker.labels.add("big")
+        world.register(worker.worker_id)
+    for number in range(20):
+        world.submit(simulation.make_job(f"{number:016x}", simulation.make_step(4, label=label)))
+    world.claim_term("a")
+    world.run(2.0)
+    returning = world.fleet.workers["w0"]
+    world.fleet.on_returned = lambda worker_id: world.loop.call_later(
+        delay_s, lambda: world.register(worker_id)
+    )
+    world.fleet.crash("w0")
+    returning.capacity = _SHRUNK
+    returning.labels.discard("big")
+    world.faults.late_orders = late_orders
+    world.run(10.0)
+    assert world.fleet.violations == []
+    assert returning.count_live() == (0 if label else 2) or late_orders
