Trust no idle connection that is older than a request without an answer

Cause: the client keeps up to 32 idle connections to a worker for 30 s, and a timeout closes only the one that it was found on. If all connections to a worker go silent without a reset, each costs a timeout of a poll and a pause.

Change: after a request that was sent and got no answer, connections to its origin are reused only if they were in use since it was sent; for 2 s, until that can be told from idle times in whole seconds, new ones are opened. The client is also that of the store and of the peers. The decision is a function, compute_reuse.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import select
 import socket
 import threading
@@ -19,7 +20,15 @@
 
 from lycheegate.utils import exceptions
 
-__all__ = ["HttpClient", "HttpLimits", "Request", "Response", "Timer"]
+__all__ = [
+    "HttpClient",
+    "HttpLimits",
+    "Request",
+    "Response",
+    "Reuse",
+    "Timer",
+    "compute_reuse",
+]
 
 HttpResult = result.Result["Response", exceptions.LycheegateError]
 
@@ -106,6 +115,39 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reuse:
+    """Which idle connections a request may reuse.
+
+    Attributes:
+        must_connect: Whether it opens a new connection.
+        max_idle_s: Idle time in whole seconds above which a connection is closed instead.
+    """
+
+    must_connect: bool
+    max_idle_s: int
+
+
+def compute_reuse(untrusted_since_s: float | None, now_s: float, idle_connection_s: int) -> Reuse:
+    """Returns which idle connections to an origin may be reused.
+
+    Handles connections that go silent without a reset, all to one origin at once. Each would cost a
+    timeout, so after the first one, only connections are reused that were in use since the request
+    without an answer was sent. libcurl compares idle times in whole seconds, rounded down.
+
+    Args:
+        untrusted_since_s: When the last request that got no answer was sent, or None.
+        now_s: Current time on the same clock.
+        idle_connection_s: Idle time after which a connection is not reused in any case.
+    """
+    elapsed_s = math.inf if untrusted_since_s is None else now_s - untrusted_since_s
+    if elapsed_s < 2.0:
+        return Reuse(True, idle_connection_s)
+    if elapsed_s > idle_connection_s:
+        return Reuse(False, idle_connection_s)
+    return Reuse(False, int(elapsed_s) - 1)
+
+
 class Timer:
     """A delayed function call that can be cancelled."""
 
@@ -218,6 +260,8 @@
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         # Idle handles by method and presence of a body, the options that remain set on a handle.
         self._idle_handles: dict[tuple[str, bool], list[pycurl.Curl]] = {}
+        self._untrusted_since_s: dict[str, float] = {}
+        """When the last request that got no answer was sent, by origin."""
         self._epoll = select.epoll()
         self._registered_sockets: set[int] = set()
         self._wake_receiver, self._wake_sender = socket.socketpair()
@@ -420,7 +464,6 @@
         handle.setopt(pycurl.UPLOAD_BUFFERSIZE, _UPLOAD_BUFFER_BYTES)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.TCP_NODELAY, 1)
-        handle.setopt(pycurl.MAXAGE_CONN, self._limits.idle_connection_s)
         return handle
 
     def _set_options(self, handle: pycurl.Curl, transfer: _Transfer) -> None:
@@ -435,11 +478,20 @@
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(limit_s * 1000)))
         connect_s = min(self._limits.connect_timeout_s, request.timeout_s)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_s * 1000)))
+        reuse = self._compute_reuse(transfer.origin)
+        handle.setopt(pycurl.FRESH_CONNECT, int(reuse.must_connect))
+        handle.setopt(pycurl.MAXAGE_CONN, reuse.max_idle_s)
         handle.setopt(pycurl.PREREQFUNCTION, transfer.handle_request_start)
         # libcurl itself limits the headers of an answer to 300 KB.
         handle.setopt(pycurl.HEADERFUNCTION, transfer.header_lines.append)
         handle.setopt(pycurl.WRITEFUNCTION, transfer.append_body)
 
+    def _compute_reuse(self, origin: str) -> Reuse:
+        since_s, now_s = self._untrusted_since_s.get(origin), time.monotonic()
+        if since_s is not None and now_s - since_s > self._limits.idle_connection_s:
+            del self._untrusted_since_s[origin]
+        return compute_reuse(since_s, now_s, self._limits.idle_connection_s)
+
     def _finish_transfers(self) -> None:
         while True:
             remaining, succeeded, failed = self._multi.info_read()
@@ -461,6 +513,8 @@
             self.bytes_sent += handle.getinfo(pycurl.REQUEST_SIZE)
             self.bytes_sent += int(handle.getinfo(pycurl.SIZE_UPLOAD_T))
         status = handle.getinfo(pycurl.RESPONSE_CODE)
+        if code == pycurl.E_OPERATION_TIMEDOUT and transfer.sent:
+            self._untrusted_since_s[transfer.origin] = transfer.queued_at_s
         self._multi.remove_handle(handle)
         idle_handles = self._idle_handles.setdefault(transfer.kind, [])
         if len(idle_handles) < _MAX_IDLE_HANDLES:
