Let repeated crashes of one worker weigh less against the task

Cause: a crash within half a second of a start counted fully for the task, whichever worker crashed. The task was also placed on the same worker again although others were free.

Change: a further crash of the same worker under a task weighs 3 of 15 in place of 5, and workers that crashed under a task are avoided. Both promises hold: three crashes of one worker fail no job, and a deadly task that fits on one worker only is given up after five starts, which is as many as the check of the fake workers allows after crashes. What is known of the crashed workers is not recorded, so the crash after a change of holders weighs 5.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -7,7 +7,8 @@
 
 Also handles crashes of many workers for another reason, after which the lost tasks start together
 and are new again when the next such crash comes. If workers without new runs crash at about the
-same time, a crash weighs less, so that five fail a job.
+same time, a crash weighs less, so that five fail a job. So does a further crash of the same worker,
+which may be faulty; the task is tried elsewhere if possible.
 
 The weights of the crashes are part of the job's progress record, and each recorded run names the
 incarnation of its worker, so that the next holder also counts crashes between two terms.
@@ -18,6 +19,7 @@
 __all__ = [
     "CRASH_WEIGHT",
     "MAX_CRASH_WEIGHT",
+    "REPEATED_WEIGHT",
     "SURVIVAL_S",
     "WEIGHT_AMONG_OTHERS",
     "get_crash_weight",
@@ -35,6 +37,9 @@
 WEIGHT_AMONG_OTHERS = 3
 """Weight of a crash at about the same time as crashes of workers without new runs. It is not 0,
 because a task that crashes workers must not be started six times."""
+REPEATED_WEIGHT = 3
+"""Weight of a further crash of the same worker under a task. The worker may be faulty, so three are
+not enough to fail a job; five are, because the task may be deadly and fit on that worker only."""
 MAX_CRASH_WEIGHT = 15
 """Weight from which a task is given up. Two crashes may be a coincidence."""
 BASE_DELAY_S = 0.5
@@ -189,11 +194,15 @@
         return []
     step.last_crashed_numbers[index] = run.number
     weight = CRASH_WEIGHT
-    if _has_other_reason(current, now_s):
+    crashed_workers = step.crashed_workers.setdefault(index, set())
+    if run.worker_id in crashed_workers:
+        weight = REPEATED_WEIGHT
+    elif _has_other_reason(current, now_s):
         weight = WEIGHT_AMONG_OTHERS
     else:
         counted = state.CountedCrash(now_s, run.task.job_id, step.key, index)
         current.counted_crashes = [*_list_recent(current, now_s), counted]
+    crashed_workers.add(run.worker_id)
     step.crash_weights[index] = step.crash_weights.get(index, 0) + weight
     step.not_before_s = max(step.not_before_s, now_s + _compute_delay_s(step.crash_weights[index]))
     job.dirty = True
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -98,7 +98,8 @@
         labeled = self._list_labeled(service, step.step.label)
         if self._on_trial:
             labeled = [c for c in labeled if c.worker_id not in self._on_trial]
-        if not step.avoided_workers and not step.step.max_per_worker:
+        avoided = step.avoided_workers.union(*step.crashed_workers.values())
+        if not avoided and not step.step.max_per_worker:
             return labeled
         run_counts: dict[str, int] = {}
         for run in step.runs.values():
@@ -111,7 +112,7 @@
                 candidate.room,
                 candidate.capacity,
                 limit - run_counts.get(candidate.worker_id, 0),
-                candidate.is_avoided or candidate.worker_id in step.avoided_workers,
+                candidate.is_avoided or candidate.worker_id in avoided,
             )
             for candidate in labeled
         ]
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -169,6 +169,7 @@
         crash_weights: Sum of the weights of the crashes of workers that each task may have caused;
             those of a gang count for task 0.
         last_crashed_numbers: Number of the last run of each task for which a crash was counted.
+        crashed_workers: Workers that have crashed under each task during this term.
     """
 
     key: StepKey
@@ -184,6 +185,7 @@
     ready_since_s: float | None = None
     crash_weights: dict[int, int] = dataclasses.field(default_factory=dict)
     last_crashed_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
+    crashed_workers: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
--- a/lycheegate/jobs/tests/test_crashes.py
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -261,3 +261,49 @@
     report = workers.Report(run.worker_id, 1_000, _BORN_MS + 1, (), (), 6.0, 6.0)
     workers.apply_report(following, report)
     assert crashes.get_crash_weight(restored.steps[0, 0], 0) == 2 * crashes.CRASH_WEIGHT
+
+
+@pytest.mark.parametrize(
+    ("crashed", "total", "outcome"),
+    [
+        (["w0", "w0", "w0"], 11, None),
+        (["w0", "w0", "w0", "w0"], 14, None),
+        (["w0", "w0", "w0", "w0", "w0"], 17, model.Outcome.FAILED),
+        (["w0", "w1", "w0"], 13, None),
+        (["w0", "w1", "w0", "w1"], 16, model.Outcome.FAILED),
+        (["w0", "w1", "w2"], 15, model.Outcome.FAILED),
+    ],
+)
+def test_repeated_crashes_of_one_worker_weigh_less(crashed, total, outcome):
+    """Guards against a job that is shown as failed because one worker is faulty.
+
+    Five crashes on one worker give the task up all the same, since it may crash that worker.
+    """
+    current = _make_state(3)
+    job = _add_job(current, "0" * 16)
+    for number, worker_id in enumerate(crashed):
+        now_s = 10.0 * number
+        for worker in current.workers.values():
+            worker.registered = worker.worker_id == worker_id
+        _start(current, now_s)
+        (run,) = job.list_runs()
+        assert run.worker_id == worker_id
+        runs.record_start_confirmed(current, run, now_s)
+        runs.end_run(current, run, runs.End.CRASHED, "absent", now_s + 1.0)
+        lifecycle.advance_jobs(current, now_s + 9.0, 0.0)
+    assert job.outcome is outcome
+    assert crashes.get_crash_weight(job.steps[0, 0], 0) == total
+
+
+def test_task_is_tried_elsewhere_after_a_crash():
+    """Guards against a task that is started again on the worker that has just crashed under it."""
+    current = _make_state(3)
+    job = _add_job(current, "0" * 16)
+    used = []
+    for number in range(3):
+        _start(current, 10.0 * number)
+        (run,) = job.list_runs()
+        used.append(run.worker_id)
+        runs.record_start_confirmed(current, run, 10.0 * number)
+        runs.end_run(current, run, runs.End.CRASHED, "absent", 10.0 * number + 1.0)
+    assert len(set(used)) == 3
--- a/lycheegate/node/tests/test_deadly_tasks.py
+++ b/lycheegate/node/tests/test_deadly_tasks.py
@@ -158,3 +158,32 @@
     world.faults.lost_orders = 0.0
     world.run(30.0)
     assert_only_deadly_job_failed(world)
+
+
+@pytest.mark.parametrize("is_deadly", [False, True], ids=["faulty_worker", "deadly"])
+def test_task_that_fits_on_one_worker_only(is_deadly):
+    """Guards against a job that is shown as failed although one faulty worker has crashed.
+
+    Load pattern: the only worker with the label of a task crashes three times, soon after each
+    start of the task, and is sound from then on. A task that always crashes it is given up.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 2.0
+    world.fleet.workers["w0"].labels.add("only")
+    world.register("w0")
+    world.submit(simulation.make_job(DEADLY, simulation.make_step(label="only")))
+    task = model.TaskKey(DEADLY, 0, 0, 0)
+    if is_deadly:
+        world.fleet.deadly = {task}
+    world.claim_term("a")
+    for number in range(0 if is_deadly else 3):
+        while world.fleet.starts.get(task, 0) <= number:
+            world.run(0.05)
+            assert world.loop.now_s < 150.0
+        world.run(0.2)
+        world.fleet.crash("w0")
+    world.run(60.0)
+    assert world.fleet.violations == []
+    expected = model.Outcome.FAILED if is_deadly else model.Outcome.SUCCEEDED
+    assert world.read_status(DEADLY).outcome is expected
+    assert world.fleet.starts[task] == (5 if is_deadly else 4)
