Let the cancellation of an unknown job bind its later submission

Cause: DELETE of a job without a row stored nothing and was answered 410. A submission that was still on its way, in a suspended VM or in a call that the store executes seconds later, was stored afterwards, and the job ran for good.

Change: the cancellation is stored before the 410, and a submission requires that there is none; it is answered 410 otherwise. The holder cancels a job that was stored all the same, and deletes the row after the retention of ended jobs.

test_status_and_cancel used one identifier for an unknown job and for a submission after its DELETE. Such a submission is refused now on purpose, so the test uses two identifiers, and also checks that the other one stays unknown.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -24,6 +24,7 @@
     "StepKey",
     "StepState",
     "StopReason",
+    "UnknownCancellation",
     "WorkerState",
     "get_route",
     "iterate_open_jobs",
@@ -400,6 +401,22 @@
     index: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownCancellation:
+    """Cancellation of a job that is not known.
+
+    Attributes:
+        version: Version of its row in the store.
+        recorded_at_s: When it was recorded.
+        delete_not_before_s: Time before which its row is not deleted; infinite while it is being
+            deleted.
+    """
+
+    version: int
+    recorded_at_s: float
+    delete_not_before_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Reservation:
     """Room that is reserved for waiting tasks until the runs that still use it have ended.
@@ -442,6 +459,7 @@
         unlisted_runs_ended: Whether the runs on workers that never registered have been ended.
         other_crashes_at_s: When workers without new runs were last found to have crashed.
         counted_crashes: Crashes with full weight that were counted lately.
+        unknown_cancellations: Cancellations of jobs that are not known, by job.
     """
 
     epoch: int
@@ -460,6 +478,7 @@
     unlisted_runs_ended: bool = False
     other_crashes_at_s: list[float] = dataclasses.field(default_factory=list)
     counted_crashes: list[CountedCrash] = dataclasses.field(default_factory=list)
+    unknown_cancellations: dict[str, UnknownCancellation] = dataclasses.field(default_factory=dict)
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -180,8 +180,13 @@
             self._log.write("job_invalid", job=job_id, error=text)
             return werkzeug.Response(text, status=413)
         job_key = tables.get_job_key(job_id)
+        # The job may have been cancelled at another VM while this call was on its way.
+        cancel_key = tables.get_cancel_key(job_id)
         transaction = storage.Transaction(
-            conditions=(storage.Condition(job_key, storage.ABSENT),),
+            conditions=(
+                storage.Condition(job_key, storage.ABSENT),
+                storage.Condition(cancel_key, storage.ABSENT),
+            ),
             writes=(storage.Write(job_key, record),),
         )
         outcome = self._transact(transaction, deadline_s)
@@ -198,6 +203,9 @@
             return _make_json(b"{}")
         error = outcome.failure()
         if isinstance(error, storage.ConflictError):
+            if all(row.key == cancel_key for row in error.rows):
+                self._log.write("job_cancelled_before", job=job_id)
+                return werkzeug.Response("the job was cancelled before", status=410)
             # The job already exists: an earlier answer was lost, or the call was repeated.
             self._log.write("job_repeated", job=job_id)
             return _make_json(b"{}")
@@ -208,10 +216,10 @@
         if not isinstance(outcome, result.Success):
             return self._respond_store_error(outcome.failure(), "cancel", job_id, is_write=False)
         status = outcome.unwrap()
-        if status is None:
-            return werkzeug.Response(status=410)
-        if status.outcome is not None:
+        if status is not None and status.outcome is not None:
             return _make_json(submissions.encode_status(status))
+        # The cancellation of an unknown job keeps a submission that is on its way from being
+        # stored after this call was answered.
         transaction = storage.Transaction(
             writes=(storage.Write(tables.get_cancel_key(job_id), b"1"),)
         )
@@ -219,7 +227,10 @@
         if not isinstance(written, result.Success):
             return self._respond_store_error(written.failure(), "cancel", job_id)
         self._notify(storage.Row(tables.get_cancel_key(job_id), b"1", written.unwrap()))
-        self._log.write("cancel_accepted", job=job_id, version=written.unwrap())
+        is_known = status is not None
+        self._log.write("cancel_accepted", job=job_id, version=written.unwrap(), known=is_known)
+        if not is_known:
+            return werkzeug.Response(status=410)
         return _make_json(b"{}")
 
     def _get_status(self, job_id: str, deadline_s: float) -> werkzeug.Response:
--- a/lycheegate/node/deletion.py
+++ b/lycheegate/node/deletion.py
@@ -71,6 +71,29 @@
         transaction = storage.Transaction((condition,), (), tuple(deletes))
         self._store.transact(transaction, TIMEOUT_S, handle_deleted)
 
+    def delete_cancellation(
+        self, job_id: str, version: int, on_done: Callable[[bool], None]
+    ) -> None:
+        """Deletes the cancellation of a job that is not known, unless it was written again.
+
+        Args:
+            job_id: Identifier of the job.
+            version: Version of the cancellation's row.
+            on_done: Called with whether the row is deleted or has another version.
+        """
+        key = tables.get_cancel_key(job_id)
+
+        def handle_deleted(outcome: storage.StoreResult) -> None:
+            is_conflict = not isinstance(outcome, result.Success) and isinstance(
+                outcome.failure(), storage.ConflictError
+            )
+            if not is_conflict:
+                self._log_failure(outcome)
+            on_done(is_conflict or isinstance(outcome, result.Success))
+
+        transaction = storage.Transaction((storage.Condition(key, version),), (), (key,))
+        self._store.transact(transaction, TIMEOUT_S, handle_deleted)
+
     def delete_progress(
         self, conditions: list[storage.Condition], pages: list[storage.RowKey]
     ) -> None:
--- a/lycheegate/node/recovery.py
+++ b/lycheegate/node/recovery.py
@@ -14,14 +14,14 @@
 
     Attributes:
         jobs: Rows of accepted jobs, by job identifier.
-        cancelled: Identifiers of cancelled jobs.
+        cancelled: Version of the row of each cancellation, by job identifier.
         progress: Rows of progress records, by job identifier.
         pages: Rows of the pages of each record that has any, in their order.
         version: Version from which to follow changes of the table of jobs.
     """
 
     jobs: dict[str, storage.Row] = dataclasses.field(default_factory=dict)
-    cancelled: list[str] = dataclasses.field(default_factory=list)
+    cancelled: dict[str, int] = dataclasses.field(default_factory=dict)
     progress: dict[str, storage.Row] = dataclasses.field(default_factory=dict)
     pages: dict[str, list[storage.Row]] = dataclasses.field(default_factory=dict)
     version: int = 0
@@ -67,7 +67,7 @@
         for row in content.rows:
             job_id, is_cancel = tables.split_job_key(row.key.key)
             if is_cancel:
-                loaded.cancelled.append(job_id)
+                loaded.cancelled[job_id] = row.version
             else:
                 loaded.jobs[job_id] = row
         read([(tables.PROGRESS, tables.PART), (tables.PAGES, tables.PART)], handle_progress)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from lycheegate.jobs import (
+    cancellations,
     commands,
     evacuation,
     health,
@@ -245,8 +246,8 @@
                 self._log_unreadable_job(job_id, error)
                 continue
             recovered += job.is_open
-        for job_id in loaded.cancelled:
-            self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
+        for job_id, version in loaded.cancelled.items():
+            self._execute(cancellations.record_cancellation(self._state, job_id, version, now_s))
         self._loaded = True
         self._log_loaded_term(len(loaded.jobs), recovered)
         self._jobs_feed.follow_from(loaded.version)
@@ -304,9 +305,13 @@
         for row in rows:
             job_id, is_cancel = tables.split_job_key(row.key.key)
             if row.deleted:
+                if is_cancel:
+                    cancellations.remove_cancellation(self._state, job_id)
                 continue
             if is_cancel:
-                self._execute(lifecycle.cancel_job(self._state, job_id, now_s))
+                self._execute(
+                    cancellations.record_cancellation(self._state, job_id, row.version, now_s)
+                )
             elif job_id in self._state.jobs:
                 self._record_reused_row(self._state.jobs[job_id], row)
             elif self._is_new(job_id, row):
@@ -334,6 +339,7 @@
             if job is not None:
                 lifecycle.add_job(self._state, job, now_s, self._runtime.wall_s())
                 self._runtime.log.write("job_seen", job=job_id, version=row.version)
+                self._execute(cancellations.apply_to_new_job(self._state, job_id, now_s))
         except Exception as error:
             # The other rows of the answer are not delivered again.
             self._log_unreadable_job(job_id, error)
@@ -437,6 +443,22 @@
         for job in expired[: deletion.MAX_DELETED_JOBS]:
             job.delete_not_before_s = math.inf
             self._deleter.delete_job(job, functools.partial(self._handle_deleted, job))
+        for job_id in cancellations.list_expired(self._state, now_s)[: deletion.MAX_DELETED_JOBS]:
+            if job_id in self._unreadable_jobs:
+                # The job may be readable for the next holder.
+                continue
+            version = self._state.unknown_cancellations[job_id].version
+            cancellations.postpone_deletion(self._state, job_id, math.inf)
+            on_done = functools.partial(self._handle_deleted_cancellation, job_id)
+            self._deleter.delete_cancellation(job_id, version, on_done)
+
+    def _handle_deleted_cancellation(self, job_id: str, is_deleted: bool) -> None:
+        """Removes a cancellation whose row was deleted, or deletes the row again later."""
+        if is_deleted:
+            cancellations.remove_cancellation(self._state, job_id)
+            return
+        retry_at_s = self._runtime.now_s() + deletion.RETRY_S
+        cancellations.postpone_deletion(self._state, job_id, retry_at_s)
 
     def _handle_deleted(self, job: state.JobState, is_deleted: bool) -> None:
         """Removes a job whose row was deleted, or deletes the row again later."""
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -3,6 +3,7 @@
 import io
 import random
 import threading
+import time
 
 import msgspec
 import pytest
@@ -119,6 +120,49 @@
     assert bool(store.rows) == (status == 200)
 
 
+@pytest.mark.parametrize("is_late", [False, True])
+def test_submission_after_its_cancellation(is_late):
+    """Guards against a job that runs for good although its caller was told that it does not exist.
+
+    Its submission waits in a suspended VM, or in a call that the store executes later.
+    """
+    store, _, application, rows = _make_application()
+    if is_late:
+        transactions = []
+        transact, store.transact = store.transact, lambda t, s, done: transactions.append((t, done))
+        thread = threading.Thread(
+            target=_call, args=(application, "POST"), kwargs={"body": _JOB_BODY}
+        )
+        thread.start()
+        while not transactions:
+            time.sleep(0.001)
+        store.transact = transact
+    assert _call(application, "DELETE").status_code == 410
+    if is_late:
+        transaction, done = transactions.pop()
+        done(store._apply(transaction))
+        thread.join(10.0)
+    response = _call(application, "POST", body=_JOB_BODY)
+    assert response.status_code == 410
+    assert "cancelled before" in response.text
+    assert set(store.rows) == {tables.get_cancel_key(_JOB_ID)}
+    assert {row.key for row in rows} == {tables.get_cancel_key(_JOB_ID)}
+
+
+@pytest.mark.parametrize(
+    ("failure", "status"),
+    [(exceptions.UnavailableError("429"), 503), (exceptions.OutcomeUnknownError("lost"), 504)],
+)
+def test_cancellation_of_an_unknown_job_that_is_not_stored(failure, status):
+    """Guards against 410 for a cancellation that does not bind a submission on its way."""
+    store, _, application, _ = _make_application()
+    store.transact = lambda transaction, timeout_s, callback: callback(result.Failure(failure))
+    clock = iter(range(100, 10_000))
+    application._now_s = lambda: float(next(clock)) / 10.0 + 90.0
+    assert _call(application, "DELETE").status_code == status
+    assert store.rows == {}
+
+
 def _make_body(steps: list[dict]) -> bytes:
     return msgspec.json.encode({"spec": "x", "steps": steps})
 
@@ -268,8 +312,11 @@
 def test_status_and_cancel():
     """Guards against wrong answers about a job that is unknown, queued or being cancelled."""
     store, _, application, rows = _make_application()
+    unknown = f"/q/{'0' * 16}"
+    assert _call(application, "GET", unknown).status_code == 410
+    assert _call(application, "DELETE", unknown).status_code == 410
     assert _call(application, "GET").status_code == 410
-    assert _call(application, "DELETE").status_code == 410
+    rows.clear()
     _call(application, "POST", body=_JOB_BODY)
     assert msgspec.json.decode(_call(application, "GET").data) == {"state": "queued"}
     assert _call(application, "DELETE").status_code == 200
--- a/lycheegate/node/tests/test_store_layout.py
+++ b/lycheegate/node/tests/test_store_layout.py
@@ -189,3 +189,42 @@
     _reread_jobs(world)
     assert sum(world.fleet.starts.values()) == 1
     assert world.fleet.violations == []
+
+
+@pytest.mark.parametrize("has_new_holder", [False, True])
+def test_job_that_is_stored_after_its_cancellation(has_new_holder):
+    """Guards against a job that runs although it was cancelled before it was stored.
+
+    A VM of an earlier build stores it without looking for a cancellation.
+    """
+    world = simulation.World(1)
+    holder = world.claim_term("a")
+    world.run(1.0)
+    world.cancel(_JOB_ID)
+    world.run(1.0)
+    if has_new_holder:
+        holder.stop("killed")
+        world.claim_term("b")
+        world.run(1.0)
+    world.submit(simulation.make_job(_JOB_ID, _TASK))
+    world.run(3.0)
+    assert world.fleet.starts == {}
+    assert world.read_status(_JOB_ID).outcome is model.Outcome.CANCELLED
+
+
+@pytest.mark.parametrize("refused_s", [0.0, 5.0])
+def test_cancellation_of_an_unknown_job_is_deleted(refused_s):
+    """Guards against cancellations of jobs that were never stored, which would stay for good."""
+    world = simulation.World(1)
+    world.policy = state.Policy(retention_s=5.0)
+    world.claim_term("a")
+    world.cancel(_JOB_ID)
+    world.run(4.0)
+    assert tables.get_cancel_key(_JOB_ID) in world.store.rows
+    if refused_s:
+        world.faults.refused_vms = {"a"}
+        world.run(refused_s)
+        world.faults.refused_vms = set()
+    world.run(8.0)
+    assert not [key for key in world.store.rows if key.table == tables.JOBS]
+    assert world.schedulers["a"]._state.unknown_cancellations == {}
