Move the rows of jobs and of the term out of the scheduler's module

JobRows applies the rows of jobs to the state and deletes those that have expired, TermRows makes the writes that go with the heartbeat.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -4,19 +4,14 @@
 return. Except where noted, all functions and callbacks run on the event thread.
 """
 
-import collections
 import dataclasses
-import functools
-import math
 from collections.abc import Callable
 
 from returns import result
 
 from lycheegate.jobs import (
-    cancellations,
     commands,
     evacuation,
-    health,
     leases,
     lifecycle,
     model,
@@ -29,18 +24,18 @@
 from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import (
     deletion,
-    division,
     exchange,
     feeds,
+    job_rows,
     passes,
     recovery,
     registry,
     storage,
     tables,
+    term_rows,
     terms,
 )
 from lycheegate.platform import workers as worker_calls
-from lycheegate.utils import exceptions
 
 __all__ = ["Runtime", "Scheduler"]
 
@@ -48,12 +43,6 @@
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
-HEARTBEAT_BYTES = 16_000
-"""Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
-MAX_DELETED_VERSIONS = 10_000
-"""Number of deleted jobs that are remembered; a read of the table takes seconds."""
-MAX_LOGGED_KEY = 40
-"""Characters of a row's key in the log; keys of other writers have up to 200."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,16 +105,6 @@
             worker_id: self._state.began_at_s + duration_s
             for worker_id, duration_s in suspects.items()
         }
-        self._written_suspects: set[str] | None = None
-        self._written_counts: dict[int, dict[str, int] | None] = {}
-        """Counts of waiting jobs in each further row, or None if these may differ."""
-        self._omitted_counts = 0
-        self._unreadable_jobs: set[str] = set()
-        """Jobs whose records could not be read at the start of the term; they may have run."""
-        self._deleted_versions: collections.OrderedDict[str, int] = collections.OrderedDict()
-        """Versions of the rows of the jobs that were deleted last."""
-        self._reused_rows: dict[str, storage.Row] = {}
-        """Rows of new jobs that have the identifier of one whose records are being deleted."""
         self._stopped = False
         self._loaded = False
         self._writing = False
@@ -138,6 +117,18 @@
         self._releasing = False
         self._registry = registry.WorkerRegistry(self._log_odd_registration)
         self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
+        self._term_rows = term_rows.TermRows(
+            self._state, runtime.now_s, runtime.store_clock_ms, runtime.log
+        )
+        self._job_rows = job_rows.JobRows(
+            self._state,
+            self._deleter,
+            runtime.log,
+            runtime.now_s,
+            runtime.wall_s,
+            self._execute,
+            self._is_stopped,
+        )
         self._exchange = exchange.WorkerExchange(
             runtime.workers,
             self._state,
@@ -227,127 +218,17 @@
         return log
 
     def _apply_loaded_jobs(self, loaded: recovery.LoadedJobs) -> None:
-        now_s = self._runtime.now_s()
-        self._state.began_at_s = now_s
-        wall_s = self._runtime.wall_s()
-        recovered = 0
-        for job_id, row in loaded.jobs.items():
-            try:
-                job = self._make_job(job_id, row)
-                record = loaded.progress.get(job_id)
-                pages = loaded.pages.get(job_id, [])
-                if job is None or not self._restore_progress(job, record, pages, now_s):
-                    self._unreadable_jobs.add(job_id)
-                    continue
-                lifecycle.add_job(self._state, job, now_s, wall_s)
-            except Exception as error:
-                # The other jobs must be scheduled; nothing is placed before all are loaded.
-                self._unreadable_jobs.add(job_id)
-                self._log_unreadable_job(job_id, error)
-                continue
-            recovered += job.is_open
-        for job_id, version in loaded.cancelled.items():
-            self._execute(cancellations.record_cancellation(self._state, job_id, version, now_s))
+        self._state.began_at_s = self._runtime.now_s()
+        self._job_rows.apply_loaded(loaded)
         self._loaded = True
-        self._log_loaded_term(len(loaded.jobs), recovered)
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
-        orphans = loaded.list_orphans()[: deletion.MAX_DELETED_ROWS]
-        if orphans:
-            self._deleter.delete_progress(orphans, [])
         self._request_pass()
 
-    def _log_loaded_term(self, jobs: int, open_jobs: int) -> None:
-        """Logs the jobs that the term begins with, and the runs that may exist on workers."""
-        runs_by_openness = {True: 0, False: 0}
-        for job in self._state.jobs.values():
-            runs_by_openness[job.is_open] += len(job.list_runs())
-        self._runtime.log.write(
-            "term_loaded",
-            epoch=self.epoch,
-            jobs=jobs,
-            open=open_jobs,
-            runs=runs_by_openness[True],
-            runs_of_ended_jobs=runs_by_openness[False],
-        )
-
-    def _restore_progress(
-        self,
-        job: state.JobState,
-        record: storage.Row | None,
-        pages: list[storage.Row],
-        now_s: float,
-    ) -> bool:
-        """Restores a job's progress; returns whether the record could be decoded."""
-        if record is None:
-            return True
-        try:
-            contents = tuple(row.value for row in pages)
-            progress.decode_progress(job, record.value, now_s, contents)
-        except exceptions.ProtocolError as error:
-            self._log_unreadable_job(job.job.job_id, error)
-            return False
-        job.version = record.version
-        job.stored_pages = len(pages)
-        job.stored_status = progress.make_status(job)
-        return True
-
-    def _make_job(self, job_id: str, row: storage.Row) -> state.JobState | None:
-        try:
-            accepted = progress.decode_accepted(job_id, row.value)
-        except exceptions.ProtocolError as error:
-            self._log_unreadable_job(job_id, error)
-            return None
-        return state.JobState(accepted.job, accepted.route, accepted_version=row.version)
-
     def _apply_job_rows(self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int) -> None:
-        now_s = self._runtime.now_s()
-        for row in rows:
-            job_id, is_cancel = tables.split_job_key(row.key.key)
-            if row.deleted:
-                if is_cancel:
-                    cancellations.remove_cancellation(self._state, job_id)
-                continue
-            if is_cancel:
-                self._execute(
-                    cancellations.record_cancellation(self._state, job_id, row.version, now_s)
-                )
-            elif job_id in self._state.jobs:
-                self._record_reused_row(self._state.jobs[job_id], row)
-            elif self._is_new(job_id, row):
-                self._add_seen_job(job_id, row, now_s)
+        self._job_rows.apply_rows(rows)
         self._request_pass()
 
-    def _record_reused_row(self, job: state.JobState, row: storage.Row) -> None:
-        """Keeps the row of a new job until the job that had its identifier has been removed."""
-        is_being_deleted = job.delete_not_before_s == math.inf
-        if is_being_deleted and row.version > job.accepted_version:
-            self._reused_rows[job.job.job_id] = row
-
-    def _is_new(self, job_id: str, row: storage.Row) -> bool:
-        """Returns whether the row of a job that is not known is that of a new one.
-
-        A read of the whole table that was made before a deletion may arrive after it.
-        """
-        if job_id in self._unreadable_jobs:
-            return False
-        return row.version > self._deleted_versions.get(job_id, storage.ABSENT)
-
-    def _add_seen_job(self, job_id: str, row: storage.Row, now_s: float) -> None:
-        try:
-            job = self._make_job(job_id, row)
-            if job is not None:
-                lifecycle.add_job(self._state, job, now_s, self._runtime.wall_s())
-                self._runtime.log.write("job_seen", job=job_id, version=row.version)
-                self._execute(cancellations.apply_to_new_job(self._state, job_id, now_s))
-        except Exception as error:
-            # The other rows of the answer are not delivered again.
-            self._log_unreadable_job(job_id, error)
-
-    def _log_unreadable_job(self, job_id: str, error: Exception) -> None:
-        text = f"{type(error).__name__}: {error!s:.200}"
-        self._runtime.log.write("record_unreadable", job=job_id[:MAX_LOGGED_KEY], error=text)
-
     def apply_notified_row(self, row: storage.Row) -> None:
         """Applies a row of the table of jobs that a VM announced before the feed delivered it."""
         if self._loaded and row.key.table == tables.JOBS:
@@ -376,7 +257,7 @@
     def _log_odd_registration(self, worker_id: str, reason: str, size_bytes: int) -> None:
         self._runtime.log.write(
             "registration_unreadable",
-            worker=worker_id[:MAX_LOGGED_KEY],
+            worker=worker_id[: job_rows.MAX_LOGGED_KEY],
             reason=reason,
             bytes=size_bytes,
         )
@@ -432,51 +313,12 @@
         if self._loaded:
             now_s = self._runtime.now_s()
             self._execute(leases.check_leases(self._state, now_s))
-            self._delete_expired(now_s)
+            self._job_rows.delete_expired(now_s)
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
         self._write()
 
-    def _delete_expired(self, now_s: float) -> None:
-        expired = lifecycle.list_expired(self._state, now_s)
-        for job in expired[: deletion.MAX_DELETED_JOBS]:
-            job.delete_not_before_s = math.inf
-            self._deleter.delete_job(job, functools.partial(self._handle_deleted, job))
-        for job_id in cancellations.list_expired(self._state, now_s)[: deletion.MAX_DELETED_JOBS]:
-            if job_id in self._unreadable_jobs:
-                # The job may be readable for the next holder.
-                continue
-            version = self._state.unknown_cancellations[job_id].version
-            cancellations.postpone_deletion(self._state, job_id, math.inf)
-            on_done = functools.partial(self._handle_deleted_cancellation, job_id)
-            self._deleter.delete_cancellation(job_id, version, on_done)
-
-    def _handle_deleted_cancellation(self, job_id: str, is_deleted: bool) -> None:
-        """Removes a cancellation whose row was deleted, or deletes the row again later."""
-        if is_deleted:
-            cancellations.remove_cancellation(self._state, job_id)
-            return
-        retry_at_s = self._runtime.now_s() + deletion.RETRY_S
-        cancellations.postpone_deletion(self._state, job_id, retry_at_s)
-
-    def _handle_deleted(self, job: state.JobState, is_deleted: bool) -> None:
-        """Removes a job whose row was deleted, or deletes the row again later."""
-        if self._stopped:
-            return
-        if not is_deleted:
-            job.delete_not_before_s = self._runtime.now_s() + deletion.RETRY_S
-            return
-        job_id = job.job.job_id
-        lifecycle.remove_job(self._state, job_id)
-        self._deleted_versions[job_id] = job.accepted_version
-        if len(self._deleted_versions) > MAX_DELETED_VERSIONS:
-            self._deleted_versions.popitem(last=False)
-        # A new job may have got the identifier while the deletion was on its way.
-        row = self._reused_rows.pop(job_id, None)
-        if row is not None:
-            self._add_seen_job(job_id, row, self._runtime.now_s())
-
     def _write(self) -> None:
         """Writes changed progress, and the heartbeat if it is due."""
         now_s = self._runtime.now_s()
@@ -525,8 +367,7 @@
         conditions = [storage.Condition(tables.HOLDER, self._holder_version)]
         changes: list[storage.Write] = []
         if renew:
-            changes += self._make_heartbeat_writes(release)
-            changes += self._make_suspects_write()
+            changes += self._term_rows.make_writes(release, self._loaded)
         deletes: list[storage.RowKey] = []
         for write in batch.writes if batch else ():
             key = tables.get_progress_key(write.job_id)
@@ -538,39 +379,6 @@
                 deletes.append(tables.get_page_key(write.job_id, number))
         return storage.Transaction(tuple(conditions), tuple(changes), tuple(deletes))
 
-    def _make_heartbeat_writes(self, release: bool) -> list[storage.Write]:
-        """Returns the writes of the heartbeat and of the counts that have no room in it."""
-        pending = division.divide_entries(
-            sorted(lifecycle.count_pending(self._state).items()),
-            HEARTBEAT_BYTES,
-            self._state.policy.max_row_bytes,
-            1 + tables.MAX_COUNT_ROWS,
-        )
-        if pending.omitted != self._omitted_counts:
-            self._omitted_counts = pending.omitted
-            self._runtime.log.write("counts_omitted", queues=pending.omitted)
-        first, *others = pending.rows
-        heartbeat = tables.Heartbeat(self.epoch, release, first, self._runtime.store_clock_ms())
-        result = [storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat))]
-        # Rows that are not needed any more are emptied.
-        others += [{}] * (len(self._written_counts) - len(others))
-        for number, counts in enumerate(others):
-            if self._written_counts.get(number) != counts:
-                self._written_counts[number] = counts
-                data = tables.encode_counts(tables.PendingCounts(self.epoch, counts))
-                result.append(storage.Write(tables.get_counts_key(number), data))
-        return result
-
-    def _make_suspects_write(self) -> list[storage.Write]:
-        """Returns the write of the suspected workers, if others are suspected than were written."""
-        suspects = health.list_suspects(self._state, self._runtime.now_s())
-        clock_ms = self._runtime.store_clock_ms()
-        if not clock_ms or not self._loaded or suspects.keys() == self._written_suspects:
-            return []
-        self._written_suspects = set(suspects)
-        until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
-        return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
-
     def _handle_written(
         self,
         batch: writes.Batch | None,
@@ -591,9 +399,7 @@
                 self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
             self._write()
             return
-        # The write may have held these, so the next one does again.
-        self._written_suspects = None
-        self._written_counts = dict.fromkeys(self._written_counts)
+        self._term_rows.handle_failure()
         error = outcome.failure()
         if isinstance(error, storage.ConflictError):
             self._handle_conflict(batch, error)
--- /dev/null
+++ b/lycheegate/node/term_rows.py
@@ -0,0 +1,86 @@
+"""Rows that the holder of the term writes with its heartbeat."""
+
+from collections.abc import Callable
+
+from lycheegate.jobs import health, lifecycle, state
+from lycheegate.metrics import jsonlog
+from lycheegate.node import division, storage, tables
+
+__all__ = ["TermRows"]
+
+HEARTBEAT_BYTES = 16_000
+"""Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
+
+
+class TermRows:
+    """Heartbeat, counts of waiting jobs, and suspected workers of one term.
+
+    Args:
+        current: State of the scheduler.
+        now_s: Clock that includes time spent suspended.
+        store_clock_ms: The store's clock, as estimated from its last answer.
+        log: Log of decisions.
+    """
+
+    def __init__(
+        self,
+        current: state.SchedulerState,
+        now_s: Callable[[], float],
+        store_clock_ms: Callable[[], int],
+        log: jsonlog.JsonLog,
+    ):
+        self._state = current
+        self._now_s = now_s
+        self._store_clock_ms = store_clock_ms
+        self._log = log
+        self._written_suspects: set[str] | None = None
+        self._written_counts: dict[int, dict[str, int] | None] = {}
+        """Counts of waiting jobs in each further row, or None if these may differ."""
+        self._omitted_counts = 0
+
+    def make_writes(self, release: bool, is_loaded: bool) -> list[storage.Write]:
+        """Returns the writes of the heartbeat and of what has changed beside it.
+
+        Args:
+            release: Whether the heartbeat releases the term.
+            is_loaded: Whether the jobs of the term have been loaded.
+        """
+        return [*self._make_heartbeat_writes(release), *self._make_suspects_write(is_loaded)]
+
+    def handle_failure(self) -> None:
+        """Lets the next writes include all rows, as the last ones may not have been stored."""
+        self._written_suspects = None
+        self._written_counts = dict.fromkeys(self._written_counts)
+
+    def _make_heartbeat_writes(self, release: bool) -> list[storage.Write]:
+        """Returns the writes of the heartbeat and of the counts that have no room in it."""
+        pending = division.divide_entries(
+            sorted(lifecycle.count_pending(self._state).items()),
+            HEARTBEAT_BYTES,
+            self._state.policy.max_row_bytes,
+            1 + tables.MAX_COUNT_ROWS,
+        )
+        if pending.omitted != self._omitted_counts:
+            self._omitted_counts = pending.omitted
+            self._log.write("counts_omitted", queues=pending.omitted)
+        first, *others = pending.rows
+        heartbeat = tables.Heartbeat(self._state.epoch, release, first, self._store_clock_ms())
+        result = [storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat))]
+        # Rows that are not needed any more are emptied.
+        others += [{}] * (len(self._written_counts) - len(others))
+        for number, counts in enumerate(others):
+            if self._written_counts.get(number) != counts:
+                self._written_counts[number] = counts
+                data = tables.encode_counts(tables.PendingCounts(self._state.epoch, counts))
+                result.append(storage.Write(tables.get_counts_key(number), data))
+        return result
+
+    def _make_suspects_write(self, is_loaded: bool) -> list[storage.Write]:
+        """Returns the write of the suspected workers, if others are suspected than were written."""
+        suspects = health.list_suspects(self._state, self._now_s())
+        clock_ms = self._store_clock_ms()
+        if not clock_ms or not is_loaded or suspects.keys() == self._written_suspects:
+            return []
+        self._written_suspects = set(suspects)
+        until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
+        return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
--- a/lycheegate/node/tests/test_survival.py
+++ b/lycheegate/node/tests/test_survival.py
@@ -6,7 +6,7 @@
 import pytest
 from returns import result
 
-from lycheegate.jobs import lifecycle, model
+from lycheegate.jobs import evacuation, health, leases, lifecycle, model, scheduling
 from lycheegate.metrics import jsonlog
 from lycheegate.node import daemon, exchange, feeds, reads, scheduler, storage
 from lycheegate.node.tests import fake_store, simulation
@@ -153,7 +153,7 @@
     world.claim_term("a")
     world.run(2.0)
     world.submit(simulation.make_job("0" * 16, simulation.make_step(12)))
-    modules = (scheduler.leases, scheduler.evacuation, scheduler.scheduling, scheduler.health)
+    modules = (leases, evacuation, scheduling, health)
     (owner,) = [m for m in (*modules, lifecycle) if hasattr(m, name) and name in m.__all__]
     failing = _fail_once(getattr(owner, name))
     monkeypatch.setattr(owner, name, failing)
