Check the crashes and incarnations of a progress record when it is read

Cause: the weights of crashes, the numbers of crashed runs and the incarnations of workers were not checked when a record was read. A weight that is no number raised in each scheduling pass, so one record kept all jobs from being placed.

Change: all numbers of a record are checked, with the name of the field and the task.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -1,9 +1,10 @@
 """Measures processor times of the job scheduler at several sizes.
 
 ``python -m benchmarks.jobs`` prints lines of name, value, unit, baseline and ratio, like the other
-benchmarks. Baseline and ratio are ``-``: there is no naive implementation to compare with.
+benchmarks. Baseline and ratio are ``-`` where there is no naive implementation to compare with.
 """
 
+import random
 import statistics
 import time
 
@@ -11,6 +12,8 @@
 
 LIMITS = progress.RecordLimits(49_152, 600_000)
 SIZES = (24, 176, 930)
+LARGE_JOBS = ((2_000, 24), (5_000, 24), (20_000, 930), (100_000, 930))
+"""Number of tasks of a large job, and of the workers that run them."""
 TASKS_PER_WORKER = 10
 GANG = 64
 ROUNDS = 9
@@ -139,8 +142,45 @@
     return elapsed_ms, sum(len(first) + len(second) for _, first, second in records)
 
 
+def build_large_job(tasks: int, worker_count: int) -> state.JobState:
+    """Returns a job of one step whose tasks all run, spread over the workers at random."""
+    draw = random.Random(tasks)
+    route = model.Route("q", "h", "/q/", "s", 1, 3, 3.0, 1.0)
+    step = model.Step(tasks, model.Resources(100, 128, 0), 30.0)
+    job = state.JobState(model.Job(f"{tasks:016x}", "q", "a", "spec", (step,), 100.0), route)
+    step_state = job.steps[0, 0] = state.StepState((0, 0), step)
+    for index in range(tasks):
+        number = draw.randrange(worker_count)
+        task = model.TaskKey(job.job.job_id, 0, 0, index)
+        run = state.Run(task, f"i-7f3a91{number:04x}", 1, step.need, state.RunPhase.RUNNING, 100.0)
+        run.worker_born_ms = 1_700_000_000_000 + number
+        step_state.runs[index] = run
+        step_state.run_numbers[index] = draw.choice((1, 1, 1, 2))
+    return job
+
+
+def measure_large_records() -> None:
+    """Prints the size of the progress of large jobs, and the time to encode it.
+
+    The baseline is the plain form, which fits into no row.
+    """
+    plain_limits = progress.RecordLimits(1 << 30, 1 << 30)
+    for tasks, worker_count in LARGE_JOBS:
+        job = build_large_job(tasks, worker_count)
+        record, plain = (progress.encode_progress(job, x) for x in (LIMITS, plain_limits))
+        size, plain_size = len(record.data) + sum(map(len, record.pages)), len(plain.data)
+        print(f"jobs_record_{tasks} {size} bytes {plain_size} {size / plain_size:.3f}")
+        time_ms, plain_ms = (
+            measure_median_ms(lambda j=job, x=x: progress.encode_progress(j, x), 5)
+            for x in (LIMITS, plain_limits)
+        )
+        ratio = time_ms / plain_ms
+        print(f"jobs_record_encode_{tasks} {time_ms:.3f} ms {plain_ms:.3f} {ratio:.3f}")
+
+
 def main() -> None:
     """Measures and prints the figures of all sizes."""
+    measure_large_records()
     for size in SIZES:
         scheduler_state = build_scheduler(size)
         figures = {"idle_pass_ms": measure_median_ms(lambda c=scheduler_state: run_pass(c, 100.3))}
--- a/lycheegate/jobs/validation.py
+++ b/lycheegate/jobs/validation.py
@@ -4,6 +4,8 @@
 scheduling pass, and no other job would be placed.
 """
 
+import itertools
+
 from lycheegate.jobs import model, state
 from lycheegate.utils import numbers
 
@@ -111,10 +113,19 @@
     _check_whole("step", step.key[1])
     _check_whole("last failed run", step.last_failed_number)
     runs = {index: run.number for index, run in step.runs.items()}
-    for values in (step.failures, step.run_numbers, runs):
+    incarnations = {index: run.worker_born_ms for index, run in step.runs.items()}
+    amounts = {
+        "failures": step.failures,
+        "run": step.run_numbers,
+        "current run": runs,
+        "incarnation of the worker": incarnations,
+        "weight of crashes": step.crash_weights,
+        "crashed run": step.last_crashed_numbers,
+    }
+    for name, values in amounts.items():
         for index, value in values.items():
-            _check_whole(f"run or failures of task {index!r:.40}", value)
-    for index in (*step.done, *step.failures, *step.run_numbers, *runs, *step.checkpoints):
+            _check_whole(f"{name} of task {index!r:.40}", value)
+    for index in itertools.chain(step.done, step.checkpoints, *amounts.values()):
         if not numbers.is_whole(index) or index >= step.step.count:
             raise ValueError(f"expected a task below {step.step.count}, got {index!r:.40}")
     _check_texts({f"worker of task {i}": run.worker_id for i, run in step.runs.items()})
--- a/lycheegate/node/tests/test_odd_rows.py
+++ b/lycheegate/node/tests/test_odd_rows.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.jobs import model, progress, workers
+from lycheegate.jobs import compact, model, progress, workers
 from lycheegate.node import feeds, members, registry, storage, tables
 from lycheegate.node.tests import fake_store, simulation
 from lycheegate.platform import store, submissions
@@ -405,6 +405,16 @@
     "worker a list": _make_progress([[0, 0], [], {}, {0: 1}, {0: ["w0"]}, {}, 0]),
     "checkpoint a number": _make_progress([[0, 0], [], {}, {0: 1}, {0: "w0"}, {0: 5}, 0]),
     "last failure text": _make_progress([*_STEP[:6], "x"]),
+    "incarnation text": _make_progress([*_STEP, {0: "x"}, {}, {}]),
+    "incarnation negative": _make_progress([*_STEP, {0: -1}, {}, {}]),
+    "weight text": _make_progress([*_STEP, {}, {0: "x"}, {}]),
+    "weight of 400 digits": _make_progress([*_STEP, {}, {0: _HUGE_WHOLE}, {}]),
+    "weight of another task": _make_progress([*_STEP, {}, {9: 5}, {}]),
+    "crashed run text": _make_progress([*_STEP, {}, {0: 5}, {0: "x"}]),
+    "compact steps empty": cbor2.dumps([2, "", True, 1, b""]),
+    "compact steps of text": cbor2.dumps([2, "", True, 1, compact.compress(b"\x82\x80\x61x")]),
+    "pages missing": cbor2.dumps([2, "", True, 1, 3]),
+    "pages negative": cbor2.dumps([2, "", True, 1, -1]),
 }
 
 
