--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -27,6 +27,8 @@
 MAX_LEASE_S = 6.0
 SHRINK_GRACE_S = 4.5
 """Time after which a smaller capacity counts: 3 s and a heartbeat."""
+LASTING_WORK_S = 1e6
+"""Duration of the runs of tasks that last until their job is cancelled."""
 CRASH_DELAY_S = 0.02
 """Time from the start of a deadly task until its worker crashes."""
 CRASH_DOWN_S = 3.0
@@ -262,7 +264,8 @@
 
     def get_work(self, task: model.TaskKey) -> tuple[model.Resources, float]:
         """Returns the resources that a task needs, and the seconds of work in it."""
-        return self.specs[task.job_id].steps[task.step].need, self.work_s
+        step = self.specs[task.job_id].steps[task.step]
+        return step.need, LASTING_WORK_S if step.long_running else self.work_s
 
     def check_start(self, order: commands.StartRun, worker: FakeWorker) -> None:
         """Checks the invariants that apply when a task starts."""
