Take a conflict without rows for a repeated submission, not for a cancelled one

Change: 410 only if the conflict names the cancellation and nothing else. Found in the read-through. Also, the client forgets origins without an answer once there are thousands of them, since the addresses of workers change.

Result: test_conflict_without_rows_is_no_refusal fails before and passes after.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -46,6 +46,8 @@
 }
 # Errors and hang-ups count as readable, because libcurl detects them by reading.
 _READABLE = select.EPOLLIN | select.EPOLLERR | select.EPOLLHUP
+_MAX_UNTRUSTED_ORIGINS = 4096
+"""Number of origins without an answer from which those that are trusted again are forgotten."""
 _MAX_TRANSFER_S = 30.0
 """Time after which an answer is abandoned although it keeps arriving."""
 
@@ -486,6 +488,17 @@
         handle.setopt(pycurl.HEADERFUNCTION, transfer.header_lines.append)
         handle.setopt(pycurl.WRITEFUNCTION, transfer.append_body)
 
+    def _record_silence(self, transfer: _Transfer) -> None:
+        """Records that a request got no answer, and forgets origins that are trusted again."""
+        if len(self._untrusted_since_s) >= _MAX_UNTRUSTED_ORIGINS:
+            oldest_s = time.monotonic() - self._limits.idle_connection_s
+            self._untrusted_since_s = {
+                origin: since_s
+                for origin, since_s in self._untrusted_since_s.items()
+                if since_s >= oldest_s
+            }
+        self._untrusted_since_s[transfer.origin] = transfer.queued_at_s
+
     def _compute_reuse(self, origin: str) -> Reuse:
         since_s, now_s = self._untrusted_since_s.get(origin), time.monotonic()
         if since_s is not None and now_s - since_s > self._limits.idle_connection_s:
@@ -514,7 +527,7 @@
             self.bytes_sent += int(handle.getinfo(pycurl.SIZE_UPLOAD_T))
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         if code == pycurl.E_OPERATION_TIMEDOUT and transfer.sent:
-            self._untrusted_since_s[transfer.origin] = transfer.queued_at_s
+            self._record_silence(transfer)
         self._multi.remove_handle(handle)
         idle_handles = self._idle_handles.setdefault(transfer.kind, [])
         if len(idle_handles) < _MAX_IDLE_HANDLES:
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -203,7 +203,7 @@
             return _make_json(b"{}")
         error = outcome.failure()
         if isinstance(error, storage.ConflictError):
-            if all(row.key == cancel_key for row in error.rows):
+            if error.rows and all(row.key == cancel_key for row in error.rows):
                 self._log.write("job_cancelled_before", job=job_id)
                 return werkzeug.Response("the job was cancelled before", status=410)
             # The job already exists: an earlier answer was lost, or the call was repeated.
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -149,6 +149,17 @@
     assert {row.key for row in rows} == {tables.get_cancel_key(_JOB_ID)}
 
 
+def test_conflict_without_rows_is_no_refusal():
+    """Guards against 410 for a submission that may have been stored.
+
+    Its first answer was lost, and the store does not tell what the repeated one conflicts with.
+    """
+    store, _, application, _ = _make_application()
+    store.failures = [_LOST, storage.ConflictError(())]
+    store.applied_on_failure = True
+    assert _call(application, "POST", body=_JOB_BODY).status_code == 200
+
+
 @pytest.mark.parametrize(
     ("failure", "status"),
     [(exceptions.UnavailableError("429"), 503), (exceptions.OutcomeUnknownError("lost"), 504)],
