--- a/lycheegate/node/tests/test_changing_capacity.py
+++ b/lycheegate/node/tests/test_changing_capacity.py
@@ -92,4 +92,5 @@
     world.faults.late_orders = late_orders
     world.run(10.0)
     assert world.fleet.violations == []
-    assert returning.count_live() == (0 if label else 2) or late_orders
+    if not late_orders:
+        assert returning.count_live() == (0 if label else 2)
--- a/lycheegate/node/tests/test_large_heartbeats.py
+++ b/lycheegate/node/tests/test_large_heartbeats.py
@@ -41,7 +41,9 @@
     view = terms.TermView()
     _observe(world, view)
     assert world.store.rejections == []
-    assert view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - 1.2
+    assert (
+        view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - terms.UNREACHABLE_HOLDER_TIMEOUT_S
+    )
     assert {terms.count_pending(view, name) for name in names} == {1}
     assert terms.count_pending(view, "other") == 0
 
@@ -82,7 +84,9 @@
     view = terms.TermView()
     _observe(world, view)
     assert world.store.rejections == []
-    assert view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - 1.2
+    assert (
+        view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - terms.UNREACHABLE_HOLDER_TIMEOUT_S
+    )
     suspects = terms.list_suspects(view, world.loop.now_s)
     assert len(suspects) == health.MAX_LISTED_SUSPECTS
     assert min(suspects.values()) > 6.0
--- a/lycheegate/node/tests/test_large_jobs.py
+++ b/lycheegate/node/tests/test_large_jobs.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheegate.jobs import model, state
-from lycheegate.node import tables
+from lycheegate.node import tables, terms
 from lycheegate.node.tests import simulation
 
 LARGE_ID = "f" * 16
@@ -115,7 +115,7 @@
         world.run(0.05)
         row = world.store.rows[tables.HEARTBEAT]
         age_s = world.loop.now_s - tables.decode_heartbeat(row.value).sent_at_ms / 1000.0
-        assert age_s < 1.2
+        assert age_s < terms.UNREACHABLE_HOLDER_TIMEOUT_S
     assert world.store.rejections == []
 
 
