Limit the tasks that one scheduling pass places

Cause: a job of 15,000 small tasks that fit at once was placed in one pass.

Keys of reservations are listed only if there are any.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -1,4 +1,8 @@
-"""Scheduling pass: places waiting tasks, preempts runs for them, or reserves room for them."""
+"""Scheduling pass: places waiting tasks, preempts runs for them, or reserves room for them.
+
+Handles jobs of thousands of tasks that fit at once. Their start orders would keep the event thread
+busy for seconds, and the term would expire, so a pass places a limited number of tasks.
+"""
 
 import dataclasses
 
@@ -22,6 +26,10 @@
 MAX_PLANNED_RESERVATIONS = 2
 """Maximum number of blocked gangs with a reservation that preempts nothing; more would leave too
 many workers idle."""
+MAX_PLACED_TASKS = 250
+"""Number of tasks that a pass places, apart from urgent ones; their orders take about 0.1 s."""
+MAX_PLACED_URGENT_TASKS = 1000
+"""Number of placed tasks from which a pass places no urgent ones either."""
 MAX_LOCALITY_WAIT_RATIO = 1.0
 """How long a task waits for room in the rack of its data before it may run elsewhere, as a
 multiple of its declared duration."""
@@ -43,8 +51,9 @@
     current.schedule_due = False
     guaranteed = ordering.list_guaranteed_accounts(current)
     waiting = _list_units(current, guaranteed, now_s, wall_s)
-    service_by_key = {key: unit.service for unit in waiting for key in _list_reservation_keys(unit)}
-    _drop_reservations(current, service_by_key, now_s)
+    if current.reservations:
+        keys = ((key, unit.service) for unit in waiting for key in _list_reservation_keys(unit))
+        _drop_reservations(current, dict(keys), now_s)
     if not waiting:
         return []
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
@@ -54,6 +63,7 @@
     )
     for unit in waiting:
         _place_step(context, unit)
+    current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
     return context.result
 
 
@@ -90,11 +100,15 @@
 
 
 def _place_step(context: units.PassContext, unit: units.Unit) -> None:
-    """Places the unplaced tasks of a step until one of them does not fit."""
+    """Places the unplaced tasks of a step until one of them does not fit, or enough were placed."""
+    max_placed = MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
     if unit.step.step.gang:
-        _place_unit(context, unit)
+        if context.placed_tasks < max_placed:
+            _place_unit(context, unit)
         return
     for index in unit.indices:
+        if context.placed_tasks >= max_placed:
+            return
         if not _place_unit(context, dataclasses.replace(unit, indices=[index])):
             return
 
@@ -295,6 +309,7 @@
 def _add_runs(context: units.PassContext, unit: units.Unit, chosen: list[str]) -> None:
     """Places the tasks of a unit on the chosen workers and logs the placement."""
     step = unit.step
+    context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += _compute_unit_share(context, unit)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -59,6 +59,7 @@
         ending_units: Cache of the units that end by themselves, or None before it is needed.
         result: Commands of the pass.
         planned_reservations: Number of reservations for which nothing was preempted.
+        placed_tasks: Number of tasks that were placed.
     """
 
     current: state.SchedulerState
@@ -71,6 +72,7 @@
     ending_units: list[preemption.VictimUnit] | None = None
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_reservations: int = 0
+    placed_tasks: int = 0
 
 
 def is_last_attempt(context: PassContext, unit: Unit) -> bool:
