Share the check of a renewed term between two tests

Cause: two tests of large heartbeats built a view of the term and checked it with the same five lines. Change: both call _observe_renewed_term; all assertions stay.

--- a/lycheegate/node/tests/test_large_heartbeats.py
+++ b/lycheegate/node/tests/test_large_heartbeats.py
@@ -18,6 +18,17 @@
     terms.apply_rows(view, rows, world.loop.now_s, int(world.loop.now_s * 1000))
 
 
+def _observe_renewed_term(world: simulation.World) -> terms.TermView:
+    """Returns a view of the term, which was renewed lately and without a rejected write."""
+    view = terms.TermView()
+    _observe(world, view)
+    assert world.store.rejections == []
+    assert (
+        view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - terms.UNREACHABLE_HOLDER_TIMEOUT_S
+    )
+    return view
+
+
 def _submit_to_all_routes(world: simulation.World, name_bytes: int) -> list[str]:
     """Submits a job to each of many queues; none can start."""
     names = [f"{number:05}".ljust(name_bytes, "q") for number in range(ROUTES)]
@@ -38,12 +49,7 @@
     names = _submit_to_all_routes(world, name_bytes)
     world.claim_term("a")
     world.run(3.0)
-    view = terms.TermView()
-    _observe(world, view)
-    assert world.store.rejections == []
-    assert (
-        view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - terms.UNREACHABLE_HOLDER_TIMEOUT_S
-    )
+    view = _observe_renewed_term(world)
     assert {terms.count_pending(view, name) for name in names} == {1}
     assert terms.count_pending(view, "other") == 0
 
@@ -81,12 +87,7 @@
     for number, worker in enumerate(holder._state.workers.values()):
         worker.suspected_until_s = world.loop.now_s + 5.0 + number / 1_000.0
     world.run(1.0)
-    view = terms.TermView()
-    _observe(world, view)
-    assert world.store.rejections == []
-    assert (
-        view.heartbeat.sent_at_ms / 1000.0 > world.loop.now_s - terms.UNREACHABLE_HOLDER_TIMEOUT_S
-    )
+    view = _observe_renewed_term(world)
     suspects = terms.list_suspects(view, world.loop.now_s)
     assert len(suspects) == health.MAX_LISTED_SUSPECTS
     assert min(suspects.values()) > 6.0
