--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -23,6 +23,10 @@
 STORE_DELAY_S = 0.004
 
 
+READING_S = 1e-6
+"""Time that passes with each reading of the clock, as it does in a real process."""
+
+
 class EventLoop:
     """Event loop with its own clock."""
 
@@ -31,6 +35,11 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
 
+    def read_clock_s(self) -> float:
+        """Returns the time; two readings never return the same."""
+        self.now_s += READING_S
+        return self.now_s
+
     def call_later(self, delay_s: float, function: Callable[[], None]) -> None:
         """Runs a function after a delay."""
         heapq.heappush(self._queue, (self.now_s + delay_s, next(self._numbers), function))
--- /dev/null
+++ b/lycheegate/node/tests/idleness.py
@@ -0,0 +1,142 @@
+"""Check for jobs that have nothing running although a task of theirs could run.
+
+It knows the accepted jobs and looks at the workers, not at the scheduler. A task could run
+if the tasks that it depends on have succeeded, there is room for it twice over, and less than half
+of the capacity is in use.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from lycheegate.jobs import model, placement
+from lycheegate.node.tests import fake_store, fake_workers
+
+MAX_IDLE_S = 3.0
+"""Time for which a job may have nothing running while one of its tasks could run."""
+SETTLING_S = 4.0
+"""Time after the last fault that does not count."""
+CHECK_S = 0.1
+MAX_USED_RATIO = 0.5
+SPARE_FACTOR = 2
+"""How many times over there must be room for a task."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleJob:
+    """A job that had nothing running for too long.
+
+    Attributes:
+        job_id: The job.
+        task: One of its tasks that could run.
+        since_s: From when on it had nothing running.
+    """
+
+    job_id: str
+    task: model.TaskKey
+    since_s: float
+
+
+class IdlenessCheck:
+    """Finds idle jobs from the time of its creation on.
+
+    Args:
+        loop: Event loop.
+        fleet: The workers, and the jobs that were accepted.
+        is_open: Returns whether a job is stored and has neither ended nor been cancelled.
+        is_usable: Returns whether a worker is registered and does not leave.
+    """
+
+    def __init__(
+        self,
+        loop: fake_store.EventLoop,
+        fleet: fake_workers.Fleet,
+        is_open: Callable[[str], bool],
+        is_usable: Callable[[str], bool],
+    ):
+        self._loop = loop
+        self._fleet = fleet
+        self._is_open = is_open
+        self._is_usable = is_usable
+        self._calm_from_s = loop.now_s + SETTLING_S
+        self._idle_since_s: dict[str, float] = {}
+        self.found: dict[str, IdleJob] = {}
+        """First case of each job."""
+        self.longest_s = 0.0
+        """Longest time that counted for which any job was idle."""
+        loop.call_later(CHECK_S, self._check)
+
+    def record_fault(self) -> None:
+        """Records that a fault has just begun, gone on or ended; the time up to here is excused."""
+        self._calm_from_s = self._loop.now_s + SETTLING_S
+
+    def _check(self) -> None:
+        now_s = self._loop.now_s
+        candidates = self._list_candidates()
+        for job_id, job in self._fleet.specs.items():
+            task = self._find_startable(job, candidates) if self._is_open(job_id) else None
+            if task is None:
+                self._idle_since_s.pop(job_id, None)
+                continue
+            since_s = max(self._idle_since_s.setdefault(job_id, now_s), self._calm_from_s)
+            self.longest_s = max(self.longest_s, now_s - since_s)
+            if now_s - since_s > MAX_IDLE_S and job_id not in self.found:
+                self.found[job_id] = IdleJob(job_id, task, since_s)
+        self._loop.call_later(CHECK_S, self._check)
+
+    def _list_candidates(self) -> list[placement.Candidate]:
+        """Returns the workers that can be used, or none if half of their capacity is in use."""
+        fleet = self._fleet
+        lost = fleet.unreachable | fleet.refusing | fleet.answers_lost | fleet.replaced
+        candidates: list[placement.Candidate] = []
+        used = capacity = model.Resources()
+        for worker_id, worker in fleet.workers.items():
+            if worker_id in lost or not self._is_usable(worker_id):
+                continue
+            worker.advance()
+            taken = sum((run.need for run in worker.live.values()), model.Resources())
+            used, capacity = used + taken, capacity + worker.capacity
+            room = worker.capacity - taken
+            limit = sum(step.count for job in fleet.specs.values() for step in job.steps) + 1
+            candidates.append(
+                placement.Candidate(worker_id, worker.rack, room, worker.capacity, limit)
+            )
+        is_busy = (
+            used.cpu_millicores >= MAX_USED_RATIO * capacity.cpu_millicores
+            or used.accelerators >= MAX_USED_RATIO * capacity.accelerators
+        )
+        return [] if is_busy else candidates
+
+    def _find_startable(
+        self, job: model.Job, candidates: list[placement.Candidate]
+    ) -> model.TaskKey | None:
+        """Returns a task that could run, or None if there is none or any task of the job runs."""
+        for worker in self._fleet.workers.values():
+            if any(task.job_id == job.job_id for task in worker.live):
+                return None
+        for number, step in enumerate(job.steps):
+            waiting = [
+                task
+                for task in self._list_tasks(job, number)
+                if task not in self._fleet.succeeded_at_s
+            ]
+            if waiting and self._is_ready(job, step) and self._has_room(step, candidates):
+                return waiting[0]
+        return None
+
+    def _list_tasks(self, job: model.Job, number: int) -> list[model.TaskKey]:
+        count = job.steps[number].count
+        return [model.TaskKey(job.job_id, 0, number, index) for index in range(count)]
+
+    def _is_ready(self, job: model.Job, step: model.Step) -> bool:
+        before = [task for number in step.depends_on for task in self._list_tasks(job, number)]
+        return all(task in self._fleet.succeeded_at_s for task in before)
+
+    def _has_room(self, step: model.Step, candidates: list[placement.Candidate]) -> bool:
+        count = SPARE_FACTOR * (step.count if step.gang else 1)
+        labeled = [
+            dataclasses.replace(c, limit=step.max_per_worker or c.limit)
+            for c in candidates
+            if not step.label or step.label in self._fleet.workers[c.worker_id].labels
+        ]
+        same_rack = step.gang and step.same_rack
+        return placement.place_gang(count, step.need, labeled, same_rack) is not None
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -6,7 +6,7 @@
 from lycheegate.jobs import model, progress, state
 from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import scheduler, storage, tables, terms
-from lycheegate.node.tests import fake_store, fake_workers
+from lycheegate.node.tests import fake_store, fake_workers, idleness
 from lycheegate.platform import workers as worker_calls
 
 SMALL = model.Resources(1_000, 1_000, 1)
@@ -79,6 +79,20 @@
         key = storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id)
         self.store.apply(storage.Transaction(deletes=(key,)))
 
+    def watch_idleness(self) -> idleness.IdlenessCheck:
+        """Watches from now on for jobs that have nothing running although a task could run."""
+
+        def is_open(job_id: str) -> bool:
+            is_cancelled = tables.get_cancel_key(job_id) in self.store.rows
+            return not is_cancelled and self.read_status(job_id).outcome is None
+
+        def is_usable(worker_id: str) -> bool:
+            key = storage.RowKey(worker_calls.REGISTRY_TABLE, "", worker_id)
+            is_draining = self.fleet.workers[worker_id].draining_since_s is not None
+            return key in self.store.rows and not is_draining
+
+        return idleness.IdlenessCheck(self.loop, self.fleet, is_open, is_usable)
+
     def submit(self, job: model.Job, route: model.Route | None = None) -> None:
         """Writes a job as the node does when it accepts one."""
         self.fleet.specs[job.job_id] = job
@@ -105,10 +119,10 @@
             self.store.connect(vm),
             self.fleet.connect(vm),
             self.loop.call_later,
-            lambda: self.loop.now_s,
-            lambda: self.loop.now_s,
+            self.loop.read_clock_s,
+            self.loop.read_clock_s,
             lambda: int(self.loop.now_s * 1000),
-            jsonlog.JsonLog(vm, lambda: self.loop.now_s, self._log),
+            jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
         )
         new_scheduler = scheduler.Scheduler(
