Recognise recovered runs by a field, not by the time at which they were read

What callers saw: after a change of the holder, accepted jobs had nothing running for 4 s and more although there was room, and work on a worker that was silent for 1.5 s was stopped and started again.

Cause: a run from the records of an earlier term was recognised by the begin of its phase, which had to be no later than the begin of the term. It was then taken for an order of this term without an answer. Tests and the bench have clocks that stand still between readings.

No decision compares these times any more.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -24,7 +24,6 @@
     "WEIGHT_AMONG_OTHERS",
     "get_crash_weight",
     "has_new_runs",
-    "is_recovered",
     "is_suspect",
     "list_given_up",
     "record_crash",
@@ -187,7 +186,7 @@
     Returns:
         The decision to be logged, or nothing if the crash does not count.
     """
-    if not _may_be_cause(current, run):
+    if not _may_be_cause(run):
         return []
     index = step.get_counted_index(run.task.index)
     if run.number <= step.last_crashed_numbers.get(index, 0):
@@ -228,7 +227,7 @@
     return BASE_DELAY_S * 2.0 ** (weight // CRASH_WEIGHT - 1)
 
 
-def _may_be_cause(current: state.SchedulerState, run: state.Run) -> bool:
+def _may_be_cause(run: state.Run) -> bool:
     """Returns whether a run that was lost with its worker may be the cause of the crash.
 
     The worker has confirmed the start of such a run, or was lost just after the order, or an
@@ -238,9 +237,4 @@
     if run.has_survived or run.phase is state.RunPhase.INTENDED:
         return False
     has_started = run.running_since_s is not None or run.may_have_started
-    return has_started or is_recovered(current, run)
-
-
-def is_recovered(current: state.SchedulerState, run: state.Run) -> bool:
-    """Returns whether a run was ordered by an earlier holder and not listed since."""
-    return run.phase is state.RunPhase.ORDERED and run.phase_began_at_s <= current.began_at_s
+    return has_started or run.awaits_first_report
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -80,7 +80,8 @@
     INTENDED = 0
     """Placed, but the intention is not yet durable and no start order was sent."""
     ORDERED = 1
-    """The start order may have been sent, but the worker has not confirmed it."""
+    """The start order may have been sent, by this scheduler or by that of an earlier term, but the
+    worker has not confirmed it."""
     RUNNING = 2
     STOPPING = 3
     """To be stopped; its room stays allocated until its worker no longer lists it."""
@@ -128,6 +129,8 @@
             run may be the cause, although its start was not confirmed.
         has_survived: Whether its worker has listed it long enough after its start that it is not
             the cause of a later crash.
+        is_recovered: Whether it comes from the records of an earlier term. This scheduler has sent
+            no start order for it.
     """
 
     task: model.TaskKey
@@ -148,6 +151,12 @@
     worker_born_ms: int = 0
     may_have_started: bool = False
     has_survived: bool = False
+    is_recovered: bool = False
+
+    @property
+    def awaits_first_report(self) -> bool:
+        """Whether an earlier holder may have ordered it, and its worker has not listed it since."""
+        return self.is_recovered and self.phase is RunPhase.ORDERED
 
 
 @dataclasses.dataclass(slots=True)
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -487,7 +487,7 @@
         if (run.task, run.number) in present or run.phase is state.RunPhase.INTENDED:
             continue
         confirmed = run.confirmed_at_s is not None and run.confirmed_at_s < sent_at_s
-        if confirmed or crashes.is_recovered(current, run):
+        if confirmed or run.awaits_first_report:
             has_restarted = 0 < run.worker_born_ms < worker.born_ms
             end = runs.End.CRASHED if has_restarted else runs.End.INTERRUPTED
             result += runs.end_run(current, run, end, "absent", now_s)
