End the recovered members of a gang with the report that proves them absent

What callers saw: a gang has nothing running for up to 3 s after a change of the holder.

Cause: the first member that is found absent ends the gang, so the other recovered members are being stopped. They then counted as absent only once a stop was confirmed and a later report was received, although no order of this term had ever been sent for them.

Change: a recovered run counts as such until its worker lists it, in whatever phase it is.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -237,4 +237,5 @@
     if run.has_survived or run.phase is state.RunPhase.INTENDED:
         return False
     has_started = run.running_since_s is not None or run.may_have_started
-    return has_started or run.awaits_first_report
+    is_recovered = run.awaits_first_report and run.phase is state.RunPhase.ORDERED
+    return has_started or is_recovered
--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -170,7 +170,7 @@
     now_s: float,
 ) -> list[commands.Command]:
     """Stops a run, with its gang if any, if its start order was not answered in time."""
-    if run.is_recovered or now_s - run.phase_began_at_s < current.policy.order_timeout_s:
+    if run.awaits_first_report or now_s - run.phase_began_at_s < current.policy.order_timeout_s:
         return []
     worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
     step = runs.find_step(current, run.task)
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -304,6 +304,6 @@
             advanced_at_s=now_s,
             baseline_percent=None,
             worker_born_ms=incarnations.get(index, 0),
-            is_recovered=True,
+            awaits_first_report=True,
         )
     return step
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -129,8 +129,8 @@
             run may be the cause, although its start was not confirmed.
         has_survived: Whether its worker has listed it long enough after its start that it is not
             the cause of a later crash.
-        is_recovered: Whether it comes from the records of an earlier term. This scheduler has sent
-            no start order for it.
+        awaits_first_report: Whether it comes from the records of an earlier term, and its worker
+            has not listed it since. This scheduler has sent no start order for it.
     """
 
     task: model.TaskKey
@@ -151,12 +151,7 @@
     worker_born_ms: int = 0
     may_have_started: bool = False
     has_survived: bool = False
-    is_recovered: bool = False
-
-    @property
-    def awaits_first_report(self) -> bool:
-        """Whether an earlier holder may have ordered it, and its worker has not listed it since."""
-        return self.is_recovered and self.phase is RunPhase.ORDERED
+    awaits_first_report: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/lycheegate/jobs/tests/test_leases.py
+++ b/lycheegate/jobs/tests/test_leases.py
@@ -40,7 +40,7 @@
     run = runs.add_run(current, job, step, index, worker, 1, 10.0)
     run.phase = generator.choice(_PHASES)
     run.phase_began_at_s = generator.choice([9.0, generator.uniform(10.0, 30.0)])
-    run.is_recovered = run.phase_began_at_s == 9.0
+    run.awaits_first_report = run.phase_began_at_s == 9.0
     if run.phase is state.RunPhase.STOPPING:
         run.stop_sent_at_s = generator.uniform(10.0, 30.0)
     if generator.random() < 0.2 and run.phase is not state.RunPhase.INTENDED:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -429,6 +429,7 @@
     now_s: float,
 ) -> list[commands.Command]:
     """Updates a run from its entry in a report; returns a stop order if it must not go on."""
+    run.awaits_first_report = False
     if run.phase is state.RunPhase.ORDERED:
         runs.record_start_confirmed(current, run, now_s)
     if listed.percent != run.percent:
