End stray runs with their lease

Cause: a task with a stray run starts nowhere. Strays ended with a report of their worker, its restart, or the removal of the worker, which is done only when some registration changes. Leases were checked for current runs only.

Change: strays end with the leases of their worker, as runs do. Their functions have a module of their own.

Result: test_stray_run_ends_once_its_lease_has_expired failed before (2 of 2 cases) and passes.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, runs, state
+from lycheegate.jobs import commands, runs, state, strays
 
 __all__ = [
     "RecordedDeadline",
@@ -109,13 +109,13 @@
 
 
 def check_leases(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
-    """Ends runs whose leases have expired, and handles orders that were not answered.
+    """Ends runs whose leases have expired, strays too, and handles orders that were not answered.
 
     A run whose start order was not answered is stopped; an unconfirmed stop order is sent again.
     """
     result: list[commands.Command] = []
     for worker in list(current.workers.values()):
-        if worker.runs:
+        if worker.runs or worker.strays:
             result += _check_worker(current, worker, now_s)
     if not current.unlisted_runs_ended and now_s > compute_handover_end_s(current):
         current.unlisted_runs_ended = True
@@ -128,6 +128,8 @@
 ) -> list[commands.Command]:
     result: list[commands.Command] = []
     has_expired = now_s > max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
+    if has_expired:
+        strays.clear_strays(current, worker)
     for run in list(worker.runs.values()):
         phase = run.phase
         if phase is _INTENDED or (phase is _RUNNING and not has_expired):
--- a/lycheegate/jobs/tests/test_leases.py
+++ b/lycheegate/jobs/tests/test_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheegate.jobs import commands, leases, lifecycle, model, runs, state
+from lycheegate.jobs import commands, leases, lifecycle, model, runs, state, workers
 
 _CAPACITY = model.Resources(64_000, 64_000, 64)
 _NEED = model.Resources(1_000, 1_000, 1)
@@ -87,3 +87,27 @@
     for worker in current.workers.values():
         used = sum(1 for _ in worker.runs)
         assert worker.room.accelerators == _CAPACITY.accelerators - used
+
+
+@pytest.mark.parametrize("is_registered", [True, False])
+def test_stray_run_ends_once_its_lease_has_expired(is_registered):
+    """Guards against a task that waits for good for a stray run on a worker that is gone.
+
+    The worker lists the stray in its last report, and no registration changes afterwards.
+    """
+    current = _make_state(1)
+    worker = current.workers["w0"]
+    worker.confirmed = True
+    task = model.TaskKey(f"{0:016x}", 0, 0, 0)
+    listed = workers.ListedRun(task, str(task), 9, "", 10)
+    workers.apply_report(current, workers.Report("w0", 5_000, 1, (listed,), (), 40.0, 40.0))
+    worker.registered = is_registered
+    assert current.stray_tasks == {task: 1}
+    worker.leases_expire_at_s = 45.0
+    leases.check_leases(current, 44.9)
+    assert current.stray_tasks == {task: 1}
+    current.schedule_due = False
+    leases.check_leases(current, 45.1)
+    assert current.stray_tasks == {}
+    assert worker.room == worker.capacity
+    assert current.schedule_due
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, crashes, leases, model, runs, state
+from lycheegate.jobs import commands, crashes, leases, model, runs, state, strays
 
 __all__ = [
     "EndedRun",
@@ -131,7 +131,7 @@
             result.append(commands.Decision("registration_failed", fields))
     for worker in list(current.workers.values()):
         if not worker.registered and not worker.runs and now_s >= worker.leases_expire_at_s:
-            _clear_strays(current, worker)
+            strays.clear_strays(current, worker)
             del current.workers[worker.worker_id]
     return result
 
@@ -278,29 +278,11 @@
     worker.clock_ms = worker.max_deadline_ms = 0
     # A deadline from before the restart must not be restored.
     worker.deadlines_recorded += 1
-    _clear_strays(current, worker)
+    strays.clear_strays(current, worker)
     current.schedule_due = True
     return [commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})]
 
 
-def _clear_strays(current: state.SchedulerState, worker: state.WorkerState) -> None:
-    """Removes the stray and unknown runs of a worker and frees their room."""
-    for (task, _), need in worker.strays.items():
-        worker.room = worker.room + need
-        _adjust_stray_count(current, task, -1)
-    worker.strays.clear()
-    worker.unknown_runs.clear()
-
-
-def _adjust_stray_count(current: state.SchedulerState, task: model.TaskKey, change: int) -> None:
-    count = current.stray_tasks.get(task, 0) + change
-    if count > 0:
-        current.stray_tasks[task] = count
-    else:
-        current.stray_tasks.pop(task, None)
-        current.schedule_due = True
-
-
 def apply_report(current: state.SchedulerState, report: Report) -> list[commands.Command]:
     """Applies a worker's report and reconciles the state with it.
 
@@ -374,10 +356,7 @@
     current: state.SchedulerState, worker: state.WorkerState, ended: EndedRun, now_s: float
 ) -> list[commands.Command]:
     """Handles the end of a run that is not the current run of its task; a success still counts."""
-    need = worker.strays.pop((ended.task, ended.number), None)
-    if need is not None:
-        worker.room = worker.room + need
-        _adjust_stray_count(current, ended.task, -1)
+    strays.remove_stray(current, worker, ended.task, ended.number)
     step = runs.find_step(current, ended.task)
     if step is None or ended.end is not runs.End.DONE or step.step.long_running or step.is_done:
         return []
@@ -452,15 +431,11 @@
     current: state.SchedulerState, worker: state.WorkerState, listed: ListedRun
 ) -> list[commands.Command]:
     """Stops a stray run, for example one that was started by a delayed order."""
-    key = (listed.task, listed.number)
-    if key not in worker.strays:
-        job = current.jobs[listed.task.job_id].job
-        need = model.Resources()
-        if listed.task.step < len(job.steps):
-            need = job.steps[listed.task.step].need
-        worker.strays[key] = need
-        worker.room = worker.room - need
-        _adjust_stray_count(current, listed.task, 1)
+    job = current.jobs[listed.task.job_id].job
+    need = model.Resources()
+    if listed.task.step < len(job.steps):
+        need = job.steps[listed.task.step].need
+    strays.add_stray(current, worker, listed.task, listed.number, need)
     return [
         commands.Decision(
             "stray_run",
@@ -492,11 +467,9 @@
             has_restarted = 0 < run.worker_born_ms < worker.born_ms
             end = runs.End.CRASHED if has_restarted else runs.End.INTERRUPTED
             result += runs.end_run(current, run, end, "absent", now_s)
-    for key, need in list(worker.strays.items()):
-        if key not in present:
-            del worker.strays[key]
-            worker.room = worker.room + need
-            _adjust_stray_count(current, key[0], -1)
+    for task, number in list(worker.strays):
+        if (task, number) not in present:
+            strays.remove_stray(current, worker, task, number)
     return result
 
 
