Request a report once a run that never began is stopped

What callers saw: a job has nothing running for up to 3 s after a start order without an answer, or after a preemption right after the order.

Cause: a run ends with its end in a report, or with a report that was requested after its stop was confirmed and does not list it. A run that never began has no end. The poll on its way had been sent before, and waits 1.4 s for an end; only the one after it counts, which may wait as long.

Change: once the stop of a run that never began is confirmed, a report is requested beside the polls, at most one for each worker at a time. A confirmation and a request at the same reading of the clock are in order, since the answer was received before the request was sent.

Result: the new test failed before (the task had not started 1 s after the stop) and passes; 245 tests of exchange, faults and survival pass.

--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -455,14 +455,15 @@
     """Ends the runs that a report proves to be absent; it must list all ends.
 
     An unlisted run is proven absent if its worker confirmed the last order for it before the
-    report was requested. It is also proven absent if the order came from an earlier term, because
-    the worker refuses orders of earlier terms once it has answered this one.
+    report was requested, or at the same reading of the clock. It is also proven absent if the order
+    came from an earlier term, because the worker refuses orders of earlier terms once it has
+    answered this one.
     """
     result: list[commands.Command] = []
     for run in list(worker.runs.values()):
         if (run.task, run.number) in present or run.phase is state.RunPhase.INTENDED:
             continue
-        confirmed = run.confirmed_at_s is not None and run.confirmed_at_s < sent_at_s
+        confirmed = run.confirmed_at_s is not None and run.confirmed_at_s <= sent_at_s
         if confirmed or run.awaits_first_report:
             has_restarted = 0 < run.worker_born_ms < worker.born_ms
             end = runs.End.CRASHED if has_restarted else runs.End.INTERRUPTED
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -91,6 +91,8 @@
         self._failed_polls: set[str] = set()
         self._logged_errors: dict[str, str] = {}
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
+        self._additional_reports: set[str] = set()
+        """Workers of which a report is about to be requested beside the polls."""
 
     def poll_new_workers(self) -> None:
         """Starts polling the workers that are not polled yet, those with recorded runs first."""
@@ -208,19 +210,42 @@
     def _check_trial(self, worker_id: str) -> None:
         """Requests a report beside the polls, to learn whether a task on trial has survived."""
         worker = self._state.workers.get(worker_id)
-        if worker is None or not worker.trials or not self._may_act(self._now_s()):
+        if worker is not None and worker.trials:
+            self._request_report(worker)
+
+    def _check_absence(self, worker_id: str) -> None:
+        """Requests a report beside the polls, to learn that a run that never began is absent.
+
+        A poll that was sent before the run was stopped proves nothing, and waits for an end that
+        does not come.
+        """
+        if worker_id in self._additional_reports:
+            return
+        self._additional_reports.add(worker_id)
+
+        def check() -> None:
+            self._additional_reports.discard(worker_id)
+            worker = self._state.workers.get(worker_id)
+            if worker is not None:
+                self._request_report(worker)
+
+        self._hooks.call_later(0.0, check)
+
+    def _request_report(self, worker: state.WorkerState) -> None:
+        """Requests a report at once that renews no lease."""
+        if not self._may_act(self._now_s()):
             return
         self._client.report(
             worker.address,
-            worker_id,
+            worker.worker_id,
             self._state.epoch,
             worker.durable_end,
             None,
             0.0,
-            self._handle_trial_report,
+            self._handle_additional_report,
         )
 
-    def _handle_trial_report(self, outcome: result.Result) -> None:
+    def _handle_additional_report(self, outcome: result.Result) -> None:
         # The polls handle lost reports.
         if self._hooks.is_stopped() or not isinstance(outcome, result.Success):
             return
@@ -430,6 +455,9 @@
             self._end_fenced_term(order.worker_id)
         elif answer.outcome is worker_calls.StartOutcome.STARTED:
             workers.record_stop_confirmed(self._state, order.task, order.number, now_s)
+            run = self._find_run(order)
+            if run is not None and run.running_since_s is None:
+                self._check_absence(order.worker_id)
 
 
 def _get_report_wait_s(worker: state.WorkerState) -> float:
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lycheegate.jobs import state
 from lycheegate.node.tests import simulation
 
 JOB_ID = "0" * 16
@@ -50,3 +51,22 @@
     world.run(10.0)
     simulation.assert_all_succeed(world)
     assert set(world.fleet.starts.values()) == {1}
+
+
+def test_run_that_was_stopped_before_it_began_ends_with_the_stop():
+    """Guards against a task that waits two reports for the end of a run that never began.
+
+    Its start order is not answered, so it is stopped. A worker that is not aware of the run lists
+    no end of it, and a report that was requested before the stop proves nothing.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 20.0
+    world.claim_term("a")
+    world.run(1.0)
+    world.faults.late_orders = 1.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    while b"start_unanswered" not in b"".join(world.lines):
+        world.run(0.01)
+    world.faults.late_orders = 0.0
+    world.run(state.Policy().stop_retry_s + 0.5)
+    assert len(world.fleet.starts) == 1
