Repeat a write without an answer before its timeout, and never store an older heartbeat

What callers saw: while the store left a third of the writes unanswered, accepted jobs waited for two seconds and more for each such write, the term changed hands every few seconds, and what each holder had placed was lost with it (a gang of one play was placed in four terms and had nothing running for 13 s).

Cause: orders and the renewal wait for the one write on its way, which had a timeout of 2 s. Two in a row cost the term. Besides, a heartbeat that the store carried out late replaced a newer one, and its age made other VMs claim at once.

Change: a write is given up after 0.5 s, or three times the duration of recent ones if the store is slow, and repeated. An answer that arrives later counts for the renewal and for the duration only. A heartbeat has the version that it replaces as a condition.

Ruled out: a shorter timeout of the call. It would end relayed calls and calls to a slow store.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -7,8 +7,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from returns import result
-
 from lycheegate.jobs import (
     commands,
     evacuation,
@@ -19,7 +17,6 @@
     scheduling,
     state,
     workers,
-    writes,
 )
 from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import (
@@ -33,6 +30,7 @@
     storage,
     tables,
     term_rows,
+    term_writer,
     terms,
 )
 from lycheegate.platform import workers as worker_calls
@@ -40,8 +38,6 @@
 __all__ = ["Runtime", "Scheduler"]
 
 TICK_S = 0.25
-WRITE_TIMEOUT_S = 2.0
-WRITE_RETRY_S = 0.15
 REGISTRY_PAUSE_S = 0.3
 
 
@@ -97,7 +93,6 @@
     ):
         self._runtime = runtime
         self._holder = holder
-        self._holder_version = holder_version
         self._on_ended = on_ended
         self._state = state.SchedulerState(holder.epoch, policy, runtime.now_s())
         self._state.configuration = configuration
@@ -107,18 +102,27 @@
         }
         self._stopped = False
         self._loaded = False
-        self._writing = False
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
         self._passed_at_s = 0.0
-        self._renewed_at_s = claimed_at_s
-        self._renewal_sent_at_s = 0.0
-        self._write_not_before_s = 0.0
-        self._releasing = False
         self._registry = registry.WorkerRegistry(self._log_odd_registration)
         self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
-        self._term_rows = term_rows.TermRows(
-            self._state, runtime.now_s, runtime.store_clock_ms, runtime.log
+        self._writer = term_writer.TermWriter(
+            runtime.store,
+            self._state,
+            term_rows.TermRows(self._state, runtime.now_s, runtime.store_clock_ms, runtime.log),
+            holder_version,
+            claimed_at_s,
+            runtime.now_s,
+            runtime.log,
+            term_writer.WriterHooks(
+                self._execute,
+                self._handle_completed_write,
+                self.stop,
+                self._call_later,
+                self._is_stopped,
+                lambda: self._loaded,
+            ),
         )
         self._job_rows = job_rows.JobRows(
             self._state,
@@ -140,7 +144,7 @@
                 self.stop,
                 self._call_later,
                 self._is_stopped,
-                lambda: self._renewed_at_s,
+                lambda: self._writer.renewed_at_s,
             ),
         )
         self._jobs_feed = feeds.TableFeed(
@@ -192,15 +196,13 @@
         Nothing more is placed. Work that has been placed is stored and ordered before the term is
         released.
         """
-        self._releasing = True
-        self._write()
+        self._writer.release()
 
     def retry_store_calls(self) -> None:
         """Makes the store calls at once that wait for a retry."""
-        self._write_not_before_s = 0.0
         self._jobs_feed.retry_now()
         self._registry_feed.retry_now()
-        self._write()
+        self._writer.retry_now()
 
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Applies a newer configuration."""
@@ -247,7 +249,7 @@
             if is_store_unreachable
             else terms.MAX_RENEWAL_AGE_S
         )
-        return epoch == self.epoch and self._runtime.now_s() - self._renewed_at_s < limit_s
+        return epoch == self.epoch and self._runtime.now_s() - self._writer.renewed_at_s < limit_s
 
     def find_status(self, job_id: str) -> progress.JobStatus | None:
         """Returns the stored status of a job, or None if it is unknown; for any thread."""
@@ -295,10 +297,10 @@
         self._passed_at_s = now_s
         self._execute(lifecycle.advance_jobs(self._state, now_s, wall_s))
         self._execute(evacuation.evacuate(self._state, now_s))
-        if self._state.schedule_due and not self._releasing:
+        if self._state.schedule_due and not self._writer.is_releasing:
             self._execute(scheduling.schedule(self._state, now_s, wall_s))
         self._pass_delay_s = passes.compute_pass_delay_s(self._runtime.now_s() - now_s)
-        self._write()
+        self._writer.write()
 
     def _tick(self) -> None:
         if self._stopped:
@@ -317,140 +319,18 @@
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
-        self._write()
+        self._writer.write()
 
-    def _write(self) -> None:
-        """Writes changed progress, and the heartbeat if it is due."""
-        now_s = self._runtime.now_s()
-        if self._writing or self._stopped or now_s < self._write_not_before_s:
-            return
-        renew = now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
-        batch = self._collect_batch(now_s, renew or self._releasing)
-        # Orders are sent after the write of their intentions, so the write that releases the term
-        # must hold none. It may hold ends of runs; the next holder reads from the workers those
-        # that are not stored.
-        release = self._releasing and (batch is None or not batch.has_intentions)
-        renew = renew or release
-        if batch is None and not renew:
-            return
-        self._writing = True
-        try:
-            transaction = self._make_transaction(batch, renew, release)
-            if renew:
-                self._renewal_sent_at_s = now_s
-            self._runtime.store.transact(
-                transaction,
-                WRITE_TIMEOUT_S,
-                lambda outcome: self._handle_written(batch, now_s, release, outcome),
-            )
-        except Exception:
-            # Otherwise the term would neither be renewed nor store anything again.
-            self._writing = False
-            self._renewal_sent_at_s = 0.0
-            if batch is not None:
-                writes.requeue_batch(self._state, batch, {})
-            raise
-
-    def _collect_batch(self, now_s: float, has_heartbeat: bool) -> writes.Batch | None:
-        """Returns the progress to write now, or None."""
-        if not self._loaded:
-            return None
-        batch = writes.collect_batch(self._state, now_s, has_heartbeat)
-        if batch is None:
-            return None
-        self._execute(list(batch.decisions))
-        return batch if batch.writes else None
-
-    def _make_transaction(
-        self, batch: writes.Batch | None, renew: bool, release: bool
-    ) -> storage.Transaction:
-        conditions = [storage.Condition(tables.HOLDER, self._holder_version)]
-        changes: list[storage.Write] = []
-        if renew:
-            changes += self._term_rows.make_writes(release, self._loaded)
-        deletes: list[storage.RowKey] = []
-        for write in batch.writes if batch else ():
-            key = tables.get_progress_key(write.job_id)
-            conditions.append(storage.Condition(key, write.version))
-            changes.append(storage.Write(key, write.record.data))
-            for number, page in enumerate(write.record.pages):
-                changes.append(storage.Write(tables.get_page_key(write.job_id, number), page))
-            for number in range(len(write.record.pages), write.stored_pages):
-                deletes.append(tables.get_page_key(write.job_id, number))
-        return storage.Transaction(tuple(conditions), tuple(changes), tuple(deletes))
-
-    def _handle_written(
-        self,
-        batch: writes.Batch | None,
-        sent_at_s: float,
-        released: bool,
-        outcome: storage.StoreResult,
-    ) -> None:
-        self._writing = False
-        if self._stopped:
-            return
-        now_s = self._runtime.now_s()
-        if isinstance(outcome, result.Success):
-            self._renewed_at_s = sent_at_s
-            if released:
-                self.stop("released")
-                return
-            if batch is not None:
-                self._complete_write(batch, outcome.unwrap(), sent_at_s, now_s)
-            self._write()
-            return
-        self._term_rows.handle_failure()
-        error = outcome.failure()
-        if isinstance(error, storage.ConflictError):
-            self._handle_conflict(batch, error)
-            return
-        if isinstance(error, storage.RejectedError) and batch is not None:
-            self._handle_rejection(batch, error)
-            return
-        if batch is not None:
-            writes.requeue_batch(self._state, batch, {})
-        # Makes the next write include the heartbeat.
-        self._renewal_sent_at_s = 0.0
-        self._runtime.log.write("write_failed", epoch=self.epoch, error=str(error))
-        self._write_not_before_s = now_s + WRITE_RETRY_S
-        self._call_later(WRITE_RETRY_S, self._write)
-
-    def _complete_write(
-        self, batch: writes.Batch, version: int, sent_at_s: float, now_s: float
-    ) -> None:
-        orders = writes.complete_batch(self._state, batch, version, now_s)
+    def _handle_completed_write(self, orders: list[commands.Command], sent_at_s: float) -> None:
+        """Sends the start orders that a write allows."""
         self._exchange.resume_polls()
-        if now_s - sent_at_s > WRITE_TIMEOUT_S:
+        if self._runtime.now_s() - sent_at_s > term_writer.TIMEOUT_S:
             # The VM may have been suspended, and another holder may have placed the tasks again.
             for order in orders:
                 self._exchange.record_refusal(order, "stale_intention")
             return
         self._execute(orders)
 
-    def _handle_rejection(self, batch: writes.Batch, error: storage.RejectedError) -> None:
-        """Writes the heartbeat without the jobs of the batch, then these in smaller batches."""
-        now_s = self._runtime.now_s()
-        self._execute(writes.reject_batch(self._state, batch, str(error), now_s))
-        self._renewal_sent_at_s = 0.0
-        self._write()
-
-    def _handle_conflict(self, batch: writes.Batch | None, error: storage.ConflictError) -> None:
-        versions = {row.key: row.version for row in error.rows}
-        if versions.get(tables.HOLDER) != self._holder_version:
-            self.stop(
-                "another VM holds the term: holder row has version "
-                f"{versions.get(tables.HOLDER)}, expected {self._holder_version}"
-            )
-            return
-        if batch is not None:
-            stored_versions = {
-                write.job_id: versions.get(tables.get_progress_key(write.job_id), storage.ABSENT)
-                for write in batch.writes
-            }
-            writes.requeue_batch(self._state, batch, stored_versions)
-            self._runtime.log.write("write_conflict", jobs=[w.job_id for w in batch.writes][:5])
-        self._write()
-
     def _execute(self, command_list: list[commands.Command]) -> None:
         for command in command_list:
             if isinstance(command, commands.Decision):
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheegate.jobs import model, progress, state
-from lycheegate.node import scheduler, tables, terms
+from lycheegate.node import tables, term_writer, terms
 from lycheegate.node.tests import simulation
 
 
@@ -266,7 +266,7 @@
     world.lines.clear()
     world.run(3.0)
     failed = sum(b"write_failed" in line for line in world.lines)
-    assert 3 <= failed <= 3.0 / scheduler.WRITE_RETRY_S + 1
+    assert 3 <= failed <= 3.0 / term_writer.RETRY_S + 1
 
 
 def test_holder_that_cannot_renew_does_not_report_the_term():
