Limit the wait for the rack of the data of a job that has nothing running

What callers saw: a job has nothing running for up to its declared duration, though most workers are free. The wait begins anew with each holder of the term.

Cause: a task waits for room in the rack of its data for as long as it is declared to take, however many workers are free and whether anything else of its job runs.

Change: a job that has nothing running waits 2 s at most while its service is lightly loaded.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -34,6 +34,11 @@
 MAX_LOCALITY_WAIT_RATIO = 1.0
 """How long a task waits for room in the rack of its data before it may run elsewhere, as a
 multiple of its declared duration."""
+MAX_IDLE_LOCALITY_WAIT_S = 2.0
+"""Limit of that wait for a job that has nothing running while its service is lightly loaded. Such
+a job must not stay idle for 3 s."""
+LIGHT_LOAD_RATIO = 0.5
+"""Share of its capacity below whose use a service is lightly loaded."""
 
 
 def schedule(current: state.SchedulerState, now_s: float, wall_s: float) -> list[commands.Command]:
@@ -286,6 +291,8 @@
     if not has_reservation and context.workers.is_full(unit.service, step):
         return None
     candidates = units.list_candidates(context, unit)
+    if not candidates:
+        return None
     if step.gang:
         return placement.place_gang(
             len(unit.indices),
@@ -295,9 +302,9 @@
             step.near_rack,
             may_span=placement.exceeds_every_rack(len(unit.indices), step.need, candidates),
         )
-    waited_s = unit.step.compute_waited_s(context.now_s)
-    only_near = bool(step.near_rack) and waited_s < MAX_LOCALITY_WAIT_RATIO * step.estimate_s
-    only_near = only_near and any(c.rack == step.near_rack for c in candidates)
+    only_near = _awaits_near_rack(context, unit) and any(
+        c.rack == step.near_rack for c in candidates
+    )
     worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
     is_restricted = units.is_last_attempt(context, unit) or crashes.is_suspect(
         unit.step, unit.indices
@@ -307,6 +314,18 @@
     return [worker_id] if worker_id else None
 
 
+def _awaits_near_rack(context: units.PassContext, unit: units.Unit) -> bool:
+    """Returns whether a task may only run in the rack of its data for now."""
+    step = unit.step.step
+    if not step.near_rack:
+        return False
+    max_wait_s = MAX_LOCALITY_WAIT_RATIO * step.estimate_s
+    capacity = context.capacities[unit.service]
+    if capacity.used < LIGHT_LOAD_RATIO * capacity.total and not unit.job.list_runs():
+        max_wait_s = min(max_wait_s, MAX_IDLE_LOCALITY_WAIT_S)
+    return unit.step.compute_waited_s(context.now_s) < max_wait_s
+
+
 def _add_runs(context: units.PassContext, unit: units.Unit, chosen: list[str]) -> None:
     """Places the tasks of a unit on the chosen workers and logs the placement."""
     step = unit.step
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lycheegate.jobs import state
+from lycheegate.jobs import model, state
 from lycheegate.node.tests import simulation
 
 JOB_ID = "0" * 16
@@ -70,3 +70,22 @@
     world.faults.late_orders = 0.0
     world.run(state.Policy().stop_retry_s + 0.5)
     assert len(world.fleet.starts) == 1
+
+
+def test_job_does_not_stay_idle_for_the_rack_of_its_data():
+    """Guards against a job with nothing running while most of the workers are free.
+
+    All workers in the rack of its data are in use for long, and it waits for room there.
+    """
+    world = simulation.World(1, worker_count=12)
+    world.fleet.work_s = 30.0
+    world.claim_term("a")
+    whole = simulation.make_step(1, simulation.WHOLE, label="r0")
+    for number in range(3):
+        world.submit(simulation.make_job(f"{number + 1:016x}", whole))
+    world.run(2.0)
+    check = world.watch_idleness()
+    step = model.Step(2, simulation.SMALL, estimate_s=11.0, near_rack="r0")
+    world.submit(simulation.make_job(JOB_ID, step))
+    world.run(12.0)
+    assert check.found == {}
