Add a failing test of a run on a departed worker after a change of the holder

What callers see: a job whose worker leaves just before the holder of the term is lost has nothing running for 14.2 s. The next holder waits for the longest lease that the previous one may have granted for 8 s after its last renewal.

--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -89,3 +89,26 @@
     world.submit(simulation.make_job(JOB_ID, step))
     world.run(12.0)
     assert check.found == {}
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 6.0])
+def test_run_on_a_departed_worker_does_not_outlast_its_lease_by_a_change_of_the_holder(silent_s):
+    """Guards against a job that stays idle because the holder changes after its worker has left.
+
+    The next holder does not know when the previous one renewed the lease for the last time.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    first = world.claim_term("a")
+    world.run(2.0)
+    departed = world.fleet.find_busy_worker()
+    world.fleet.workers[departed].reset()
+    world.fleet.unreachable.add(departed)
+    world.unregister(departed)
+    world.run(silent_s)
+    first.stop("killed")
+    world.claim_term("b")
+    check = world.watch_idleness()
+    world.run(20.0)
+    assert check.found == {}
