--- a/lycheegate/jobs/tests/test_compact.py
+++ b/lycheegate/jobs/tests/test_compact.py
@@ -138,7 +138,7 @@
     """Guards against a job that is accepted although its record fits into no call."""
     job = _make_job(100_000)
     _fill(job, 1, 930, 1.0, 0.0)
-    write = writes._make_write(job, 49_152)
+    write = writes._make_write(job, writes._make_limits(49_152))
     assert write.size_bytes <= 1_000_000 - 20_000
     assert write.entries <= writes.MAX_ENTRIES
 
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -120,6 +120,7 @@
     decisions: list[commands.Command] = []
     entries = size_bytes = 0
     max_jobs = state.MAX_BATCH_JOBS
+    limits = _make_limits(current.policy.max_row_bytes)
     for job in due:
         if len(writes) >= max_jobs:
             break
@@ -128,7 +129,7 @@
         ):
             continue
         try:
-            write = _make_write(job, current.policy.max_row_bytes)
+            write = _make_write(job, limits)
         except Exception as error:
             # One job must not keep the others from being written.
             decisions.append(_hold_back(job, 0, f"{type(error).__name__}: {error!s:.200}", now_s))
@@ -157,11 +158,11 @@
         job.write_not_before_s = now_s + write.record.plain_bytes / REWRITE_BYTES_PER_S
 
 
-def _make_write(job: state.JobState, max_row_bytes: int) -> ProgressWrite:
+def _make_write(job: state.JobState, limits: progress.RecordLimits) -> ProgressWrite:
     intended = tuple(
         (run.task, run.number) for run in job.list_runs() if run.phase is state.RunPhase.INTENDED
     )
-    record = progress.encode_progress(job, _make_limits(max_row_bytes))
+    record = progress.encode_progress(job, limits)
     status = progress.make_status(job)
     return ProgressWrite(
         job.job.job_id, job.version, record, job.stored_pages, status, intended, job.unstored_ends
--- a/lycheegate/node/deletion.py
+++ b/lycheegate/node/deletion.py
@@ -55,10 +55,7 @@
         condition = storage.Condition(job_key, job.accepted_version)
 
         def handle_deleted(outcome: storage.StoreResult) -> None:
-            # On a conflict, an earlier deletion whose answer was lost has taken effect.
-            is_deleted = isinstance(outcome, result.Success) or isinstance(
-                outcome.failure(), storage.ConflictError
-            )
+            is_deleted = _is_deleted(outcome)
             if is_deleted:
                 job_id = job.job.job_id
                 pages = [tables.get_page_key(job_id, n) for n in range(job.stored_pages)]
@@ -84,12 +81,10 @@
         key = tables.get_cancel_key(job_id)
 
         def handle_deleted(outcome: storage.StoreResult) -> None:
-            is_conflict = not isinstance(outcome, result.Success) and isinstance(
-                outcome.failure(), storage.ConflictError
-            )
-            if not is_conflict:
+            is_deleted = _is_deleted(outcome)
+            if not is_deleted:
                 self._log_failure(outcome)
-            on_done(is_conflict or isinstance(outcome, result.Success))
+            on_done(is_deleted)
 
         transaction = storage.Transaction((storage.Condition(key, version),), (), (key,))
         self._store.transact(transaction, TIMEOUT_S, handle_deleted)
@@ -111,3 +106,13 @@
     def _log_failure(self, outcome: storage.StoreResult) -> None:
         if not isinstance(outcome, result.Success):
             self._log.write("deletion_failed", error=str(outcome.failure()))
+
+
+def _is_deleted(outcome: storage.StoreResult) -> bool:
+    """Returns whether a row is known to be deleted, or to have been written again.
+
+    On a conflict, an earlier deletion whose answer was lost may have taken effect.
+    """
+    return isinstance(outcome, result.Success) or isinstance(
+        outcome.failure(), storage.ConflictError
+    )
