Stop a run whose repeated order can be granted no lease

What callers may see: a task runs twice for a moment. Found while the paths were read that lead to a refusal of an order by the scheduler itself; not seen in a play.

Cause: a start order without an answer is repeated. If the worker's clock is unknown by then, since it has restarted, the order was recorded as refused, and its task was placed again at once, although the new incarnation may have received the first order.

Change: an order that may have been received is stopped, as for a worker that has shrunk.

Result: test_no_order_without_a_lease failed before (1 of 2 cases) and passes.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -341,7 +341,7 @@
             return
         deadline_ms = worker and leases.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
-            self.record_refusal(order, "worker_unknown")
+            self._withdraw_start(order, run, is_repeated, "worker_unknown")
             return
         leases.record_deadline(self._state, worker, deadline_ms)
         address = worker.address
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -124,6 +124,28 @@
     assert bool(term.current.jobs["0" * 16].list_runs()) is is_repeated
 
 
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_no_order_without_a_lease(is_repeated):
+    """Guards against a task that starts twice because its order cannot be repeated.
+
+    The clock of the worker is unknown after its restart, so no lease can be granted. An order that
+    it may have received before the restart was known has not been refused by it.
+    """
+    term = _Term()
+    order = term.place()
+    if is_repeated:
+        term.exchange.send_start(order)
+    term.current.workers["w0"].clock_ms = 0
+    if is_repeated:
+        term.client.starts[0](_UNKNOWN)
+        term.run_later()
+    else:
+        term.exchange.send_start(order)
+    found = term.current.jobs["0" * 16].list_runs()
+    assert [run.phase for run in found] == ([state.RunPhase.STOPPING] if is_repeated else [])
+    assert len(term.client.starts) == is_repeated
+
+
 @pytest.mark.parametrize("is_repeated", [False, True])
 @pytest.mark.parametrize(("accelerators", "is_sent"), [(8, True), (1, True), (0, False)])
 def test_no_order_beyond_a_capacity_that_has_shrunk(accelerators, is_sent, is_repeated):
