Tell the next holder when the leases on departed workers end

What callers saw: a job whose worker has left stays idle for 14.2 s after each change of the holder, and under a rolling restart for its whole duration.

Cause: the next holder cannot see when the previous one renewed a lease for the last time, so it assumes the longest lease at the last possible moment, anew in each term.

Change: a row that counts only together with the heartbeat it was written with names the end of the leases on workers that are not registered any more and have been silent for 2.5 s, and in a release that of all others. A holder grants no lease that would outlast what it has told: to a named worker only after a heartbeat without it is stored, and to none once a release has been sent. Times are on the store's clock: the writer uses the latest time that it can show, the reader the earliest. Workers that are only silent are not named, so that their work does not depend on the store.

Ruled out: a shorter time for which a holder acts without renewals, as work would be lost in outages of the store that are survived now.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -14,6 +14,8 @@
     "check_leases",
     "compute_deadline_ms",
     "compute_handover_end_s",
+    "compute_inherited_end_s",
+    "list_lease_ends",
     "record_deadline",
     "revoke_deadline",
     "update_clock",
@@ -30,6 +32,11 @@
     state.RunPhase.ORDERED,
     state.RunPhase.RUNNING,
 )
+WITHHOLDING_SILENCE_S = 2.5
+"""Time since the last report of a worker that is no longer registered from which no lease is
+granted to it. Its leases are not renewed then anyway."""
+MAX_LISTED_WORKERS = 200
+"""Number of workers whose ends of leases fit into a row, also with the longest identifiers."""
 MIN_SILENCE_S = 1.0
 """Time since its last report for which the leases of a worker do not count as expired."""
 
@@ -41,6 +48,57 @@
     return current.began_at_s + policy.handover_s + lease_s + CLOCK_MARGIN_S
 
 
+def compute_inherited_end_s(current: state.SchedulerState, worker_id: str) -> float:
+    """Returns when leases that earlier schedulers granted on a worker have certainly expired."""
+    inherited = current.inherited_leases
+    end_s = inherited.workers.get(worker_id, inherited.others_s)
+    handover_end_s = compute_handover_end_s(current)
+    return handover_end_s if end_s is None else min(handover_end_s, end_s + CLOCK_MARGIN_S)
+
+
+def list_lease_ends(
+    current: state.SchedulerState, now_s: float, withholds_all: bool
+) -> state.InheritedLeases:
+    """Returns the ends of leases for the next scheduler, on this scheduler's clock.
+
+    From then on, this scheduler must grant none to the workers that are listed, or to none at all.
+
+    Args:
+        current: State of the scheduler.
+        now_s: Time on the scheduler's clock.
+        withholds_all: Whether it grants no lease to any worker from now on.
+    """
+    departed: dict[str, float] = {}
+    others_s = now_s
+    for worker in current.workers.values():
+        if not worker.runs and not worker.strays:
+            continue
+        is_silent = now_s - worker.reported_at_s >= WITHHOLDING_SILENCE_S
+        if is_silent and not worker.registered and len(departed) < MAX_LISTED_WORKERS:
+            departed[worker.worker_id] = worker.leases_expire_at_s
+        else:
+            others_s = max(others_s, worker.leases_expire_at_s)
+    for worker_id in sorted(_list_unlisted_workers(current)):
+        end_s = compute_inherited_end_s(current, worker_id)
+        if len(departed) < MAX_LISTED_WORKERS:
+            departed[worker_id] = end_s
+        else:
+            others_s = max(others_s, end_s)
+    return state.InheritedLeases(departed, others_s if withholds_all else None)
+
+
+def _list_unlisted_workers(current: state.SchedulerState) -> set[str]:
+    """Returns the workers of recorded runs that never registered with this scheduler."""
+    if current.unlisted_runs_ended:
+        return set()
+    return {
+        run.worker_id
+        for job in current.jobs.values()
+        for run in job.list_runs()
+        if run.worker_id not in current.workers
+    }
+
+
 def update_clock(worker: state.WorkerState, clock_ms: int, now_s: float) -> None:
     """Updates what is known of a worker's clock from any of its answers."""
     if clock_ms >= worker.clock_ms:
@@ -51,8 +109,13 @@
 def compute_deadline_ms(
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> int | None:
-    """Returns the lease deadline to send, on the worker's clock, or None if that is unknown."""
-    if not worker.clock_ms:
+    """Returns the lease deadline to send, on the worker's clock.
+
+    Returns:
+        The deadline, or None if the clock is unknown or no lease is granted to the worker.
+    """
+    is_withheld = current.withholds_all_leases or worker.worker_id in current.withheld_leases
+    if not worker.clock_ms or is_withheld:
         return None
     elapsed_s = (now_s - worker.clock_at_s) * (1.0 - current.policy.clock_slowness_ratio)
     lease_s = current.policy.lease_s
@@ -117,9 +180,9 @@
     for worker in list(current.workers.values()):
         if worker.runs or worker.strays:
             result += _check_worker(current, worker, now_s)
-    if not current.unlisted_runs_ended and now_s > compute_handover_end_s(current):
-        current.unlisted_runs_ended = True
+    if not current.unlisted_runs_ended:
         result += _end_unlisted_runs(current, now_s)
+        current.unlisted_runs_ended = now_s > compute_handover_end_s(current)
     return result
 
 
@@ -155,12 +218,18 @@
 def _end_unlisted_runs(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Ends the runs that an earlier term recorded on workers that never registered with this one.
 
-    Only the records that a term begins with can name such workers, so this is done once.
+    Only the records that a term begins with can name such workers, so this is done until the leases
+    of all earlier terms have expired.
     """
+    expired = {
+        worker_id
+        for worker_id in _list_unlisted_workers(current)
+        if now_s > compute_inherited_end_s(current, worker_id)
+    }
     result: list[commands.Command] = []
-    for job in list(current.jobs.values()):
+    for job in list(current.jobs.values()) if expired else ():
         for run in job.list_runs():
-            if run.worker_id not in current.workers:
+            if run.worker_id in expired:
                 result += runs.end_run(current, run, runs.End.CRASHED, "worker_unlisted", now_s)
     return result
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -13,6 +13,7 @@
     "CountedCrash",
     "MAX_BATCH_JOBS",
     "EndSource",
+    "InheritedLeases",
     "JobState",
     "JobStatus",
     "Policy",
@@ -442,6 +443,19 @@
 """Job, occurrence, step and task (or -1 for a gang) that a reservation is for."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InheritedLeases:
+    """Ends of leases that earlier schedulers have granted, on this scheduler's clock.
+
+    Attributes:
+        workers: Time by which those on each of some workers have certainly expired.
+        others_s: The same for all other workers, or None if it is not known.
+    """
+
+    workers: dict[str, float] = dataclasses.field(default_factory=dict)
+    others_s: float | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class SchedulerState:
     """Everything that the decisions of one scheduler term depend on.
@@ -460,6 +474,10 @@
         stall_checked_at_s: When stalled runs were last checked.
         urgent_demand: Recent peak of urgent demand, by service.
         inherited_suspects: Time until which the previous scheduler suspected workers.
+        inherited_leases: Ends of leases that earlier schedulers have granted.
+        withheld_leases: Workers to which no lease is granted, because the next scheduler may rely
+            on the end of those that they have.
+        withholds_all_leases: Whether no lease is granted to any worker.
         unlisted_runs_ended: Whether the runs on workers that never registered have been ended.
         other_crashes_at_s: When workers without new runs were last found to have crashed.
         counted_crashes: Crashes with full weight that were counted lately.
@@ -479,6 +497,9 @@
     stall_checked_at_s: float = 0.0
     urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
     inherited_suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+    inherited_leases: InheritedLeases = InheritedLeases()
+    withheld_leases: frozenset[str] = frozenset()
+    withholds_all_leases: bool = False
     unlisted_runs_ended: bool = False
     other_crashes_at_s: list[float] = dataclasses.field(default_factory=list)
     counted_crashes: list[CountedCrash] = dataclasses.field(default_factory=list)
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -239,7 +239,7 @@
         born_ms=registration.born_ms,
         registered_born_ms=registration.born_ms,
     )
-    worker.leases_expire_at_s = leases.compute_handover_end_s(current)
+    worker.leases_expire_at_s = leases.compute_inherited_end_s(current, worker.worker_id)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
     _update_leave_time(worker, registration.remaining_s, now_s)
     if existing is not None:
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -11,7 +11,7 @@
 
 from lycheegate.clients import http
 from lycheegate.entry import server
-from lycheegate.jobs import progress
+from lycheegate.jobs import progress, state
 from lycheegate.metrics import exposition, histograms, jsonlog
 from lycheegate.node import (
     callers,
@@ -312,14 +312,21 @@
         self._claiming = True
         claim_id = tables.make_claim_id(self._settings.node_name)
         term_holder, transaction = terms.make_claim(self._view.term, claim_id, now_s)
+        inherited_leases = terms.find_lease_ends(self._view.term, now_s)
         self._store.transact(
             transaction,
             CLAIM_TIMEOUT_S,
-            lambda outcome: self._handle_claim_result(term_holder, now_s, outcome),
+            lambda outcome: self._handle_claim_result(
+                term_holder, now_s, inherited_leases, outcome
+            ),
         )
 
     def _handle_claim_result(
-        self, term_holder: tables.Holder, claimed_at_s: float, outcome: storage.StoreResult
+        self,
+        term_holder: tables.Holder,
+        claimed_at_s: float,
+        inherited_leases: state.InheritedLeases,
+        outcome: storage.StoreResult,
     ) -> None:
         self._claiming = False
         holder_version = terms.find_claimed_version(outcome, term_holder)
@@ -339,6 +346,7 @@
             read_boottime_s,
             time.time,
             lambda: terms.estimate_clock_ms(self._view.term, read_boottime_s()),
+            lambda at_s: store_clock.compute_latest_ms(self._store_clock, at_s),
             self._log,
             self._histograms,
         )
@@ -350,6 +358,7 @@
             claimed_at_s,
             self._view.configuration,
             terms.list_suspects(self._view.term, read_boottime_s()),
+            inherited_leases,
             self._handle_term_end,
         )
         try:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -51,7 +51,8 @@
         call_later: Runs a function on the event thread after a delay in seconds.
         now_s: Clock that includes time spent suspended.
         wall_s: Time of day, in seconds since 1970.
-        store_clock_ms: The store's clock, as estimated from its last answer.
+        store_clock_ms: The store's clock, as estimated from its last answer, or 0.
+        latest_store_clock_ms: Latest time that the store's clock can show at a time, or 0.
         log: Log of decisions.
         histograms: Completion and queueing times, by client account and queue.
     """
@@ -62,6 +63,7 @@
     now_s: Callable[[], float]
     wall_s: Callable[[], float]
     store_clock_ms: Callable[[], int]
+    latest_store_clock_ms: Callable[[float], int]
     log: jsonlog.JsonLog
     histograms: histograms.Histograms
 
@@ -77,6 +79,7 @@
         claimed_at_s: When the claim was sent. Its answer may be processed much later.
         configuration: Configuration in force, or None.
         suspects: For how many seconds from now on the last scheduler suspected each worker.
+        inherited_leases: Ends of leases that earlier schedulers have granted.
         on_ended: Called once, with the reason, when the term is lost or released.
     """
 
@@ -89,6 +92,7 @@
         claimed_at_s: float,
         configuration: model.Configuration | None,
         suspects: dict[str, float],
+        inherited_leases: state.InheritedLeases,
         on_ended: Callable[[str], None],
     ):
         self._runtime = runtime
@@ -100,6 +104,7 @@
             worker_id: self._state.began_at_s + duration_s
             for worker_id, duration_s in suspects.items()
         }
+        self._state.inherited_leases = inherited_leases
         self._stopped = False
         self._loaded = False
         self._pass_due = False
@@ -110,7 +115,13 @@
         self._writer = term_writer.TermWriter(
             runtime.store,
             self._state,
-            term_rows.TermRows(self._state, runtime.now_s, runtime.store_clock_ms, runtime.log),
+            term_rows.TermRows(
+                self._state,
+                runtime.now_s,
+                runtime.store_clock_ms,
+                runtime.latest_store_clock_ms,
+                runtime.log,
+            ),
             holder_version,
             claimed_at_s,
             runtime.now_s,
--- a/lycheegate/node/store_clock.py
+++ b/lycheegate/node/store_clock.py
@@ -8,8 +8,9 @@
 """
 
 import dataclasses
+import math
 
-__all__ = ["StoreClock", "locate_answer"]
+__all__ = ["StoreClock", "compute_latest_ms", "locate_answer"]
 
 PERIOD_S = 60.0
 """Bounds of the offset are dropped after one to two periods, because clocks drift apart."""
@@ -46,7 +47,21 @@
         clock.previous_s, clock.current_s, clock.began_at_s = clock.current_s, None, now_s
     bound_s = sent_at_s - store_s
     clock.current_s = bound_s if clock.current_s is None else max(clock.current_s, bound_s)
-    offset_s = max(
-        clock.current_s, clock.current_s if clock.previous_s is None else clock.previous_s
-    )
-    return min(now_s, store_s + offset_s)
+    return min(now_s, store_s + _get_offset_s(clock))
+
+
+def compute_latest_ms(clock: StoreClock, at_s: float) -> int:
+    """Returns the latest time that the store's clock can show at a time, or 0 if that is unknown.
+
+    Args:
+        clock: Bounds of the offset.
+        at_s: Time on this VM's clock.
+    """
+    offset_s = _get_offset_s(clock)
+    return 0 if offset_s is None else max(1, math.ceil((at_s - offset_s) * 1000.0))
+
+
+def _get_offset_s(clock: StoreClock) -> float | None:
+    """Returns the lower bound of the offset, or None if there is none."""
+    bounds = [bound for bound in (clock.current_s, clock.previous_s) if bound is not None]
+    return max(bounds, default=None)
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -20,6 +20,7 @@
     "MAX_COUNT_ROWS",
     "HOLDER",
     "JOBS",
+    "LEASES",
     "MEMBERS",
     "PAGES",
     "PART",
@@ -28,14 +29,17 @@
     "TERMS",
     "Heartbeat",
     "Holder",
+    "LeaseEnds",
     "PendingCounts",
     "decode_counts",
     "decode_heartbeat",
     "decode_holder",
+    "decode_lease_ends",
     "decode_suspects",
     "encode_counts",
     "encode_heartbeat",
     "encode_holder",
+    "encode_lease_ends",
     "encode_suspects",
     "get_cancel_key",
     "get_counts_key",
@@ -66,6 +70,9 @@
 """Row of the holder's heartbeat."""
 SUSPECTS = storage.RowKey(TERMS, PART, "suspects")
 """Row of the workers that the holder suspects, for the holder of the next term."""
+LEASES = storage.RowKey(TERMS, PART, "leases")
+"""Row that tells the holder of the next term when leases of runs end. It belongs to the heartbeat
+that was written with it and counts no longer once there is a later one."""
 MAX_COUNT_ROWS = 6
 """Number of further rows of counts of waiting jobs. They fit into one call with a batch of
 progress."""
@@ -109,6 +116,23 @@
     sent_at_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseEnds:
+    """Times by which leases have certainly expired, in milliseconds on the store's clock.
+
+    Attributes:
+        epoch: Number of the term.
+        sent_at_ms: Time of the heartbeat that the row belongs to.
+        workers: Time for each worker to which no lease is granted any more.
+        others_ms: Time for all other workers, or 0 if leases may still be granted to them.
+    """
+
+    epoch: int
+    sent_at_ms: int
+    workers: dict[str, int]
+    others_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingCounts:
     """Further counts of waiting jobs, which do not fit into the heartbeat.
@@ -248,6 +272,24 @@
     return suspects
 
 
+def encode_lease_ends(lease_ends: LeaseEnds) -> bytes:
+    """Returns the content of the row of the ends of leases."""
+    return cbor2.dumps(
+        [lease_ends.epoch, lease_ends.sent_at_ms, lease_ends.workers, lease_ends.others_ms]
+    )
+
+
+def decode_lease_ends(data: bytes) -> LeaseEnds:
+    """Returns the ends of leases that a row holds.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
+    lease_ends = LeaseEnds(*_decode_items(data, (int, int, dict, int)))
+    _check_numbers(lease_ends.workers, "worker and end of its leases")
+    return lease_ends
+
+
 def _check_numbers(entries: dict, expected: str) -> None:
     for name, number in entries.items():
         if not isinstance(name, str) or not numbers.is_whole(number):
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lycheegate.jobs import health, lifecycle, state
+from lycheegate.jobs import health, leases, lifecycle, state
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, storage, tables
 
@@ -13,12 +13,13 @@
 
 
 class TermRows:
-    """Heartbeat, counts of waiting jobs, and suspected workers of one term.
+    """Heartbeat, counts of waiting jobs, suspected workers, and ends of leases of one term.
 
     Args:
         current: State of the scheduler.
         now_s: Clock that includes time spent suspended.
-        store_clock_ms: The store's clock, as estimated from its last answer.
+        store_clock_ms: The store's clock, as estimated from its last answer, or 0.
+        latest_store_clock_ms: Latest time that the store's clock can show at a time, or 0.
         log: Log of decisions.
     """
 
@@ -27,16 +28,22 @@
         current: state.SchedulerState,
         now_s: Callable[[], float],
         store_clock_ms: Callable[[], int],
+        latest_store_clock_ms: Callable[[float], int],
         log: jsonlog.JsonLog,
     ):
         self._state = current
         self._now_s = now_s
         self._store_clock_ms = store_clock_ms
+        self._latest_store_clock_ms = latest_store_clock_ms
         self._log = log
         self._written_suspects: set[str] | None = None
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
+        self._listed_workers: frozenset[str] = frozenset()
+        """Workers whose ends of leases went with the last heartbeat that was sent."""
+        self._may_list_workers = False
+        """Whether the stored ends of leases may name any worker."""
 
     def make_writes(self, release: bool, is_loaded: bool) -> list[storage.Write]:
         """Returns the writes of the heartbeat and of what has changed beside it.
@@ -45,14 +52,25 @@
             release: Whether the heartbeat releases the term.
             is_loaded: Whether the jobs of the term have been loaded.
         """
-        return [*self._make_heartbeat_writes(release), *self._make_suspects_write(is_loaded)]
+        clock_ms = self._store_clock_ms()
+        return [
+            *self._make_heartbeat_writes(release, clock_ms),
+            *self._make_suspects_write(is_loaded),
+            *self._make_leases_write(release, is_loaded, clock_ms),
+        ]
+
+    def handle_stored(self) -> None:
+        """Lets leases be granted again to workers that the stored heartbeat does not list."""
+        self._may_list_workers = bool(self._listed_workers)
+        self._state.withheld_leases = self._listed_workers
+        self._state.withholds_all_leases = False
 
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
         self._written_counts = dict.fromkeys(self._written_counts)
 
-    def _make_heartbeat_writes(self, release: bool) -> list[storage.Write]:
+    def _make_heartbeat_writes(self, release: bool, clock_ms: int) -> list[storage.Write]:
         """Returns the writes of the heartbeat and of the counts that have no room in it."""
         pending = division.divide_entries(
             sorted(lifecycle.count_pending(self._state).items()),
@@ -64,7 +82,7 @@
             self._omitted_counts = pending.omitted
             self._log.write("counts_omitted", queues=pending.omitted)
         first, *others = pending.rows
-        heartbeat = tables.Heartbeat(self._state.epoch, release, first, self._store_clock_ms())
+        heartbeat = tables.Heartbeat(self._state.epoch, release, first, clock_ms)
         result = [storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat))]
         # Rows that are not needed any more are emptied.
         others += [{}] * (len(self._written_counts) - len(others))
@@ -84,3 +102,27 @@
         self._written_suspects = set(suspects)
         until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
         return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
+
+    def _make_leases_write(
+        self, release: bool, is_loaded: bool, clock_ms: int
+    ) -> list[storage.Write]:
+        """Returns the write of the ends of leases, and withholds further leases that it rules out.
+
+        A row from before the heartbeat does not count, so none is written if nothing is known. One
+        that names workers is emptied all the same, as the estimate of the store's clock may recur.
+        """
+        self._listed_workers = frozenset()
+        now_s = self._now_s()
+        if not is_loaded or not clock_ms or not self._latest_store_clock_ms(now_s):
+            return []
+        ends = leases.list_lease_ends(self._state, now_s, release)
+        if not ends.workers and not release and not self._may_list_workers:
+            return []
+        self._may_list_workers = True
+        latest_ms = {w: self._latest_store_clock_ms(end_s) for w, end_s in ends.workers.items()}
+        others_ms = 0 if ends.others_s is None else self._latest_store_clock_ms(ends.others_s)
+        self._listed_workers = frozenset(latest_ms)
+        self._state.withheld_leases |= self._listed_workers
+        self._state.withholds_all_leases |= release
+        row = tables.LeaseEnds(self._state.epoch, clock_ms, latest_ms, others_ms)
+        return [storage.Write(tables.LEASES, tables.encode_lease_ends(row))]
--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -234,6 +234,7 @@
     def _handle_stored(self, pending: _PendingWrite, version: int) -> None:
         if pending.has_heartbeat:
             self._heartbeat_version = version
+            self._rows.handle_stored()
         if pending.is_release:
             self._hooks.end_term("released")
             return
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -16,6 +16,7 @@
 
 from returns import result
 
+from lycheegate.jobs import state
 from lycheegate.node import storage, tables
 from lycheegate.utils import exceptions
 
@@ -33,6 +34,7 @@
     "count_pending",
     "estimate_clock_ms",
     "find_claimed_version",
+    "find_lease_ends",
     "is_heartbeat_overdue",
     "list_suspects",
     "make_claim",
@@ -95,6 +97,8 @@
         more_counts: Further counts of waiting jobs, by the key of their row.
         suspects: Until when each worker is suspected, in milliseconds on the store's clock.
         suspects_version: Version of the row of suspected workers.
+        lease_ends: When leases end according to the row that was last read, or None.
+        lease_ends_version: Version of that row.
         changed_at_s: When a change of either version was last observed.
         read_at_s: When the store last answered.
         clock_ms: The store's clock in that answer, or 0 if not reported.
@@ -111,6 +115,8 @@
     more_counts: dict[str, tables.PendingCounts] = dataclasses.field(default_factory=dict)
     suspects: dict[str, int] = dataclasses.field(default_factory=dict)
     suspects_version: int = storage.ABSENT
+    lease_ends: tables.LeaseEnds | None = None
+    lease_ends_version: int = storage.ABSENT
     changed_at_s: float = 0.0
     read_at_s: float = 0.0
     clock_ms: int = 0
@@ -164,6 +170,9 @@
     elif row.key == tables.SUSPECTS and row.version > view.suspects_version:
         view.suspects = tables.decode_suspects(row.value)
         view.suspects_version = row.version
+    elif row.key == tables.LEASES and row.version > view.lease_ends_version:
+        view.lease_ends = None if row.deleted else tables.decode_lease_ends(row.value)
+        view.lease_ends_version = row.version
     elif tables.is_counts_key(row.key) and not row.deleted:
         view.more_counts[row.key.key] = tables.decode_counts(row.value)
 
@@ -190,6 +199,30 @@
     }
 
 
+def find_lease_ends(view: TermView, now_s: float) -> state.InheritedLeases:
+    """Returns when the leases that earlier holders have granted end, as far as the last one tells.
+
+    The result holds for a claim of the term that names the versions in the view.
+
+    Args:
+        view: This VM's view of the term.
+        now_s: Time on a clock that includes time spent suspended.
+    """
+    heartbeat, ends = view.heartbeat, view.lease_ends
+    if (
+        heartbeat is None
+        or ends is None
+        or not heartbeat.sent_at_ms
+        or (ends.epoch, ends.sent_at_ms) != (heartbeat.epoch, heartbeat.sent_at_ms)
+    ):
+        return state.InheritedLeases()
+    # The estimate is never later than the store's clock.
+    clock_ms = estimate_clock_ms(view, now_s)
+    end_s = {worker: now_s + (ms - clock_ms) / 1000.0 for worker, ms in ends.workers.items()}
+    others_s = now_s + (ends.others_ms - clock_ms) / 1000.0 if ends.others_ms else None
+    return state.InheritedLeases(end_s, others_s)
+
+
 def may_claim(view: TermView, now_s: float, jitter_s: float) -> bool:
     """Returns whether the term is released or expired, so that this VM may claim it.
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -122,6 +122,7 @@
             self.loop.read_clock_s,
             self.loop.read_clock_s,
             lambda: int(self.loop.now_s * 1000),
+            lambda at_s: int(at_s * 1000) + 1,
             jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
         )
@@ -133,6 +134,7 @@
             self.loop.now_s if claimed_at_s is None else claimed_at_s,
             self.configuration,
             terms.list_suspects(view, self.loop.now_s),
+            terms.find_lease_ends(view, self.loop.now_s),
             lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
--- a/lycheegate/node/tests/test_store_clock.py
+++ b/lycheegate/node/tests/test_store_clock.py
@@ -70,3 +70,22 @@
     assert applied == ["k1", "k3"]
     assert [str(error) for error in errors] == ["unexpected"]
     assert confirmed[0] == confirmed[1] < confirmed[2]
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected_ms"),
+    [
+        # The store's clock is 90 s behind.
+        ([], 0),
+        ([(100.0, 10_004, 100.008)], 30_004),
+        ([(100.0, 12_000, 102.1)], 32_000),
+        ([(100.0, 10_004, 100.008), (100.0, 12_000, 110.0)], 30_004),
+    ],
+    ids=["unknown", "fast", "waiting_feed", "paused_process"],
+)
+def test_latest_time_of_the_store(answers, expected_ms):
+    """Guards against an end of leases that is told too early because an answer was late."""
+    clock = store_clock.StoreClock()
+    for sent_at_s, clock_ms, now_s in answers:
+        store_clock.locate_answer(clock, sent_at_s, clock_ms, now_s)
+    assert store_clock.compute_latest_ms(clock, 120.0) == pytest.approx(expected_ms, abs=1)
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -209,3 +209,37 @@
         terms.apply_rows(view, (storage.Row(tables.SUSPECTS, value, 9), holder), 12.0, 52_000)
     assert view.holder.epoch == 4
     assert terms.list_suspects(view, 12.0) == {}
+
+
+@pytest.mark.parametrize(
+    ("epoch", "sent_at_ms", "is_known"),
+    [(3, 50_000, True), (2, 50_000, False), (3, 49_300, False), (3, 0, False)],
+)
+def test_ends_of_leases_belong_to_the_last_heartbeat(epoch, sent_at_ms, is_known):
+    """Guards against ends of leases from before a heartbeat, after which leases were renewed."""
+    view = terms.TermView()
+    beat_ms = sent_at_ms if sent_at_ms == 0 else 50_000
+    beat = tables.Heartbeat(3, False, {}, beat_ms)
+    ends = tables.LeaseEnds(epoch, sent_at_ms, {"w": 54_000}, 0)
+    rows = (
+        storage.Row(tables.HEARTBEAT, tables.encode_heartbeat(beat), 9),
+        storage.Row(tables.LEASES, tables.encode_lease_ends(ends), 9),
+    )
+    terms.apply_rows(view, rows, 100.0, 50_500)
+    found = terms.find_lease_ends(view, 101.0)
+    assert found.others_s is None
+    assert found.workers == ({"w": pytest.approx(103.5)} if is_known else {})
+
+
+def test_released_term_tells_the_ends_of_all_leases():
+    """Guards against a wait for leases that the released term cannot have granted."""
+    view = terms.TermView()
+    beat = tables.Heartbeat(3, True, {}, 50_000)
+    ends = tables.LeaseEnds(3, 50_000, {"w": 54_000}, 52_000)
+    rows = (
+        storage.Row(tables.HEARTBEAT, tables.encode_heartbeat(beat), 9),
+        storage.Row(tables.LEASES, tables.encode_lease_ends(ends), 9),
+    )
+    terms.apply_rows(view, rows, 100.0, 50_500)
+    found = terms.find_lease_ends(view, 100.0)
+    assert found.others_s == pytest.approx(101.5)
