Log why an open job has nothing running

No log line said what such a job waited for: a stray run, a run that may exist on a silent worker, or an intention that is not stored leave no trace.

Change: lycheegate.jobs.waiting looks at all open jobs once a second, after the tick. Room is searched for by the functions of the scheduling pass, which are public now; measure_use and sum_urgent_use are split off _measure_capacities with the same sums in the same order.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -14,6 +14,7 @@
     "check_leases",
     "compute_deadline_ms",
     "compute_handover_end_s",
+    "compute_lapse_s",
     "record_deadline",
     "revoke_deadline",
     "update_clock",
@@ -108,6 +109,11 @@
     worker.leases_expire_at_s = worker.clock_at_s + remaining_s + CLOCK_MARGIN_S
 
 
+def compute_lapse_s(worker: state.WorkerState) -> float:
+    """Returns when the runs on a worker end unless it reports before, on the scheduler's clock."""
+    return max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
+
+
 def check_leases(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Ends runs whose leases have expired, and handles orders that were not answered.
 
@@ -127,7 +133,7 @@
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> list[commands.Command]:
     result: list[commands.Command] = []
-    has_expired = now_s > max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
+    has_expired = now_s > compute_lapse_s(worker)
     for run in list(worker.runs.values()):
         phase = run.phase
         if phase is _INTENDED or (phase is _RUNNING and not has_expired):
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -103,6 +103,8 @@
 
 def is_ready(job: state.JobState, step: state.StepState) -> bool:
     """Returns whether all steps that a step depends on are done."""
+    if not step.step.depends_on:
+        return True
     occurrence = step.key[0]
     return all(job.steps[occurrence, number].is_done for number in step.step.depends_on)
 
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -42,9 +42,15 @@
     Args:
         current: State of the scheduler.
         now_s: Time on the scheduler's clock.
+        stalled: Workers with a stalled run, or None to look for them.
     """
 
-    def __init__(self, current: state.SchedulerState, now_s: float):
+    def __init__(
+        self,
+        current: state.SchedulerState,
+        now_s: float,
+        stalled: frozenset[str] | None = None,
+    ):
         self._by_service: dict[str, list[placement.Candidate]] = {}
         self._by_worker: dict[str, placement.Candidate] = {}
         self._workers = current.workers
@@ -52,7 +58,8 @@
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
         self._unplaceable_needs: dict[tuple[str, str], list[model.Resources]] = {}
-        stalled = health.list_stalled(current, now_s)
+        if stalled is None:
+            stalled = health.list_stalled(current, now_s)
         for worker in current.workers.values():
             if not is_usable(current, worker, now_s):
                 continue
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -177,6 +177,8 @@
     if step is None:
         return []
     job = current.jobs[run.task.job_id]
+    if run.phase is state.RunPhase.RUNNING:
+        job.ran_until_s = now_s
     fields = _make_end_fields(run, end, reason, now_s)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
@@ -322,6 +324,9 @@
     if run.phase is state.RunPhase.INTENDED:
         remove_run(current, run)
         return []
+    job = current.jobs.get(run.task.job_id)
+    if run.phase is state.RunPhase.RUNNING and job is not None:
+        job.ran_until_s = now_s
     run.phase = state.RunPhase.STOPPING
     run.phase_began_at_s = now_s
     run.stop_reason = reason
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -21,7 +21,7 @@
     units,
 )
 
-__all__ = ["schedule"]
+__all__ = ["choose_workers", "is_admitted", "measure_use", "schedule", "sum_urgent_use"]
 
 MAX_PLANNED_RESERVATIONS = 2
 """Maximum number of blocked gangs with a reservation that preempts nothing; more would leave too
@@ -114,24 +114,41 @@
             return
 
 
-def _measure_capacities(context: units.PassContext, listed: list[units.Unit]) -> None:
-    """Computes the capacity of each service, with its use and its headroom for urgent work."""
-    usable = [w for w in context.current.workers.values() if context.workers.is_usable(w.worker_id)]
+def measure_use(
+    current: state.SchedulerState, workers: pool.WorkerPool
+) -> dict[str, headroom.ServiceCapacity]:
+    """Returns the capacity of the usable workers of each service, and what is used of it."""
+    capacities: dict[str, headroom.ServiceCapacity] = {}
+    usable = [w for w in current.workers.values() if workers.is_usable(w.worker_id)]
     for worker in usable:
-        capacity = context.capacities.setdefault(worker.service, headroom.ServiceCapacity())
+        capacity = capacities.setdefault(worker.service, headroom.ServiceCapacity())
         capacity.largest = capacity.largest.max(worker.capacity)
     for worker in usable:
-        capacity = context.capacities[worker.service]
+        capacity = capacities[worker.service]
         capacity.total += headroom.compute_share(worker.capacity, capacity.largest)
         capacity.used += headroom.compute_share(worker.capacity - worker.room, capacity.largest)
-    urgent_used: dict[str, float] = {}
-    for job in context.current.jobs.values():
-        route = state.get_route(context.current, job)
-        if route.priority == 0 and route.service in context.capacities:
-            largest = context.capacities[route.service].largest
+    return capacities
+
+
+def sum_urgent_use(
+    current: state.SchedulerState, capacities: dict[str, headroom.ServiceCapacity]
+) -> dict[str, float]:
+    """Returns what the runs of urgent jobs use of the capacity of each service."""
+    result: dict[str, float] = {}
+    for job in current.jobs.values():
+        route = state.get_route(current, job)
+        if route.priority == 0 and route.service in capacities:
+            largest = capacities[route.service].largest
             for run in job.list_runs():
                 share = headroom.compute_share(run.need, largest)
-                urgent_used[route.service] = urgent_used.get(route.service, 0.0) + share
+                result[route.service] = result.get(route.service, 0.0) + share
+    return result
+
+
+def _measure_capacities(context: units.PassContext, listed: list[units.Unit]) -> None:
+    """Computes the capacity of each service, with its use and its headroom for urgent work."""
+    context.capacities = measure_use(context.current, context.workers)
+    urgent_used = sum_urgent_use(context.current, context.capacities)
     waiting: dict[str, float] = {}
     for unit in listed:
         if unit.rank.level < 2:
@@ -222,8 +239,8 @@
     if reservation is not None:
         context.workers.remove_reservation(reservation)
     chosen = _find_reserved_workers(context, unit)
-    if chosen is None and _is_admitted(context, unit):
-        chosen = _choose_workers(context, unit, reservation is not None)
+    if chosen is None and is_admitted(context, unit):
+        chosen = choose_workers(context, unit, reservation is not None)
     if chosen is not None:
         context.current.reservations.pop(unit.reservation_key, None)
         _add_runs(context, unit, chosen)
@@ -237,7 +254,7 @@
     return False
 
 
-def _is_admitted(context: units.PassContext, unit: units.Unit) -> bool:
+def is_admitted(context: units.PassContext, unit: units.Unit) -> bool:
     """Returns whether a unit may start without using the headroom for urgent work."""
     if unit.rank.level < 2:
         return True
@@ -271,7 +288,7 @@
     return [reservation.placement[index] for index in unit.indices]
 
 
-def _choose_workers(
+def choose_workers(
     context: units.PassContext, unit: units.Unit, has_reservation: bool
 ) -> list[str] | None:
     """Returns a worker with room for each task of the unit, or None.
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -13,6 +13,8 @@
     "CountedCrash",
     "MAX_BATCH_JOBS",
     "EndSource",
+    "IdleJob",
+    "IdleJobs",
     "JobState",
     "JobStatus",
     "Policy",
@@ -254,6 +256,8 @@
         write_not_before_s: Time before which its progress is not written, on the scheduler's clock.
         rejections: Number of times in a row that the store rejected its progress.
         max_batch_jobs: Maximum number of jobs in a batch that holds its progress.
+        ran_until_s: When a confirmed run of it last ended or was ordered to stop during this term,
+            or 0 if none did.
     """
 
     job: model.Job
@@ -276,6 +280,7 @@
     write_not_before_s: float = 0.0
     rejections: int = 0
     max_batch_jobs: int = MAX_BATCH_JOBS
+    ran_until_s: float = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -438,6 +443,36 @@
     preempts: bool
 
 
+@dataclasses.dataclass(slots=True)
+class IdleJob:
+    """An open job that has no confirmed run although tasks of it are ready.
+
+    Attributes:
+        since_s: From when on it has had none; not before this term knew of it.
+        searched_at_s: When room for its tasks was last searched for, or 0 if never.
+        reported_at_s: When a log line last named it, or 0 if none did.
+    """
+
+    since_s: float
+    searched_at_s: float = 0.0
+    reported_at_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class IdleJobs:
+    """Idle jobs at the last check, and the log lines about them.
+
+    Attributes:
+        checked_at_s: When they were last checked.
+        jobs: The idle jobs by identifier.
+        reported_at_s: When a line was last logged, by client account and reason.
+    """
+
+    checked_at_s: float = 0.0
+    jobs: dict[str, IdleJob] = dataclasses.field(default_factory=dict)
+    reported_at_s: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+
+
 ReservationKey = tuple[str, int, int, int]
 """Job, occurrence, step and task (or -1 for a gang) that a reservation is for."""
 
@@ -464,6 +499,7 @@
         other_crashes_at_s: When workers without new runs were last found to have crashed.
         counted_crashes: Crashes with full weight that were counted lately.
         unknown_cancellations: Cancellations of jobs that are not known, by job.
+        idle_jobs: Jobs that have nothing running; affects the log only.
     """
 
     epoch: int
@@ -483,6 +519,7 @@
     other_crashes_at_s: list[float] = dataclasses.field(default_factory=list)
     counted_crashes: list[CountedCrash] = dataclasses.field(default_factory=list)
     unknown_cancellations: dict[str, UnknownCancellation] = dataclasses.field(default_factory=dict)
+    idle_jobs: IdleJobs = dataclasses.field(default_factory=IdleJobs)
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -13,7 +13,14 @@
     state,
 )
 
-__all__ = ["GANG_INDEX", "PassContext", "Unit", "is_last_attempt", "list_candidates"]
+__all__ = [
+    "GANG_INDEX",
+    "PassContext",
+    "Unit",
+    "is_last_attempt",
+    "list_candidates",
+    "make_reservation_key",
+]
 
 GANG_INDEX = -1
 """Stands for all tasks of a gang in keys of reservations and victims."""
@@ -40,8 +47,7 @@
     @property
     def reservation_key(self) -> state.ReservationKey:
         """Key of the reservation that the unit has or may get."""
-        index = GANG_INDEX if self.step.step.gang else self.indices[0]
-        return (self.job.job.job_id, *self.step.key, index)
+        return make_reservation_key(self.job, self.step, self.indices[0])
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +81,13 @@
     placed_tasks: int = 0
 
 
+def make_reservation_key(
+    job: state.JobState, step: state.StepState, index: int
+) -> state.ReservationKey:
+    """Returns the key of the reservation for a task, or for its gang."""
+    return (job.job.job_id, *step.key, GANG_INDEX if step.step.gang else index)
+
+
 def is_last_attempt(context: PassContext, unit: Unit) -> bool:
     """Returns whether one more failure of a unit's tasks fails its job."""
     failures = max(unit.step.failures.get(index, 0) for index in unit.indices)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -18,6 +18,7 @@
     progress,
     scheduling,
     state,
+    waiting,
     workers,
     writes,
 )
@@ -310,14 +311,16 @@
             self._call_later(TICK_S, self._tick)
 
     def _run_tick(self) -> None:
+        now_s = self._runtime.now_s()
         if self._loaded:
-            now_s = self._runtime.now_s()
             self._execute(leases.check_leases(self._state, now_s))
             self._job_rows.delete_expired(now_s)
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
         self._write()
+        if self._loaded:
+            self._execute(waiting.check_waiting(self._state, now_s, self._runtime.wall_s()))
 
     def _write(self) -> None:
         """Writes changed progress, and the heartbeat if it is due."""
--- a/lycheegate/node/tests/test_survival.py
+++ b/lycheegate/node/tests/test_survival.py
@@ -6,7 +6,7 @@
 import pytest
 from returns import result
 
-from lycheegate.jobs import evacuation, health, leases, lifecycle, model, scheduling
+from lycheegate.jobs import evacuation, health, leases, lifecycle, model, scheduling, waiting
 from lycheegate.metrics import jsonlog
 from lycheegate.node import daemon, exchange, feeds, reads, scheduler, storage
 from lycheegate.node.tests import fake_store, simulation
@@ -145,7 +145,15 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["check_leases", "evacuate", "schedule", "list_suspects", "advance_jobs", "list_expired"],
+    [
+        "check_leases",
+        "evacuate",
+        "schedule",
+        "list_suspects",
+        "advance_jobs",
+        "list_expired",
+        "check_waiting",
+    ],
 )
 def test_ticks_and_passes_of_a_term(monkeypatch, name):
     """Guards against a term that is kept or lost because one pass or tick raised an error."""
@@ -153,7 +161,7 @@
     world.claim_term("a")
     world.run(2.0)
     world.submit(simulation.make_job("0" * 16, simulation.make_step(12)))
-    modules = (leases, evacuation, scheduling, health)
+    modules = (leases, evacuation, scheduling, health, waiting)
     (owner,) = [m for m in (*modules, lifecycle) if hasattr(m, name) and name in m.__all__]
     failing = _fail_once(getattr(owner, name))
     monkeypatch.setattr(owner, name, failing)
