List jobs that had nothing running from the logs of all VMs

Cause: the record of the users' run tells that two jobs had nothing running for a time, but not from when to when, what they waited for, or which VM held the term. `explain` prints all lines about a job whose identifier is known, and finds no gap by itself.

Change: `lycheegate idle FILES` lists the times of 3 s or longer for which a job had nothing running, with the reasons that a holder has logged and the changes of the holder meanwhile.

--- a/lycheegate/cli/main.py
+++ b/lycheegate/cli/main.py
@@ -7,7 +7,18 @@
 from cleo.io.outputs import output
 
 import lycheegate
-from lycheegate.cli import callers, entry, exits, explain, keys, lists, losses, release, report
+from lycheegate.cli import (
+    callers,
+    entry,
+    exits,
+    explain,
+    idle,
+    keys,
+    lists,
+    losses,
+    release,
+    report,
+)
 
 __all__ = ["main", "make_application", "run"]
 
@@ -26,6 +37,7 @@
         report.ReportCommand,
         explain.ExplainCommand,
         losses.LossesCommand,
+        idle.IdleCommand,
     ):
         app.add(command())
     return app
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -198,6 +198,7 @@
                 route=route.name,
                 account=account,
                 tasks=sum(step.count for step in job.steps),
+                timed=job.is_timed,
                 version=outcome.unwrap(),
             )
             return _make_json(b"{}")
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -120,6 +120,27 @@
     assert bool(store.rows) == (status == 200)
 
 
+@pytest.mark.parametrize(
+    ("body", "is_timed"),
+    [
+        (_JOB_BODY, False),
+        (_JOB_BODY[:-1] + b',"start-at-ms":9000}', False),
+        (_JOB_BODY[:-1] + b',"start-at-ms":9000,"interval-ms":1000,"repeats":3}', True),
+    ],
+)
+def test_log_line_of_an_accepted_job(body, is_timed):
+    """Guards against a timed job that counts as standing still between its occurrences."""
+    _, _, application, _ = _make_application()
+    lines = []
+    application._log = jsonlog.JsonLog(
+        "vm", lambda: 0.0, lambda data: lines.append(data) or len(data)
+    )
+    assert _call(application, "POST", body=body).status_code == 200
+    (record,) = map(msgspec.json.decode, lines)
+    assert (record["event"], record["job"]) == ("job_accepted", _JOB_ID)
+    assert (record["timed"], record["tasks"]) == (is_timed, 2)
+
+
 @pytest.mark.parametrize("is_late", [False, True])
 def test_submission_after_its_cancellation(is_late):
     """Guards against a job that runs for good although its caller was told that it does not exist.
