Check more of the lines about waiting jobs

Cause: 5 of 23 faults that were put into waiting.py, runs.py and idle_jobs.py in a scratch copy failed no test: checks at each tick, a look for stalled runs by the check, the order of the reasons, steps that are not ready, and two rows for one wait. Two files named test_idle_jobs.py cannot be collected in one run.

Change: a test of the interval; the state before and after a check is compared as well; the others have cases in which the fault shows. The test of the logs is named test_idle_logs.py.

--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -1,5 +1,6 @@
 """Log lines about open jobs that have nothing running."""
 
+import copy
 import dataclasses
 
 import pytest
@@ -236,25 +237,26 @@
 def test_a_check_changes_no_decision(case):
     """Guards against checks that change what the next scheduling pass places or stops.
 
-    The results of a pass with and without an earlier check are compared.
+    The state before and after a check is compared, and a pass with and without an earlier check.
     """
-    placed = []
-    for is_checked in (False, True):
-        current = _make_state()
-        _CASES[case][1](current)
-        if is_checked:
-            _list_decisions(current)
-        result = scheduling.schedule(current, _NOW_S, _NOW_S)
-        current.idle_jobs = state.IdleJobs()
-        placed.append((result, current))
+    current = _make_state()
+    _CASES[case][1](current)
+    unchecked = copy.deepcopy(current)
+    _list_decisions(current)
+    current.idle_jobs = state.IdleJobs()
+    assert current == unchecked
+    placed = [scheduling.schedule(each, _NOW_S, _NOW_S) for each in (current, unchecked)]
     assert placed[0] == placed[1]
+    assert current == unchecked
 
 
 def test_most_specific_reason_is_reported():
-    """Guards against a full service that hides the worker that a job waits for."""
+    """Guards against a full service, or a backoff, that hides the worker that a job waits for."""
     current = _make_state()
     _make_full(current)
-    _add_run(current, current.jobs[_JOB_ID], _ORDERED)
+    job = current.jobs[_JOB_ID]
+    _add_run(current, job, _ORDERED)
+    job.steps[0, 0].not_before_s = _NOW_S + 1.0
     (decision,) = _list_decisions(current)
     assert decision.fields["reason"] == "start_unconfirmed"
 
@@ -275,6 +277,8 @@
         later = model.Step(1, _NEED, 1.0, depends_on=(2,))
         job.steps[0, 1] = state.StepState((0, 1), later)
         job.steps[0, 2] = state.StepState((0, 2), dataclasses.replace(_STEP, depends_on=(1,)))
+        for step in job.steps.values():
+            step.ready_since_s = _NOW_S - 5.0
     assert _list_decisions(current) == []
 
 
@@ -360,6 +364,23 @@
     assert sorted(named) == sorted(2 * [f"{number:016x}" for number in range(10)])
 
 
+def test_interval_of_checks(monkeypatch):
+    """Guards against checks of thousands of jobs at each tick, four times as often as intended."""
+    current = _make_state()
+    _make_full(current)
+    checked_at_s = []
+    update = waiting._update_idle_jobs
+
+    def record(state_, now_s):
+        checked_at_s.append(now_s)
+        return update(state_, now_s)
+
+    monkeypatch.setattr(waiting, "_update_idle_jobs", record)
+    for tick in range(13):
+        _list_decisions(current, _NOW_S + 0.25 * tick)
+    assert checked_at_s == [_NOW_S + second for second in range(4)]
+
+
 def test_lines_of_a_check_are_limited():
     """Guards against a log that grows with the number of client accounts; all get their turn."""
     current = _make_state()
--- a/lycheegate/metrics/tests/test_idle_jobs.py
+++ b/lycheegate/metrics/tests/test_idle_logs.py
@@ -132,7 +132,7 @@
     "holder knows of a longer wait": (
         [
             _accepted(1.0),
-            _placed(2.0),
+            _placed(5.0),
             _ended(6.0, "lease_lapsed"),
             _waiting(7.0, 6.0, "no_room"),
             _placed(8.0, run=2),
