--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -15,6 +15,7 @@
     "compute_deadline_ms",
     "compute_handover_end_s",
     "compute_inherited_end_s",
+    "compute_lapse_s",
     "list_lease_ends",
     "record_deadline",
     "revoke_deadline",
@@ -171,6 +172,11 @@
     worker.leases_expire_at_s = worker.clock_at_s + remaining_s + CLOCK_MARGIN_S
 
 
+def compute_lapse_s(worker: state.WorkerState) -> float:
+    """Returns when the runs on a worker end unless it reports before, on the scheduler's clock."""
+    return max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
+
+
 def check_leases(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Ends runs whose leases have expired, strays too, and handles orders that were not answered.
 
@@ -190,7 +196,7 @@
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> list[commands.Command]:
     result: list[commands.Command] = []
-    has_expired = now_s > max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
+    has_expired = now_s > compute_lapse_s(worker)
     if has_expired:
         strays.clear_strays(current, worker)
     for run in list(worker.runs.values()):
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -16,6 +16,7 @@
     progress,
     scheduling,
     state,
+    waiting,
     workers,
 )
 from lycheegate.metrics import histograms, jsonlog
@@ -323,14 +324,16 @@
             self._call_later(TICK_S, self._tick)
 
     def _run_tick(self) -> None:
+        now_s = self._runtime.now_s()
         if self._loaded:
-            now_s = self._runtime.now_s()
             self._execute(leases.check_leases(self._state, now_s))
             self._job_rows.delete_expired(now_s)
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
         self._writer.write()
+        if self._loaded:
+            self._execute(waiting.check_waiting(self._state, now_s, self._runtime.wall_s()))
 
     def _handle_completed_write(self, orders: list[commands.Command], sent_at_s: float) -> None:
         """Sends the start orders that a write allows."""
