Count only successes that are stored or listed in the check for idle jobs

The check took each success on a worker as final. One that was lost with its worker before it was stored has to run again: the check missed that task and named the tasks that depend on it, which cannot start. It also named members of a gang whose success is that of another member. The check now reads the stored progress and the ends that reachable workers list, and treats a gang as one.

Two of the four cases of the new test fail without the change.

--- a/lycheegate/node/tests/idleness.py
+++ b/lycheegate/node/tests/idleness.py
@@ -1,14 +1,18 @@
 """Check for jobs that have nothing running although a task of theirs could run.
 
-It knows the accepted jobs and looks at the workers, not at the scheduler. A task could run
-if the tasks that it depends on have succeeded, there is room for it twice over, and less than half
-of the capacity is in use.
+It knows the accepted jobs and looks at the workers and the store, not at the scheduler. A task
+could run if the tasks that it depends on have succeeded, there is room for it twice over, and less
+than half of the capacity is in use.
+
+A success counts if it is stored or if a worker still lists it. One that was lost with its worker
+before it was stored does not: its task has to run again, and the tasks that depend on it wait. The
+members of a gang end together, so the success of one is that of all.
 """
 
 import dataclasses
 from collections.abc import Callable
 
-from lycheegate.jobs import model, placement
+from lycheegate.jobs import model, placement, runs
 from lycheegate.node.tests import fake_store, fake_workers
 
 MAX_IDLE_S = 3.0
@@ -44,6 +48,7 @@
         fleet: The workers, and the jobs that were accepted.
         is_open: Returns whether a job is stored and has neither ended nor been cancelled.
         is_usable: Returns whether a worker is registered and does not leave.
+        list_stored: Returns the tasks of a job whose success is stored.
     """
 
     def __init__(
@@ -52,11 +57,13 @@
         fleet: fake_workers.Fleet,
         is_open: Callable[[str], bool],
         is_usable: Callable[[str], bool],
+        list_stored: Callable[[str], frozenset[model.TaskKey]],
     ):
         self._loop = loop
         self._fleet = fleet
         self._is_open = is_open
         self._is_usable = is_usable
+        self._list_stored = list_stored
         self._calm_from_s = loop.now_s + SETTLING_S
         self._idle_since_s: dict[str, float] = {}
         self.found: dict[str, IdleJob] = {}
@@ -83,10 +90,14 @@
                 self.found[job_id] = IdleJob(job_id, task, since_s)
         self._loop.call_later(CHECK_S, self._check)
 
+    def _list_lost(self) -> set[str]:
+        fleet = self._fleet
+        return fleet.unreachable | fleet.refusing | fleet.answers_lost | fleet.replaced
+
     def _list_candidates(self) -> list[placement.Candidate]:
         """Returns the workers that can be used, or none if half of their capacity is in use."""
         fleet = self._fleet
-        lost = fleet.unreachable | fleet.refusing | fleet.answers_lost | fleet.replaced
+        lost = self._list_lost()
         candidates: list[placement.Candidate] = []
         used = capacity = model.Resources()
         for worker_id, worker in fleet.workers.items():
@@ -113,24 +124,33 @@
         for worker in self._fleet.workers.values():
             if any(task.job_id == job.job_id for task in worker.live):
                 return None
+        succeeded = self._list_succeeded(job)
         for number, step in enumerate(job.steps):
-            waiting = [
-                task
-                for task in self._list_tasks(job, number)
-                if task not in self._fleet.succeeded_at_s
-            ]
-            if waiting and self._is_ready(job, step) and self._has_room(step, candidates):
+            waiting = [task for task in self._list_tasks(job, number) if task not in succeeded]
+            if not waiting or not self._has_room(step, candidates):
+                continue
+            before = {task for n in step.depends_on for task in self._list_tasks(job, n)}
+            if before <= succeeded:
                 return waiting[0]
         return None
 
+    def _list_succeeded(self, job: model.Job) -> set[model.TaskKey]:
+        """Returns the tasks of a job whose success is stored or listed by a worker."""
+        succeeded = set(self._list_stored(job.job_id))
+        lost = self._list_lost()
+        for worker_id, worker in self._fleet.workers.items():
+            if worker_id not in lost:
+                succeeded.update(e.task for e in worker.ended if e.end is runs.End.DONE)
+        for number, step in enumerate(job.steps):
+            members = self._list_tasks(job, number)
+            if step.gang and not succeeded.isdisjoint(members):
+                succeeded.update(members)
+        return succeeded
+
     def _list_tasks(self, job: model.Job, number: int) -> list[model.TaskKey]:
         count = job.steps[number].count
         return [model.TaskKey(job.job_id, 0, number, index) for index in range(count)]
 
-    def _is_ready(self, job: model.Job, step: model.Step) -> bool:
-        before = [task for number in step.depends_on for task in self._list_tasks(job, number)]
-        return all(task in self._fleet.succeeded_at_s for task in before)
-
     def _has_room(self, step: model.Step, candidates: list[placement.Candidate]) -> bool:
         count = SPARE_FACTOR * (step.count if step.gang else 1)
         labeled = [
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -29,6 +29,7 @@
         """Whether a worker that is back after a crash has another identifier."""
         self.schedulers: dict[str, scheduler.Scheduler] = {}
         self.lines: list[bytes] = []
+        self._stored_successes: dict[tuple[str, int], frozenset[model.TaskKey]] = {}
         self.route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
         self.urgent = model.Route("urgent", "h", "/u/", "render", 0, 3, 1.5, 0.3)
         self.configuration = make_configuration(self.route, self.urgent)
@@ -91,7 +92,31 @@
             is_draining = self.fleet.workers[worker_id].draining_since_s is not None
             return key in self.store.rows and not is_draining
 
-        return idleness.IdlenessCheck(self.loop, self.fleet, is_open, is_usable)
+        return idleness.IdlenessCheck(
+            self.loop, self.fleet, is_open, is_usable, self._list_stored_successes
+        )
+
+    def _list_stored_successes(self, job_id: str) -> frozenset[model.TaskKey]:
+        """Returns the tasks of an open job whose success is stored."""
+        row = self.store.rows.get(tables.get_progress_key(job_id))
+        if row is None:
+            return frozenset()
+        key = (job_id, row.version)
+        if key not in self._stored_successes:
+            job = state.JobState(self.fleet.specs[job_id], self.route)
+            pages = [
+                (k.key, r.value)
+                for k, r in self.store.rows.items()
+                if k.table == tables.PAGES and tables.split_page_key(k.key) == job_id
+            ]
+            contents = tuple(value for _, value in sorted(pages))
+            progress.decode_progress(job, row.value, self.loop.now_s, contents)
+            self._stored_successes[key] = frozenset(
+                model.TaskKey(job_id, *step.key, index)
+                for step in job.steps.values()
+                for index in step.done
+            )
+        return self._stored_successes[key]
 
     def submit(self, job: model.Job, route: model.Route | None = None) -> None:
         """Writes a job as the node does when it accepts one."""
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from lycheegate.node.tests import simulation
+from lycheegate.jobs import model, runs
+from lycheegate.node.tests import fake_workers, simulation
 
 JOB_ID = "0" * 16
 
@@ -50,3 +51,29 @@
     world.run(10.0)
     simulation.assert_all_succeed(world)
     assert set(world.fleet.starts.values()) == {1}
+
+
+@pytest.mark.parametrize("is_lost", [False, True], ids=["listed", "lost"])
+@pytest.mark.parametrize("gang", [False, True])
+def test_check_knows_which_successes_count(gang, is_lost):
+    """Guards against a check that names a task which has succeeded or cannot start yet.
+
+    A success counts while its worker lists it, and not after the worker has lost it before it was
+    stored. That of one member of a gang counts for all. No scheduler runs.
+    """
+    world = simulation.World(1)
+    first = simulation.make_step(2 if gang else 1, gang=gang)
+    world.submit(simulation.make_job(JOB_ID, first, simulation.make_step(1, depends_on=(0,))))
+    worker = world.fleet.workers["w0"]
+    task = model.TaskKey(JOB_ID, 0, 0, 0)
+    run = fake_workers.LiveRun(task, 1, simulation.SMALL, 1.0, 1.0)
+    worker.live[task] = run
+    worker.deadline_ms = int(1e6)
+    world.run(2.0)
+    assert worker.count_live() == 0
+    assert worker.ended[0].end is runs.End.DONE
+    if is_lost:
+        worker.restart()
+    check = world.watch_idleness()
+    world.run(10.0)
+    assert check.found[JOB_ID].task.step == (0 if is_lost else 1)
