Order reports by the worker's clock

What callers may see: a task starts while an earlier run of it goes on.

Cause: a list of runs counted as newer if it was requested later. A poll waits at its worker for an end, so its list may be newer than that of a report which was requested beside it, and removed a stray or unknown run that was still present.

Change: the worker's clock in the report decides; it starts anew with each incarnation.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -328,7 +328,7 @@
             parsed. Their resources are unknown, so no work is placed beside them.
         reported_address: Address from which its last report came, or an empty string.
         reported_at_s: When its last report was received.
-        report_sent_at_s: When its last report was requested.
+        listed_clock_ms: Its clock when it made the latest list of its runs.
         leases_expire_at_s: When the leases of all runs on it have certainly expired.
         clock_ms: Its clock in its last answer.
         clock_at_s: When that answer was received.
@@ -369,7 +369,7 @@
     unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     reported_address: str = ""
     reported_at_s: float = 0.0
-    report_sent_at_s: float = 0.0
+    listed_clock_ms: int = 0
     leases_expire_at_s: float = 0.0
     clock_ms: int = 0
     clock_at_s: float = 0.0
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -275,7 +275,7 @@
     worker.restarted_at_s = now_s
     worker.processed_end = worker.durable_end = 0
     worker.confirmed = False
-    worker.clock_ms = worker.max_deadline_ms = 0
+    worker.clock_ms = worker.listed_clock_ms = worker.max_deadline_ms = 0
     # A deadline from before the restart must not be restored.
     worker.deadlines_recorded += 1
     strays.clear_strays(current, worker)
@@ -316,9 +316,10 @@
         worker.deadlines_recorded += 1
         current.schedule_due = True
     leases.update_expiry(current, worker)
-    # Reports may arrive out of order; the list of runs in an older one is outdated.
-    is_latest = report.sent_at_s >= worker.report_sent_at_s
-    worker.report_sent_at_s = max(worker.report_sent_at_s, report.sent_at_s)
+    # Reports may arrive out of order; the list of runs in an older one is outdated. One that waits
+    # for an end may be made later than another that is requested meanwhile.
+    is_latest = report.clock_ms >= worker.listed_clock_ms
+    worker.listed_clock_ms = max(worker.listed_clock_ms, report.clock_ms)
     result += _apply_ends(current, worker, report, now_s)
     if is_latest:
         result += _apply_running(current, worker, report, now_s)
