End the stray runs of a worker that was replaced

What callers may see: a task waits for the lease of a worker that is known to be gone.

Cause: another worker at the endpoint ended the current runs of the old one, not its strays.

Result: test_stray_run_ends_with_the_replacement_of_its_worker failed before and passes.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from lycheegate.jobs import commands, crashes, leases, model, runs, state, workers
+from lycheegate.jobs import commands, crashes, leases, model, runs, state, strays, workers
 from lycheegate.metrics import jsonlog
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
@@ -311,6 +311,7 @@
         for run in list(worker.runs.values()):
             if run.phase is not state.RunPhase.INTENDED:
                 self._hooks.execute(runs.end_run(self._state, run, end, "worker_replaced", now_s))
+        strays.clear_strays(self._state, worker)
         self._hooks.request_pass(True)
 
     def _find_run(self, order: commands.StartRun | commands.StopRun) -> state.Run | None:
--- a/lycheegate/node/tests/test_worker_faults.py
+++ b/lycheegate/node/tests/test_worker_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheegate.jobs import leases, model, state
+from lycheegate.jobs import leases, model, state, strays
 from lycheegate.node.tests import fake_workers, simulation
 
 
@@ -250,3 +250,19 @@
     world.run(2.0)
     assert world.fleet.workers["w3"].highest_run_numbers == tried
     assert world.fleet.violations == []
+
+
+def test_stray_run_ends_with_the_replacement_of_its_worker():
+    """Guards against a task that waits for the lease of a worker that is known to be gone.
+
+    Another worker answers at the endpoint, which ends the current runs of the worker at once.
+    """
+    world = simulation.World(2)
+    scheduler = world.claim_term("a")
+    world.run(1.0)
+    current = scheduler._state
+    worker = current.workers["w0"]
+    task = model.TaskKey("0" * 16, 0, 0, 0)
+    strays.add_stray(current, worker, task, 3, simulation.SMALL)
+    scheduler._exchange._handle_replaced_worker(worker, worker.reported_address)
+    assert current.stray_tasks == {}
