Limit the wait for the rack of the data of each lasting task

What callers may see: a lasting task has no run for as long as it is declared to take, while others of its job run. Found in the review.

Cause: the limit applied to jobs without any run, but each lasting task must run by itself.

Result: test_lasting_task_does_not_stay_idle_for_the_rack_of_its_data failed before and passes.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -35,8 +35,8 @@
 """How long a task waits for room in the rack of its data before it may run elsewhere, as a
 multiple of its declared duration."""
 MAX_IDLE_LOCALITY_WAIT_S = 2.0
-"""Limit of that wait for a job that has nothing running while its service is lightly loaded. Such
-a job must not stay idle for 3 s."""
+"""Limit of that wait while its service is lightly loaded, for a job that has nothing running and
+for each task that lasts. These must not stay idle for 3 s."""
 LIGHT_LOAD_RATIO = 0.5
 """Share of its capacity below whose use a service is lightly loaded."""
 
@@ -338,7 +338,8 @@
         return False
     max_wait_s = MAX_LOCALITY_WAIT_RATIO * step.estimate_s
     capacity = context.capacities[unit.service]
-    if capacity.used < LIGHT_LOAD_RATIO * capacity.total and not unit.job.list_runs():
+    is_light = capacity.used < LIGHT_LOAD_RATIO * capacity.total
+    if is_light and (step.long_running or not unit.job.list_runs()):
         max_wait_s = min(max_wait_s, MAX_IDLE_LOCALITY_WAIT_S)
     return unit.step.compute_waited_s(context.now_s) < max_wait_s
 
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -322,3 +322,27 @@
     check = world.watch_idleness()
     world.run(10.0)
     assert check.found[JOB_ID].task.step == (0 if is_lost else 1)
+
+
+def test_lasting_task_does_not_stay_idle_for_the_rack_of_its_data():
+    """Guards against a lasting task that waits for a rack while others of its job run.
+
+    Such a task must not be idle for 3 s from 6 s after its last run, whatever else its job runs.
+    """
+    world = simulation.World(1, worker_count=12)
+    world.claim_term("a")
+    step = model.Step(
+        2, simulation.WHOLE, estimate_s=60.0, near_rack="r0", long_running=True, max_per_worker=1
+    )
+    world.submit(simulation.make_job(JOB_ID, step))
+    world.run(1.0)
+    busy = [w for w, worker in world.fleet.workers.items() if worker.live]
+    assert len(busy) == 2
+    world.fleet.work_s = 200.0
+    filler = simulation.make_step(1, simulation.WHOLE, label="r0")
+    world.submit(simulation.make_job(f"{1:016x}", filler))
+    world.run(1.0)
+    world.fleet.unreachable.add(busy[0])
+    world.unregister(busy[0])
+    world.run(7.0 + 6.0 + 3.0)
+    assert sum(world.fleet.starts[task] for task in world.fleet.starts if task.job_id == JOB_ID) > 2
