Repeat a write only if the store answers a read, and a release as it was

What callers may see: with a store that becomes slow, or a large record on a slow link, repeated writes queue behind each other, the record is never stored and the term is lost. Found in the review of the repetition.

Cause: a write was repeated after 0.5 s whatever its size, and although a slow store would not have answered yet. Besides, the repetition of a release could hold intentions that were due meanwhile, and took back a release that other VMs had seen.

Change: once an answer is overdue, for 0.3 s and the time that the size of the write takes over a slow link, one row is read; only if that is answered within 0.15 s is the write repeated. After a release only releases are written. The fake store takes as long for a read as for a transaction when it is slow, as the platform's does.

--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -1,9 +1,10 @@
 """Writes of the holder of the term: progress of jobs and the heartbeat, one transaction at a time.
 
 Handles a store that carries writes out without answering them, or seconds later. A write without an
-answer is given up after a fraction of its timeout and repeated, since orders and the renewal of the
-term wait for it. Each write has the versions of the rows that it replaces as conditions, so one
-that is carried out late changes nothing.
+answer is repeated long before its timeout if the store answers a read meanwhile, since orders and
+the renewal of the term wait for it. A slow store answers neither soon, and a repeated write would
+only queue behind the first. Each write has the versions of the rows that it replaces as conditions,
+so one that is carried out late changes nothing.
 """
 
 import dataclasses
@@ -20,11 +21,18 @@
 TIMEOUT_S = 2.0
 RETRY_S = 0.15
 """Delay after a write that failed."""
-MIN_PATIENCE_S = 0.5
+MIN_PATIENCE_S = 0.3
 """Minimum time to wait for an answer; the store answers within some milliseconds."""
 PATIENCE_FACTOR = 3.0
-"""Time to wait for an answer as a multiple of the duration of recent ones, so that the writes to a
-slow store are not repeated."""
+"""Time to wait for an answer as a multiple of the duration of recent ones."""
+MIN_RATE_BYTES_PER_S = 400_000
+"""Rate at which a large write arrives at least. A link of 5 Mbit/s has 625 KB/s, which it shares
+with other transfers."""
+PROBE_TIMEOUT_S = 0.15
+"""Time within which a store that is not slow answers a read of one row."""
+PROBE_INTERVAL_S = 0.25
+_PROBED_ROW = (tables.TERMS, tables.PART, tables.HOLDER.key, f"{tables.HOLDER.key}\0")
+"""Table, part and range of keys of the row that is read to test whether the store answers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +72,11 @@
     has_heartbeat: bool
     is_release: bool
 
+    @property
+    def size_bytes(self) -> int:
+        """Upper limit of the size of its progress."""
+        return sum(write.size_bytes for write in self.batch.writes) if self.batch else 0
+
 
 class TermWriter:
     """Writes progress and heartbeats during one term; runs on the event thread.
@@ -102,6 +115,7 @@
         self._answer_s = 0.0
         self._renewal_sent_at_s = 0.0
         self._not_before_s = 0.0
+        self._may_be_released = False
         self.renewed_at_s = claimed_at_s
         """When the last write that is known to be stored was sent."""
         self.is_releasing = False
@@ -122,7 +136,10 @@
         if self._pending is not None or self._hooks.is_stopped() or now_s < self._not_before_s:
             return
         renew = now_s - self._renewal_sent_at_s >= terms.RENEWAL_INTERVAL_S
-        batch = self._collect_batch(now_s, renew or self.is_releasing)
+        # Other VMs may have seen a release whose answer was lost, so it is repeated as it was.
+        batch = None
+        if not self._may_be_released:
+            batch = self._collect_batch(now_s, renew or self.is_releasing)
         # Orders are sent after the write of their intentions, so the write that releases the term
         # must hold none. It may hold ends of runs; the next holder reads from the workers those
         # that are not stored.
@@ -133,6 +150,7 @@
 
     def _send(self, pending: _PendingWrite) -> None:
         self._pending = pending
+        self._may_be_released |= pending.is_release
         try:
             transaction = self._make_transaction(pending)
             if pending.has_heartbeat:
@@ -146,7 +164,9 @@
             self._renewal_sent_at_s = 0.0
             self._requeue(pending.batch, {})
             raise
-        self._hooks.call_later(self._compute_patience_s(), lambda: self._check_answer(pending))
+        self._hooks.call_later(
+            self._compute_patience_s(pending), lambda: self._check_answer(pending)
+        )
 
     def _collect_batch(self, now_s: float, has_heartbeat: bool) -> writes.Batch | None:
         """Returns the progress to write now, or None."""
@@ -175,25 +195,35 @@
                 deletes.append(tables.get_page_key(write.job_id, number))
         return storage.Transaction(tuple(conditions), tuple(changes), tuple(deletes))
 
-    def _compute_patience_s(self) -> float:
-        """Returns how long to wait for the answer to a write before it is repeated."""
-        return min(TIMEOUT_S, max(MIN_PATIENCE_S, PATIENCE_FACTOR * self._answer_s))
+    def _compute_patience_s(self, pending: _PendingWrite) -> float:
+        """Returns after how long the answer to a write is overdue."""
+        transfer_s = pending.size_bytes / MIN_RATE_BYTES_PER_S
+        return transfer_s + max(MIN_PATIENCE_S, PATIENCE_FACTOR * self._answer_s)
 
     def _check_answer(self, pending: _PendingWrite) -> None:
-        """Repeats a write that is still not answered."""
+        """Tests whether the store answers a read, if a write is still not answered."""
         if self._pending is not pending:
             return
-        now_s = self._now_s()
-        # The answer to an earlier write may have shown meanwhile that the store is slow.
-        remaining_s = pending.sent_at_s + self._compute_patience_s() - now_s
-        if remaining_s > 0.0:
-            self._hooks.call_later(remaining_s, lambda: self._check_answer(pending))
-            return
+        probed_at_s = self._now_s()
+
+        def handle(outcome: storage.StoreResult) -> None:
+            if self._pending is not pending or self._hooks.is_stopped():
+                return
+            is_fast = self._now_s() - probed_at_s <= PROBE_TIMEOUT_S
+            if is_fast and isinstance(outcome, result.Success):
+                self._repeat(pending)
+            else:
+                self._hooks.call_later(PROBE_INTERVAL_S, lambda: self._check_answer(pending))
+
+        self._store.read(*_PROBED_ROW, PROBE_TIMEOUT_S, handle)
+
+    def _repeat(self, pending: _PendingWrite) -> None:
+        """Gives up a write whose answer is lost, and writes again."""
         self._pending = None
         self._log.write(
             "write_unanswered",
             epoch=self._state.epoch,
-            after_s=round(now_s - pending.sent_at_s, 3),
+            after_s=round(self._now_s() - pending.sent_at_s, 3),
             jobs=len(pending.batch.writes) if pending.batch else 0,
         )
         self._prepare_repetition(pending)
--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -214,7 +214,9 @@
             key=lambda row: row.key.key,
         )
         page = storage.Page(tuple(rows), False, self._store.version)
-        self._store.loop.call_later(STORE_DELAY_S, lambda: callback(result.Success(page)))
+        # A slow store takes as long for a read as for a transaction.
+        delay_s = max(STORE_DELAY_S, self._store.faults.transaction_s)
+        self._store.loop.call_later(delay_s, lambda: callback(result.Success(page)))
 
     def follow(self, table, after, wait_s, callback: Callable) -> None:
         """Waits for changes of a table after a version."""
