--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
 import random
@@ -164,6 +165,17 @@
         )
         return [subprocess.Popen([sys.executable, "-c", loop]) for _ in range(count)]
 
+    def list_events(self, event: str) -> list[dict]:
+        """Returns the lines of its log with an event; ``t`` is seconds on the steady clock."""
+        offset_s = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+        lines = []
+        for text in (self._folder / f"{self.name}.log").read_text(encoding="utf-8").splitlines():
+            with contextlib.suppress(ValueError):
+                line = json.loads(text)
+                if line.get("event") == event:
+                    lines.append({**line, "t": line["t"] - offset_s})
+        return lines
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
