Conclude nothing from missing answers in a tick after a pause

What callers may see: work that has just started is stopped and started again, because its holder was suspended for some 2 s.

Cause: the timers of a process that wakes run before it reads the answers in its sockets, and took these for missing.

Change: a tick that is late by more than 0.5 s does not check leases and orders; the next does.

Result: test_unanswered_start_is_not_concluded_from_a_pause failed before (a second start) and passes.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -39,6 +39,9 @@
 __all__ = ["Runtime", "Scheduler"]
 
 TICK_S = 0.25
+MAX_TICK_DELAY_S = 0.5
+"""Delay of a tick from which the process was probably suspended. Answers that arrived meanwhile
+wait in their sockets, so nothing is concluded from their absence until the next tick."""
 REGISTRY_PAUSE_S = 0.3
 
 
@@ -107,6 +110,7 @@
         }
         self._state.inherited_leases = inherited_leases
         self._stopped = False
+        self._ticked_at_s = runtime.now_s()
         self._loaded = False
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
@@ -325,8 +329,13 @@
 
     def _run_tick(self) -> None:
         now_s = self._runtime.now_s()
+        delay_s = now_s - self._ticked_at_s - TICK_S
+        self._ticked_at_s = now_s
+        if delay_s > MAX_TICK_DELAY_S:
+            self._runtime.log.write("tick_delayed", epoch=self.epoch, by_s=round(delay_s, 3))
         if self._loaded:
-            self._execute(leases.check_leases(self._state, now_s))
+            if delay_s <= MAX_TICK_DELAY_S:
+                self._execute(leases.check_leases(self._state, now_s))
             self._job_rows.delete_expired(now_s)
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
--- a/lycheegate/node/tests/test_scheduler.py
+++ b/lycheegate/node/tests/test_scheduler.py
@@ -298,3 +298,24 @@
     world.run(1.3)
     assert tables.decode_heartbeat(world.store.rows[tables.HEARTBEAT].value).is_released
     assert world.fleet.violations == []
+
+
+def test_unanswered_start_is_not_concluded_from_a_pause():
+    """Guards against running work that is stopped because its holder was suspended for a moment.
+
+    The process wakes with the answer to a start order in a socket, and its timers run before the
+    answer is read.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 20.0
+    world.claim_term("a")
+    world.run(1.0)
+    world.faults.lost_orders = 1.0
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(1)))
+    while not world.fleet.starts:
+        world.run(0.001)
+    world.faults.lost_orders = 0.0
+    world.loop.now_s += 1.8
+    world.run(3.0)
+    assert set(world.fleet.starts.values()) == {1}
+    assert b"start_unanswered" not in b"".join(world.lines)
