Wait for a peer that reports that it is receiving the store's answer

Cause: a peer is silent until it has the store's whole answer, so the VM cannot tell it from one that is cut off, and abandons it after a fixed time (3.6 s for a feed request that does not wait). The peer's own wait was limited to 6 s.

Change: while the store's answer is arriving, the peer sends an interim response (102) each 0.25 s, which extends its own wait as well. The HTTP client waits for requests with an idle timeout until that time after the last interim response, at least for the request's timeout as before, and for 30 s at most. Status, length and compression of the answer stay as they are.

Considered instead: a longer timeout, which holds for silent peers as well; a body that begins with bytes to skip, which needs a negotiated form, fixes the status before the outcome is known, and changes what marks a whole answer; passing on the store's bytes, which are not compressed; a call that asks a peer for its progress, which costs a round trip behind the large answers each time.

Mixed releases: libcurl skips interim responses, so callers of earlier releases receive the answer as before; peers of earlier releases send none and are abandoned as before.

--- a/lycheegate/clients/http.py
+++ b/lycheegate/clients/http.py
@@ -50,6 +50,8 @@
 """Number of origins without an answer from which those that are trusted again are forgotten."""
 _MAX_TRANSFER_S = 30.0
 """Time after which an answer is abandoned although it keeps arriving."""
+_INTERIM_STATUS = b"HTTP/1.1 1"
+"""Beginning of the status line of an interim response (1xx), after which the answer follows."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,10 +83,12 @@
         body: Body, or None.
         headers: Complete header lines.
         timeout_s: Timeout for the complete answer, including the wait for a connection. With
-            ``idle_timeout_s``, it ends with the first part of the body.
+            ``idle_timeout_s``, it ends with the first part of the body, and an interim response
+            extends it: the server still works on the answer.
         max_body_bytes: Maximum size of the body of the answer.
-        idle_timeout_s: Timeout for each further part of the body, or None. It suits answers of any
-            size: a large one over a slow link may take longer than a lost one is waited for.
+        idle_timeout_s: Timeout for each further part of the body, and for what follows an interim
+            response, or None. It suits answers of any size: a large one over a slow link may take
+            longer than a lost one is waited for.
     """
 
     method: str
@@ -176,6 +180,7 @@
         "body",
         "future",
         "header_lines",
+        "interim_at_s",
         "kind",
         "origin",
         "progressed_at_s",
@@ -197,6 +202,7 @@
         self.size = 0
         self.queued_at_s = time.monotonic()
         self.progressed_at_s: float | None = None
+        self.interim_at_s = -math.inf
         self.timer: Timer | None = None
 
     def handle_request_start(self, *_: object) -> int:
@@ -210,6 +216,12 @@
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
+    def append_header(self, line: bytes) -> None:
+        """Appends a header or status line, also those of interim responses."""
+        self.header_lines.append(line)
+        if line.startswith(_INTERIM_STATUS):
+            self.interim_at_s = time.monotonic()
+
     def append_body(self, data: bytes) -> int | None:
         """Appends a part of the body; aborts the transfer if the body is too large."""
         self.size += len(data)
@@ -226,9 +238,10 @@
         del self.future
 
     def compute_due_s(self) -> float:
-        """Returns when the next part of the body is overdue, given an idle timeout."""
+        """Returns when the next part of the answer is overdue, given an idle timeout."""
         if self.progressed_at_s is None:
-            return self.queued_at_s + self.request.timeout_s
+            answer_due_s = self.queued_at_s + self.request.timeout_s
+            return max(answer_due_s, self.interim_at_s + self.request.idle_timeout_s)
         return self.progressed_at_s + self.request.idle_timeout_s
 
 
@@ -485,7 +498,7 @@
         handle.setopt(pycurl.MAXAGE_CONN, reuse.max_idle_s)
         handle.setopt(pycurl.PREREQFUNCTION, transfer.handle_request_start)
         # libcurl itself limits the headers of an answer to 300 KB.
-        handle.setopt(pycurl.HEADERFUNCTION, transfer.header_lines.append)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.append_header)
         handle.setopt(pycurl.WRITEFUNCTION, transfer.append_body)
 
     def _record_silence(self, transfer: _Transfer) -> None:
--- a/lycheegate/clients/tests/slow_server.py
+++ b/lycheegate/clients/tests/slow_server.py
@@ -5,7 +5,7 @@
 import threading
 
 PARTS = 8
-_PART_PAUSE_S = 0.25
+PART_PAUSE_S = 0.25
 """Usual pause between the parts of an answer. All parts together take longer than the timeout of
 any request of the tests."""
 _WAIT_S = 20.0
@@ -20,7 +20,7 @@
         part_pause_s: Pause between the parts.
     """
 
-    def __init__(self, body: bytes, parts_sent: int = PARTS, part_pause_s: float = _PART_PAUSE_S):
+    def __init__(self, body: bytes, parts_sent: int = PARTS, part_pause_s: float = PART_PAUSE_S):
         self._body = body
         self._parts_sent = parts_sent
         self._part_pause_s = part_pause_s
@@ -54,3 +54,31 @@
             self._stopped.wait(self._part_pause_s)
         if self._parts_sent < PARTS:
             self._stopped.wait(_WAIT_S)
+
+
+class InterimServer(SlowServer):
+    """Server that sends interim responses at intervals before other bytes.
+
+    Args:
+        interim: An interim response.
+        count: Number of interim responses.
+        end: Bytes that follow.
+        is_closed: Whether the connection is closed after them; otherwise it is silent.
+    """
+
+    def __init__(self, interim: bytes, count: int, end: bytes, is_closed: bool = True):
+        self._interim = interim
+        self._count = count
+        self._end = end
+        self._is_closed = is_closed
+        super().__init__(b"")
+
+    def _answer(self, connection: socket.socket) -> None:
+        connection.recv(4096)
+        for _ in range(self._count):
+            connection.sendall(self._interim)
+            if self._stopped.wait(self._part_pause_s):
+                return
+        connection.sendall(self._end)
+        if not self._is_closed:
+            self._stopped.wait(_WAIT_S)
--- a/lycheegate/clients/tests/test_http_odd_answers.py
+++ b/lycheegate/clients/tests/test_http_odd_answers.py
@@ -43,8 +43,10 @@
     client.close()
 
 
-def _send(client, address):
-    request = http.Request("POST", f"http://{address}/", b"{}", timeout_s=5.0)
+def _send(client, address, idle_timeout_s=None):
+    request = http.Request(
+        "POST", f"http://{address}/", b"{}", timeout_s=5.0, idle_timeout_s=idle_timeout_s
+    )
     return client.send(request).result(_WAIT_S)
 
 
@@ -66,15 +68,20 @@
     "headers cut": b"HTTP/1.1 200 OK\r\nContent-",
     "body over the limit": b"HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n" + b"x" * 5_000_000,
     "informational answers": b"HTTP/1.1 100 Continue\r\n\r\n" * 50,
+    "processing without end": b"HTTP/1.1 102 Processing\r\n\r\n" * 20_000,
+    "interim status cut": b"HTTP/1.1 1",
+    "interim status text": b"HTTP/1.1 1x\r\n\r\n" * 3,
+    "interim status of 400 digits": b"HTTP/1.1 1" + b"0" * 400 + b"\r\n\r\n",
     "redirect": b"HTTP/1.1 301 Moved\r\nLocation: http://[\r\nContent-Length: 0\r\n\r\n",
 }
 
 
+@pytest.mark.parametrize("idle_timeout_s", [None, 1.0])
 @pytest.mark.parametrize("answer", ODD_ANSWERS.values(), ids=ODD_ANSWERS)
-def test_odd_answer_ends_no_thread(client, answer):
+def test_odd_answer_ends_no_thread(client, answer, idle_timeout_s):
     """Guards against a program at a worker's address that ends the thread of all requests."""
     odd, sound = _Server(answer), _Server(_SOUND)
-    outcome = _send(client, odd.address)
+    outcome = _send(client, odd.address, idle_timeout_s)
     if isinstance(outcome, result.Success):
         assert isinstance(outcome.unwrap().status, int)
     else:
--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -17,10 +17,15 @@
 from lycheegate.metrics import logs
 from lycheegate.settings import models
 
-__all__ = ["CallersServer"]
+__all__ = ["SEND_PROCESSING", "CallersServer"]
 
 _log = logs.Log("lycheegate.entry.server")
 
+SEND_PROCESSING = "lycheegate.send_processing"
+"""Key in the WSGI environment of a function that tells the caller that the answer is still being
+prepared. It returns whether the connection has taken that."""
+_PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
+"""Interim response, which HTTP clients skip."""
 REQUEST_READ_TIMEOUT_S = 10.0
 """Time within which a whole request must arrive, so that a slow sender cannot occupy a thread."""
 
@@ -114,8 +119,20 @@
         if self.req.inheaders.get(b"Content-Length", b"0") in (b"0", b""):
             connection.reading_since_s = None
         environ["wsgi.input"] = _BodyReader(environ["wsgi.input"], connection)
+        environ[SEND_PROCESSING] = self._send_processing
         return environ
 
+    def _send_processing(self) -> bool:
+        # HTTP/1.0 has no interim responses.
+        if self.req.sent_headers or self.req.response_protocol != "HTTP/1.1":
+            return False
+        try:
+            self.req.conn.wfile.write(_PROCESSING)
+        except (OSError, ValueError):
+            # ValueError: the connection was closed.
+            return False
+        return True
+
 
 class _Server(wsgi.Server):
     ConnectionClass = _Connection
--- a/lycheegate/entry/tests/test_server.py
+++ b/lycheegate/entry/tests/test_server.py
@@ -182,3 +182,60 @@
     assert not release.is_set()
     release.set()
     connection.close()
+
+
+_PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+@pytest.mark.parametrize(("version", "count"), [("1.1", 2), ("1.0", 0)])
+def test_interim_responses(version, count):
+    """Guards against an interim response that a caller of HTTP/1.0 takes for the answer.
+
+    None may be sent after the answer has begun either, because it would be a part of the body.
+    """
+    sent = []
+
+    def process(environ, start_response):
+        send = environ[server.SEND_PROCESSING]
+        sent.extend([send(), send()])
+        start_response("200 OK", [("Content-Length", "2")])
+        yield b"o"
+        sent.append(send())
+        yield b"k"
+
+    running = server.CallersServer("127.0.0.1", 0, process, models.LimitSettings())
+    port = running.start()
+    try:
+        with socket.create_connection(("127.0.0.1", port), 20.0) as sock:
+            sock.sendall(f"GET / HTTP/{version}\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+            received = b"".join(iter(lambda: sock.recv(4096), b""))
+    finally:
+        running.stop()
+    assert sent == [count > 0, count > 0, False]
+    assert received.startswith(_PROCESSING * count + b"HTTP/1.1 200 OK")
+    assert received.count(_PROCESSING) == count
+    assert received.endswith(b"\r\n\r\nok")
+
+
+def test_interim_response_to_a_caller_that_has_gone():
+    """Guards against a thread that goes on working for a caller that has closed its connection."""
+    stopped, gone = threading.Event(), threading.Event()
+
+    def process(environ, start_response):
+        while environ[server.SEND_PROCESSING]():
+            if stopped.wait(0.01):
+                return []
+        gone.set()
+        return _echo(environ, start_response)
+
+    limits = models.LimitSettings(caller_threads=1)
+    running = server.CallersServer("127.0.0.1", 0, process, limits)
+    port = running.start()
+    try:
+        with socket.create_connection(("127.0.0.1", port), 20.0) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert sock.recv(len(_PROCESSING)) == _PROCESSING
+        assert gone.wait(20.0)
+    finally:
+        stopped.set()
+        running.stop()
--- a/lycheegate/node/peer_calls.py
+++ b/lycheegate/node/peer_calls.py
@@ -10,6 +10,7 @@
 import cbor2
 import werkzeug
 
+from lycheegate.entry import server
 from lycheegate.jobs import model, progress
 from lycheegate.node import compression, relay, storage, waiting
 
@@ -42,6 +43,11 @@
 """What a call raises that has other types or another number of arguments than expected."""
 
 
+def _cannot_send() -> bool:
+    """Stands for a server that cannot send interim responses."""
+    return False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TermQueries:
     """Functions that answer the queries of peers to the holder of the term.
@@ -59,7 +65,8 @@
     """WSGI application that serves the calls of peers.
 
     Args:
-        store: Client that calls the store directly, not through peers.
+        store: Client that calls the store directly, not through peers. While its answer is
+            arriving, the caller is told so, because its timeout is for silent peers.
         reachability: Whether direct calls reach the store.
         on_outcome: Receives the outcome of each direct call; called on the thread of the call.
         on_row: Receives a row that a peer has written.
@@ -68,7 +75,7 @@
 
     def __init__(
         self,
-        store: storage.Store,
+        store: storage.DirectStore,
         reachability: relay.Reachability,
         on_outcome: Callable[[storage.StoreResult], None],
         on_row: Callable[[storage.Row], None],
@@ -84,11 +91,13 @@
         """Serves one call."""
         request = werkzeug.Request(environ)
         body = environ["wsgi.input"].read(request.content_length or 0)
-        response = self._answer(body)
+        response = self._answer(body, environ.get(server.SEND_PROCESSING, _cannot_send))
         compression.compress_response(response, request)
         return response(environ, start_response)
 
-    def _answer(self, body: bytes) -> werkzeug.Response:
+    def _answer(
+        self, body: bytes, send_processing: Callable[[], bool] = _cannot_send
+    ) -> werkzeug.Response:
         try:
             kind, *arguments = cbor2.loads(body)
             if kind == NOTIFY:
@@ -101,7 +110,7 @@
             if kind == JOB_STATUS:
                 (job_id,) = arguments
                 return self._answer_status(job_id)
-            return self._relay_store_call(kind, arguments)
+            return self._relay_store_call(kind, arguments, send_processing)
         except _DECODE_ERRORS as error:
             return werkzeug.Response(str(error), status=400)
 
@@ -111,29 +120,33 @@
             return werkzeug.Response(status=404)
         return _make_reply([status.outcome.value if status.outcome else "", status.started])
 
-    def _relay_store_call(self, kind: str, arguments: list) -> werkzeug.Response:
+    def _relay_store_call(
+        self, kind: str, arguments: list, send_processing: Callable[[], bool]
+    ) -> werkzeug.Response:
         if self._reachability.is_unreachable:
             return werkzeug.Response(status=503)
-        outcome = self._call_store(kind, arguments)
+        outcome = waiting.wait_for_store(
+            self._make_store_call(kind, arguments),
+            2.0 * MAX_STORE_WAIT_S,
+            lambda: self._store.is_receiving() and send_processing(),
+        )
         self._on_outcome(outcome)
         return werkzeug.Response(relay.encode_outcome(outcome), mimetype=_CBOR)
 
-    def _call_store(self, kind: str, arguments: list) -> storage.StoreResult:
+    def _make_store_call(self, kind: str, arguments: list) -> Callable[[Callable], None]:
         if kind == "read":
             *row_range, timeout_s = arguments
             timeout_s = min(timeout_s, MAX_STORE_WAIT_S)
-            call = functools.partial(self._store.read, *row_range, timeout_s)
-        elif kind == "follow":
+            return functools.partial(self._store.read, *row_range, timeout_s)
+        if kind == "follow":
             table, after, timeout_s = arguments
             timeout_s = min(timeout_s, MAX_STORE_WAIT_S)
-            call = functools.partial(self._store.follow, table, after, timeout_s)
-        elif kind == "transact":
+            return functools.partial(self._store.follow, table, after, timeout_s)
+        if kind == "transact":
             transaction, timeout_s = relay.decode_transact(arguments)
             timeout_s = min(timeout_s, MAX_STORE_WAIT_S)
-            call = functools.partial(self._store.transact, transaction, timeout_s)
-        else:
-            raise ValueError(f"unknown peer call {kind!r}")
-        return waiting.wait_for_store(call, 2.0 * MAX_STORE_WAIT_S)
+            return functools.partial(self._store.transact, transaction, timeout_s)
+        raise ValueError(f"unknown peer call {kind!r}")
 
 
 def _make_reply(value: object) -> werkzeug.Response:
--- a/lycheegate/node/relay.py
+++ b/lycheegate/node/relay.py
@@ -34,9 +34,11 @@
 RELAY_GRACE_S = 0.3
 TRANSFER_S = 3.0
 """Time that a peer may need beyond that to receive a large answer from the store, before it begins
-to answer itself."""
+to answer itself. Peers of earlier releases are silent meanwhile; others report that they receive
+it, which extends the time."""
 IDLE_TIMEOUT_S = 1.0
-"""Time without a further part of a peer's answer after which the connection is abandoned."""
+"""Time without a further part of a peer's answer, or without a further report, after which the
+connection is abandoned."""
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.7
 SUSPICION_S = 0.6
--- a/lycheegate/node/storage.py
+++ b/lycheegate/node/storage.py
@@ -13,6 +13,7 @@
     "Changes",
     "Condition",
     "ConflictError",
+    "DirectStore",
     "HistoryLostError",
     "Page",
     "RejectedError",
@@ -167,3 +168,10 @@
         self, table: str, after: int, wait_s: float, callback: Callable[[StoreResult], None]
     ) -> None:
         """Waits for changes of a table after a version; success holds ``Changes``."""
+
+
+class DirectStore(Store, Protocol):
+    """A store that is called without peers."""
+
+    def is_receiving(self) -> bool:
+        """Returns whether an answer of the store is arriving; for any thread."""
--- a/lycheegate/node/tests/test_relay.py
+++ b/lycheegate/node/tests/test_relay.py
@@ -5,10 +5,12 @@
 import dataclasses
 import json
 import queue
+import time
 import zlib
 from concurrent import futures
 
 import cbor2
+import pycurl
 import pytest
 from returns import result
 from werkzeug import test as werkzeug_test
@@ -16,7 +18,7 @@
 from lycheegate.clients import http
 from lycheegate.clients.tests import slow_server
 from lycheegate.entry import server
-from lycheegate.node import peer_calls, reads, relay, storage
+from lycheegate.node import compression, peer_calls, reads, relay, storage
 from lycheegate.platform import store as platform_store
 from lycheegate.settings import models
 from lycheegate.utils import exceptions
@@ -25,6 +27,11 @@
 _ROW = storage.Row(_KEY, b"\x00v", 4)
 _REFUSED = result.Failure(exceptions.UnavailableError("429"))
 _LOST = result.Failure(exceptions.OutcomeUnknownError("no answer"))
+_PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
+_FEED_TIMEOUT_S = 2.0 * relay.RELAY_GRACE_S + relay.TRANSFER_S
+"""Time after which a peer that is silent is abandoned, for a feed request that does not wait."""
+_MARGIN_S = 0.9
+"""Time that a test process may be late on a busy machine."""
 
 
 @pytest.mark.parametrize(
@@ -337,13 +344,20 @@
 
 def _follow_through(address):
     """Returns the outcome of a feed request through a peer, from a VM cut off from the store."""
+    outcome, _elapsed_s = _measure_follow_through(address)
+    return outcome
+
+
+def _measure_follow_through(address):
+    """Returns the outcome of a feed request through a peer, and the time that it took."""
     client = http.HttpClient()
+    began_s = time.monotonic()
     outcomes = queue.Queue()
     try:
         store = _make_store(_Direct(), client, peers=(address,))
         store.reachability.is_unreachable = True
         store.follow("op", 3, 0.0, outcomes.put)
-        return outcomes.get(timeout=20.0)
+        return outcomes.get(timeout=20.0), time.monotonic() - began_s
     finally:
         client.close()
 
@@ -359,8 +373,18 @@
         slow.stop()
 
 
+def _remove_interim_responses(application):
+    """Returns the application as it is in earlier releases, which send none."""
+
+    def serve(environ, start_response):
+        del environ[server.SEND_PROCESSING]
+        return application(environ, start_response)
+
+    return serve
+
+
 @contextlib.contextmanager
-def _serve_peer(direct):
+def _serve_peer(direct, sends_interim_responses=True):
     """Serves the calls of peers with a store client; yields the address."""
     application = peer_calls.PeerApplication(
         direct,
@@ -369,6 +393,8 @@
         lambda row: None,
         peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
     )
+    if not sends_interim_responses:
+        application = _remove_interim_responses(application)
     peer = server.CallersServer("127.0.0.1", 0, application, models.LimitSettings(caller_threads=2))
     port = peer.start()
     try:
@@ -407,6 +433,157 @@
     assert [row.version for row in outcome.unwrap().rows] == [4]
 
 
+@pytest.mark.parametrize("is_receiving", [True, False])
+def test_progress_is_reported_while_an_answer_arrives(monkeypatch, is_receiving):
+    """Guards against a VM that waits for a peer whose store is silent.
+
+    A peer does not wait without bound either for a caller that has gone, here from the third
+    report on.
+    """
+    monkeypatch.setattr(peer_calls, "MAX_STORE_WAIT_S", 0.2)
+    direct = _SilentStore()
+    direct.is_receiving = lambda: is_receiving
+    application = peer_calls.PeerApplication(
+        direct,
+        relay.Reachability(),
+        lambda outcome: None,
+        lambda row: None,
+        peer_calls.TermQueries(lambda epoch: False, lambda job_id: None),
+    )
+    sent = []
+
+    def send_processing():
+        sent.append(True)
+        return len(sent) < 3
+
+    body = cbor2.dumps(["transact", [], [], [], 1.0])
+    response = application._answer(body, send_processing)
+    outcome = relay.decode_outcome(response.get_data())
+    assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+    assert len(sent) >= 3 if is_receiving else not sent
+
+
+def _make_store_answer(value):
+    row = {"table": "op", "key": "config", "value": base64.b64encode(value).decode(), "ver": 4}
+    return json.dumps({"rows": [row], "ver": 4}).encode()
+
+
+@pytest.mark.parametrize(("part_pause_s", "is_received"), [(0.4, True), (0.7, False)])
+def test_peer_of_an_earlier_release(part_pause_s, is_received):
+    """Guards against a VM that needs reports of progress from peers that do not send them.
+
+    VMs are replaced one after another. Such a peer is silent until it has the whole answer, and is
+    waited for as long as before.
+    """
+    slow = slow_server.SlowServer(_make_store_answer(bytes(999)), part_pause_s=part_pause_s)
+    peer_client = http.HttpClient()
+    store = platform_store.PlatformStore(peer_client, slow.address)
+    try:
+        with _serve_peer(store, sends_interim_responses=False) as address:
+            outcome, elapsed_s = _measure_follow_through(address)
+    finally:
+        peer_client.close()
+        slow.stop()
+    if is_received:
+        assert [row.version for row in outcome.unwrap().rows] == [4]
+    else:
+        assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+        assert elapsed_s < _FEED_TIMEOUT_S + _MARGIN_S
+
+
+def _call_as_earlier_release(address):
+    """Returns the response to a feed request as VMs without reports of progress receive it."""
+    header_lines, body = [], []
+    handle = pycurl.Curl()
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    handle.setopt(pycurl.URL, f"http://{address}{relay.PATH}")
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.POSTFIELDS, cbor2.dumps(["follow", "op", 3, 0.0]))
+    handle.setopt(pycurl.HTTPHEADER, ["Expect:", compression.ACCEPT_HEADER])
+    handle.setopt(pycurl.TIMEOUT_MS, 20_000)
+    handle.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+    handle.setopt(pycurl.WRITEFUNCTION, body.append)
+    handle.perform()
+    status = handle.getinfo(pycurl.RESPONSE_CODE)
+    handle.close()
+    return http.Response(status, tuple(header_lines), b"".join(body))
+
+
+def test_caller_of_an_earlier_release():
+    """Guards against reports of progress that a VM of an earlier release takes for the answer."""
+    slow = slow_server.SlowServer(_make_store_answer(bytes(9999)))
+    peer_client = http.HttpClient()
+    try:
+        with _serve_peer(platform_store.PlatformStore(peer_client, slow.address)) as address:
+            response = _call_as_earlier_release(address)
+    finally:
+        peer_client.close()
+        slow.stop()
+    assert response.header_lines[0] == b"HTTP/1.1 102 Processing\r\n"
+    assert response.status == 200
+    changes = relay.decode_outcome(compression.decompress_body(response)).unwrap()
+    assert [(row.version, row.value) for row in changes.rows] == [(4, bytes(9999))]
+
+
+@pytest.mark.parametrize("count", [0, 1, 14])
+def test_peer_that_pauses_is_abandoned(count):
+    """Guards against a feed that waits without bound for a peer that is silent or suspended.
+
+    A peer that has reported progress is abandoned 1 s after its last report, one that has not as
+    soon as before.
+    """
+    peer = slow_server.InterimServer(_PROCESSING, count, b"", is_closed=False)
+    try:
+        outcome, elapsed_s = _measure_follow_through(peer.address)
+    finally:
+        peer.stop()
+    last_s = max(0, count - 1) * slow_server.PART_PAUSE_S
+    assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+    assert elapsed_s >= max(_FEED_TIMEOUT_S, last_s + relay.IDLE_TIMEOUT_S)
+    assert elapsed_s < max(_FEED_TIMEOUT_S, last_s + relay.IDLE_TIMEOUT_S) + _MARGIN_S
+
+
+def test_peer_that_never_ends_its_reports_is_abandoned(monkeypatch):
+    """Guards against a feed that stands still because a peer reports progress without end."""
+    limit_s = _FEED_TIMEOUT_S + 1.0
+    monkeypatch.setattr(http, "_MAX_TRANSFER_S", limit_s)
+    peer = slow_server.InterimServer(_PROCESSING, 1000, b"")
+    try:
+        outcome, elapsed_s = _measure_follow_through(peer.address)
+    finally:
+        peer.stop()
+    assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+    assert limit_s <= elapsed_s < limit_s + _MARGIN_S
+
+
+_WHOLE = relay.encode_outcome(result.Success(storage.Changes((_ROW,), 4, 17)))
+_HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {len(_WHOLE)}\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize("end", [b"", _HEAD[:-9], _HEAD, _HEAD + _WHOLE[:-1]])
+def test_answer_that_is_cut_after_reports_of_progress(end):
+    """Guards against a configuration of which a part is taken for the whole."""
+    peer = slow_server.InterimServer(_PROCESSING, 3, end)
+    try:
+        outcome = _follow_through(peer.address)
+    finally:
+        peer.stop()
+    assert type(outcome.failure()) is exceptions.OutcomeUnknownError
+
+
+@pytest.mark.parametrize("status", [503, 500])
+def test_error_after_reports_of_progress(status):
+    """Guards against an error that counts as an answer, or a refusal as an unknown outcome."""
+    end = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+    peer = slow_server.InterimServer(_PROCESSING, 3, end)
+    try:
+        outcome = _follow_through(peer.address)
+    finally:
+        peer.stop()
+    is_refusal = isinstance(outcome.failure(), exceptions.UnavailableError)
+    assert is_refusal == (status == 503)
+
+
 def test_relayed_answer_that_stops_arriving_is_abandoned():
     """Guards against a feed that waits forever for a peer that went silent midway."""
     slow = slow_server.SlowServer(bytes(1000), parts_sent=3)
