Send a worker that has left no first order, and do not renew its leases

What callers saw: a task waits up to 7.7 s longer than needed after its worker has left.

Cause: an order whose intention had been written meanwhile was sent to a worker whose registration was gone, and unanswered polls renewed the leases of its runs for 2.5 s after its last report. Both are safe only because the leases are waited for.

Change: a first order to an unregistered worker is not sent, as to one that leaves. Once a poll of an unregistered worker is lost, its leases are not renewed until it reports.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -142,7 +142,9 @@
             self._hooks.call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
             return
         deadline_ms = recorded = None
-        if now_s - worker.reported_at_s < MAX_REPORT_AGE_S:
+        # Calls whose answers are lost would renew the leases on a worker that has probably left.
+        is_gone = not worker.registered and worker_id in self._failed_polls
+        if now_s - worker.reported_at_s < MAX_REPORT_AGE_S and not is_gone:
             deadline_ms = leases.compute_deadline_ms(self._state, worker, now_s)
         if deadline_ms is not None:
             recorded = leases.record_deadline(self._state, worker, deadline_ms)
@@ -330,9 +332,9 @@
             self._hooks.call_later(REPORT_RETRY_S, lambda: self.send_start(order))
             return
         is_repeated = (order.task, order.number) in self._unknown_starts
-        if worker is not None and worker.draining and not is_repeated:
-            # It announced its departure while the intention was written, which may take seconds.
-            self.record_refusal(order, "worker_draining")
+        if worker is not None and not is_repeated and (worker.draining or not worker.registered):
+            # It has left or announced that while the intention was written, which may take seconds.
+            self.record_refusal(order, "worker_draining" if worker.draining else "worker_gone")
             return
         if worker is not None and not worker.has_current_registration:
             self._withdraw_start(order, run, is_repeated, "worker_not_registered_anew")
