Limit the room that reservations of several blocked gangs hold

What callers saw: a small job waits for up to 20 s while nearly all workers are free.

Cause: up to two blocked gangs reserve room for 20 s, however much that is. Two gangs of half of the workers each reserved all of them, and no other work started.

Change: a further reservation is made only if all together hold at most half of the capacity. The first may hold more, as a large gang would never start otherwise.

--- a/lycheegate/jobs/crashes.py
+++ b/lycheegate/jobs/crashes.py
@@ -34,9 +34,9 @@
 
 CRASH_WEIGHT = 5
 WEIGHT_AMONG_OTHERS = 3
-"""Weight of a crash at about the same time as crashes of workers without new runs, or of the loss of
-a worker that left before the term began. It is not 0, because a task that crashes workers must not
-be started six times."""
+"""Weight of a crash at about the same time as crashes of workers without new runs, or of the loss
+of a worker that left before the term began. It is not 0, because a task that crashes workers must
+not be started six times."""
 REPEATED_WEIGHT = 3
 """Weight of a further crash of the same worker under a task. The worker may be faulty, so three are
 not enough to fail a job; five are, because the task may be deadly and fit on that worker only."""
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -10,6 +10,7 @@
 from lycheegate.jobs import (
     commands,
     estimates,
+    headroom,
     model,
     ordering,
     placement,
@@ -37,6 +38,9 @@
 """Limit for guaranteed work, which must be able to start within a fixed time."""
 SETTLING_S = 0.5
 """Time from the begin of a term within which the workers report for the first time."""
+MAX_PLANNED_RATIO = 0.5
+"""Share of the capacity that the reservations of several blocked gangs may hold. The first one may
+hold more, as a large gang would never start otherwise."""
 MAX_MIXED_COST_RATIO = 0.5
 """A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
 Above it, the room that is freed at once would idle for little gain."""
@@ -266,6 +270,8 @@
 
 def plan_reservation(context: units.PassContext, unit: units.Unit) -> None:
     """Reserves room for a blocked gang where running tasks are expected to end first."""
+    if _leaves_too_little(context, unit):
+        return
     step = unit.step.step
     candidates = units.list_candidates(context, unit)
     if context.ending_units is None:
@@ -282,6 +288,20 @@
     _reserve(context, unit, found.placement, context.current.policy.reservation_s, preempts=False)
 
 
+def _leaves_too_little(context: units.PassContext, unit: units.Unit) -> bool:
+    """Returns whether a further reservation would leave too little room for other work."""
+    capacity = context.capacities.get(unit.service)
+    planned = [r for r in context.current.reservations.values() if not r.preempts]
+    if capacity is None or not planned:
+        return False
+    reserved = sum(
+        len(reservation.placement) * headroom.compute_share(reservation.need, capacity.largest)
+        for reservation in planned
+    )
+    share = len(unit.indices) * headroom.compute_share(unit.step.step.need, capacity.largest)
+    return reserved + share > MAX_PLANNED_RATIO * capacity.total
+
+
 def _list_ending_units(context: units.PassContext) -> list[preemption.VictimUnit]:
     """Returns the runs that end by themselves; the cost of each is its remaining time."""
     result: list[preemption.VictimUnit] = []
