End the term at each conflict that names another holder

Cause: found by reading in the review. A conflict of a write that had been given up was ignored, though it proves that the term is lost, and an error while a write is sent left the rows of suspects and counts as if they were stored.

--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -161,8 +161,7 @@
         except Exception:
             # Otherwise the term would neither be renewed nor store anything again.
             self._pending = None
-            self._renewal_sent_at_s = 0.0
-            self._requeue(pending.batch, {})
+            self._prepare_repetition(pending)
             raise
         self._hooks.call_later(
             self._compute_patience_s(pending), lambda: self._check_answer(pending)
@@ -248,6 +247,8 @@
             self._answer_s = self._now_s() - pending.sent_at_s
         if is_stored:
             self.renewed_at_s = max(self.renewed_at_s, pending.sent_at_s)
+        if isinstance(error, storage.ConflictError) and self._is_lost(error):
+            return
         if self._pending is not pending:
             # Its rows have been written again. If it was stored, that write finds its versions.
             return
@@ -288,14 +289,20 @@
         self._renewal_sent_at_s = 0.0
         self.write()
 
+    def _is_lost(self, error: storage.ConflictError) -> bool:
+        """Ends the term if a conflict shows that another VM holds it; returns whether it does."""
+        versions = {row.key: row.version for row in error.rows}
+        found = versions.get(tables.HOLDER)
+        if found == self._holder_version:
+            return False
+        self._hooks.end_term(
+            f"another VM holds the term: holder row has version {found}, "
+            f"expected {self._holder_version}"
+        )
+        return True
+
     def _handle_conflict(self, pending: _PendingWrite, error: storage.ConflictError) -> None:
         versions = {row.key: row.version for row in error.rows}
-        if versions.get(tables.HOLDER) != self._holder_version:
-            self._hooks.end_term(
-                "another VM holds the term: holder row has version "
-                f"{versions.get(tables.HOLDER)}, expected {self._holder_version}"
-            )
-            return
         self._rows.handle_failure()
         if pending.has_heartbeat:
             self._heartbeat_version = versions.get(tables.HEARTBEAT, storage.ABSENT)
