Apply a list of runs that was requested after the last one, whatever its clock

What callers may see: a worker whose lists are ignored for good.

Change: a list that was requested after the last one had arrived counts in any case.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -329,6 +329,7 @@
         reported_address: Address from which its last report came, or an empty string.
         reported_at_s: When its last report was received.
         listed_clock_ms: Its clock when it made the latest list of its runs.
+        listed_at_s: When that list was received.
         leases_expire_at_s: When the leases of all runs on it have certainly expired.
         clock_ms: Its clock in its last answer.
         clock_at_s: When that answer was received.
@@ -370,6 +371,7 @@
     reported_address: str = ""
     reported_at_s: float = 0.0
     listed_clock_ms: int = 0
+    listed_at_s: float = 0.0
     leases_expire_at_s: float = 0.0
     clock_ms: int = 0
     clock_at_s: float = 0.0
--- a/lycheegate/jobs/tests/test_report_order.py
+++ b/lycheegate/jobs/tests/test_report_order.py
@@ -43,3 +43,12 @@
     workers.apply_report(current, workers.Report("w0", 5_000, 1, (unknown,), (), 10.0, 11.4))
     workers.apply_report(current, workers.Report("w0", 4_700, 1, (), (), 11.0, 11.5))
     assert worker.unknown_runs
+
+
+def test_list_after_a_clock_that_was_reset_counts():
+    """Guards against a worker whose lists are ignored for good after a restart without a birth."""
+    current, worker = _make_worker_state()
+    unknown = workers.ListedRun(None, "odd", 3, "", 10)
+    workers.apply_report(current, workers.Report("w0", 900_000, 0, (unknown,), (), 10.0, 10.1))
+    workers.apply_report(current, workers.Report("w0", 1_000, 0, (), (), 10.1, 11.4))
+    assert not worker.unknown_runs
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -317,9 +317,12 @@
         current.schedule_due = True
     leases.update_expiry(current, worker)
     # Reports may arrive out of order; the list of runs in an older one is outdated. One that waits
-    # for an end may be made later than another that is requested meanwhile.
-    is_latest = report.clock_ms >= worker.listed_clock_ms
-    worker.listed_clock_ms = max(worker.listed_clock_ms, report.clock_ms)
+    # for an end may be made later than another that is requested meanwhile. A list that was
+    # requested after the last one had arrived is newer, also if a restart has reset the clock.
+    is_requested_later = report.sent_at_s >= worker.listed_at_s
+    is_latest = is_requested_later or report.clock_ms >= worker.listed_clock_ms
+    if is_latest:
+        worker.listed_clock_ms, worker.listed_at_s = report.clock_ms, now_s
     result += _apply_ends(current, worker, report, now_s)
     if is_latest:
         result += _apply_running(current, worker, report, now_s)
