Compute the wait for the rack of the data in one place

Cause: the reason of a waiting job repeated the limit of that wait, and kept the old form of it when the limit for idle jobs and lasting tasks was added: the logged time until it ends was too long.

Change: the scheduling pass and the log line call one function. What is placed does not change.

Result: the tests of waiting jobs, placement and idle jobs pass.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -21,7 +21,14 @@
     units,
 )
 
-__all__ = ["choose_workers", "is_admitted", "measure_use", "schedule", "sum_urgent_use"]
+__all__ = [
+    "choose_workers",
+    "compute_locality_wait_s",
+    "is_admitted",
+    "measure_use",
+    "schedule",
+    "sum_urgent_use",
+]
 
 MAX_PLANNED_RESERVATIONS = 2
 """Maximum number of blocked gangs with a reservation that preempts nothing; more would leave too
@@ -319,7 +326,7 @@
             step.near_rack,
             may_span=placement.exceeds_every_rack(len(unit.indices), step.need, candidates),
         )
-    only_near = _awaits_near_rack(context, unit) and any(
+    only_near = compute_locality_wait_s(context, unit) > 0.0 and any(
         c.rack == step.near_rack for c in candidates
     )
     worker_id = placement.place_task(step.need, candidates, step.near_rack, only_near)
@@ -331,17 +338,22 @@
     return [worker_id] if worker_id else None
 
 
-def _awaits_near_rack(context: units.PassContext, unit: units.Unit) -> bool:
-    """Returns whether a task may only run in the rack of its data for now."""
+def compute_locality_wait_s(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns for how long a task may still only run in the rack of its data, or 0 if it need not.
+
+    Args:
+        context: Inputs of the pass.
+        unit: The unit; its service has usable workers.
+    """
     step = unit.step.step
     if not step.near_rack:
-        return False
+        return 0.0
     max_wait_s = MAX_LOCALITY_WAIT_RATIO * step.estimate_s
     capacity = context.capacities[unit.service]
     is_light = capacity.used < LIGHT_LOAD_RATIO * capacity.total
     if is_light and (step.long_running or not unit.job.list_runs()):
         max_wait_s = min(max_wait_s, MAX_IDLE_LOCALITY_WAIT_S)
-    return unit.step.compute_waited_s(context.now_s) < max_wait_s
+    return max(0.0, max_wait_s - unit.step.compute_waited_s(context.now_s))
 
 
 def _add_runs(context: units.PassContext, unit: units.Unit, chosen: list[str]) -> None:
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -408,8 +408,7 @@
         is_admitted = scheduling.is_admitted(context, unit)
         return (Reason.NOT_PLACED if is_admitted else Reason.HEADROOM), {}
     if not step.gang and placement.place_task(step.need, candidates, step.near_rack, False):
-        limit_s = scheduling.MAX_LOCALITY_WAIT_RATIO * step.estimate_s
-        remaining_s = limit_s - unit.step.compute_waited_s(check.now_s)
+        remaining_s = scheduling.compute_locality_wait_s(context, unit)
         return Reason.RACK_OF_DATA, {"rack": step.near_rack, "expires_in_s": round(remaining_s, 3)}
     if _fits_without_reservations(context, unit):
         return Reason.ROOM_RESERVED, {"reservations": len(check.current.reservations)}
