Use one share of a unit, and one age of reports, in all places

Cause: the limit of planned reservations computed a unit's share anew beside the function of the scheduling pass, the age of a report from which leases are not renewed stood as two constants that must be equal, and a function that ends the term was named like a question.

Change: units.compute_share and leases.MAX_REPORT_AGE_S serve both; _is_lost is _end_if_lost. No behaviour changes.

Result: 294 tests of placement, reservations, leases, idle jobs, exchange and writes pass, 1 xfailed.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -33,9 +33,9 @@
     state.RunPhase.ORDERED,
     state.RunPhase.RUNNING,
 )
-WITHHOLDING_SILENCE_S = 2.5
-"""Time since the last report of a worker that is no longer registered from which no lease is
-granted to it. Its leases are not renewed then anyway."""
+MAX_REPORT_AGE_S = 2.5
+"""Age of a worker's last report from which its lease is no longer renewed. Calls whose answers
+are lost may still reach the worker, and would keep alive runs that the scheduler cannot see."""
 MAX_LISTED_WORKERS = 200
 """Number of workers whose ends of leases fit into a row, also with the longest identifiers."""
 MIN_SILENCE_S = 1.0
@@ -74,7 +74,7 @@
     for worker in current.workers.values():
         if not worker.runs and not worker.strays:
             continue
-        is_silent = now_s - worker.reported_at_s >= WITHHOLDING_SILENCE_S
+        is_silent = now_s - worker.reported_at_s >= MAX_REPORT_AGE_S
         if is_silent and not worker.registered and len(departed) < MAX_LISTED_WORKERS:
             departed[worker.worker_id] = worker.leases_expire_at_s
         else:
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -298,8 +298,7 @@
         len(reservation.placement) * headroom.compute_share(reservation.need, capacity.largest)
         for reservation in planned
     )
-    share = len(unit.indices) * headroom.compute_share(unit.step.step.need, capacity.largest)
-    return reserved + share > MAX_PLANNED_RATIO * capacity.total
+    return reserved + units.compute_share(context, unit) > MAX_PLANNED_RATIO * capacity.total
 
 
 def _list_ending_units(context: units.PassContext) -> list[preemption.VictimUnit]:
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -164,7 +164,7 @@
     waiting: dict[str, float] = {}
     for unit in listed:
         if unit.rank.level < 2:
-            share = _compute_unit_share(context, unit)
+            share = units.compute_share(context, unit)
             waiting[unit.service] = waiting.get(unit.service, 0.0) + share
     for service, capacity in context.capacities.items():
         used = urgent_used.get(service, 0.0)
@@ -174,13 +174,6 @@
         capacity.headroom = headroom.compute_headroom(demand, used, capacity.total)
 
 
-def _compute_unit_share(context: units.PassContext, unit: units.Unit) -> float:
-    capacity = context.capacities.get(unit.service)
-    if capacity is None:
-        return 0.0
-    return len(unit.indices) * headroom.compute_share(unit.step.step.need, capacity.largest)
-
-
 def _drop_reservations(
     current: state.SchedulerState, service_by_key: dict[state.ReservationKey, str], now_s: float
 ) -> None:
@@ -271,7 +264,7 @@
     if unit.rank.level < 2:
         return True
     capacity = context.capacities.get(unit.service)
-    return capacity is not None and headroom.admits(capacity, _compute_unit_share(context, unit))
+    return capacity is not None and headroom.admits(capacity, units.compute_share(context, unit))
 
 
 def _has_stray_run(current: state.SchedulerState, unit: units.Unit) -> bool:
@@ -360,7 +353,7 @@
     """Places the tasks of a unit on the chosen workers and logs the placement."""
     step = unit.step
     context.placed_tasks += len(unit.indices)
-    context.capacities[unit.service].used += _compute_unit_share(context, unit)
+    context.capacities[unit.service].used += units.compute_share(context, unit)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -17,6 +17,7 @@
     "GANG_INDEX",
     "PassContext",
     "Unit",
+    "compute_share",
     "is_last_attempt",
     "list_candidates",
     "make_reservation_key",
@@ -94,6 +95,14 @@
     return failures + 1 >= state.get_route(context.current, unit.job).max_attempts
 
 
+def compute_share(context: PassContext, unit: Unit) -> float:
+    """Returns the share of the capacity of its service that a unit takes up, in workers."""
+    capacity = context.capacities.get(unit.service)
+    if capacity is None:
+        return 0.0
+    return len(unit.indices) * headroom.compute_share(unit.step.step.need, capacity.largest)
+
+
 def list_candidates(context: PassContext, unit: Unit) -> list[placement.Candidate]:
     """Returns the workers on which a unit may be placed, in this pass or once room is free."""
     candidates = context.workers.list_candidates(unit.service, unit.step)
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -29,9 +29,6 @@
 """Number of workers whose first polls are sent at once when a term begins. All of thousands would
 keep the event thread busy for longer than the term's heartbeat may be overdue."""
 FIRST_POLLS_PAUSE_S = 0.02
-MAX_REPORT_AGE_S = 2.5
-"""Age of a worker's last report from which its lease is no longer renewed. Calls whose answers
-are lost may still reach the worker, and would keep alive runs that the scheduler cannot see."""
 TRIAL_REPORT_DELAY_S = crashes.SURVIVAL_S + 0.05
 """Time after the start of a task that may crash its worker until an additional report is requested,
 so that a later crash for another reason does not count for the task."""
@@ -144,7 +141,7 @@
         deadline_ms = recorded = None
         # Calls whose answers are lost would renew the leases on a worker that has probably left.
         is_gone = not worker.registered and worker_id in self._failed_polls
-        if now_s - worker.reported_at_s < MAX_REPORT_AGE_S and not is_gone:
+        if now_s - worker.reported_at_s < leases.MAX_REPORT_AGE_S and not is_gone:
             deadline_ms = leases.compute_deadline_ms(self._state, worker, now_s)
         if deadline_ms is not None:
             recorded = leases.record_deadline(self._state, worker, deadline_ms)
--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -247,7 +247,7 @@
             self._answer_s = self._now_s() - pending.sent_at_s
         if is_stored:
             self.renewed_at_s = max(self.renewed_at_s, pending.sent_at_s)
-        if isinstance(error, storage.ConflictError) and self._is_lost(error):
+        if isinstance(error, storage.ConflictError) and self._end_if_lost(error):
             return
         if self._pending is not pending:
             # Its rows have been written again. If it was stored, that write finds its versions.
@@ -289,7 +289,7 @@
         self._renewal_sent_at_s = 0.0
         self.write()
 
-    def _is_lost(self, error: storage.ConflictError) -> bool:
+    def _end_if_lost(self, error: storage.ConflictError) -> bool:
         """Ends the term if a conflict shows that another VM holds it; returns whether it does."""
         versions = {row.key: row.version for row in error.rows}
         found = versions.get(tables.HOLDER)
