Evacuate data centres at the operators' request

Change: each VM keeps the evacuated data centres in its view; the holder's scheduler gets them at the claim and with each answer of the feed, withdraws intentions there, and sends no first order. Where bounds.evacuate-ms is set, nothing is started while the view is older than that less 1.5 s. Cold workers are used after others.

--- /dev/null
+++ b/lycheegate/jobs/durations/predictions.py
@@ -0,0 +1,26 @@
+"""Predicted durations of tasks."""
+
+from lycheegate.jobs import state
+from lycheegate.jobs.durations import factors
+
+__all__ = ["get_step_estimate", "predict_s"]
+
+
+def get_step_estimate(
+    current: state.SchedulerState, job: state.JobState, step: state.StepState
+) -> factors.Estimate:
+    """Returns the true duration of a step on a typical worker, relative to the declared one."""
+    return factors.Estimate()
+
+
+def predict_s(
+    current: state.SchedulerState,
+    job: state.JobState,
+    step: state.StepState,
+    worker_id: str,
+    now_s: float,
+) -> float:
+    """Returns the predicted duration of a task of a step on a worker, in seconds."""
+    of_step = get_step_estimate(current, job, step).ratio
+    of_worker = factors.get_worker_estimate(current.durations, worker_id, now_s).ratio
+    return step.step.estimate_s * of_step * of_worker
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -5,21 +5,32 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterable
 
 from lycheegate.jobs import model
 
 __all__ = [
     "Candidate",
+    "Tier",
     "count_fitting",
     "exceeds_every_rack",
     "group_by_rack",
+    "list_by_tier",
     "list_sound",
     "place_gang",
     "place_task",
 ]
 
 
+class Tier(enum.IntEnum):
+    """Preference among workers that have room; lower tiers are used first."""
+
+    PREFERRED = 0
+    COLD = 9
+    """Has started recently and is slow for a while."""
+
+
 @dataclasses.dataclass(slots=True)
 class Candidate:
     """A worker that may run tasks of a step.
@@ -32,6 +43,7 @@
         limit: Maximum number of further tasks of the step that it may run.
         is_avoided: Whether it is chosen only if no other worker has room, because a task has
             failed there or some run on it has stalled.
+        tier: Preference among the workers that have room.
     """
 
     worker_id: str
@@ -40,6 +52,7 @@
     capacity: model.Resources
     limit: int
     is_avoided: bool = False
+    tier: int = Tier.PREFERRED
 
 
 def count_fitting(need: model.Resources, room: model.Resources, limit: int) -> int:
@@ -84,6 +97,14 @@
     return sound if capacity >= count else candidates
 
 
+def list_by_tier(candidates: list[Candidate]) -> list[list[Candidate]]:
+    """Returns the candidates of the first tier, then those of the first two, and so on."""
+    tiers = sorted({candidate.tier for candidate in candidates})
+    if len(tiers) < 2:
+        return [candidates]
+    return [[c for c in candidates if c.tier <= tier] for tier in tiers]
+
+
 def exceeds_every_rack(count: int, need: model.Resources, candidates: list[Candidate]) -> bool:
     """Returns whether a gang would not fit in any rack even if the rack were empty."""
     return not any(
@@ -111,7 +132,7 @@
         is_far = bool(near_rack) and candidate.rack != near_rack
         if is_far and only_near:
             continue
-        rank = (candidate.is_avoided, is_far, *_rank_fullness(candidate))
+        rank = (candidate.is_avoided, candidate.tier, is_far, *_rank_fullness(candidate))
         if best is None or rank < best_rank:
             best, best_rank = candidate, rank
     return best.worker_id if best else None
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import crashes, health, model, placement, state
+from lycheegate.jobs import crashes, data_centres, health, model, placement, state
 
 __all__ = ["WorkerPool", "is_eligible", "is_usable"]
 
@@ -15,7 +15,7 @@
 """Value of ``Candidate.limit`` for steps without a limit of tasks per worker."""
 
 
-def is_eligible(worker: state.WorkerState, now_s: float) -> bool:
+def is_eligible(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker may get new work as soon as it reports."""
     return (
         worker.registered
@@ -23,13 +23,14 @@
         and not worker.draining
         and not worker.unknown_runs
         and not health.is_quarantined(worker, now_s)
+        and not data_centres.is_evacuated(current, worker)
     )
 
 
 def is_usable(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker may get new work now."""
     return (
-        is_eligible(worker, now_s)
+        is_eligible(current, worker, now_s)
         and worker.confirmed
         and now_s - worker.reported_at_s < current.policy.report_stale_s
         and now_s >= worker.unreachable_until_s
@@ -70,6 +71,7 @@
                 worker.capacity,
                 NO_LIMIT,
                 worker.worker_id in stalled or health.is_suspected(worker, now_s),
+                placement.Tier.COLD if now_s < worker.cold_until_s else placement.Tier.PREFERRED,
             )
             self._by_worker[worker.worker_id] = candidate
             self._by_service.setdefault(worker.service, []).append(candidate)
@@ -120,6 +122,7 @@
                 candidate.capacity,
                 limit - run_counts.get(candidate.worker_id, 0),
                 candidate.is_avoided or candidate.worker_id in avoided,
+                candidate.tier,
             )
             for candidate in labeled
         ]
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -9,6 +9,7 @@
 from lycheegate.jobs import (
     commands,
     crashes,
+    data_centres,
     headroom,
     lifecycle,
     model,
@@ -62,6 +63,8 @@
         Stop orders for preempted runs, and decisions to be logged.
     """
     current.schedule_due = False
+    if not data_centres.is_view_confirmed(current, now_s):
+        return data_centres.report_unconfirmed(current, now_s)
     guaranteed = ordering.list_guaranteed_accounts(current)
     waiting = _list_units(current, guaranteed, now_s, wall_s)
     if current.reservations:
@@ -227,7 +230,7 @@
     if worker is None or worker.service != service or not need.fits(worker.capacity):
         return False
     if reservation.preempts:
-        return pool.is_eligible(worker, now_s)
+        return pool.is_eligible(current, worker, now_s)
     return pool.is_usable(current, worker, now_s)
 
 
@@ -311,14 +314,7 @@
     if not candidates:
         return None
     if step.gang:
-        return placement.place_gang(
-            len(unit.indices),
-            step.need,
-            candidates,
-            step.same_rack,
-            step.near_rack,
-            may_span=placement.exceeds_every_rack(len(unit.indices), step.need, candidates),
-        )
+        return _choose_for_gang(unit, candidates)
     only_near = compute_locality_wait_s(context, unit) > 0.0 and any(
         c.rack == step.near_rack for c in candidates
     )
@@ -331,6 +327,23 @@
     return [worker_id] if worker_id else None
 
 
+def _choose_for_gang(unit: units.Unit, candidates: list[placement.Candidate]) -> list[str] | None:
+    """Returns a worker for each member, of the most preferred tiers that have room, or None."""
+    step = unit.step.step
+    for preferred in placement.list_by_tier(candidates):
+        chosen = placement.place_gang(
+            len(unit.indices),
+            step.need,
+            preferred,
+            step.same_rack,
+            step.near_rack,
+            may_span=placement.exceeds_every_rack(len(unit.indices), step.need, candidates),
+        )
+        if chosen is not None:
+            return chosen
+    return None
+
+
 def compute_locality_wait_s(context: units.PassContext, unit: units.Unit) -> float:
     """Returns for how long a task may still only run in the rack of its data, or 0 if it need not.
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -8,11 +8,13 @@
 import enum
 
 from lycheegate.jobs import headroom, model
+from lycheegate.jobs.durations import factors
 
 __all__ = [
     "CountedCrash",
     "MAX_BATCH_JOBS",
     "EndSource",
+    "Evacuations",
     "IdleJob",
     "IdleJobs",
     "InheritedLeases",
@@ -61,6 +63,8 @@
         handover_s: How long after its last renewal of the term the previous scheduler may have
             renewed leases of runs.
         max_row_bytes: Maximum size of a row in the store.
+        max_operator_view_age_s: Age of the last confirmation of the operators' requests from which
+            nothing is started, or None where data centres are not evacuated.
     """
 
     lease_s: float = 5.0
@@ -75,6 +79,7 @@
     retention_s: float = 150.0
     handover_s: float = 8.0
     max_row_bytes: int = 49_152
+    max_operator_view_age_s: float | None = None
 
 
 class RunPhase(enum.IntEnum):
@@ -343,6 +348,8 @@
         suspected_until_s: Time until which it is suspected to fail what it runs.
         unreachable_until_s: Time until which it gets no work because orders were not answered.
         is_replaced: Whether another worker was found at its endpoint.
+        cold_until_s: Time until which it is slow because it has started recently.
+        registered_cold_s: For how long it stays slow according to its last registration.
         trials: Tasks that run on it although other workers have crashed soon after their start.
             Until they have survived, no other work is placed beside them.
     """
@@ -385,6 +392,8 @@
     suspected_until_s: float = 0.0
     unreachable_until_s: float = 0.0
     is_replaced: bool = False
+    cold_until_s: float = 0.0
+    registered_cold_s: float = 0.0
     trials: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
     @property
@@ -493,6 +502,20 @@
     others_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuations:
+    """Data centres to whose workers nothing may be sent, as the operators request it.
+
+    Attributes:
+        data_centres: Names of the data centres.
+        confirmed_at_s: When the store last confirmed that there are no others, or None if these
+            requests are not followed.
+    """
+
+    data_centres: frozenset[str] = frozenset()
+    confirmed_at_s: float | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class SchedulerState:
     """Everything that the decisions of one scheduler term depend on.
@@ -520,6 +543,9 @@
         counted_crashes: Crashes with full weight that were counted lately.
         unknown_cancellations: Cancellations of jobs that are not known, by job.
         idle_jobs: Jobs that have nothing running; affects the log only.
+        evacuations: The operators' requests to evacuate data centres.
+        durations: Learned durations of work and speeds of workers.
+        unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
     epoch: int
@@ -543,6 +569,9 @@
     counted_crashes: list[CountedCrash] = dataclasses.field(default_factory=list)
     unknown_cancellations: dict[str, UnknownCancellation] = dataclasses.field(default_factory=dict)
     idle_jobs: IdleJobs = dataclasses.field(default_factory=IdleJobs)
+    evacuations: Evacuations = Evacuations()
+    durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
+    unconfirmed_since_s: float | None = -1.0
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -125,6 +125,17 @@
     return {"label": "b", "service": "render", "unusable": 0}
 
 
+def _make_evacuated(current: state.SchedulerState) -> None:
+    _add_job(current)
+    current.evacuations = state.Evacuations(frozenset({"z"}), _NOW_S)
+
+
+def _make_unconfirmed(current: state.SchedulerState) -> None:
+    _add_job(current)
+    current.policy = state.Policy(max_operator_view_age_s=3.5)
+    current.evacuations = state.Evacuations(frozenset(), _NOW_S - 4.0)
+
+
 def _make_draining(current: state.SchedulerState) -> dict:
     _add_job(current, step=dataclasses.replace(_STEP, label="a"))
     for worker in current.workers.values():
@@ -203,6 +214,8 @@
     "held back": (_REASON.INTENTION_NOT_STORED, _make_held_back),
     "backoff": (_REASON.BACKOFF, _make_backoff),
     "reservation": (_REASON.RESERVATION, _make_reservation),
+    "evacuated": (_REASON.EVACUATED, _make_evacuated),
+    "unconfirmed": (_REASON.EVACUATED, _make_unconfirmed),
     "label": (_REASON.NO_USABLE_WORKER, _make_label),
     "draining": (_REASON.NO_USABLE_WORKER, _make_draining),
     "trial": (_REASON.TRIAL, _make_trial),
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -13,6 +13,7 @@
 
 from lycheegate.jobs import (
     commands,
+    data_centres,
     headroom,
     leases,
     lifecycle,
@@ -58,6 +59,9 @@
     """Nothing of the step starts for a while after a failed or refused run."""
     RESERVATION = "reservation"
     """Room is reserved for the task, and runs still use it."""
+    EVACUATED = "evacuated"
+    """All workers that could run the task are in data centres that are being evacuated, or it is
+    not known whether they are."""
     NO_USABLE_WORKER = "no_usable_worker"
     """No worker of the service that has the label may get work."""
     TRIAL = "trial"
@@ -398,6 +402,8 @@
     """Returns why a unit has no place, from the same decisions as in a scheduling pass."""
     context = check.get_context()
     step = unit.step.step
+    if not data_centres.is_view_confirmed(check.current, check.now_s):
+        return Reason.EVACUATED, {"confirmed": False}
     candidates = units.list_candidates(context, unit)
     if not candidates:
         return _explain_missing_workers(context, unit)
@@ -428,6 +434,8 @@
     if any(context.workers.is_usable(worker.worker_id) for worker in suitable):
         return Reason.TRIAL, {}
     fields = {"service": unit.service, "label": label, "unusable": len(suitable)}
+    if suitable and all(data_centres.is_evacuated(context.current, w) for w in suitable):
+        return Reason.EVACUATED, fields
     return Reason.NO_USABLE_WORKER, fields
 
 
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -31,6 +31,7 @@
         draining: Whether it is leaving and gets no new work.
         remaining_s: Minimum time until it leaves, in seconds, or None if it did not announce one.
         born_ms: Start of its incarnation in milliseconds since 1970, or 0 if not reported.
+        cold_s: For how long it stays slow after its start, in seconds.
     """
 
     worker_id: str
@@ -43,6 +44,7 @@
     draining: bool
     born_ms: int
     remaining_s: float | None = None
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,9 +188,11 @@
     used = worker.capacity - worker.room
     worker.draining = registration.draining
     _update_leave_time(worker, registration.remaining_s, now_s)
+    _update_cold_time(worker, registration.cold_s, now_s)
     worker.registered = True
     worker.service = registration.service
     worker.address = registration.address
+    worker.data_centre = registration.data_centre
     worker.rack = registration.rack
     worker.labels = registration.labels
     worker.capacity = registration.capacity
@@ -218,6 +222,16 @@
     worker.registered_remaining_s = remaining_s
 
 
+def _update_cold_time(worker: state.WorkerState, cold_s: float, now_s: float) -> None:
+    """Updates the time until which a worker is slow; as for its departure, repetitions count not.
+
+    A worker that reports a shorter remaining time than is left is taken at its word.
+    """
+    if cold_s != worker.registered_cold_s:
+        worker.cold_until_s = now_s + cold_s if cold_s > 0.0 else 0.0
+    worker.registered_cold_s = cold_s
+
+
 def _add_worker(
     current: state.SchedulerState,
     registration: Registration,
@@ -242,6 +256,7 @@
     worker.leases_expire_at_s = leases.compute_inherited_end_s(current, worker.worker_id)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
     _update_leave_time(worker, registration.remaining_s, now_s)
+    _update_cold_time(worker, registration.cold_s, now_s)
     if existing is not None:
         worker.runs = existing.runs
     else:
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -41,12 +41,14 @@
 
     Attributes:
         configuration: Configuration in force, or None if none has been read.
-        confirmed_at_s: When the configuration was last confirmed to be the newest.
+        evacuated: Data centres that the operators evacuate.
+        confirmed_at_s: When configuration and evacuations were last confirmed to be the newest.
         term: View of the scheduler's term.
         drain_ends_s: Time by which all calls must be answered, or None unless draining.
     """
 
     configuration: model.Configuration | None = None
+    evacuated: frozenset[str] = frozenset()
     confirmed_at_s: float = 0.0
     term: terms.TermView = dataclasses.field(default_factory=terms.TermView)
     drain_ends_s: float | None = None
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -174,9 +174,9 @@
                 self._client.call_later,
                 configurations.TABLE,
                 ("",),
-                self._apply_configuration_rows,
+                self._apply_operator_rows,
                 self._make_error_logger(configurations.TABLE),
-                on_answer=self._confirm_configuration,
+                on_answer=self._confirm_operator_view,
                 now_s=read_boottime_s,
             ),
             feeds.TableFeed(
@@ -243,9 +243,15 @@
 
         return log
 
-    def _apply_configuration_rows(
+    def _apply_operator_rows(
         self, rows: tuple[storage.Row, ...], is_full_table: bool, _: int
     ) -> None:
+        """Applies rows that operators have written: the configuration, and evacuations."""
+        before = frozenset() if is_full_table else self._view.evacuated
+        self._view.evacuated = configurations.apply_evacuation_rows(before, rows)
+        self._apply_configuration_rows(rows)
+
+    def _apply_configuration_rows(self, rows: tuple[storage.Row, ...]) -> None:
         for row in rows:
             if row.key.key != configurations.KEY or row.deleted:
                 continue
@@ -264,10 +270,15 @@
     def _locate_answer(self, sent_at_s: float, clock_ms: int) -> float:
         return store_clock.locate_answer(self._store_clock, sent_at_s, clock_ms, read_boottime_s())
 
-    def _confirm_configuration(self, sent_at_s: float, clock_ms: int) -> None:
-        """Records that the configuration was the newest when the store answered."""
+    def _confirm_operator_view(self, sent_at_s: float, clock_ms: int) -> None:
+        """Records that the operators' rows were the newest when the store answered."""
         answered_at_s = self._locate_answer(sent_at_s, clock_ms)
         self._view.confirmed_at_s = max(self._view.confirmed_at_s, answered_at_s)
+        if self._scheduler is not None:
+            self._scheduler.set_evacuations(self._make_evacuations())
+
+    def _make_evacuations(self) -> state.Evacuations:
+        return state.Evacuations(self._view.evacuated, self._view.confirmed_at_s)
 
     def _apply_term_rows(
         self, rows: tuple[storage.Row, ...], is_full_table: bool, clock_ms: int
@@ -357,6 +368,7 @@
             holder_version,
             claimed_at_s,
             self._view.configuration,
+            self._make_evacuations(),
             terms.list_suspects(self._view.term, read_boottime_s()),
             inherited_leases,
             self._handle_term_end,
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -9,7 +9,17 @@
 
 from returns import result
 
-from lycheegate.jobs import commands, crashes, leases, model, runs, state, strays, workers
+from lycheegate.jobs import (
+    commands,
+    crashes,
+    data_centres,
+    leases,
+    model,
+    runs,
+    state,
+    strays,
+    workers,
+)
 from lycheegate.metrics import jsonlog
 from lycheegate.platform import workers as worker_calls
 from lycheegate.utils import exceptions
@@ -339,6 +349,13 @@
         if worker is not None and runs.exceeds_capacity(worker, run):
             self._withdraw_start(order, run, is_repeated, "worker_shrunk")
             return
+        reason = self._find_evacuation_reason(worker, now_s)
+        if reason:
+            # A start order without an answer is not repeated either. If the run has started, a
+            # report lists it and it goes on; otherwise it is stopped as unanswered.
+            if not is_repeated:
+                self.record_refusal(order, reason)
+            return
         deadline_ms = worker and leases.compute_deadline_ms(self._state, worker, now_s)
         if worker is None or not deadline_ms:
             self._withdraw_start(order, run, is_repeated, "worker_unknown")
@@ -353,6 +370,14 @@
             lambda outcome: self._handle_start_result(order, address, outcome),
         )
 
+    def _find_evacuation_reason(self, worker: state.WorkerState | None, now_s: float) -> str:
+        """Returns why a worker gets no orders as its data centre is, or may be, evacuated."""
+        if worker is not None and data_centres.is_evacuated(self._state, worker):
+            return "data_centre_evacuated"
+        if not data_centres.is_view_confirmed(self._state, now_s):
+            return "evacuations_unconfirmed"
+        return ""
+
     def _withdraw_start(
         self, order: commands.StartRun, run: state.Run, may_have_started: bool, reason: str
     ) -> None:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -9,6 +9,7 @@
 
 from lycheegate.jobs import (
     commands,
+    data_centres,
     evacuation,
     leases,
     lifecycle,
@@ -82,6 +83,7 @@
         holder_version: Version of the holder's row.
         claimed_at_s: When the claim was sent. Its answer may be processed much later.
         configuration: Configuration in force, or None.
+        evacuations: Data centres that are being evacuated.
         suspects: For how many seconds from now on the last scheduler suspected each worker.
         inherited_leases: Ends of leases that earlier schedulers have granted.
         on_ended: Called once, with the reason, when the term is lost or released.
@@ -95,6 +97,7 @@
         holder_version: int,
         claimed_at_s: float,
         configuration: model.Configuration | None,
+        evacuations: state.Evacuations,
         suspects: dict[str, float],
         inherited_leases: state.InheritedLeases,
         on_ended: Callable[[str], None],
@@ -104,6 +107,7 @@
         self._on_ended = on_ended
         self._state = state.SchedulerState(holder.epoch, policy, runtime.now_s())
         self._state.configuration = configuration
+        self._state.evacuations = evacuations
         self._state.inherited_suspects = {
             worker_id: self._state.began_at_s + duration_s
             for worker_id, duration_s in suspects.items()
@@ -226,6 +230,12 @@
         self._state.schedule_due = True
         self._request_pass()
 
+    def set_evacuations(self, evacuations: state.Evacuations) -> None:
+        """Applies the data centres to evacuate, or confirms those that are known."""
+        now_s = self._runtime.now_s()
+        self._execute(data_centres.apply_evacuations(self._state, evacuations, now_s))
+        self._request_pass(self._state.schedule_due)
+
     def _is_stopped(self) -> bool:
         return self._stopped
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -23,6 +23,8 @@
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
         self.fleet = fake_workers.Fleet(self.loop, self.faults, self.generator)
         self.fleet.on_returned = self._register_returned
+        self.evacuated: frozenset[str] = frozenset()
+        """Data centres that are being evacuated."""
         self.policy = state.Policy()
         """Limits of the schedulers that claim a term from now on."""
         self.returns_under_new_ids = False
@@ -158,6 +160,7 @@
             version,
             self.loop.now_s if claimed_at_s is None else claimed_at_s,
             self.configuration,
+            state.Evacuations(self.evacuated, self.loop.now_s),
             terms.list_suspects(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
             lambda reason: None,
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -1,15 +1,20 @@
 """Configuration document written by the platform's operators."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from lycheegate.jobs import model, validation
+from lycheegate.node import storage
 from lycheegate.platform import foreign
 from lycheegate.utils import exceptions
 
-__all__ = ["KEY", "TABLE", "decode_configuration"]
+__all__ = ["KEY", "TABLE", "apply_evacuation_rows", "decode_configuration"]
 
 TABLE = "op"
 KEY = "config"
+_EVACUATION_PREFIX = "evacuate/"
+"""Prefix of the keys of rows that request the evacuation of a data centre."""
 DEFAULT_MAX_BODY_BYTES = 262144
 
 
@@ -79,6 +84,23 @@
     )
 
 
+def apply_evacuation_rows(evacuated: frozenset[str], rows: Iterable[storage.Row]) -> frozenset[str]:
+    """Returns the data centres to evacuate after rows of the operators' table have changed.
+
+    The key of a row names the data centre; its content has no meaning and is not read.
+    """
+    result = set(evacuated)
+    for row in rows:
+        if not row.key.key.startswith(_EVACUATION_PREFIX):
+            continue
+        data_centre = row.key.key.removeprefix(_EVACUATION_PREFIX)
+        if row.deleted:
+            result.discard(data_centre)
+        else:
+            result.add(data_centre)
+    return frozenset(result)
+
+
 def _make_route(route: _Route) -> model.Route:
     return model.Route(
         name=route.name,
--- a/lycheegate/platform/settings.py
+++ b/lycheegate/platform/settings.py
@@ -14,6 +14,10 @@
 MS_PER_S = 1000.0
 MIN_LEASE_S = 1.0
 MIN_ROW_BYTES = 1024
+START_MARGIN_S = 1.5
+"""Part of the time limit for an evacuation in which an order that is sent reaches its worker."""
+MIN_OPERATOR_VIEW_AGE_S = 1.5
+"""Lower bound of that age: the store confirms the operators' requests about once a second."""
 LEASE_MARGIN_S = 1.0
 """Difference between the longest lease that workers grant and the lease that is requested.
 
@@ -168,9 +172,16 @@
         # Ended jobs are kept 30 s longer than callers may query their status.
         max_row_bytes=_read_row_bytes(reader),
         retention_s=reader.read_number("bounds.status_s", 120.0) + 30.0,
+        max_operator_view_age_s=_read_operator_view_age_s(reader),
     )
 
 
+def _read_operator_view_age_s(reader: _FieldReader) -> float | None:
+    """Returns the age limit of the operators' requests, or None if there are no evacuations."""
+    limit_s = reader.read_number("bounds.evacuate-ms", 0.0) / MS_PER_S
+    return max(MIN_OPERATOR_VIEW_AGE_S, limit_s - START_MARGIN_S) if limit_s else None
+
+
 def _read_row_bytes(reader: _FieldReader) -> int:
     """Returns the maximum size of a row, such that its text in Base64 does not exceed the limit."""
     limit_bytes = reader.read_number("platform.row-bytes", 65536.0)
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -45,6 +45,8 @@
 }
 MAX_CAPACITY = 10**9
 """Largest amount of a resource that a worker may register: a million cores, or a petabyte."""
+MAX_COLD_S = 600.0
+"""Longest time for which a worker is taken to be slow after its start."""
 ORDER_TIMEOUT_S = 0.5
 REPORT_GRACE_S = 0.8
 """Timeout of a report request beyond its wait time."""
@@ -165,6 +167,7 @@
         draining=entry.state == "draining",
         born_ms=entry.born,
         remaining_s=None if entry.remaining_ms is None else max(0, entry.remaining_ms) / 1000.0,
+        cold_s=min(MAX_COLD_S, max(0.0, entry.cold_left_ms / 1000.0)),
     )
 
 
