Refuse jobs that cannot end in time, as the holder's load shows

Cause: all submissions are accepted and queued, also when they can only end too late to count.

Change: the holder publishes its load as terms/load; the VM that takes a submission refuses by it, and stores a mark so that no earlier call for the job can store it after the refusal.

--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -17,13 +17,16 @@
 from lycheegate.metrics import logs
 from lycheegate.settings import models
 
-__all__ = ["SEND_PROCESSING", "CallersServer"]
+__all__ = ["IS_CONNECTED", "SEND_PROCESSING", "CallersServer"]
 
 _log = logs.Log("lycheegate.entry.server")
 
 SEND_PROCESSING = "lycheegate.send_processing"
 """Key in the WSGI environment of a function that tells the caller that the answer is still being
 prepared. It returns whether the connection has taken that."""
+IS_CONNECTED = "lycheegate.is_connected"
+"""Key in the WSGI environment of a function that returns whether the caller has not closed its
+connection, as far as that is known."""
 _PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
 """Interim response, which HTTP clients skip."""
 REQUEST_READ_TIMEOUT_S = 10.0
@@ -120,8 +123,21 @@
             connection.reading_since_s = None
         environ["wsgi.input"] = _BodyReader(environ["wsgi.input"], connection)
         environ[SEND_PROCESSING] = self._send_processing
+        environ[IS_CONNECTED] = self._is_connected
         return environ
 
+    def _is_connected(self) -> bool:
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self.req.conn.socket.recv(1, flags))
+        except BlockingIOError:
+            return True
+        except ValueError:
+            # TLS connections cannot be read without taking the data.
+            return True
+        except OSError:
+            return False
+
     def _send_processing(self) -> bool:
         # HTTP/1.0 has no interim responses.
         if self.req.sent_headers or self.req.response_protocol != "HTTP/1.1":
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -82,6 +82,10 @@
         """Returns whether a worker may get new work in this pass."""
         return worker_id in self._by_worker
 
+    def list_rooms(self, service: str) -> list[tuple[str, model.Resources]]:
+        """Returns the rack and the free room of each usable worker of a service."""
+        return [(c.rack, c.room) for c in self._by_service.get(service, [])]
+
     def is_on_trial(self, worker_id: str) -> bool:
         """Returns whether a worker runs a task that may crash it, and should get no other work."""
         return worker_id in self._on_trial
--- a/lycheegate/metrics/exposition.py
+++ b/lycheegate/metrics/exposition.py
@@ -7,12 +7,25 @@
 __all__ = ["format_metrics"]
 
 
-def format_metrics(counts: Mapping[str, int], durations: histograms.Histograms) -> str:
-    """Returns event counts, and percentiles of queueing and completion times in seconds."""
+def format_metrics(
+    counts: Mapping[str, int],
+    durations: histograms.Histograms,
+    refusals: Mapping[tuple[str, str], int] | None = None,
+) -> str:
+    """Returns event counts, and percentiles of queueing and completion times in seconds.
+
+    Args:
+        counts: Number of events by name.
+        durations: Queueing and completion times.
+        refusals: Number of jobs refused because of overload, by client account and queue.
+    """
     lines = [
         f'lycheegate_events_total{{event="{event}"}} {count}'
         for event, count in sorted(counts.items())
     ]
+    for (account, queue), count in sorted((refusals or {}).items()):
+        labels = f'client_account="{account}",queue="{queue}",reason="overload"'
+        lines.append(f"lycheegate_refused_total{{{labels}}} {count}")
     for model in histograms.decode(durations.encode()):
         labels = f'client_account="{model.client_account}",queue="{model.job_class}"'
         name = f"lycheegate_{model.kind}_seconds"
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -3,13 +3,17 @@
 import collections
 import dataclasses
 import functools
+import math
+import random
 import threading
+import uuid
 from collections.abc import Callable
 
 import werkzeug
 from returns import result
 
-from lycheegate.jobs import model, progress
+from lycheegate.entry import server
+from lycheegate.jobs import admission, model, progress
 from lycheegate.metrics import jsonlog
 from lycheegate.node import storage, tables, terms, waiting
 from lycheegate.platform import submissions
@@ -33,6 +37,13 @@
 """Lost answers of a read after which the holder of the term is asked instead."""
 MAX_CACHED_STATUSES = 4096
 HOLDER_TIMEOUT_S = 0.5
+REFUSAL_TIMEOUT_S = 0.7
+"""Time for the mark of a refusal to be stored; after it, the job is accepted instead."""
+MARK_MARGIN_S = 0.5
+"""Time by which a mark ends before its caller is to come again, because the VMs' estimates of the
+store's clock differ."""
+MAX_MARK_CONFLICTS = 3
+"""Number of times that a call meets a changed mark before it is refused."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +65,29 @@
     drain_ends_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Submission:
+    """One call that submits a job.
+
+    Attributes:
+        job: The job.
+        route: Its queue.
+        record: The job as it is stored.
+        call_id: Identifier of the call.
+        begun_at_s: When the VM began to read the call.
+        deadline_s: Time by which it is to be answered.
+        is_connected: Returns whether the caller has not closed its connection.
+    """
+
+    job: model.Job
+    route: model.Route
+    record: bytes
+    call_id: str
+    begun_at_s: float
+    deadline_s: float
+    is_connected: Callable[[], bool]
+
+
 class CallerApplication:
     """WSGI application that serves callers.
 
@@ -67,6 +101,10 @@
         notify: Notifies the scheduler of a row that has been written.
         query_holder: Returns the stored status of a job as the term's holder reports it, or None.
         max_row_bytes: Maximum size of a row in the store.
+        generator: Source of the times after which refused callers are to come again.
+
+    Attributes:
+        refusals: Number of jobs refused because of overload, by client account and queue.
     """
 
     def __init__(
@@ -80,6 +118,7 @@
         notify: Callable[[storage.Row], None],
         query_holder: Callable[[str, float], progress.JobStatus | None],
         max_row_bytes: int,
+        generator: random.Random | None = None,
     ):
         self._store = store
         self._view = view
@@ -90,6 +129,8 @@
         self._notify = notify
         self._query_holder = query_holder
         self._max_row_bytes = max_row_bytes
+        self._random = generator or random.Random()
+        self.refusals: collections.Counter[tuple[str, str]] = collections.Counter()
         self._ended_statuses: collections.OrderedDict[str, progress.JobStatus] = (
             collections.OrderedDict()
         )
@@ -112,7 +153,8 @@
 
     def _answer(self, request: werkzeug.Request) -> werkzeug.Response:
         configuration = self._view.configuration
-        age_s = self._now_s() - self._view.confirmed_at_s
+        begun_at_s = self._now_s()
+        age_s = begun_at_s - self._view.confirmed_at_s
         if configuration is None or age_s > self._max_configuration_age_s:
             return self._respond_unavailable(
                 "configuration_not_confirmed", request.path, age_s=round(age_s, 2)
@@ -128,7 +170,7 @@
         if not account and not route.is_public:
             return werkzeug.Response(status=401)
         job_id = request.path.removeprefix(route.path_prefix).strip("/")
-        return self._dispatch(request, configuration, route, account, job_id)
+        return self._dispatch(request, configuration, route, account, job_id, begun_at_s)
 
     def _dispatch(
         self,
@@ -137,6 +179,7 @@
         route: model.Route,
         account: str,
         job_id: str,
+        begun_at_s: float,
     ) -> werkzeug.Response:
         if not job_id:
             return self._get_pending_count(request, route)
@@ -150,7 +193,8 @@
                 return werkzeug.Response(status=413)
             # The input stream ends only with the connection, so the body is read by its length.
             body = request.environ["wsgi.input"].read(request.content_length or 0)
-            return self._submit(body, job_id, route, account, deadline_s)
+            is_connected = request.environ.get(server.IS_CONNECTED, _assume_connected)
+            return self._submit(body, job_id, route, account, begun_at_s, deadline_s, is_connected)
         if request.method == "DELETE":
             return self._cancel(job_id, deadline_s)
         if request.method in ("GET", "HEAD"):
@@ -166,7 +210,14 @@
         return max(0.1, min(limit_s, 60.0) - RESPONSE_MARGIN_S)
 
     def _submit(
-        self, body: bytes, job_id: str, route: model.Route, account: str, deadline_s: float
+        self,
+        body: bytes,
+        job_id: str,
+        route: model.Route,
+        account: str,
+        begun_at_s: float,
+        deadline_s: float,
+        is_connected: Callable[[], bool],
     ) -> werkzeug.Response:
         try:
             job = submissions.decode_job(body, job_id, route.name, account, self._wall_s())
@@ -181,38 +232,145 @@
             )
             self._log.write("job_invalid", job=job_id, error=text)
             return werkzeug.Response(text, status=413)
-        job_key = tables.get_job_key(job_id)
-        # The job may have been cancelled at another VM while this call was on its way.
-        cancel_key = tables.get_cancel_key(job_id)
+        call_id = uuid.uuid4().hex[:12]
+        submission = _Submission(job, route, record, call_id, begun_at_s, deadline_s, is_connected)
+        return self._refuse_under_overload(submission) or self._accept(submission)
+
+    def _refuse_under_overload(self, submission: _Submission) -> werkzeug.Response | None:
+        """Refuses a job that cannot end in time, or returns None if it is to be accepted.
+
+        The refusal is stored as a mark on the condition that the job is not, so that no earlier
+        call for the job whose answer was lost can store it after this answer. If the mark cannot be
+        stored, the job is accepted.
+        """
+        job, route, now_s = submission.job, submission.route, self._now_s()
+        load, age_s = terms.find_load(self._view.term, now_s)
+        account = self._view.configuration.accounts.get(job.account)
+        decision = admission.decide(load, age_s, job, route, account, self._random.random)
+        clock_ms = terms.estimate_clock_ms(self._view.term, now_s)
+        if isinstance(decision, admission.Accept) or not clock_ms:
+            return None
+        held_s = decision.retry_after_s - MARK_MARGIN_S
+        mark = tables.RefusalMark(clock_ms + int(1000.0 * held_s), submission.call_id)
         transaction = storage.Transaction(
             conditions=(
-                storage.Condition(job_key, storage.ABSENT),
-                storage.Condition(cancel_key, storage.ABSENT),
+                storage.Condition(tables.get_job_key(job.job_id), storage.ABSENT),
+                storage.Condition(tables.get_cancel_key(job.job_id), storage.ABSENT),
+            ),
+            writes=(
+                storage.Write(tables.get_refusal_key(job.job_id), tables.encode_refusal_mark(mark)),
             ),
-            writes=(storage.Write(job_key, record),),
         )
-        outcome = self._transact(transaction, deadline_s)
-        if isinstance(outcome, result.Success):
-            self._notify(storage.Row(job_key, record, outcome.unwrap()))
-            self._log.write(
-                "job_accepted",
-                job=job_id,
-                route=route.name,
-                account=account,
-                tasks=sum(step.count for step in job.steps),
-                timed=job.is_timed,
-                version=outcome.unwrap(),
+        deadline_s = min(submission.deadline_s, now_s + REFUSAL_TIMEOUT_S)
+        if not isinstance(self._transact(transaction, deadline_s), result.Success):
+            return None
+        figures = {
+            "wait_s": round(decision.wait_s, 1),
+            "limit_s": round(decision.limit_s, 1),
+            "load_age_s": round(age_s, 2),
+        }
+        return self._respond_overload(submission, decision.retry_after_s, **figures)
+
+    def _accept(self, submission: _Submission) -> werkzeug.Response:
+        """Stores a job, unless it was cancelled or refused before."""
+        job, mark_version = submission.job, storage.ABSENT
+        job_key = tables.get_job_key(job.job_id)
+        # The job may have been cancelled at another VM while this call was on its way.
+        cancel_key = tables.get_cancel_key(job.job_id)
+        refusal_key = tables.get_refusal_key(job.job_id)
+        for _ in range(MAX_MARK_CONFLICTS):
+            transaction = storage.Transaction(
+                conditions=(
+                    storage.Condition(job_key, storage.ABSENT),
+                    storage.Condition(cancel_key, storage.ABSENT),
+                    storage.Condition(refusal_key, mark_version),
+                ),
+                writes=(storage.Write(job_key, submission.record),),
+                deletes=(refusal_key,) if mark_version else (),
             )
-            return _make_json(b"{}")
-        error = outcome.failure()
-        if isinstance(error, storage.ConflictError):
-            if error.rows and all(row.key == cancel_key for row in error.rows):
-                self._log.write("job_cancelled_before", job=job_id)
+            outcome = self._transact(transaction, submission.deadline_s)
+            if isinstance(outcome, result.Success):
+                return self._respond_accepted(submission, outcome.unwrap())
+            error = outcome.failure()
+            if not isinstance(error, storage.ConflictError):
+                return self._respond_store_error(error, "submit", job.job_id)
+            found = {row.key: row for row in error.rows}
+            if job_key in found:
+                # An earlier answer was lost, or the call was repeated.
+                self._log.write("job_repeated", job=job.job_id)
+                return _make_json(b"{}")
+            if cancel_key in found:
+                self._log.write("job_cancelled_before", job=job.job_id)
                 return werkzeug.Response("the job was cancelled before", status=410)
-            # The job already exists: an earlier answer was lost, or the call was repeated.
+            mark = found.get(refusal_key)
+            if mark is None and not mark_version:
+                return self._respond_to_unknown_conflict(submission)
+            remaining_s = self._compute_marked_s(submission, mark) if mark is not None else 0.0
+            if remaining_s > 0.0:
+                return self._respond_overload(submission, math.ceil(remaining_s), repeated=True)
+            mark_version = mark.version if mark is not None else storage.ABSENT
+        return self._respond_overload(submission, RETRY_AFTER_S, repeated=True)
+
+    def _respond_accepted(self, submission: _Submission, version: int) -> werkzeug.Response:
+        job = submission.job
+        self._notify(storage.Row(tables.get_job_key(job.job_id), submission.record, version))
+        self._log.write(
+            "job_accepted",
+            job=job.job_id,
+            route=submission.route.name,
+            account=job.account,
+            tasks=sum(step.count for step in job.steps),
+            timed=job.is_timed,
+            version=version,
+        )
+        return _make_json(b"{}")
+
+    def _respond_to_unknown_conflict(self, submission: _Submission) -> werkzeug.Response:
+        """Responds to a call when the store does not tell what its transaction conflicts with."""
+        job_id = submission.job.job_id
+        outcome = self._read_row(tables.get_job_key(job_id), submission.deadline_s)
+        if isinstance(outcome, result.Success) and outcome.unwrap() is not None:
             self._log.write("job_repeated", job=job_id)
             return _make_json(b"{}")
-        return self._respond_store_error(error, "submit", job_id)
+        self._log.write("outcome_unknown", call="submit", job=job_id, error="unknown conflict")
+        return werkzeug.Response(status=504)
+
+    def _compute_marked_s(self, submission: _Submission, row: storage.Row) -> float:
+        """Returns for how long the mark of a refusal still holds for a call, or 0.
+
+        Calls that a VM began to read before the caller was to come again may be older than the
+        refusal, as well as those whose caller has closed its connection. A call may remove its own
+        mark, as it has not been answered.
+        """
+        try:
+            mark = tables.decode_refusal_mark(row.value)
+        except exceptions.ProtocolError as error:
+            self._log.write("refusal_unreadable", job=submission.job.job_id, error=str(error))
+            return 0.0
+        if mark.call_id == submission.call_id:
+            return 0.0
+        begun_ms = terms.estimate_clock_ms(self._view.term, submission.begun_at_s)
+        remaining_s = (mark.not_before_ms - begun_ms) / 1000.0
+        if not begun_ms or (remaining_s <= 0.0 and not submission.is_connected()):
+            return RETRY_AFTER_S
+        # A longer time than any refusal names shows that the store's clock was set back.
+        return max(0.0, remaining_s) if remaining_s <= admission.MAX_RETRY_AFTER_S else 0.0
+
+    def _respond_overload(
+        self, submission: _Submission, retry_after_s: int, **figures
+    ) -> werkzeug.Response:
+        job = submission.job
+        with self._lock:
+            self.refusals[job.account, submission.route.name] += 1
+        return self._respond_unavailable(
+            "overload",
+            job.job_id,
+            max(RETRY_AFTER_S, retry_after_s),
+            account=job.account,
+            route=submission.route.name,
+            priority=submission.route.priority,
+            **figures,
+        )
 
     def _cancel(self, job_id: str, deadline_s: float) -> werkzeug.Response:
         outcome = self._read_status(job_id, deadline_s)
@@ -366,12 +524,19 @@
             return werkzeug.Response(status=504)
         return self._respond_unavailable("store_unavailable", job_id, call=call, error=str(error))
 
-    def _respond_unavailable(self, reason: str, subject: str, **fields) -> werkzeug.Response:
+    def _respond_unavailable(
+        self, reason: str, subject: str, retry_after_s: int = RETRY_AFTER_S, **fields
+    ) -> werkzeug.Response:
+        fields["retry_after_s"] = retry_after_s
         self._log.write("refused", reason=reason, subject=subject, **fields)
         response = werkzeug.Response(status=503)
-        response.headers["Retry-After"] = str(RETRY_AFTER_S)
+        response.headers["Retry-After"] = str(retry_after_s)
         return response
 
 
+def _assume_connected() -> bool:
+    return True
+
+
 def _make_json(body: bytes) -> werkzeug.Response:
     return werkzeug.Response(body, mimetype="application/json")
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -111,7 +111,7 @@
         self._claiming = False
         self._stopped = threading.Event()
         self._claim_draw = self._random.random()
-        application = callers.CallerApplication(
+        self._application = callers.CallerApplication(
             self._store,
             self._view,
             read_boottime_s,
@@ -124,7 +124,7 @@
         )
         self._caller_server = server.CallersServer(
             *settings.callers_address,
-            application,
+            self._application,
             models.LimitSettings(caller_threads=CALLER_THREADS),
         )
         self._readiness_server = server.CallersServer(
@@ -390,7 +390,9 @@
 
     def _answer_readiness(self, environ: dict, start_response):
         if environ.get("PATH_INFO") == METRICS_PATH:
-            text = exposition.format_metrics(self._log.counts, self._histograms)
+            text = exposition.format_metrics(
+                self._log.counts, self._histograms, self._application.refusals.copy()
+            )
             return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
         age_s = read_boottime_s() - self._view.confirmed_at_s
         is_ready = (
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -28,6 +28,7 @@
     job_rows,
     passes,
     recovery,
+    refusals,
     registry,
     storage,
     tables,
@@ -121,12 +122,16 @@
         self._passed_at_s = 0.0
         self._registry = registry.WorkerRegistry(self._log_odd_registration)
         self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
+        self._refusal_sweeper = refusals.RefusalSweeper(
+            runtime.store, runtime.store_clock_ms, policy.retention_s, runtime.log
+        )
         self._writer = term_writer.TermWriter(
             runtime.store,
             self._state,
             term_rows.TermRows(
                 self._state,
                 runtime.now_s,
+                runtime.wall_s,
                 runtime.store_clock_ms,
                 runtime.latest_store_clock_ms,
                 runtime.log,
@@ -347,6 +352,7 @@
             if delay_s <= MAX_TICK_DELAY_S:
                 self._execute(leases.check_leases(self._state, now_s))
             self._job_rows.delete_expired(now_s)
+            self._refusal_sweeper.sweep(now_s)
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -21,33 +21,41 @@
     "HOLDER",
     "JOBS",
     "LEASES",
+    "LOAD",
     "MEMBERS",
     "PAGES",
     "PART",
     "PROGRESS",
+    "REFUSALS",
     "SUSPECTS",
     "TERMS",
     "Heartbeat",
     "Holder",
     "LeaseEnds",
     "PendingCounts",
+    "RefusalMark",
     "decode_counts",
     "decode_heartbeat",
     "decode_holder",
+    "decode_items",
     "decode_lease_ends",
+    "decode_refusal_mark",
     "decode_suspects",
     "encode_counts",
     "encode_heartbeat",
     "encode_holder",
     "encode_lease_ends",
+    "encode_refusal_mark",
     "encode_suspects",
     "get_cancel_key",
     "get_counts_key",
     "get_job_key",
     "get_page_key",
     "get_progress_key",
+    "get_refusal_key",
     "is_counts_key",
     "list_job_parts",
+    "list_refusal_parts",
     "make_claim_id",
     "split_job_key",
     "split_page_key",
@@ -73,6 +81,12 @@
 LEASES = storage.RowKey(TERMS, PART, "leases")
 """Row that tells the holder of the next term when leases of runs end. It belongs to the heartbeat
 that was written with it and counts no longer once there is a later one."""
+LOAD = storage.RowKey(TERMS, PART, "load")
+"""Row of the load of the services, by which VMs refuse jobs (`load_row`)."""
+REFUSALS = "refusals"
+"""Table of the marks of refused submissions. It has the parts of the table of jobs, so that one
+transaction can change both."""
+_REFUSAL_LAYOUT = 1
 MAX_COUNT_ROWS = 6
 """Number of further rows of counts of waiting jobs. They fit into one call with a batch of
 progress."""
@@ -146,6 +160,19 @@
     pending: dict[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalMark:
+    """Mark of a refused submission, which keeps earlier calls for the job from storing it.
+
+    Attributes:
+        not_before_ms: Time on the store's clock from which a call for the job may remove the mark.
+        call_id: Identifier of the refused call.
+    """
+
+    not_before_ms: int
+    call_id: str
+
+
 def make_claim_id(vm: str) -> str:
     """Returns a new identifier for a claim by a VM."""
     return f"{vm}/{uuid.uuid4().hex[:12]}"
@@ -171,6 +198,16 @@
     return storage.RowKey(JOBS, _get_job_part(job_id), job_id + _CANCEL_SUFFIX)
 
 
+def get_refusal_key(job_id: str) -> storage.RowKey:
+    """Returns the address of the row that marks a submission of a job as refused."""
+    return storage.RowKey(REFUSALS, _get_job_part(job_id), job_id)
+
+
+def list_refusal_parts() -> list[str]:
+    """Returns the parts of the table of refusals."""
+    return [part for _, part in list_job_parts()]
+
+
 def get_progress_key(job_id: str) -> storage.RowKey:
     """Returns the address of the row of a job's progress."""
     return storage.RowKey(PROGRESS, PART, job_id)
@@ -214,7 +251,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    epoch, claim_id = _decode_items(data, (int, str))
+    epoch, claim_id = decode_items(data, (int, str))
     return Holder(epoch, claim_id)
 
 
@@ -231,7 +268,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    heartbeat = Heartbeat(*_decode_items(data, (int, bool, dict, int)))
+    heartbeat = Heartbeat(*decode_items(data, (int, bool, dict, int)))
     _check_numbers(heartbeat.pending, "queue and number of jobs")
     return heartbeat
 
@@ -247,7 +284,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    counts = PendingCounts(*_decode_items(data, (int, dict)))
+    counts = PendingCounts(*decode_items(data, (int, dict)))
     _check_numbers(counts.pending, "queue and number of jobs")
     return counts
 
@@ -267,7 +304,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    (suspects,) = _decode_items(data, (dict,))
+    (suspects,) = decode_items(data, (dict,))
     _check_numbers(suspects, "worker and time of a suspicion")
     return suspects
 
@@ -285,7 +322,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    lease_ends = LeaseEnds(*_decode_items(data, (int, int, dict, int)))
+    lease_ends = LeaseEnds(*decode_items(data, (int, int, dict, int)))
     _check_numbers(lease_ends.workers, "worker and end of its leases")
     return lease_ends
 
@@ -300,7 +337,29 @@
     return numbers.is_whole(item) if type_ is int else isinstance(item, type_)
 
 
-def _decode_items(data: bytes, types: tuple[type, ...]) -> list:
+def encode_refusal_mark(mark: RefusalMark) -> bytes:
+    """Returns the content of the row of a refused submission."""
+    return cbor2.dumps([_REFUSAL_LAYOUT, mark.not_before_ms, mark.call_id])
+
+
+def decode_refusal_mark(data: bytes) -> RefusalMark:
+    """Returns the mark that the row of a refused submission holds.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
+    layout, *fields = decode_items(data, (int, int, str))
+    if layout != _REFUSAL_LAYOUT:
+        raise exceptions.ProtocolError(f"expected layout {_REFUSAL_LAYOUT}, got {layout}")
+    return RefusalMark(*fields)
+
+
+def decode_items(data: bytes, types: tuple[type, ...]) -> list:
+    """Returns the items of a row, which must have the given types; whole numbers are at least 0.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
     try:
         items = cbor2.loads(data)
     except (cbor2.CBORDecodeError, ValueError, TypeError, RecursionError) as error:
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -2,22 +2,29 @@
 
 from collections.abc import Callable
 
-from lycheegate.jobs import health, leases, lifecycle, state
+from lycheegate.jobs import admission, health, leases, lifecycle, state
 from lycheegate.metrics import jsonlog
-from lycheegate.node import division, storage, tables
+from lycheegate.node import division, load_row, storage, tables
 
 __all__ = ["TermRows"]
 
 HEARTBEAT_BYTES = 16_000
 """Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
+LOAD_INTERVAL_S = 1.0
+"""Minimum time between two writes of the load."""
+MAX_UNCHANGED_LOAD_S = 1.8
+"""Age from which an unchanged load is written again while work waits, before VMs ignore it."""
 
 
 class TermRows:
-    """Heartbeat, counts of waiting jobs, suspected workers, and ends of leases of one term.
+    """Heartbeat, and the rows that go with it, of one term.
+
+    These are counts of waiting jobs, suspected workers, ends of leases, and the load of services.
 
     Args:
         current: State of the scheduler.
         now_s: Clock that includes time spent suspended.
+        wall_s: Time of day, in seconds since 1970.
         store_clock_ms: The store's clock, as estimated from its last answer, or 0.
         latest_store_clock_ms: Latest time that the store's clock can show at a time, or 0.
         log: Log of decisions.
@@ -27,12 +34,14 @@
         self,
         current: state.SchedulerState,
         now_s: Callable[[], float],
+        wall_s: Callable[[], float],
         store_clock_ms: Callable[[], int],
         latest_store_clock_ms: Callable[[float], int],
         log: jsonlog.JsonLog,
     ):
         self._state = current
         self._now_s = now_s
+        self._wall_s = wall_s
         self._store_clock_ms = store_clock_ms
         self._latest_store_clock_ms = latest_store_clock_ms
         self._log = log
@@ -44,6 +53,9 @@
         """Workers whose ends of leases went with the last heartbeat that was sent."""
         self._may_list_workers = False
         """Whether the stored ends of leases may name any worker."""
+        self._written_load: admission.Load | None = None
+        self._load_written_at_s = 0.0
+        self._omitted_services = 0
 
     def make_writes(self, release: bool, is_loaded: bool) -> list[storage.Write]:
         """Returns the writes of the heartbeat and of what has changed beside it.
@@ -57,6 +69,7 @@
             *self._make_heartbeat_writes(release, clock_ms),
             *self._make_suspects_write(is_loaded),
             *self._make_leases_write(release, is_loaded, clock_ms),
+            *self._make_load_write(release, is_loaded, clock_ms),
         ]
 
     def handle_stored(self) -> None:
@@ -69,6 +82,7 @@
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
         self._written_counts = dict.fromkeys(self._written_counts)
+        self._written_load = None
 
     def _make_heartbeat_writes(self, release: bool, clock_ms: int) -> list[storage.Write]:
         """Returns the writes of the heartbeat and of the counts that have no room in it."""
@@ -126,3 +140,37 @@
         self._state.withholds_all_leases |= release
         row = tables.LeaseEnds(self._state.epoch, clock_ms, latest_ms, others_ms)
         return [storage.Write(tables.LEASES, tables.encode_lease_ends(row))]
+
+    def _make_load_write(
+        self, release: bool, is_loaded: bool, clock_ms: int
+    ) -> list[storage.Write]:
+        """Returns the write of the load if it has changed, or would become too old to count.
+
+        The load of a released term does not count, and one without waiting work refuses nothing
+        however old it is.
+        """
+        now_s = self._now_s()
+        age_s = now_s - self._load_written_at_s
+        if release or not is_loaded or not clock_ms or age_s < LOAD_INTERVAL_S:
+            return []
+        load, omitted = load_row.divide_load(
+            admission.summarise_load(self._state, now_s, self._wall_s())
+        )
+        if omitted != self._omitted_services:
+            self._omitted_services = omitted
+            self._log.write("load_omitted", services=omitted)
+        has_waiting_work = any(service.has_waiting_work for service in load.values())
+        is_needed = has_waiting_work or self._may_refuse()
+        is_current = load == self._written_load and age_s < MAX_UNCHANGED_LOAD_S
+        if not is_needed or is_current:
+            return []
+        self._written_load, self._load_written_at_s = load, now_s
+        row = load_row.LoadRow(self._state.epoch, clock_ms, load)
+        return [storage.Write(tables.LOAD, load_row.encode_load(row))]
+
+    def _may_refuse(self) -> bool:
+        """Returns whether the row that was last written holds waiting work, or may do so."""
+        written = self._written_load
+        if written is None:
+            return self._load_written_at_s > 0.0
+        return any(service.has_waiting_work for service in written.values())
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -16,8 +16,8 @@
 
 from returns import result
 
-from lycheegate.jobs import state
-from lycheegate.node import storage, tables
+from lycheegate.jobs import admission, state
+from lycheegate.node import load_row, storage, tables
 from lycheegate.utils import exceptions
 
 __all__ = [
@@ -35,6 +35,7 @@
     "estimate_clock_ms",
     "find_claimed_version",
     "find_lease_ends",
+    "find_load",
     "is_heartbeat_overdue",
     "list_suspects",
     "make_claim",
@@ -99,6 +100,10 @@
         suspects_version: Version of the row of suspected workers.
         lease_ends: When leases end according to the row that was last read, or None.
         lease_ends_version: Version of that row.
+        load: Load of the services as last published, or None.
+        load_version: Version of its row.
+        load_read_at_s: When that row was read.
+        is_load_unreadable: Whether that row cannot be decoded.
         changed_at_s: When a change of either version was last observed.
         read_at_s: When the store last answered.
         clock_ms: The store's clock in that answer, or 0 if not reported.
@@ -117,6 +122,10 @@
     suspects_version: int = storage.ABSENT
     lease_ends: tables.LeaseEnds | None = None
     lease_ends_version: int = storage.ABSENT
+    load: load_row.LoadRow | None = None
+    load_version: int = storage.ABSENT
+    load_read_at_s: float = 0.0
+    is_load_unreadable: bool = False
     changed_at_s: float = 0.0
     read_at_s: float = 0.0
     clock_ms: int = 0
@@ -173,10 +182,42 @@
     elif row.key == tables.LEASES and row.version > view.lease_ends_version:
         view.lease_ends = None if row.deleted else tables.decode_lease_ends(row.value)
         view.lease_ends_version = row.version
+    elif row.key == tables.LOAD and row.version > view.load_version:
+        _apply_load(view, row, now_s)
     elif tables.is_counts_key(row.key) and not row.deleted:
         view.more_counts[row.key.key] = tables.decode_counts(row.value)
 
 
+def _apply_load(view: TermView, row: storage.Row, now_s: float) -> None:
+    """Applies the row of the load; a holder of another build writes unreadable ones each second."""
+    view.load_version, view.load_read_at_s, view.load = row.version, now_s, None
+    if row.deleted:
+        return
+    was_unreadable, view.is_load_unreadable = view.is_load_unreadable, True
+    try:
+        view.load = load_row.decode_load(row.value)
+        view.is_load_unreadable = False
+    except exceptions.ProtocolError:
+        if not was_unreadable:
+            raise
+
+
+def find_load(view: TermView, now_s: float) -> tuple[admission.Load | None, float]:
+    """Returns the load that the holder has published, or None, and its age in seconds.
+
+    The load of an earlier holder does not count: that of the next one is known only once its
+    workers have reported.
+    """
+    row, heartbeat, term_holder = view.load, view.heartbeat, view.holder
+    if row is None or heartbeat is None or heartbeat.is_released or row.epoch != heartbeat.epoch:
+        return None, 0.0
+    if term_holder is not None and term_holder.epoch != row.epoch:
+        return None, 0.0
+    # The estimate of the store's clock is never later than that clock.
+    clock_age_s = (estimate_clock_ms(view, now_s) - row.sent_at_ms) / 1000.0
+    return row.load, max(clock_age_s, now_s - view.load_read_at_s)
+
+
 def count_pending(view: TermView, route: str) -> int:
     """Returns the number of jobs of a queue that have not started, as of the last heartbeat."""
     if view.heartbeat is None:
