--- a/lycheegate/entry/server.py
+++ b/lycheegate/entry/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import select
 import socket
 import sys
 import threading
@@ -127,16 +128,17 @@
         return environ
 
     def _is_connected(self) -> bool:
+        connection = self.req.conn.socket
         try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return bool(self.req.conn.socket.recv(1, flags))
-        except BlockingIOError:
-            return True
-        except ValueError:
-            # TLS connections cannot be read without taking the data.
-            return True
+            # A socket with a timeout waits for data even if the call asks it not to.
+            poll = select.poll()
+            poll.register(connection, select.POLLIN)
+            return not poll.poll(0) or bool(connection.recv(1, socket.MSG_PEEK))
         except OSError:
             return False
+        except ValueError:
+            # TLS connections cannot be read without taking the data.
+            return connection.fileno() >= 0
 
     def _send_processing(self) -> bool:
         # HTTP/1.0 has no interim responses.
--- a/lycheegate/entry/tests/test_server.py
+++ b/lycheegate/entry/tests/test_server.py
@@ -217,6 +217,31 @@
     assert received.endswith(b"\r\n\r\nok")
 
 
+@pytest.mark.parametrize("closes", [False, True])
+def test_connection_that_the_caller_has_closed(closes):
+    """Guards against a request of a caller that has gone counting as a current one."""
+    found = []
+    may_answer = threading.Event()
+
+    def process(environ, start_response):
+        assert may_answer.wait(20.0)
+        found.append(environ[server.IS_CONNECTED]())
+        return _echo(environ, start_response)
+
+    running = server.CallersServer("127.0.0.1", 0, process, models.LimitSettings())
+    port = running.start()
+    try:
+        with socket.create_connection(("127.0.0.1", port), 20.0) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            if closes:
+                sock.shutdown(socket.SHUT_WR)
+            may_answer.set()
+            assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+    finally:
+        running.stop()
+    assert found == [not closes]
+
+
 def test_interim_response_to_a_caller_that_has_gone():
     """Guards against a thread that goes on working for a caller that has closed its connection."""
     stopped, gone = threading.Event(), threading.Event()
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lycheegate.jobs import admission, health, leases, lifecycle, state
+from lycheegate.jobs import admission, health, leases, lifecycle, load_summary, state
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, load_row, storage, tables
 
@@ -154,7 +154,7 @@
         if release or not is_loaded or not clock_ms or age_s < LOAD_INTERVAL_S:
             return []
         load, omitted = load_row.divide_load(
-            admission.summarise_load(self._state, now_s, self._wall_s())
+            load_summary.summarise_load(self._state, now_s, self._wall_s())
         )
         if omitted != self._omitted_services:
             self._omitted_services = omitted
