--- a/lycheegate/jobs/admission.py
+++ b/lycheegate/jobs/admission.py
@@ -74,7 +74,7 @@
 
     Attributes:
         priority: The priority.
-        running_core_s: Remaining work of its runs; an accelerator counts as 8 cores.
+        running_core_s: Half of the declared work of its runs; an accelerator counts as 8 cores.
         waiting_core_s: Work that could start at once if there were room.
         wait_s: Expected time until the waiting work ahead of a new job has started, for a job that
             goes after all work of its priority that is not late.
--- a/lycheegate/jobs/load_summary.py
+++ b/lycheegate/jobs/load_summary.py
@@ -43,7 +43,6 @@
         return {}
     workers = pool.WorkerPool(current, now_s, current.stalled)
     capacities = scheduling.measure_use(current, workers)
-    urgent_used = scheduling.sum_urgent_use(current, capacities)
     tallies: dict[str, _Tally] = {}
     for worker in current.workers.values():
         # Workers that are silent for a moment count: without them, waits would be too long.
@@ -59,7 +58,10 @@
         rooms = workers.list_rooms(service)
         capacity = capacities.get(service, headroom.ServiceCapacity())
         demand = current.urgent_demand.get(service, headroom.UrgentDemand())
-        used = urgent_used.get(service, 0.0)
+        used = sum(
+            count * headroom.compute_share(need, capacity.largest)
+            for need, count in tally.urgent_runs.items()
+        )
         capacity.headroom = headroom.compute_headroom(demand, used, capacity.total)
         result[service] = _make_service_load(tally, rooms, capacity)
     return result
@@ -72,17 +74,20 @@
     Attributes:
         total: Resources of its workers.
         running_core_s: Remaining work of runs by priority.
-        waiting_core_s: Waiting work by priority.
-        backlogs: Waiting work by priority, lateness and class of size.
-        demands: What each client account uses and could use now.
+        urgent_runs: Number of runs of urgent jobs by what each needs.
+        backlogs: Waiting work by priority, lateness, class of size, and need of its tasks, as the
+            sum of their declared durations.
+        demands: Number of running and ready tasks by client account and need.
         waiting_steps: Steps with tasks that could start at once, and the number of these tasks.
     """
 
     total: model.Resources = model.Resources()
     running_core_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    waiting_core_s: dict[int, float] = dataclasses.field(default_factory=dict)
-    backlogs: dict[tuple[int, bool, int], list[float]] = dataclasses.field(default_factory=dict)
-    demands: dict[str, model.Resources] = dataclasses.field(default_factory=dict)
+    urgent_runs: dict[model.Resources, int] = dataclasses.field(default_factory=dict)
+    backlogs: dict[tuple[int, bool, int, model.Resources], float] = dataclasses.field(
+        default_factory=dict
+    )
+    demands: dict[tuple[str, model.Resources], int] = dataclasses.field(default_factory=dict)
     waiting_steps: list[tuple[model.Step, int]] = dataclasses.field(default_factory=list)
 
 
@@ -91,22 +96,21 @@
 ) -> None:
     """Adds the runs of a job, and those of its tasks that only wait for room."""
     order: tuple[int, bool, int] | None = None
-    account = job.job.account
     for step in job.steps.values():
-        usage = ordering.compute_usage(step.step.need)
-        if step.runs:
-            _add(tally.running_core_s, route.priority, usage * _sum_remaining_s(step, now_s))
-            _add_demand(tally, account, step.step.need, len(step.runs))
+        need, running = step.step.need, len(step.runs)
         waiting = _count_waiting(job, step, now_s)
-        if not waiting:
-            continue
-        _add_demand(tally, account, step.step.need, waiting)
-        _add(tally.waiting_core_s, route.priority, usage * waiting * step.step.estimate_s)
-        order = order or _classify_job(job, route, wall_s)
-        sums = tally.backlogs.setdefault(order, [0.0, 0.0, 0.0])
-        for number, amount in enumerate(admission.measure(step.step.need)):
-            sums[number] += amount * waiting * step.step.estimate_s
-        tally.waiting_steps.append((step.step, waiting))
+        if running or waiting:
+            _add(tally.demands, (job.job.account, need), running + waiting)
+        if running:
+            # Runs are half done on average; the figure is for the operators only.
+            work = running * 0.5 * step.step.estimate_s * ordering.compute_usage(need)
+            _add(tally.running_core_s, route.priority, work)
+            if route.priority == 0:
+                _add(tally.urgent_runs, need, running)
+        if waiting:
+            order = order or _classify_job(job, route, wall_s)
+            _add(tally.backlogs, (*order, need), waiting * step.step.estimate_s)
+            tally.waiting_steps.append((step.step, waiting))
 
 
 def _count_waiting(job: state.JobState, step: state.StepState, now_s: float) -> int:
@@ -117,7 +121,9 @@
     # long-running step occupies never becomes free, so its declared duration says nothing.
     if step.step.label or step.step.long_running or not lifecycle.is_ready(job, step):
         return 0
-    placed = sum(index not in step.done for index in step.runs)
+    placed = len(step.runs)
+    if step.done:
+        placed = sum(index not in step.done for index in step.runs)
     if step.step.gang and placed:
         return 0
     return step.step.count - len(step.done) - placed
@@ -132,14 +138,6 @@
     return route.priority, slack_s < 0.0, size_class
 
 
-def _sum_remaining_s(step: state.StepState, now_s: float) -> float:
-    # The declared duration suffices: the figure is for the log, and there may be 10,000 runs.
-    return sum(
-        max(0.0, step.step.estimate_s - (now_s - run.phase_began_at_s))
-        for run in step.runs.values()
-    )
-
-
 def _make_service_load(
     tally: _Tally, rooms: list[tuple[str, model.Resources]], capacity: headroom.ServiceCapacity
 ) -> admission.ServiceLoad:
@@ -149,9 +147,7 @@
             urgent_free = urgent_free + room
             largest_free = largest_free.max(room)
     urgent_free = _subtract_fitting(urgent_free, tally.waiting_steps, rooms)
-    priorities = sorted(
-        tally.running_core_s.keys() | tally.waiting_core_s.keys() | {k[0] for k in tally.backlogs}
-    )
+    priorities = sorted(tally.running_core_s.keys() | {key[0] for key in tally.backlogs})
     load = admission.ServiceLoad(
         tally.total,
         _scale(urgent_free, _compute_admitted_ratio(capacity)),
@@ -173,18 +169,22 @@
 
 
 def _make_priority_load(tally: _Tally, priority: int) -> admission.PriorityLoad:
+    waiting_core_s = 0.0
+    sums: dict[tuple[bool, int], list[float]] = {}
+    for (found, is_late, size_class, need), task_s in tally.backlogs.items():
+        if found != priority:
+            continue
+        waiting_core_s += task_s * ordering.compute_usage(need)
+        amounts = sums.setdefault((is_late, size_class), [0.0, 0.0, 0.0])
+        for number, amount in enumerate(admission.measure(need)):
+            amounts[number] += task_s * amount
     backlogs = tuple(
-        admission.Backlog(is_late, size_class, tuple(_round(amount) for amount in amounts))
-        for (found, is_late, size_class), amounts in sorted(tally.backlogs.items())
-        if found == priority
+        admission.Backlog(*order, tuple(_round(amount) for amount in amounts))
+        for order, amounts in sorted(sums.items())
     )
-    running, waiting = tally.running_core_s, tally.waiting_core_s
+    running_core_s = tally.running_core_s.get(priority, 0.0)
     return admission.PriorityLoad(
-        priority,
-        _round(running.get(priority, 0.0)),
-        _round(waiting.get(priority, 0.0)),
-        0,
-        backlogs,
+        priority, _round(running_core_s), _round(waiting_core_s), 0, backlogs
     )
 
 
@@ -206,9 +206,9 @@
                 continue
             found[kind] = _count_fitting(step.need, rooms, kind[1])
         fitting = min(count, found[kind])
-        if step.gang and fitting < count:
+        if not fitting or (step.gang and fitting < count):
             continue
-        free = _clip(free - admission.multiply(step.need, fitting))
+        free = (free - admission.multiply(step.need, fitting)).max(_EMPTY)
     return free
 
 
@@ -235,31 +235,28 @@
     The others are within their share, so that jobs of accounts above it must not keep them out.
     """
     total = admission.measure(tally.total)
+    demands: dict[str, model.Resources] = {}
+    for (account, need), count in tally.demands.items():
+        demands[account] = demands.get(account, _EMPTY) + admission.multiply(need, count)
 
     def compute_share(demand: model.Resources) -> float:
         amounts = zip(admission.measure(demand), total, strict=True)
         return max((amount / have for amount, have in amounts if have > 0.0), default=0.0)
 
-    equal_share = 1.0 / max(1, len(tally.demands))
-    return frozenset(
-        a for a, demand in tally.demands.items() if compute_share(demand) > equal_share
-    )
+    equal_share = 1.0 / max(1, len(demands))
+    return frozenset(a for a, demand in demands.items() if compute_share(demand) > equal_share)
 
 
 def _add(sums: dict, key: object, amount: float) -> None:
     sums[key] = sums.get(key, 0) + amount
 
 
-def _add_demand(tally: _Tally, account: str, need: model.Resources, count: int) -> None:
-    tally.demands[account] = tally.demands.get(account, _EMPTY) + admission.multiply(need, count)
-
-
 def _scale(amount: model.Resources, ratio: float) -> model.Resources:
-    return model.Resources(*(int(number * ratio) for number in dataclasses.astuple(amount)))
-
-
-def _clip(amount: model.Resources) -> model.Resources:
-    return model.Resources(*(max(0, number) for number in dataclasses.astuple(amount)))
+    return model.Resources(
+        int(amount.cpu_millicores * ratio),
+        int(amount.memory_mb * ratio),
+        int(amount.accelerators * ratio),
+    )
 
 
 def _round(amount: float) -> int:
