Leave work out of the load that delays no other job

Cause: one job with an absurd declared duration, or that fits on no worker, would count as work ahead of all others and lead to their refusal.

Change: a task counts for at most 10 s, and one that fits on no worker not at all.

--- a/lycheegate/jobs/load_summary.py
+++ b/lycheegate/jobs/load_summary.py
@@ -28,6 +28,9 @@
 """Number of kinds of tasks for which room is searched; the others count as not fitting."""
 SIGNIFICANT_DIGITS = 2
 """Precision of the published amounts. Smaller changes are not worth another write."""
+MAX_COUNTED_S = 10.0
+"""Longest declared duration of a task that counts. A few long tasks start as soon as others end,
+and then leave the rest of the workers to the work behind them."""
 _EMPTY = model.Resources()
 
 
@@ -49,6 +52,7 @@
         if pool.is_eligible(current, worker, now_s):
             tally = tallies.setdefault(worker.service, _Tally())
             tally.total = tally.total + worker.capacity
+            tally.largest = tally.largest.max(worker.capacity)
     for job in current.jobs.values():
         route = state.get_route(current, job)
         if route.service in tallies:
@@ -73,6 +77,7 @@
 
     Attributes:
         total: Resources of its workers.
+        largest: Largest amount of each resource that any worker has.
         running_core_s: Remaining work of runs by priority.
         urgent_runs: Number of runs of urgent jobs by what each needs.
         backlogs: Waiting work by priority, lateness, class of size, and need of its tasks, as the
@@ -82,6 +87,7 @@
     """
 
     total: model.Resources = model.Resources()
+    largest: model.Resources = model.Resources()
     running_core_s: dict[int, float] = dataclasses.field(default_factory=dict)
     urgent_runs: dict[model.Resources, int] = dataclasses.field(default_factory=dict)
     backlogs: dict[tuple[int, bool, int, model.Resources], float] = dataclasses.field(
@@ -99,6 +105,8 @@
     for step in job.steps.values():
         need, running = step.step.need, len(step.runs)
         waiting = _count_waiting(job, step, now_s)
+        if waiting and not _may_fit(tally, step.step):
+            waiting = 0
         if running or waiting:
             _add(tally.demands, (job.job.account, need), running + waiting)
         if running:
@@ -109,7 +117,8 @@
                 _add(tally.urgent_runs, need, running)
         if waiting:
             order = order or _classify_job(job, route, wall_s)
-            _add(tally.backlogs, (*order, need), waiting * step.step.estimate_s)
+            duration_s = min(MAX_COUNTED_S, step.step.estimate_s)
+            _add(tally.backlogs, (*order, need), waiting * duration_s)
             tally.waiting_steps.append((step.step, waiting))
 
 
@@ -129,6 +138,12 @@
     return step.step.count - len(step.done) - placed
 
 
+def _may_fit(tally: _Tally, step: model.Step) -> bool:
+    """Returns whether a step could start on empty workers; others wait without delaying any."""
+    need = admission.multiply(step.need, step.count) if step.gang else step.need
+    return step.need.fits(tally.largest) and need.fits(tally.total)
+
+
 def _classify_job(job: state.JobState, route: model.Route, wall_s: float) -> tuple[int, bool, int]:
     """Returns the priority of a waiting job, whether it is late, and the class of its size."""
     slack_s = ordering.compute_objective_s(job, route) - wall_s - ordering.compute_remaining_s(job)
--- a/lycheegate/jobs/tests/test_admission.py
+++ b/lycheegate/jobs/tests/test_admission.py
@@ -162,6 +162,22 @@
     assert late.backlogs[0].is_late
 
 
+@pytest.mark.parametrize(
+    ("step", "waiting_core_s"),
+    [
+        (dataclasses.replace(_STEP, need=model.Resources(1_000, 0, 9)), 0),
+        (model.Step(17, _NEED, 2.0, gang=True), 0),
+        (model.Step(17, _NEED, 1e12), 120),
+    ],
+    ids=["needs_a_larger_worker", "needs_a_larger_fleet", "declares_an_absurd_duration"],
+)
+def test_work_that_delays_no_other(step, waiting_core_s):
+    """Guards against one odd job that waits, because of which the jobs of others are refused."""
+    current = _make_state([(_BATCH, step, "a")])
+    loads = load_summary.summarise_load(current, 0.0, 0.0)["s"].priorities
+    assert sum(load.waiting_core_s for load in loads) == waiting_core_s
+
+
 def test_room_that_waiting_work_cannot_use_is_free():
     """Guards against refusals of small jobs beside a gang that fits nowhere."""
     gang = model.Step(40, _NEED, 2.0, gang=True)
