--- a/lycheegate/jobs/data_centres.py
+++ b/lycheegate/jobs/data_centres.py
@@ -1,7 +1,7 @@
 """Evacuation of data centres at the operators' request.
 
-Handles a crowd of waiting work at the moment when a third of the workers must get nothing more. What
-runs there goes on to its end: moving it would throw work away, and would need room that the
+Handles a crowd of waiting work at the moment when a third of the workers must get nothing more.
+What runs there goes on to its end: moving it would throw work away, and would need room that the
 other data centres do not have.
 """
 
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -125,15 +125,17 @@
     return {"label": "b", "service": "render", "unusable": 0}
 
 
-def _make_evacuated(current: state.SchedulerState) -> None:
+def _make_evacuated(current: state.SchedulerState) -> dict:
     _add_job(current)
     current.evacuations = state.Evacuations(frozenset({"z"}), _NOW_S)
+    return {"unusable": 2}
 
 
-def _make_unconfirmed(current: state.SchedulerState) -> None:
+def _make_unconfirmed(current: state.SchedulerState) -> dict:
     _add_job(current)
     current.policy = state.Policy(max_operator_view_age_s=3.5)
     current.evacuations = state.Evacuations(frozenset(), _NOW_S - 4.0)
+    return {"confirmed": False}
 
 
 def _make_draining(current: state.SchedulerState) -> dict:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -23,6 +23,8 @@
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
         self.fleet = fake_workers.Fleet(self.loop, self.faults, self.generator)
         self.fleet.on_returned = self._register_returned
+        self.data_centres: dict[str, str] = {}
+        """Data centre of each worker; ``z`` if it is not named."""
         self.evacuated: frozenset[str] = frozenset()
         """Data centres that are being evacuated."""
         self.policy = state.Policy()
@@ -51,7 +53,8 @@
         elif worker.draining_since_s is None:
             worker.draining_since_s = self.loop.now_s
         text = (
-            f'{{"service":"render","address":"{worker.address}","zone":"z",'
+            f'{{"service":"render","address":"{worker.address}",'
+            f'"zone":"{self.data_centres.get(worker_id, "z")}",'
             f'"state":"{"draining" if draining else "ready"}",'
             f'"capacity":{{"cpu":{worker.capacity.cpu_millicores},'
             f'"mem-mb":{worker.capacity.memory_mb},"gpu":{worker.capacity.accelerators}}},'
