Learn durations of steps and speeds of workers from runs

Declared durations are wrong by half and workers take 0.6 to 1.6 times the typical time for the same task, which no declaration says, so placement, rank and slack rest on wrong durations.

A diagonal Kalman filter over the logarithm of measured over declared duration separates the effects of steps and workers. It is fed from reports and ends of runs. The evidence about a worker is kept apart from the variance between workers, which is estimated from the fleet.

--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -1,14 +1,62 @@
-"""Observations of durations, from reports and ends of runs."""
+"""Observations of durations, from reports and ends of runs.
 
-from lycheegate.jobs import commands, state
+Handles reports of hundreds of workers a second: a run gives at most one observation before its end,
+and a report costs a comparison for each run that has given it or has not come far enough. Both
+observations of a run share the peculiarity of its task, so the second one counts less.
+"""
 
-__all__ = ["observe_end", "observe_report"]
+import dataclasses
+import math
+
+from lycheegate.jobs import commands, crashes, estimates, state
+from lycheegate.jobs.durations import factors, predictions
+
+__all__ = ["observe_end", "observe_report", "observe_stop"]
+
+MIN_PROGRESS_PERCENT = 25
+"""Progress from which the speed of a run is known well enough."""
+REPEATED_NOISE_RATIO = 4.0
+"""Factor of the noise of an end whose run has given an observation before."""
+TIME_ERROR_S = 0.05
+"""Error of the times at which a run starts, reports and ends."""
+REPORT_INTERVAL_S = 1.2
+"""Age of the last progress from which the time of an end is uncertain: reports may have been lost,
+and the run may have ended any time since."""
+FORGET_S = 120.0
+"""How long a worker that has left is remembered; a registration may be missing for a while."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measurement:
+    """Measured duration of a whole task.
+
+    Attributes:
+        duration_s: The duration, from the start to the end, in seconds.
+        noise: Variance of its logarithm that comes from the measurement.
+    """
+
+    duration_s: float
+    noise: float
 
 
 def observe_report(
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> list[commands.Command]:
     """Learns from the progress of the runs on a worker, after its report was applied."""
+    factors.remove_other_incarnation(current.durations, worker.worker_id, worker.born_ms)
+    for run in worker.runs.values():
+        if run.was_observed or run.percent < MIN_PROGRESS_PERCENT:
+            continue
+        if run.phase is not state.RunPhase.RUNNING:
+            continue
+        if run.baseline_percent is None or run.percent < run.baseline_percent + (
+            MIN_PROGRESS_PERCENT
+        ):
+            continue
+        _observe_progress(current, run, now_s)
+    if now_s - current.durations.refreshed_at_s >= factors.REFRESH_S:
+        _remove_departed(current, now_s)
+        factors.refresh(current.durations, now_s)
     return []
 
 
@@ -19,4 +67,191 @@
     run: state.Run,
     now_s: float,
 ) -> None:
-    """Learns from a run that has ended as done."""
+    """Learns from a run that has ended as done.
+
+    The end of one member of a gang is the end of all.
+    """
+    if run.had_end_observed:
+        return
+    members = _list_members(step, run)
+    measurement = _measure_end(run, members, now_s)
+    for member in members:
+        member.had_end_observed = True
+    if measurement is not None:
+        _observe(current, job, step, run, members, measurement, now_s)
+
+
+def observe_stop(
+    current: state.SchedulerState,
+    job: state.JobState,
+    step: state.StepState,
+    run: state.Run,
+    stopped_at_s: float,
+) -> None:
+    """Learns from a run that was stopped after it should have ended.
+
+    Its duration would have been longer than the time that it ran. Nothing follows if that time is
+    shorter than predicted, or if its worker has not reported since: it may have stood still.
+    """
+    members = _list_members(step, run)
+    if run.was_observed or run.running_since_s is None or run.baseline_percent != 0:
+        return
+    worker = current.workers.get(run.worker_id)
+    if worker is None or worker.reported_at_s < stopped_at_s:
+        return
+    ran_s = stopped_at_s - max(m.running_since_s or 0.0 for m in members)
+    slowest = _find_slowest(current, members, stopped_at_s)
+    predicted_s = predictions.predict_s(current, job, step, slowest.worker_id, stopped_at_s)
+    if _is_far(current, step, members):
+        predicted_s *= current.policy.far_factor
+    if ran_s > predicted_s:
+        measurement = Measurement(ran_s, (TIME_ERROR_S / ran_s) ** 2)
+        _observe(current, job, step, run, members, measurement, stopped_at_s)
+
+
+def _observe_progress(current: state.SchedulerState, run: state.Run, now_s: float) -> None:
+    job = current.jobs.get(run.task.job_id)
+    step = job.steps.get((run.task.occurrence, run.task.step)) if job is not None else None
+    s_per_percent = estimates.compute_s_per_percent(run)
+    if step is None or s_per_percent is None:
+        return
+    elapsed_s = s_per_percent * (run.percent - run.baseline_percent)
+    measurement = Measurement(100.0 * s_per_percent, (TIME_ERROR_S / elapsed_s) ** 2)
+    _observe(current, job, step, run, _list_members(step, run), measurement, now_s)
+
+
+def _measure_end(run: state.Run, members: list[state.Run], now_s: float) -> Measurement | None:
+    """Returns the duration of a run that has just ended, or None if its start is not known.
+
+    A run that resumes from a checkpoint, or was started in an earlier term, is measured from its
+    first report on.
+    """
+    if run.baseline_percent is None or 100 - run.baseline_percent < MIN_PROGRESS_PERCENT:
+        return None
+    began_at_s = run.baseline_at_s
+    if began_at_s is None:
+        if run.running_since_s is None:
+            return None
+        # A gang makes progress once its last member runs.
+        began_at_s = max(m.running_since_s or 0.0 for m in members)
+    elapsed_s = now_s - began_at_s
+    if elapsed_s <= 0.0:
+        return None
+    gap_s = max(0.0, now_s - run.advanced_at_s - REPORT_INTERVAL_S)
+    duration_s = elapsed_s * 100.0 / (100 - run.baseline_percent)
+    return Measurement(duration_s, ((TIME_ERROR_S + gap_s) / elapsed_s) ** 2)
+
+
+def _observe(
+    current: state.SchedulerState,
+    job: state.JobState,
+    step: state.StepState,
+    run: state.Run,
+    members: list[state.Run],
+    measurement: Measurement,
+    now_s: float,
+) -> None:
+    """Learns from the measured duration of a task, or of a gang, unless it does not count."""
+    noise = factors.TASK_VARIANCE + measurement.noise
+    if run.was_observed:
+        noise *= REPEATED_NOISE_RATIO
+    for member in members:
+        member.was_observed = True
+    if not all(_counts(current, step, member) for member in members):
+        return
+    slowest = _find_slowest(current, members, now_s)
+    duration_s = measurement.duration_s
+    if _is_far(current, step, members):
+        duration_s /= current.policy.far_factor
+    value = math.log(duration_s / step.step.estimate_s)
+    model = current.durations
+    others_noise = _compute_others_noise(model, slowest.worker_id, members, now_s)
+    born_ms = current.workers[slowest.worker_id].born_ms
+    factors.remove_other_incarnation(model, slowest.worker_id, born_ms)
+    effect = job.step_effects.get(step.key[1])
+    if effect is None:
+        queue, account = job.job.route, job.job.account
+        effect = factors.make_step_effect(model, queue, account)
+        job.step_effects[step.key[1]] = effect
+        mean, variance = factors.get_worker_effect(model, slowest.worker_id, now_s)
+        own_noise = noise + others_noise + variance
+        factors.update_account(model, queue, account, value - mean, own_noise)
+    factors.update(model, effect, slowest.worker_id, born_ms, value, noise + others_noise, now_s)
+
+
+def _counts(current: state.SchedulerState, step: state.StepState, run: state.Run) -> bool:
+    """Returns whether the duration of a run tells the usual speed of its worker."""
+    worker = current.workers.get(run.worker_id)
+    if worker is None or step.step.long_running or step.step.fills:
+        return False
+    if run.worker_born_ms and worker.born_ms and run.worker_born_ms != worker.born_ms:
+        return False
+    if run.running_since_s is None or run.running_since_s < worker.cold_until_s:
+        return False
+    # A run on trial has its worker for itself.
+    return not crashes.is_suspect(step, [run.task.index])
+
+
+def _list_members(step: state.StepState, run: state.Run) -> list[state.Run]:
+    """Returns a run and the other members of its gang; its end may have removed it from its step.
+
+    The members of a gang have started together and under the same number.
+    """
+    if not step.step.gang:
+        return [run]
+    return [run, *(m for m in step.runs.values() if m is not run and m.number == run.number)]
+
+
+def _find_slowest(
+    current: state.SchedulerState, members: list[state.Run], now_s: float
+) -> state.Run:
+    """Returns the member whose worker is expected to be the slowest."""
+    if len(members) == 1:
+        return members[0]
+    model = current.durations
+    return max(
+        members,
+        key=lambda m: (factors.get_worker_effect(model, m.worker_id, now_s)[0], m.worker_id),
+    )
+
+
+def _compute_others_noise(
+    model: factors.DurationModel, worker_id: str, members: list[state.Run], now_s: float
+) -> float:
+    """Returns the variance that comes from other members which may be the slowest instead."""
+    worker_ids = {member.worker_id for member in members} - {worker_id}
+    if not worker_ids:
+        return 0.0
+    slowest_mean, _ = factors.get_worker_effect(model, worker_id, now_s)
+    excess = 0.0
+    for other in worker_ids:
+        mean, variance = factors.get_worker_effect(model, other, now_s)
+        excess = max(excess, mean + math.sqrt(variance) - slowest_mean)
+    return excess * excess
+
+
+def _is_far(current: state.SchedulerState, step: state.StepState, members: list[state.Run]) -> bool:
+    """Returns whether a run is outside the rack of its data, or its gang spans racks and is slow.
+
+    Args:
+        current: State of the scheduler.
+        step: The step.
+        members: The run, or the members of its gang.
+    """
+    if not step.step.near_rack and not (step.step.same_rack and step.step.gang):
+        return False
+    workers = [current.workers.get(member.worker_id) for member in members]
+    racks = {worker.rack for worker in workers if worker is not None}
+    if step.step.near_rack and racks - {step.step.near_rack}:
+        return True
+    return step.step.same_rack and len(racks) > 1
+
+
+def _remove_departed(current: state.SchedulerState, now_s: float) -> None:
+    """Removes workers that have left long ago. A new scheduler does not know the workers yet."""
+    if now_s - current.began_at_s < FORGET_S:
+        return
+    effects = current.durations.workers
+    for worker_id in effects.keys() - current.workers.keys():
+        if now_s - effects[worker_id].updated_at_s >= FORGET_S:
+            factors.forget_worker(current.durations, worker_id)
--- a/lycheegate/jobs/durations/predictions.py
+++ b/lycheegate/jobs/durations/predictions.py
@@ -10,7 +10,10 @@
     current: state.SchedulerState, job: state.JobState, step: state.StepState
 ) -> factors.Estimate:
     """Returns the true duration of a step on a typical worker, relative to the declared one."""
-    return factors.Estimate()
+    effect = job.step_effects.get(step.key[1])
+    if effect is None:
+        effect = factors.make_step_effect(current.durations, job.job.route, job.job.account)
+    return factors.make_estimate(effect.mean, effect.variance, effect.runs)
 
 
 def predict_s(
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from lycheegate.jobs import commands, crashes, estimates, health, model, ordering, state
+from lycheegate.jobs.durations import observations
 
 __all__ = [
     "End",
@@ -182,8 +183,11 @@
     fields = _make_end_fields(run, end, reason, now_s)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
+        observations.observe_end(current, job, step, run, now_s)
         _record_success(current, job, step, run, now_s)
         return result
+    if end is End.INTERRUPTED and run.phase is state.RunPhase.STOPPING:
+        observations.observe_stop(current, job, step, run, run.phase_began_at_s)
     if end is End.FAILED:
         other_workers = len(step.avoided_workers - {run.worker_id})
         result += health.record_failure(current, run, other_workers, now_s)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -65,6 +65,8 @@
         max_row_bytes: Maximum size of a row in the store.
         max_operator_view_age_s: Age of the last confirmation of the operators' requests from which
             nothing is started, or None where data centres are not evacuated.
+        far_factor: Factor of the duration of a run outside the rack of its data, or in a gang that
+            spans racks although it should not.
     """
 
     lease_s: float = 5.0
@@ -80,6 +82,7 @@
     handover_s: float = 8.0
     max_row_bytes: int = 49_152
     max_operator_view_age_s: float | None = None
+    far_factor: float = 3.0
 
 
 class RunPhase(enum.IntEnum):
@@ -139,6 +142,8 @@
             the cause of a later crash.
         awaits_first_report: Whether it comes from the records of an earlier term, and its worker
             has not listed it since. This scheduler has sent no start order for it.
+        was_observed: Whether its duration has been learned from, its gang's for a gang.
+        had_end_observed: Whether the same has been done at its end.
     """
 
     task: model.TaskKey
@@ -160,6 +165,8 @@
     may_have_started: bool = False
     has_survived: bool = False
     awaits_first_report: bool = False
+    was_observed: bool = False
+    had_end_observed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -264,6 +271,7 @@
         max_batch_jobs: Maximum number of jobs in a batch that holds its progress.
         ran_until_s: When a confirmed run of it last ended or was ordered to stop during this term,
             or 0 if none did.
+        step_effects: Effects of its steps on durations, by number of the step.
     """
 
     job: model.Job
@@ -287,6 +295,7 @@
     rejections: int = 0
     max_batch_jobs: int = MAX_BATCH_JOBS
     ran_until_s: float = 0.0
+    step_effects: dict[int, factors.Effect] = dataclasses.field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lycheegate.jobs import commands, crashes, leases, model, runs, state, strays
+from lycheegate.jobs.durations import factors, observations
 
 __all__ = [
     "EndedRun",
@@ -253,6 +254,7 @@
         born_ms=registration.born_ms,
         registered_born_ms=registration.born_ms,
     )
+    factors.remove_other_incarnation(current.durations, worker.worker_id, worker.born_ms)
     worker.leases_expire_at_s = leases.compute_inherited_end_s(current, worker.worker_id)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
     _update_leave_time(worker, registration.remaining_s, now_s)
@@ -286,6 +288,7 @@
         now_s: Time on the scheduler's clock.
     """
     crashes.record_worker_crash(current, worker, now_s)
+    factors.forget_worker(current.durations, worker.worker_id)
     worker.born_ms = born_ms
     worker.restarted_at_s = now_s
     worker.processed_end = worker.durable_end = 0
@@ -341,6 +344,7 @@
     result += _apply_ends(current, worker, report, now_s)
     if is_latest:
         result += _apply_running(current, worker, report, now_s)
+        result += observations.observe_report(current, worker, now_s)
     return result
 
 
--- a/lycheegate/platform/settings.py
+++ b/lycheegate/platform/settings.py
@@ -173,6 +173,7 @@
         max_row_bytes=_read_row_bytes(reader),
         retention_s=reader.read_number("bounds.status_s", 120.0) + 30.0,
         max_operator_view_age_s=_read_operator_view_age_s(reader),
+        far_factor=max(1.0, reader.read_number("bounds.far-factor", 3.0)),
     )
 
 
