Tell the next holder what was learned about durations

A new holder would take all workers for typical, and learn their speeds anew with each change of holders.

The holder writes the row terms/durations with its heartbeat, at most each 5 s and if an estimate has changed by a twentieth. Only the next holder decodes it, at its claim; one of another layout or with odd numbers is logged once (durations_unreadable) and ignored. An even fleet writes no workers.

--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -182,7 +182,7 @@
 def _counts(current: state.SchedulerState, step: state.StepState, run: state.Run) -> bool:
     """Returns whether the duration of a run tells the usual speed of its worker."""
     worker = current.workers.get(run.worker_id)
-    if worker is None or step.step.long_running or step.step.fills:
+    if worker is None or step.step.long_running or step.step.fills or step.step.estimate_s <= 0.0:
         return False
     if run.worker_born_ms and worker.born_ms and run.worker_born_ms != worker.born_ms:
         return False
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -20,6 +20,7 @@
     waiting,
     workers,
 )
+from lycheegate.jobs.durations import encoding, factors
 from lycheegate.metrics import histograms, jsonlog
 from lycheegate.node import (
     deletion,
@@ -36,6 +37,7 @@
     terms,
 )
 from lycheegate.platform import workers as worker_calls
+from lycheegate.utils import exceptions
 
 __all__ = ["Runtime", "Scheduler"]
 
@@ -86,6 +88,7 @@
         evacuations: Data centres that are being evacuated.
         suspects: For how many seconds from now on the last scheduler suspected each worker.
         inherited_leases: Ends of leases that earlier schedulers have granted.
+        durations: Record of what earlier schedulers have learned about durations, or nothing.
         on_ended: Called once, with the reason, when the term is lost or released.
     """
 
@@ -100,6 +103,7 @@
         evacuations: state.Evacuations,
         suspects: dict[str, float],
         inherited_leases: state.InheritedLeases,
+        durations: bytes,
         on_ended: Callable[[str], None],
     ):
         self._runtime = runtime
@@ -113,6 +117,7 @@
             for worker_id, duration_s in suspects.items()
         }
         self._state.inherited_leases = inherited_leases
+        self._state.durations = self._decode_durations(durations)
         self._stopped = False
         self._ticked_at_s = runtime.now_s()
         self._loaded = False
@@ -236,6 +241,19 @@
         self._execute(data_centres.apply_evacuations(self._state, evacuations, now_s))
         self._request_pass(self._state.schedule_due)
 
+    def _decode_durations(self, data: bytes) -> factors.DurationModel:
+        """Returns the model that earlier schedulers have learned, or an empty one."""
+        if not data:
+            return factors.DurationModel()
+        now_s, clock_ms = self._runtime.now_s(), self._runtime.store_clock_ms()
+        try:
+            return encoding.decode_model(data, now_s, clock_ms)
+        except exceptions.ProtocolError as error:
+            self._runtime.log.write(
+                "durations_unreadable", epoch=self.epoch, bytes=len(data), error=str(error)
+            )
+            return factors.DurationModel()
+
     def _is_stopped(self) -> bool:
         return self._stopped
 
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -16,6 +16,7 @@
 from lycheegate.utils import exceptions, numbers
 
 __all__ = [
+    "DURATIONS",
     "HEARTBEAT",
     "MAX_COUNT_ROWS",
     "HOLDER",
@@ -73,6 +74,9 @@
 LEASES = storage.RowKey(TERMS, PART, "leases")
 """Row that tells the holder of the next term when leases of runs end. It belongs to the heartbeat
 that was written with it and counts no longer once there is a later one."""
+DURATIONS = storage.RowKey(TERMS, PART, "durations")
+"""Row of what the holder has learned about durations, for the holder of the next term
+(``lycheegate.jobs.durations.encoding``)."""
 MAX_COUNT_ROWS = 6
 """Number of further rows of counts of waiting jobs. They fit into one call with a batch of
 progress."""
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lycheegate.jobs import health, leases, lifecycle, state
+from lycheegate.jobs.durations import encoding
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, storage, tables
 
@@ -10,10 +11,15 @@
 
 HEARTBEAT_BYTES = 16_000
 """Maximum size of the heartbeat, which is written and sent to all VMs every 0.7 s."""
+DURATIONS_INTERVAL_S = 5.0
+"""Interval at which learned durations are written at most. Their row may have 48 KB and is sent to
+all VMs."""
+DURATIONS_RETRY_S = 1.0
+"""The same after a write that may not have been stored."""
 
 
 class TermRows:
-    """Heartbeat, counts of waiting jobs, suspected workers, and ends of leases of one term.
+    """Heartbeat, counts of waiting jobs, and what the next holder is to know, for one term.
 
     Args:
         current: State of the scheduler.
@@ -40,6 +46,10 @@
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
+        self._written_durations = encoding.make_snapshot(current.durations, now_s())
+        """Estimates in the stored row of durations."""
+        self._are_durations_stored = True
+        self._durations_sent_at_s = now_s()
         self._listed_workers: frozenset[str] = frozenset()
         """Workers whose ends of leases went with the last heartbeat that was sent."""
         self._may_list_workers = False
@@ -57,6 +67,7 @@
             *self._make_heartbeat_writes(release, clock_ms),
             *self._make_suspects_write(is_loaded),
             *self._make_leases_write(release, is_loaded, clock_ms),
+            *self._make_durations_write(clock_ms),
         ]
 
     def handle_stored(self) -> None:
@@ -68,6 +79,7 @@
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
+        self._are_durations_stored = False
         self._written_counts = dict.fromkeys(self._written_counts)
 
     def _make_heartbeat_writes(self, release: bool, clock_ms: int) -> list[storage.Write]:
@@ -103,6 +115,24 @@
         until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
         return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
 
+    def _make_durations_write(self, clock_ms: int) -> list[storage.Write]:
+        """Returns the write of the learned durations, if some have changed since the last one."""
+        now_s = self._now_s()
+        is_stored = self._are_durations_stored
+        interval_s = DURATIONS_INTERVAL_S if is_stored else DURATIONS_RETRY_S
+        if not clock_ms or now_s - self._durations_sent_at_s < interval_s:
+            return []
+        self._durations_sent_at_s = now_s
+        model = self._state.durations
+        durations = encoding.make_snapshot(model, now_s)
+        if is_stored and not encoding.has_changed(self._written_durations, durations):
+            return []
+        self._written_durations = durations
+        self._are_durations_stored = True
+        max_bytes = self._state.policy.max_row_bytes
+        data = encoding.encode_model(model, now_s, clock_ms, max_bytes)
+        return [storage.Write(tables.DURATIONS, data)]
+
     def _make_leases_write(
         self, release: bool, is_loaded: bool, clock_ms: int
     ) -> list[storage.Write]:
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -97,6 +97,8 @@
         more_counts: Further counts of waiting jobs, by the key of their row.
         suspects: Until when each worker is suspected, in milliseconds on the store's clock.
         suspects_version: Version of the row of suspected workers.
+        durations: Content of the row of learned durations, which only the next holder decodes.
+        durations_version: Version of that row.
         lease_ends: When leases end according to the row that was last read, or None.
         lease_ends_version: Version of that row.
         changed_at_s: When a change of either version was last observed.
@@ -115,6 +117,8 @@
     more_counts: dict[str, tables.PendingCounts] = dataclasses.field(default_factory=dict)
     suspects: dict[str, int] = dataclasses.field(default_factory=dict)
     suspects_version: int = storage.ABSENT
+    durations: bytes = b""
+    durations_version: int = storage.ABSENT
     lease_ends: tables.LeaseEnds | None = None
     lease_ends_version: int = storage.ABSENT
     changed_at_s: float = 0.0
@@ -170,6 +174,9 @@
     elif row.key == tables.SUSPECTS and row.version > view.suspects_version:
         view.suspects = tables.decode_suspects(row.value)
         view.suspects_version = row.version
+    elif row.key == tables.DURATIONS and row.version > view.durations_version:
+        view.durations = b"" if row.deleted else row.value
+        view.durations_version = row.version
     elif row.key == tables.LEASES and row.version > view.lease_ends_version:
         view.lease_ends = None if row.deleted else tables.decode_lease_ends(row.value)
         view.lease_ends_version = row.version
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -169,6 +169,7 @@
         self.highest_run_numbers[order.task] = order.number
         self.fleet.check_start(order, self)
         need, work_s = self.fleet.get_work(order.task)
+        work_s *= self.fleet.work_ratios.get(self.worker_id, 1.0)
         if self.worker_id in self.fleet.faulty:
             work_s = FAILURE_S
         self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
@@ -237,6 +238,8 @@
         self.on_returned: Callable[[str], None] = lambda worker_id: None
         """Called with a worker that is back after a crash."""
         self.work_s = 1.0
+        self.work_ratios: dict[str, float] = {}
+        """Time that workers take for a task, relative to the others."""
         self.ends_per_report = 500
 
     def add(self, worker_id: str, rack: str, capacity: model.Resources) -> FakeWorker:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -163,6 +163,7 @@
             state.Evacuations(self.evacuated, self.loop.now_s),
             terms.list_suspects(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
+            view.durations,
             lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
