Show learned durations in the log, the metrics and a command

Operators could not see which workers are slow, nor whether predictions from learned durations are better than the declared ones.

durations_learned summarises the model at most each 5 s; run_ended has the predicted over the measured duration, which /metrics shows as the histogram lycheegate_duration_error; lycheegate durations lists the factors from logs.

Tests: lycheegate/node/tests/test_durations_row.py, lycheegate/metrics and lycheegate/cli pass.

--- a/lycheegate/cli/main.py
+++ b/lycheegate/cli/main.py
@@ -9,6 +9,7 @@
 import lycheegate
 from lycheegate.cli import (
     callers,
+    durations,
     entry,
     exits,
     explain,
@@ -38,6 +39,7 @@
         explain.ExplainCommand,
         losses.LossesCommand,
         idle.IdleCommand,
+        durations.DurationsCommand,
     ):
         app.add(command())
     return app
--- a/lycheegate/jobs/durations/factors.py
+++ b/lycheegate/jobs/durations/factors.py
@@ -21,6 +21,7 @@
     "Estimate",
     "WorkerEffect",
     "forget_worker",
+    "get_queue_effect",
     "get_worker_effect",
     "get_worker_estimate",
     "make_estimate",
@@ -145,6 +146,7 @@
         worker_variance: Variance between workers.
         refreshed_at_s: When the effects were last centred.
         reported_at_s: When the model was last summarised in the log.
+        unreported: Number of observations since then.
         queue_effects: Cache of the effects of queues.
     """
 
@@ -153,6 +155,7 @@
     worker_variance: float = MIN_WORKER_VARIANCE
     refreshed_at_s: float = 0.0
     reported_at_s: float = 0.0
+    unreported: int = 0
     queue_effects: dict[str, Effect] = dataclasses.field(default_factory=dict)
 
 
@@ -194,9 +197,7 @@
 
     The effect of an account counts as far as it is known.
     """
-    of_queue = model.queue_effects.get(queue)
-    if of_queue is None:
-        of_queue = model.queue_effects[queue] = _compute_queue_effect(model, queue)
+    of_queue = get_queue_effect(model, queue)
     own = model.queues.get(queue, {}).get(account)
     if own is None:
         return Effect(of_queue.mean, STEP_VARIANCE + of_queue.variance)
@@ -205,8 +206,15 @@
     return Effect(mean, STEP_VARIANCE + own.variance, 0)
 
 
-def _compute_queue_effect(model: DurationModel, queue: str) -> Effect:
+def get_queue_effect(model: DurationModel, queue: str) -> Effect:
     """Returns the mean effect over the client accounts of a queue, each with the same weight."""
+    effect = model.queue_effects.get(queue)
+    if effect is None:
+        effect = model.queue_effects[queue] = _compute_queue_effect(model, queue)
+    return effect
+
+
+def _compute_queue_effect(model: DurationModel, queue: str) -> Effect:
     means = [effect.mean for effect in model.queues.get(queue, {}).values()]
     if not means:
         return Effect(0.0, 0.0)
--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -11,7 +11,7 @@
 from lycheegate.jobs import commands, crashes, estimates, state
 from lycheegate.jobs.durations import factors, predictions
 
-__all__ = ["observe_end", "observe_report", "observe_stop"]
+__all__ = ["measure_errors", "observe_end", "observe_report", "observe_stop"]
 
 MIN_PROGRESS_PERCENT = 25
 """Progress from which the speed of a run is known well enough."""
@@ -22,6 +22,10 @@
 REPORT_INTERVAL_S = 1.2
 """Age of the last progress from which the time of an end is uncertain: reports may have been lost,
 and the run may have ended any time since."""
+REPORT_S = 5.0
+"""Interval at which the model is summarised in the log at most."""
+MAX_REPORTED = 10
+"""Number of the fastest workers, of the slowest ones, and of queues that a summary names."""
 FORGET_S = 120.0
 """How long a worker that has left is remembered; a registration may be missing for a while."""
 
@@ -57,7 +61,7 @@
     if now_s - current.durations.refreshed_at_s >= factors.REFRESH_S:
         _remove_departed(current, now_s)
         factors.refresh(current.durations, now_s)
-    return []
+    return _report_model(current.durations, now_s)
 
 
 def observe_end(
@@ -81,6 +85,30 @@
         _observe(current, job, step, run, members, measurement, now_s)
 
 
+def measure_errors(
+    current: state.SchedulerState, step: state.StepState, run: state.Run, now_s: float
+) -> dict[str, float]:
+    """Returns the predicted over the measured duration of a run that has ended as done.
+
+    Only runs whose whole duration is known are compared, and one member of a gang. The prediction
+    is that of the time when the run was placed.
+    """
+    if run.had_end_observed or run.baseline_percent != 0 or run.baseline_at_s is not None:
+        return {}
+    members = _list_members(step, run)
+    measurement = _measure_end(run, members, now_s)
+    if measurement is None or not all(_counts(current, step, member) for member in members):
+        return {}
+    duration_s = measurement.duration_s
+    if _is_far(current, step, members):
+        duration_s /= current.policy.far_factor
+    learned_s = max(member.predicted_s for member in members)
+    return {
+        "declared_error": round(step.step.estimate_s / duration_s, 4),
+        "learned_error": round(learned_s / duration_s, 4),
+    }
+
+
 def observe_stop(
     current: state.SchedulerState,
     job: state.JobState,
@@ -93,8 +121,12 @@
     Its duration would have been longer than the time that it ran. Nothing follows if that time is
     shorter than predicted, or if its worker has not reported since: it may have stood still.
     """
+    if run.had_end_observed or run.was_observed:
+        return
     members = _list_members(step, run)
-    if run.was_observed or run.running_since_s is None or run.baseline_percent != 0:
+    for member in members:
+        member.had_end_observed = True
+    if run.running_since_s is None or run.baseline_percent != 0:
         return
     worker = current.workers.get(run.worker_id)
     if worker is None or worker.reported_at_s < stopped_at_s:
@@ -177,6 +209,7 @@
         own_noise = noise + others_noise + variance
         factors.update_account(model, queue, account, value - mean, own_noise)
     factors.update(model, effect, slowest.worker_id, born_ms, value, noise + others_noise, now_s)
+    model.unreported += 1
 
 
 def _counts(current: state.SchedulerState, step: state.StepState, run: state.Run) -> bool:
@@ -247,6 +280,32 @@
     return step.step.same_rack and len(racks) > 1
 
 
+def _report_model(model: factors.DurationModel, now_s: float) -> list[commands.Command]:
+    """Returns a summary of the model for the log if it has learned something since the last one."""
+    if not model.unreported or now_s - model.reported_at_s < REPORT_S:
+        return []
+    ratios = {
+        worker_id: factors.get_worker_estimate(model, worker_id, now_s).ratio
+        for worker_id in model.workers
+    }
+    ordered = sorted(ratios, key=lambda worker_id: (ratios[worker_id], worker_id))
+    queues = sorted(model.queues, key=lambda queue: (-len(model.queues[queue]), queue))
+    fields = {
+        "workers": len(ratios),
+        "observations": model.unreported,
+        "spread": round(math.exp(math.sqrt(model.worker_variance)), 3),
+        "fastest": {w: round(ratios[w], 3) for w in ordered[:MAX_REPORTED]},
+        "slowest": {w: round(ratios[w], 3) for w in ordered[: -MAX_REPORTED - 1 : -1]},
+        "queues": {
+            queue: round(math.exp(factors.get_queue_effect(model, queue).mean), 3)
+            for queue in queues[:MAX_REPORTED]
+        },
+    }
+    model.reported_at_s = now_s
+    model.unreported = 0
+    return [commands.Decision("durations_learned", fields)]
+
+
 def _remove_departed(current: state.SchedulerState, now_s: float) -> None:
     """Removes workers that have left long ago. A new scheduler does not know the workers yet."""
     if now_s - current.began_at_s < FORGET_S:
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from lycheegate.jobs import commands, crashes, estimates, health, model, ordering, state
-from lycheegate.jobs.durations import observations
+from lycheegate.jobs.durations import observations, predictions
 
 __all__ = [
     "End",
@@ -76,6 +76,7 @@
     run = state.Run(task, worker.worker_id, number, step.step.need, state.RunPhase.INTENDED, now_s)
     run.advanced_at_s = now_s
     run.worker_born_ms = worker.born_ms
+    run.predicted_s = predictions.predict_s(current, job, step, worker.worker_id, now_s)
     step.run_numbers[index] = number
     step.runs[index] = run
     worker.runs[task] = run
@@ -183,6 +184,7 @@
     fields = _make_end_fields(run, end, reason, now_s)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
+        fields |= observations.measure_errors(current, step, run, now_s)
         observations.observe_end(current, job, step, run, now_s)
         _record_success(current, job, step, run, now_s)
         return result
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -142,6 +142,7 @@
             the cause of a later crash.
         awaits_first_report: Whether it comes from the records of an earlier term, and its worker
             has not listed it since. This scheduler has sent no start order for it.
+        predicted_s: Predicted duration of the task on its worker when it was placed, or 0.
         was_observed: Whether its duration has been learned from, its gang's for a gang.
         had_end_observed: Whether the same has been done at its end.
     """
@@ -165,6 +166,7 @@
     may_have_started: bool = False
     has_survived: bool = False
     awaits_first_report: bool = False
+    predicted_s: float = 0.0
     was_observed: bool = False
     had_end_observed: bool = False
 
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -12,7 +12,7 @@
 from lycheegate.clients import http
 from lycheegate.entry import server
 from lycheegate.jobs import progress, state
-from lycheegate.metrics import exposition, histograms, jsonlog
+from lycheegate.metrics import duration_errors, exposition, histograms, jsonlog
 from lycheegate.node import (
     callers,
     feeds,
@@ -98,6 +98,7 @@
         self._view = callers.NodeView()
         self._store_clock = store_clock.StoreClock()
         self._histograms = histograms.Histograms()
+        self._duration_errors = duration_errors.DurationErrors()
         self._holder_client = holder.HolderClient(
             self._client,
             settings.node_name,
@@ -360,6 +361,7 @@
             lambda at_s: store_clock.compute_latest_ms(self._store_clock, at_s),
             self._log,
             self._histograms,
+            self._duration_errors,
         )
         self._scheduler = scheduler.Scheduler(
             runtime,
@@ -392,6 +394,7 @@
     def _answer_readiness(self, environ: dict, start_response):
         if environ.get("PATH_INFO") == METRICS_PATH:
             text = exposition.format_metrics(self._log.counts, self._histograms)
+            text += self._duration_errors.format_metrics()
             return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
         age_s = read_boottime_s() - self._view.confirmed_at_s
         is_ready = (
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -21,7 +21,7 @@
     workers,
 )
 from lycheegate.jobs.durations import encoding, factors
-from lycheegate.metrics import histograms, jsonlog
+from lycheegate.metrics import duration_errors, histograms, jsonlog
 from lycheegate.node import (
     deletion,
     exchange,
@@ -62,6 +62,7 @@
         latest_store_clock_ms: Latest time that the store's clock can show at a time, or 0.
         log: Log of decisions.
         histograms: Completion and queueing times, by client account and queue.
+        duration_errors: Predicted over measured durations.
     """
 
     store: storage.Store
@@ -73,6 +74,7 @@
     latest_store_clock_ms: Callable[[float], int]
     log: jsonlog.JsonLog
     histograms: histograms.Histograms
+    duration_errors: duration_errors.DurationErrors
 
 
 class Scheduler:
@@ -394,6 +396,8 @@
 
     def _record_time(self, decision: commands.Decision) -> None:
         fields = decision.fields
+        if "learned_error" in fields:
+            self._runtime.duration_errors.record(fields["declared_error"], fields["learned_error"])
         if decision.event == "job_succeeded":
             kind, duration_s = histograms.Kind.COMPLETION, fields["after_s"]
         elif decision.event == "placed":
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -4,7 +4,7 @@
 import random
 
 from lycheegate.jobs import model, progress, state
-from lycheegate.metrics import histograms, jsonlog
+from lycheegate.metrics import duration_errors, histograms, jsonlog
 from lycheegate.node import scheduler, storage, tables, terms
 from lycheegate.node.tests import fake_store, fake_workers, idleness
 from lycheegate.platform import workers as worker_calls
@@ -152,6 +152,7 @@
             lambda at_s: int(at_s * 1000) + 1,
             jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
+            duration_errors.DurationErrors(),
         )
         new_scheduler = scheduler.Scheduler(
             runtime,
--- a/lycheegate/node/tests/test_durations_row.py
+++ b/lycheegate/node/tests/test_durations_row.py
@@ -225,3 +225,29 @@
     least = min(abs(model.workers[worker_id].mean) for worker_id in kept.workers)
     omitted = model.workers.keys() - kept.workers.keys()
     assert max(abs(model.workers[worker_id].mean) for worker_id in omitted) <= least + 1e-9
+
+
+def test_model_is_summarised_in_the_log():
+    """Guards against learned speeds that operators cannot see, and log lines for each report."""
+    world = _make_world()
+    world.claim_term("a")
+    _run_work(world, 0, 8)
+    events = _find_events(world, "durations_learned")
+    assert 3 <= len(events) <= world.loop.now_s / 5.0
+    fields = events[-1]
+    assert fields["workers"] >= 7 and fields["spread"] > 1.2
+    assert list(fields["slowest"])[0] == "w1" and list(fields["fastest"])[0] == "w0"
+    assert fields["queues"]["batch"] > 1.5
+
+
+def test_errors_of_predictions_are_recorded():
+    """Guards against predictions whose error nobody sees, or that are compared with themselves."""
+    world = _make_world()
+    world.claim_term("a")
+    _run_work(world, 0, 8)
+    ended = [event for event in _find_events(world, "run_ended") if "learned_error" in event]
+    assert len(ended) > 200
+    late = ended[-100:]
+    # Tasks of 2 s are declared to take 1 s.
+    assert sum(abs(math.log(event["learned_error"])) for event in late) < 0.2 * len(late)
+    assert sum(abs(math.log(event["declared_error"])) for event in late) > 0.5 * len(late)
