Compare workers with a step once most of its first tasks are observed

Of tasks that start together, those on fast workers end first.

The effect of the step follows each observation as before, those of the workers wait for 85% of the tasks that ran at the first observation, or for twice the first duration.

--- a/lycheegate/jobs/durations/factors.py
+++ b/lycheegate/jobs/durations/factors.py
@@ -19,7 +19,10 @@
     "DurationModel",
     "Effect",
     "Estimate",
+    "Observation",
+    "Wave",
     "WorkerEffect",
+    "compare_workers",
     "forget_worker",
     "get_queue_effect",
     "get_worker_effect",
@@ -109,6 +112,38 @@
     runs: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """Measured duration of a task, or of a gang.
+
+    Attributes:
+        worker_id: The worker, for a gang that of the slowest member.
+        born_ms: Incarnation of the worker, in milliseconds since 1970, or 0 if unknown.
+        value: Logarithm of the measured over the declared duration.
+        noise: Variance of the measurement, the difference between tasks included.
+    """
+
+    worker_id: str
+    born_ms: int
+    value: float
+    noise: float
+
+
+@dataclasses.dataclass(slots=True)
+class Wave:
+    """Tasks of a step that ran when the first of them was observed.
+
+    Attributes:
+        size: Number of the tasks, or 1 once most of them have been observed.
+        until_s: Time at which they count as observed in any case.
+        waiting: Their observations so far.
+    """
+
+    size: int
+    until_s: float
+    waiting: list[Observation] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class WorkerEffect:
     """Effect of a worker, according to its runs alone.
@@ -225,59 +260,50 @@
 
 
 def update(
-    model: DurationModel,
-    step: Effect,
-    worker_id: str,
-    born_ms: int,
-    value: float,
-    noise: float,
-    now_s: float,
+    model: DurationModel, step: Effect, wave: Wave, observation: Observation, now_s: float
 ) -> None:
-    """Adjusts the effects of a step and a worker to an observation.
+    """Adjusts the effects of a step and of workers to an observation.
+
+    The tasks of a step that have started together end in the order of their workers' speeds. Until
+    most of them have been observed, the effect of the step is one of fast workers only, so the
+    workers are compared with it afterwards.
 
     Args:
         model: The model, which is changed in place.
         step: Effect of the step, which is changed in place.
-        worker_id: The worker.
-        born_ms: Incarnation of the worker, in milliseconds since 1970, or 0 if unknown.
-        value: Logarithm of the measured over the declared duration.
-        noise: Variance of the measurement, the difference between tasks included.
+        wave: First tasks of the step; changed in place.
+        observation: The observation.
         now_s: Time on the scheduler's clock.
     """
-    expected = step.mean
-    own_noise = step.variance + noise
-    effect = model.workers.get(worker_id)
     is_known = step.variance <= KNOWN_STEP_VARIANCE
-    is_clipped = _update_step(model, step, effect, value, noise, now_s)
-    if is_clipped and not is_known:
-        return
-    if effect is None:
-        limit = MAX_DEVIATION * math.sqrt(own_noise + max(model.worker_variance, WORKER_VARIANCE))
-        mean = max(-limit, min(limit, value - expected))
-        model.workers[worker_id] = WorkerEffect(born_ms, mean, own_noise, 1, now_s)
-        return
-    _update_worker(effect, value - expected, own_noise, now_s)
-    effect.born_ms = born_ms or effect.born_ms
+    is_clipped = _update_step(model, step, observation, now_s)
+    if wave.size > 1:
+        wave.waiting.append(observation)
+    elif is_known or not is_clipped:
+        _update_worker(model, step, observation, now_s)
+
+
+def compare_workers(model: DurationModel, step: Effect, wave: Wave, now_s: float) -> None:
+    """Adjusts the effects of the workers to the observations of a step that wait for this."""
+    for observation in wave.waiting:
+        _update_worker(model, step, observation, now_s)
+    wave.waiting.clear()
 
 
 def _update_step(
-    model: DurationModel,
-    step: Effect,
-    worker: WorkerEffect | None,
-    value: float,
-    noise: float,
-    now_s: float,
+    model: DurationModel, step: Effect, observation: Observation, now_s: float
 ) -> bool:
-    """Adjusts the effect of a step to an observation on a worker; returns whether it is clipped."""
+    """Adjusts the effect of a step to an observation; returns whether its residual is clipped."""
+    worker = model.workers.get(observation.worker_id)
     mean, _ = _compute_worker_effect(model, worker, now_s)
     variance = max(model.worker_variance, WORKER_VARIANCE)
     if worker is not None:
         own = worker.compute_variance(now_s)
         variance *= own / (variance + own)
-    total = step.variance + variance + noise
+    total = step.variance + variance + observation.noise
     gain = step.variance / total
     limit = MAX_DEVIATION * math.sqrt(total)
-    residual = value - step.mean - mean
+    residual = observation.value - step.mean - mean
     step.mean += gain * max(-limit, min(limit, residual))
     step.runs += 1
     # A clipped residual does not confirm the estimate, so it leaves its variance as it is.
@@ -287,8 +313,20 @@
     return False
 
 
-def _update_worker(effect: WorkerEffect, value: float, noise: float, now_s: float) -> None:
-    """Adjusts the effect of a worker to an observation from which that of the step is removed."""
+def _update_worker(
+    model: DurationModel, step: Effect, observation: Observation, now_s: float
+) -> None:
+    """Adjusts the effect of a worker to an observation of a step whose effect is known."""
+    value, noise = observation.value - step.mean, observation.noise + step.variance
+    remove_other_incarnation(model, observation.worker_id, observation.born_ms)
+    effect = model.workers.get(observation.worker_id)
+    if effect is None:
+        limit = MAX_DEVIATION * math.sqrt(noise + max(model.worker_variance, WORKER_VARIANCE))
+        mean = max(-limit, min(limit, value))
+        model.workers[observation.worker_id] = WorkerEffect(
+            observation.born_ms, mean, noise, 1, now_s
+        )
+        return
     own = effect.compute_variance(now_s)
     deviation = math.sqrt(own + noise)
     gain = own / (own + noise)
--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -17,6 +17,14 @@
 """Progress from which the speed of a run is known well enough."""
 REPEATED_NOISE_RATIO = 4.0
 """Factor of the noise of an end whose run has given an observation before."""
+WAVE_SHARE = 0.85
+"""Share of the first tasks of a step after whose observation their workers are compared. Some tasks
+take several times as long as others, which is not waited for."""
+WAVE_DURATIONS = 2.0
+"""Time after which they are compared in any case, as a multiple of the first duration; a worker
+that takes 2.7 times as long as the fastest has ended its tasks by then."""
+MAX_WAVE = 1_000
+"""Maximum number of observations that wait, which bounds the memory of large steps."""
 TIME_ERROR_S = 0.05
 """Error of the times at which a run starts, reports and ends."""
 REPORT_INTERVAL_S = 1.2
@@ -208,8 +216,26 @@
         mean, variance = factors.get_worker_effect(model, slowest.worker_id, now_s)
         own_noise = noise + others_noise + variance
         factors.update_account(model, queue, account, value - mean, own_noise)
-    factors.update(model, effect, slowest.worker_id, born_ms, value, noise + others_noise, now_s)
+    wave = step.wave
+    if wave is None:
+        wave = step.wave = _begin_wave(step, run, measurement, now_s)
+    observation = factors.Observation(slowest.worker_id, born_ms, value, noise + others_noise)
+    factors.update(model, effect, wave, observation, now_s)
     model.unreported += 1
+    is_observed = len(wave.waiting) >= WAVE_SHARE * wave.size or now_s >= wave.until_s
+    if wave.size > 1 and (is_observed or not step.runs):
+        factors.compare_workers(model, effect, wave, now_s)
+        wave.size = 1
+
+
+def _begin_wave(
+    step: state.StepState, run: state.Run, measurement: Measurement, now_s: float
+) -> factors.Wave:
+    """Returns the tasks of a step that run when the first of them is observed."""
+    if step.step.gang:
+        return factors.Wave(1, now_s)
+    size = len(step.runs) + (run.task.index not in step.runs)
+    return factors.Wave(min(size, MAX_WAVE), now_s + WAVE_DURATIONS * measurement.duration_s)
 
 
 def _counts(current: state.SchedulerState, step: state.StepState, run: state.Run) -> bool:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -192,6 +192,7 @@
             those of a gang count for task 0.
         last_crashed_numbers: Number of the last run of each task for which a crash was counted.
         crashed_workers: Workers that have crashed under each task during this term.
+        wave: Its tasks whose durations were observed first, or None before that.
     """
 
     key: StepKey
@@ -208,6 +209,7 @@
     crash_weights: dict[int, int] = dataclasses.field(default_factory=dict)
     last_crashed_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
     crashed_workers: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    wave: factors.Wave | None = None
 
     @property
     def is_done(self) -> bool:
--- a/lycheegate/jobs/tests/durations_fleet.py
+++ b/lycheegate/jobs/tests/durations_fleet.py
@@ -89,13 +89,13 @@
         self.now_s += played.duration_s
         self._end(started)
 
-    def play_all(self, played: list[Played]) -> None:
-        """Starts tasks and gangs 0.25 s after each other, and ends those that are due meanwhile."""
+    def play_all(self, played: list[Played], interval_s: float = 0.25) -> None:
+        """Starts tasks and gangs one after another, and ends those that are due meanwhile."""
         for item in played:
             end_s = self.now_s + item.duration_s
             self._started += 1
             heapq.heappush(self._ends, (end_s, self._started, self.start(item)))
-            start_s = self.now_s + 0.25
+            start_s = self.now_s + interval_s
             while self._ends and self._ends[0][0] <= start_s:
                 self.now_s, _, started = heapq.heappop(self._ends)
                 self._end(started)
--- a/lycheegate/jobs/tests/test_durations.py
+++ b/lycheegate/jobs/tests/test_durations.py
@@ -13,26 +13,28 @@
 """Mean number of runs on each worker from which all factors are known to a tenth."""
 
 
-def _play_jobs(fleet, count, accounts=10):
+def _play_jobs(fleet, count, interval_s=0.25):
     """Plays batches of 39 tasks and four times as many gangs of 5, on random workers."""
     for number in range(count):
-        account = f"a{number % accounts}"
+        account = f"a{number % 10}"
         played = fleet.draw(fleet.add_job(account, count=39))
         for _ in range(4):
             gang = fleet.add_job(account, "urgent", count=5, gang=True, estimate_s=2.1)
             played += fleet.draw(gang)
-        fleet.play_all(played)
+        fleet.play_all(played, interval_s)
 
 
-def test_factors_of_an_uneven_fleet_are_recovered():
+@pytest.mark.parametrize("interval_s", [0.05, 0.25])
+def test_factors_of_an_uneven_fleet_are_recovered(interval_s):
     """Guards against slow workers that are not known after hundreds of runs.
 
+    Of tasks that start together, those on fast workers end first, so that these appeared typical.
     Of a hundred workers, two may have just had several tasks that took seven times as long.
     """
     errors = []
     for seed in range(4):
         fleet = durations_fleet.Fleet(seed, _WORKERS, durations_fleet.UNEVEN)
-        _play_jobs(fleet, 20)
+        _play_jobs(fleet, 20, interval_s)
         observed = sum(effect.runs for effect in fleet.current.durations.workers.values())
         assert observed <= _RUNS_EACH * _WORKERS
         errors += fleet.list_errors()
