Write learned durations seldom where they say little

The effects of accounts differ by a fifth from job to job, so the row was written 66 times in 10 minutes for an even fleet of 176 workers, and each 5 s for one of 930, which takes 33 KB of the 20 KB/s that a VM has.

A change of an account counts from a fifth on, rows are written at 4 KB/s at most, and a failed heartbeat without the row does not repeat it.

Tests: test_durations_row.py passes.

--- a/lycheegate/jobs/durations/encoding.py
+++ b/lycheegate/jobs/durations/encoding.py
@@ -7,6 +7,7 @@
 unknown worker counts as typical anyway.
 """
 
+import dataclasses
 import math
 from collections.abc import Iterable
 
@@ -33,11 +34,24 @@
 """Maximum length of the name of a worker, queue or account."""
 MAX_AGE_S = 86_400.0
 """Age of a record beyond which it is no older: the effects of its workers are unknown anyway."""
-CHANGED_LOG = 0.05
-"""Difference of logarithms from which a record is written again, about a twentieth."""
+CHANGED_WORKER_LOG = 0.05
+"""Difference of the logarithms of a worker's estimates from which a record is written again, about
+a twentieth."""
+CHANGED_ACCOUNT_LOG = 0.2
+"""The same for the declared durations of an account, which differ by more from job to job."""
 
-Snapshot = dict[tuple[str, ...], float]
-"""Logarithms of the estimates of workers, and of the queues' accounts, by name."""
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Logarithms of the estimates of a model.
+
+    Attributes:
+        workers: Those of the workers, by identifier and incarnation.
+        accounts: Those of new steps, by queue and client account.
+    """
+
+    workers: dict[tuple[str, int], float]
+    accounts: dict[tuple[str, str], float]
 
 
 def encode_model(
@@ -166,19 +180,24 @@
 
 def make_snapshot(model: factors.DurationModel, now_s: float) -> Snapshot:
     """Returns the estimates of a model, to tell later whether they have changed."""
-    snapshot: Snapshot = {
-        (worker_id, str(effect.born_ms)): factors.get_worker_effect(model, worker_id, now_s)[0]
+    workers = {
+        (worker_id, effect.born_ms): factors.get_worker_effect(model, worker_id, now_s)[0]
         for worker_id, effect in model.workers.items()
     }
-    for queue, accounts in model.queues.items():
-        for account in accounts:
-            mean = factors.make_step_effect(model, queue, account).mean
-            snapshot["queue", queue, account] = mean
-    return snapshot
+    accounts = {
+        (queue, account): factors.make_step_effect(model, queue, account).mean
+        for queue, queue_accounts in model.queues.items()
+        for account in queue_accounts
+    }
+    return Snapshot(workers, accounts)
 
 
 def has_changed(before: Snapshot, after: Snapshot) -> bool:
-    """Returns whether an estimate differs by a twentieth; unknown ones counted as typical."""
-    return any(
-        math.fabs(mean - before.get(name, 0.0)) > CHANGED_LOG for name, mean in after.items()
+    """Returns whether an estimate has changed; unknown ones counted as typical."""
+    return _differs(before.workers, after.workers, CHANGED_WORKER_LOG) or _differs(
+        before.accounts, after.accounts, CHANGED_ACCOUNT_LOG
     )
+
+
+def _differs(before: dict, after: dict, limit: float) -> bool:
+    return any(math.fabs(mean - before.get(name, 0.0)) > limit for name, mean in after.items())
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -14,8 +14,10 @@
 DURATIONS_INTERVAL_S = 5.0
 """Interval at which learned durations are written at most. Their row may have 48 KB and is sent to
 all VMs."""
-DURATIONS_RETRY_S = 1.0
-"""The same after a write that may not have been stored."""
+DURATIONS_BYTES_PER_S = 4_000
+"""Rate at which large rows of learned durations are written at most; a VM has 20 KB/s for all."""
+DURATIONS_CHECK_S = 1.0
+"""Interval at which they are compared with the row at most, and written again after a failure."""
 
 
 class TermRows:
@@ -49,7 +51,9 @@
         self._written_durations = encoding.make_snapshot(current.durations, now_s())
         """Estimates in the stored row of durations."""
         self._are_durations_stored = True
-        self._durations_sent_at_s = now_s()
+        self._are_durations_sent = False
+        """Whether durations went with the last heartbeat, whose outcome is not known."""
+        self._durations_not_before_s = 0.0
         self._listed_workers: frozenset[str] = frozenset()
         """Workers whose ends of leases went with the last heartbeat that was sent."""
         self._may_list_workers = False
@@ -72,6 +76,7 @@
 
     def handle_stored(self) -> None:
         """Lets leases be granted again to workers that the stored heartbeat does not list."""
+        self._are_durations_sent = False
         self._may_list_workers = bool(self._listed_workers)
         self._state.withheld_leases = self._listed_workers
         self._state.withholds_all_leases = False
@@ -79,7 +84,9 @@
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
-        self._are_durations_stored = False
+        if self._are_durations_sent:
+            self._are_durations_sent = self._are_durations_stored = False
+            self._durations_not_before_s = self._now_s() + DURATIONS_CHECK_S
         self._written_counts = dict.fromkeys(self._written_counts)
 
     def _make_heartbeat_writes(self, release: bool, clock_ms: int) -> list[storage.Write]:
@@ -118,19 +125,20 @@
     def _make_durations_write(self, clock_ms: int) -> list[storage.Write]:
         """Returns the write of the learned durations, if some have changed since the last one."""
         now_s = self._now_s()
-        is_stored = self._are_durations_stored
-        interval_s = DURATIONS_INTERVAL_S if is_stored else DURATIONS_RETRY_S
-        if not clock_ms or now_s - self._durations_sent_at_s < interval_s:
+        if not clock_ms or now_s < self._durations_not_before_s:
             return []
-        self._durations_sent_at_s = now_s
         model = self._state.durations
         durations = encoding.make_snapshot(model, now_s)
-        if is_stored and not encoding.has_changed(self._written_durations, durations):
+        has_changed = encoding.has_changed(self._written_durations, durations)
+        if self._are_durations_stored and not has_changed:
+            self._durations_not_before_s = now_s + DURATIONS_CHECK_S
             return []
         self._written_durations = durations
-        self._are_durations_stored = True
+        self._are_durations_stored = self._are_durations_sent = True
         max_bytes = self._state.policy.max_row_bytes
         data = encoding.encode_model(model, now_s, clock_ms, max_bytes)
+        interval_s = max(DURATIONS_INTERVAL_S, len(data) / DURATIONS_BYTES_PER_S)
+        self._durations_not_before_s = now_s + interval_s
         return [storage.Write(tables.DURATIONS, data)]
 
     def _make_leases_write(
