Bound learned effects, and forget queues that are no longer configured

The effects of former queues stayed until the end of the term.

Tests: test_durations.py, test_durations_row.py, test_scheduler.py, test_survival.py, test_random_faults.py and test_worker_faults.py pass.

--- a/lycheegate/jobs/durations/encoding.py
+++ b/lycheegate/jobs/durations/encoding.py
@@ -27,8 +27,7 @@
 """Upper limit of the size of a record without its entries."""
 UNITS = 10_000
 """Number of units of a logarithm or a variance in 1."""
-MAX_MEAN = 7.0
-"""Largest logarithm of a ratio that is accepted, a factor of a thousand."""
+MAX_MEAN = factors.MAX_LOG
 MAX_VARIANCE = 50.0
 MAX_NAME = 512
 """Maximum length of the name of a worker, queue or account."""
--- a/lycheegate/jobs/durations/factors.py
+++ b/lycheegate/jobs/durations/factors.py
@@ -35,6 +35,9 @@
     "update_account",
 ]
 
+MAX_LOG = 7.0
+"""Largest logarithm of measured over declared duration that is distinguished, a factor of a
+thousand; callers may declare any duration."""
 STEP_VARIANCE = 0.165
 """Variance between steps of a queue and client account: declared durations are off by half."""
 TASK_VARIANCE = 0.0225
--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -68,6 +68,7 @@
         _observe_progress(current, run, now_s)
     if now_s - current.durations.refreshed_at_s >= factors.REFRESH_S:
         _remove_departed(current, now_s)
+        _remove_former_queues(current)
         factors.refresh(current.durations, now_s)
     return _report_model(current.durations, now_s)
 
@@ -203,7 +204,8 @@
     duration_s = measurement.duration_s
     if _is_far(current, step, members):
         duration_s /= current.policy.far_factor
-    value = math.log(duration_s / step.step.estimate_s)
+    value = math.log(duration_s) - math.log(step.step.estimate_s)
+    value = max(-factors.MAX_LOG, min(factors.MAX_LOG, value))
     model = current.durations
     others_noise = _compute_others_noise(model, slowest.worker_id, members, now_s)
     born_ms = current.workers[slowest.worker_id].born_ms
@@ -340,3 +342,11 @@
     for worker_id in effects.keys() - current.workers.keys():
         if now_s - effects[worker_id].updated_at_s >= FORGET_S:
             factors.forget_worker(current.durations, worker_id)
+
+
+def _remove_former_queues(current: state.SchedulerState) -> None:
+    """Removes the effects of queues that are no longer configured."""
+    if current.configuration is None:
+        return
+    for queue in current.durations.queues.keys() - current.configuration.routes.keys():
+        del current.durations.queues[queue]
--- a/lycheegate/jobs/tests/test_durations.py
+++ b/lycheegate/jobs/tests/test_durations.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheegate.jobs import runs, state, workers
+from lycheegate.jobs import model, runs, state, workers
 from lycheegate.jobs.durations import factors, observations, predictions
 from lycheegate.jobs.tests import durations_fleet
 
@@ -312,6 +312,30 @@
     assert known == [True, False]
 
 
+def test_queue_that_is_no_longer_configured_is_forgotten():
+    """Guards against a model that grows with each change of the configuration."""
+    fleet, job = _make_fleet()
+    fleet.current.configuration = model.Configuration(1, {"batch": job.route}, {}, {}, {}, 1)
+    fleet.current.durations.queues = {name: {} for name in ("batch", "former")}
+    observations.observe_report(fleet.current, fleet.current.workers["w0"], fleet.now_s)
+    assert list(fleet.current.durations.queues) == ["batch"]
+
+
+@pytest.mark.parametrize("estimate_s", [1e-300, 1e300])
+def test_absurd_declaration_does_not_end_predictions(estimate_s):
+    """Guards against an overflow in each scheduling pass because of one job's declaration."""
+    fleet = durations_fleet.Fleet(1, _WORKERS, durations_fleet.EVEN)
+    for _ in range(5):
+        job = fleet.add_job(estimate_s=estimate_s, count=39)
+        played = fleet.draw(job)
+        for item in played:
+            item.duration_s = 6.0
+        fleet.play_all(played)
+    estimate = predictions.get_step_estimate(fleet.current, job, job.steps[0, 0])
+    assert math.isfinite(estimate.upper_ratio) and estimate.ratio > 0.0
+    assert all(0.9 <= error <= 1.1 for error in fleet.list_errors())
+
+
 def test_prediction_combines_step_and_worker():
     """Guards against predictions that ignore what is known, or fail where nothing is known."""
     fleet, job = _make_fleet()
