--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -58,6 +58,13 @@
         assert finding in str(caught.value)
 
 
+@pytest.mark.parametrize(("text", "factor"), [("", 3.0), ("2.5", 2.5), ("0", 1.0)])
+def test_factor_of_runs_far_from_their_data(text, factor):
+    """Guards against measured durations that are divided by a wrong factor, or by 0."""
+    found = settings.parse_settings(f"{_SETTINGS}\nbounds.far-factor={text}\n")
+    assert found.policy.far_factor == factor
+
+
 def test_missing_settings_file():
     """Guards against an error that does not name the environment variable."""
     with pytest.raises(settings.SettingsError, match="LYCHEEGATE_BOOT"):
