--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -4,7 +4,7 @@
 import random
 
 from lycheegate.jobs import model, progress, state
-from lycheegate.metrics import histograms, jsonlog
+from lycheegate.metrics import duration_errors, histograms, jsonlog
 from lycheegate.node import scheduler, storage, tables, terms
 from lycheegate.node.tests import fake_store, fake_workers, idleness
 from lycheegate.platform import workers as worker_calls
@@ -155,6 +155,7 @@
             lambda at_s: int(at_s * 1000) + 1,
             jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
+            duration_errors.DurationErrors(),
         )
         new_scheduler = scheduler.Scheduler(
             runtime,
@@ -166,6 +167,7 @@
             state.Evacuations(self.evacuated, self.loop.now_s),
             terms.list_suspects(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
+            view.durations,
             lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
