Place units according to the learned speeds of workers

Cause: urgent gangs are placed on workers that take 1.6 times the typical time, so two thirds of them end after their objective although nine of ten start within 0.4 s.

Change: jobs/adequacy.py orders the workers of a service for each unit by the learned speeds: adequate ones first for urgent work, last for other work. An urgent unit that would miss its objective in the free room preempts or awaits runs on adequate workers. Ranks, slack and awaited ends use learned durations.

Not measured under load yet.

--- a/lycheegate/jobs/estimates.py
+++ b/lycheegate/jobs/estimates.py
@@ -6,6 +6,7 @@
     "compute_s_per_percent",
     "estimate_remaining_s",
     "estimate_unsaved_s",
+    "predict_end_s",
     "predict_remaining_s",
 ]
 
@@ -15,11 +16,21 @@
 """Remaining time below which a run is nearly done, so that stopping it would gain nothing."""
 
 
-def estimate_remaining_s(step: state.StepState, run: state.Run, now_s: float) -> float:
-    """Returns the remaining time of a run, from its reported progress or its declared duration."""
+def estimate_remaining_s(
+    step: state.StepState, run: state.Run, now_s: float, duration_s: float | None = None
+) -> float:
+    """Returns the remaining time of a run, from its reported progress or its expected duration.
+
+    Args:
+        step: Its step.
+        run: The run.
+        now_s: Time on the scheduler's clock.
+        duration_s: Its learned duration, or None for the declared one.
+    """
     remaining_s = predict_remaining_s(run, now_s)
     if remaining_s is None:
-        remaining_s = step.step.estimate_s - (now_s - run.phase_began_at_s)
+        expected_s = step.step.estimate_s if duration_s is None else duration_s
+        remaining_s = expected_s - (now_s - run.phase_began_at_s)
     # Once a run exceeds its estimate, the estimate says nothing about when it will end.
     return remaining_s if remaining_s > 0.0 else OVERDUE_REMAINING_S
 
@@ -35,6 +46,24 @@
     return (100 - run.percent) * s_per_percent - (now_s - run.advanced_at_s)
 
 
+def predict_end_s(run: state.Run, duration_s: float | None, now_s: float) -> float | None:
+    """Returns the remaining time of a run if it is known well enough to wait for its end.
+
+    Args:
+        run: The run.
+        duration_s: Its learned duration, or None if there is too little evidence for it.
+        now_s: Time on the scheduler's clock.
+
+    Returns:
+        The remaining time, or None if neither progress nor the learned duration tells. A run that
+        should have ended may last any time.
+    """
+    remaining_s = predict_remaining_s(run, now_s)
+    if remaining_s is None and duration_s is not None and run.phase is state.RunPhase.RUNNING:
+        remaining_s = duration_s - (now_s - run.phase_began_at_s)
+    return remaining_s if remaining_s is not None and remaining_s >= 0.0 else None
+
+
 def compute_s_per_percent(run: state.Run) -> float | None:
     """Returns the average time that one percent of progress takes, or None without progress.
 
--- a/lycheegate/jobs/evacuation.py
+++ b/lycheegate/jobs/evacuation.py
@@ -7,6 +7,7 @@
 """
 
 from lycheegate.jobs import commands, estimates, runs, state
+from lycheegate.jobs.durations import predictions
 
 __all__ = ["evacuate"]
 
@@ -53,10 +54,10 @@
     leaves_in_s: float,
     now_s: float,
 ) -> bool:
-    if (
-        not step.step.long_running
-        and estimates.estimate_remaining_s(step, run, now_s) <= leaves_in_s
-    ):
-        return False
+    if not step.step.long_running:
+        job = current.jobs[run.task.job_id]
+        duration_s = predictions.predict_s(current, job, step, run.worker_id, now_s)
+        if estimates.estimate_remaining_s(step, run, now_s, duration_s) <= leaves_in_s:
+            return False
     can_stop_late = step.step.checkpoints or step.step.long_running
     return not can_stop_late or leaves_in_s <= current.policy.stop_s + STOP_MARGIN_S
--- a/lycheegate/jobs/ordering.py
+++ b/lycheegate/jobs/ordering.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from lycheegate.jobs import model, state
+from lycheegate.jobs.durations import predictions
 
 __all__ = [
     "Rank",
@@ -17,6 +18,8 @@
     "compute_remaining_work",
     "compute_usage",
     "list_guaranteed_accounts",
+    "predict_remaining_s",
+    "predict_remaining_work",
     "rank_job",
 ]
 
@@ -24,7 +27,7 @@
 """Number of cores that an accelerator counts as when amounts of work are compared."""
 NEAR_OBJECTIVE_SLACK_S = 3.0
 """Slack below which a job goes ahead of smaller jobs. Slack is the time until the objective minus
-the declared remaining time."""
+the learned remaining time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -65,13 +68,13 @@
         wall_s: Time of day, in seconds since 1970.
     """
     route = state.get_route(current, job)
-    slack_s = compute_objective_s(job, route) - wall_s - compute_remaining_s(job)
+    slack_s = compute_objective_s(job, route) - wall_s - predict_remaining_s(current, job)
     is_late = slack_s < 0.0
     if route.priority == 0:
         level = 0 if job.job.account in guaranteed else 1
         return Rank(level, is_late, 0, 0, job.job.accepted_at_s, job.job.job_id)
     slack_band = 0 if 0.0 <= slack_s < NEAR_OBJECTIVE_SLACK_S else 1
-    size = compute_remaining_work(job)
+    size = predict_remaining_work(current, job)
     return Rank(2, is_late, route.priority, slack_band, size, job.job.job_id)
 
 
@@ -91,12 +94,30 @@
 
 def compute_remaining_s(job: state.JobState) -> float:
     """Returns the declared duration of the chain of steps that are not done, in seconds."""
-    done = {key[1] for key, step in job.steps.items() if step.is_done}
-    remaining = tuple(
-        dataclasses.replace(step, estimate_s=0.0) if number in done else step
+    done = {key[1]: 0.0 for key, step in job.steps.items() if step.is_done}
+    return _sum_chain_s(job, done)
+
+
+def predict_remaining_s(current: state.SchedulerState, job: state.JobState) -> float:
+    """Returns the same as ``compute_remaining_s`` with learned durations, on typical workers."""
+    ratios: dict[int, float] = {}
+    for key, step in job.steps.items():
+        if step.is_done:
+            ratios[key[1]] = 0.0
+        elif key[1] not in ratios:
+            ratios[key[1]] = predictions.get_step_estimate(current, job, step).ratio
+    return _sum_chain_s(job, ratios)
+
+
+def _sum_chain_s(job: state.JobState, ratios: dict[int, float]) -> float:
+    """Returns the duration of a job's chain with the durations of some steps multiplied."""
+    steps = tuple(
+        step
+        if ratios.get(number, 1.0) == 1.0
+        else dataclasses.replace(step, estimate_s=step.estimate_s * ratios[number])
         for number, step in enumerate(job.job.steps)
     )
-    return model.estimate_chain_s(remaining)
+    return model.estimate_chain_s(steps)
 
 
 def compute_remaining_work(job: state.JobState) -> float:
@@ -108,6 +129,19 @@
     return work
 
 
+def predict_remaining_work(current: state.SchedulerState, job: state.JobState) -> float:
+    """Returns the same as ``compute_remaining_work`` with learned durations."""
+    work = 0.0
+    for step in job.steps.values():
+        remaining = step.step.count - len(step.done)
+        if remaining:
+            duration_s = step.step.estimate_s * (
+                predictions.get_step_estimate(current, job, step).ratio
+            )
+            work += remaining * duration_s * compute_usage(step.step.need)
+    return work
+
+
 def compute_usage(need: model.Resources) -> float:
     """Returns an amount of resources as an equivalent number of cores."""
     return need.cpu_millicores / 1000.0 + CORES_PER_ACCELERATOR * need.accelerators
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -27,6 +27,11 @@
     """Preference among workers that have room; lower tiers are used first."""
 
     PREFERRED = 0
+    """Adequate, for urgent work: the job is expected to meet its objective there with a margin."""
+    LIKELY = 1
+    """For urgent work: the job meets its objective there if the expected speed is right."""
+    SLOW = 2
+    """For urgent work: the job is expected to miss its objective there."""
     COLD = 9
     """Has started recently and is slow for a while."""
 
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import crashes, data_centres, health, model, placement, state
+from lycheegate.jobs import adequacy, crashes, data_centres, health, model, placement, state
 
 __all__ = ["WorkerPool", "is_eligible", "is_usable"]
 
@@ -58,6 +58,7 @@
         self._on_trial = {w.worker_id for w in current.workers.values() if w.trials}
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
+        self._tiers: dict[str, adequacy.Tiers | None] = {}
         self._unplaceable_needs: dict[tuple[str, str], list[model.Resources]] = {}
         if stalled is None:
             stalled = health.list_stalled(current, now_s)
@@ -82,6 +83,33 @@
         """Returns whether a worker may get new work in this pass."""
         return worker_id in self._by_worker
 
+    def list_of_service(self, service: str) -> list[placement.Candidate]:
+        """Returns the usable workers of a service."""
+        return self._by_service.get(service, [])
+
+    def set_tiers(self, service: str, tiers: adequacy.Tiers | None) -> None:
+        """Sets the tiers of the workers of a service, until the next call; None for equal ones.
+
+        Cold workers keep their tier.
+        """
+        if self._tiers.get(service) is tiers:
+            return
+        self._tiers[service] = tiers
+        candidates = self.list_of_service(service)
+        values = tiers.values if tiers else [placement.Tier.PREFERRED] * len(candidates)
+        for candidate, tier in zip(candidates, values, strict=True):
+            if candidate.tier != placement.Tier.COLD:
+                candidate.tier = tier
+
+    def has_tiers(self, service: str) -> bool:
+        """Returns whether tiers are set that are not all equal."""
+        return self._tiers.get(service) is not None
+
+    def has_slow(self, service: str) -> bool:
+        """Returns whether the tiers that are set are those of adequacy, and some worker is slow."""
+        tiers = self._tiers.get(service)
+        return tiers is not None and tiers.has_slow
+
     def is_on_trial(self, worker_id: str) -> bool:
         """Returns whether a worker runs a task that may crash it, and should get no other work."""
         return worker_id in self._on_trial
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from lycheegate.jobs import (
+    adequacy,
     commands,
     estimates,
     headroom,
@@ -20,7 +21,7 @@
     units,
 )
 
-__all__ = ["compute_wait_s", "plan_reservation", "preempt"]
+__all__ = ["compute_wait_s", "plan_reservation", "preempt", "prefers_faster"]
 
 PREEMPTION_MARGIN_S = 0.4
 """Time for a stop order to reach the worker and for its report of the end to arrive, in addition
@@ -41,6 +42,9 @@
 MAX_PLANNED_RATIO = 0.5
 """Share of the capacity that the reservations of several blocked gangs may hold. The first one may
 hold more, as a large gang would never start otherwise."""
+MAX_SPEED_COST_RATIO = 3.0
+"""Cost of stopping runs on adequate workers, as a multiple of a job's own remaining work, up to
+which they are stopped although slower workers have room."""
 MAX_MIXED_COST_RATIO = 0.5
 """A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
 Above it, the room that is freed at once would idle for little gain."""
@@ -68,9 +72,82 @@
     candidates = units.list_candidates(context, unit)
     if not candidates:
         return
-    found = _choose_victims(context, unit, candidates)
+    found: preemption.Preemption | None = None
+    if context.workers.has_slow(unit.service):
+        found = _choose_victims(context, unit, _list_not_slow(candidates))
     if found is None:
-        return
+        found = _choose_victims(context, unit, candidates)
+    if found is not None:
+        _apply_preemption(context, unit, found)
+
+
+def prefers_faster(
+    context: units.PassContext,
+    unit: units.Unit,
+    chosen: list[str],
+    reservation: state.Reservation | None,
+) -> bool:
+    """Returns whether an urgent unit waits for room on adequate workers instead of slow ones.
+
+    If so, the room is reserved, and runs may be stopped for it. That happens only if the job is
+    expected to meet its objective there and to miss it in the room that is free. It is tried only
+    in the first moments of the waiting time, so that the unit then takes any room.
+
+    Args:
+        context: Inputs and results of the pass.
+        unit: The unit; its candidates have just been listed.
+        chosen: Worker with free room for each of its tasks.
+        reservation: The reservation that the unit has, or None.
+    """
+    if not context.workers.has_slow(unit.service):
+        return False
+    candidates = units.list_suitable(context, unit)
+    preferred = _list_not_slow(candidates)
+    slow = {c.worker_id for c in candidates if c.tier == placement.Tier.SLOW}
+    if slow.isdisjoint(chosen):
+        return False
+    limit_s = MAX_GUARANTEED_WAIT_S if unit.rank.level == 0 else MAX_WAIT_S
+    if reservation is not None:
+        limit_s += context.current.policy.stop_s + PREEMPTION_MARGIN_S
+    if unit.step.compute_waited_s(context.now_s) >= limit_s:
+        return False
+    if reservation is not None:
+        return reservation.preempts and slow.isdisjoint(reservation.placement.values())
+    if not _is_view_complete(context.current, context.now_s):
+        return False
+    found = _choose_victims(context, unit, preferred)
+    if found is None or not _is_worth_waiting(context, unit, found):
+        return False
+    _apply_preemption(context, unit, found)
+    return True
+
+
+def _list_not_slow(candidates: list[placement.Candidate]) -> list[placement.Candidate]:
+    return [candidate for candidate in candidates if candidate.tier < placement.Tier.SLOW]
+
+
+def _is_worth_waiting(
+    context: units.PassContext, unit: units.Unit, found: preemption.Preemption
+) -> bool:
+    """Returns whether a job meets its objective with a preemption, and loses less than it gains."""
+    remaining_work = ordering.predict_remaining_work(context.current, unit.job)
+    if found.cost > MAX_SPEED_COST_RATIO * remaining_work:
+        return False
+    limit = context.speeds.compute_limit(unit.job, _compute_delay_s(context, found))
+    slowest = max(context.speeds.get_estimate(worker_id).ratio for worker_id in found.placement)
+    return slowest * adequacy.ALLOWANCE_RATIO <= limit
+
+
+def _compute_delay_s(context: units.PassContext, found: preemption.Preemption) -> float:
+    """Returns after which time the room of a preemption is free, unless something goes wrong."""
+    stop_s = context.current.policy.stop_s + PREEMPTION_MARGIN_S if found.victims else 0.0
+    return max([stop_s, *(victim.remaining_s or 0.0 for victim in found.awaited)])
+
+
+def _apply_preemption(
+    context: units.PassContext, unit: units.Unit, found: preemption.Preemption
+) -> None:
+    """Stops the victims of a preemption, and reserves the room for a unit."""
     for victim in found.victims:
         context.result += _stop_victim(context, victim.key)
         for cached in context.victims.values():
@@ -120,7 +197,8 @@
 
     route = state.get_route(context.current, unit.job)
     objective_s = ordering.compute_objective_s(unit.job, route)
-    slack_s = objective_s - context.wall_s - ordering.compute_remaining_s(unit.job)
+    remaining_s = ordering.predict_remaining_s(context.current, unit.job)
+    slack_s = objective_s - context.wall_s - remaining_s
     waited_s = unit.step.compute_waited_s(context.now_s)
     wait_s = compute_wait_s(level, slack_s, waited_s)
     found = choose(wait_s)
@@ -203,7 +281,7 @@
         _make_victim_key(job, step, group),
         loss * (1 + _count_interruptions(step, group)),
         _sum_room(group),
-        _predict_end_s(group, context.now_s),
+        _predict_end_s(context, job, step, group),
         loss,
     )
 
@@ -224,12 +302,15 @@
     return room_by_worker
 
 
-def _predict_end_s(group: list[state.Run], now_s: float) -> float | None:
-    """Returns in how many seconds all runs will have ended, or None if progress does not tell."""
+def _predict_end_s(
+    context: units.PassContext, job: state.JobState, step: state.StepState, group: list[state.Run]
+) -> float | None:
+    """Returns in how many seconds all runs will have ended, or None if that is not known."""
     latest_s = 0.0
     for run in group:
-        remaining_s = estimates.predict_remaining_s(run, now_s)
-        if remaining_s is None or remaining_s < 0.0:
+        duration_s = context.speeds.predict_known_s(job, step, run.worker_id)
+        remaining_s = estimates.predict_end_s(run, duration_s, context.now_s)
+        if remaining_s is None:
             return None
         latest_s = max(latest_s, remaining_s)
     return latest_s
@@ -310,7 +391,13 @@
                 continue
             for group in _group_runs(step):
                 remaining_s = max(
-                    estimates.estimate_remaining_s(step, run, context.now_s) for run in group
+                    estimates.estimate_remaining_s(
+                        step,
+                        run,
+                        context.now_s,
+                        context.speeds.predict_s(job, step, run.worker_id),
+                    )
+                    for run in group
                 )
                 key = _make_victim_key(job, step, group)
                 room_by_worker = _sum_room(group)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -39,6 +39,9 @@
 others wait for the next tick or change, because passes without a pause would fill the thread."""
 MAX_PLACED_URGENT_TASKS = 1000
 """Number of placed tasks from which a pass places no urgent ones either."""
+MAX_COMPARED_STEPS = 20
+"""Number of steps in a pass whose choice of workers is compared with the one without speeds, for
+the log; each takes another search for room."""
 MAX_LOCALITY_WAIT_RATIO = 1.0
 """How long a task waits for room in the rack of its data before it may run elsewhere, as a
 multiple of its declared duration."""
@@ -239,7 +242,7 @@
 
     Returns:
         False if the unit did not fit. A unit with a stray run is skipped and returns True, so
-        that the other tasks of its step are tried.
+        that the other tasks of its step are tried, as is one that waits for faster workers.
     """
     if _has_stray_run(context.current, unit):
         return True
@@ -249,6 +252,10 @@
     chosen = _find_reserved_workers(context, unit)
     if chosen is None and is_admitted(context, unit):
         chosen = choose_workers(context, unit, reservation is not None)
+        if chosen is not None and _waits_for_faster(context, unit, chosen, reservation):
+            return True
+        if chosen is not None:
+            _report_if_differs(context, unit, chosen)
     if chosen is not None:
         context.current.reservations.pop(unit.reservation_key, None)
         _add_runs(context, unit, chosen)
@@ -262,6 +269,50 @@
     return False
 
 
+def _waits_for_faster(
+    context: units.PassContext,
+    unit: units.Unit,
+    chosen: list[str],
+    reservation: state.Reservation | None,
+) -> bool:
+    """Returns whether an urgent unit has room on faster workers reserved, instead of free room."""
+    if unit.rank.level >= 2 or not reclaiming.prefers_faster(context, unit, chosen, reservation):
+        return False
+    if reservation is not None:
+        context.workers.add_reservation(reservation)
+    else:
+        reserved = context.current.reservations[unit.reservation_key].placement.values()
+        context.result.append(_make_durations_applied(context, unit, list(reserved)))
+    return True
+
+
+def _report_if_differs(context: units.PassContext, unit: units.Unit, chosen: list[str]) -> None:
+    """Logs a choice of workers that learned speeds have changed, once a pass for each step."""
+    key = (unit.job.job.job_id, *unit.step.key)
+    if not context.workers.has_tiers(unit.service) or key in context.compared_steps:
+        return
+    if len(context.compared_steps) >= MAX_COMPARED_STEPS:
+        return
+    context.compared_steps.add(key)
+    context.workers.set_tiers(unit.service, None)
+    unranked = _choose_among(context, unit, units.list_suitable(context, unit))
+    if unranked is None or set(unranked) != set(chosen):
+        context.result.append(_make_durations_applied(context, unit, chosen))
+
+
+def _make_durations_applied(
+    context: units.PassContext, unit: units.Unit, chosen: list[str]
+) -> commands.Decision:
+    ratios = [context.speeds.get_estimate(worker_id).ratio for worker_id in chosen]
+    fields = {
+        "job": unit.job.job.job_id,
+        "step": f"{unit.step.key[0]}.{unit.step.key[1]}",
+        "factors": [round(min(ratios), 2), round(max(ratios), 2)],
+        "limit": round(context.speeds.compute_limit(unit.job), 2),
+    }
+    return commands.Decision("durations_applied", fields)
+
+
 def is_admitted(context: units.PassContext, unit: units.Unit) -> bool:
     """Returns whether a unit may start without using the headroom for urgent work."""
     if unit.rank.level < 2:
@@ -311,8 +362,14 @@
     if not has_reservation and context.workers.is_full(unit.service, step):
         return None
     candidates = units.list_candidates(context, unit)
-    if not candidates:
-        return None
+    return _choose_among(context, unit, candidates) if candidates else None
+
+
+def _choose_among(
+    context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
+) -> list[str] | None:
+    """Returns a worker for each task of a unit according to the tiers of the candidates."""
+    step = unit.step.step
     if step.gang:
         return _choose_for_gang(unit, candidates)
     only_near = compute_locality_wait_s(context, unit) > 0.0 and any(
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lycheegate.jobs import (
+    adequacy,
     commands,
     crashes,
     headroom,
@@ -20,6 +21,7 @@
     "compute_share",
     "is_last_attempt",
     "list_candidates",
+    "list_suitable",
     "make_reservation_key",
 ]
 
@@ -67,6 +69,8 @@
         result: Commands of the pass.
         planned_reservations: Number of reservations for which nothing was preempted.
         placed_tasks: Number of tasks that were placed.
+        compared_steps: Steps whose choice of workers was compared with the one without speeds.
+        speeds: Learned speeds.
     """
 
     current: state.SchedulerState
@@ -80,6 +84,11 @@
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_reservations: int = 0
     placed_tasks: int = 0
+    compared_steps: set[tuple] = dataclasses.field(default_factory=set)
+    speeds: adequacy.FleetSpeeds = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        self.speeds = adequacy.FleetSpeeds(self.current, self.now_s, self.wall_s)
 
 
 def make_reservation_key(
@@ -104,7 +113,26 @@
 
 
 def list_candidates(context: PassContext, unit: Unit) -> list[placement.Candidate]:
-    """Returns the workers on which a unit may be placed, in this pass or once room is free."""
+    """Returns the workers on which a unit may be placed, in this pass or once room is free.
+
+    Their tiers are those for the unit, until candidates for another unit are listed.
+    """
+    of_service = context.workers.list_of_service(unit.service)
+    is_urgent = unit.rank.level < 2
+    tiers = context.speeds.get_tiers(unit.service, of_service, unit.job, unit.step, is_urgent)
+    context.workers.set_tiers(unit.service, tiers)
+    candidates = list_suitable(context, unit)
+    if not context.workers.has_slow(unit.service):
+        return candidates
+    if adequacy.may_hold(len(unit.indices), unit.step.step.need, candidates):
+        return candidates
+    tiers = context.speeds.get_tiers_by_speed(unit.service, of_service)
+    context.workers.set_tiers(unit.service, tiers)
+    return list_suitable(context, unit)
+
+
+def list_suitable(context: PassContext, unit: Unit) -> list[placement.Candidate]:
+    """Returns the workers on which a unit may be placed, with the tiers that are set."""
     candidates = context.workers.list_candidates(unit.service, unit.step)
     if crashes.is_suspect(unit.step, unit.indices):
         candidates = context.workers.list_for_trial(candidates)
