--- a/lycheegate/jobs/adequacy.py
+++ b/lycheegate/jobs/adequacy.py
@@ -215,15 +215,26 @@
     return min(limits, default=None)
 
 
-def may_hold(count: int, need: model.Resources, candidates: list[placement.Candidate]) -> bool:
-    """Returns whether the workers before the tier ``SLOW`` could hold a unit if they were empty."""
-    held = 0
+def may_hold(
+    count: int, need: model.Resources, candidates: list[placement.Candidate], same_rack: bool
+) -> bool:
+    """Returns whether the workers before the tier ``SLOW`` could hold a unit if they were empty.
+
+    Args:
+        count: Number of tasks.
+        need: Resources of one task.
+        candidates: All workers on which the unit may be placed.
+        same_rack: Whether it has to be in one rack unless it exceeds every rack.
+    """
+    held: dict[str, int] = {}
     for candidate in candidates:
         if candidate.tier < placement.Tier.SLOW:
-            held += placement.count_fitting(need, candidate.capacity, candidate.limit)
-            if held >= count:
+            rack = candidate.rack if same_rack else ""
+            fitting = placement.count_fitting(need, candidate.capacity, candidate.limit)
+            held[rack] = held.get(rack, 0) + fitting
+            if held[rack] >= count:
                 return True
-    return False
+    return sum(held.values()) >= count and placement.exceeds_every_rack(count, need, candidates)
 
 
 def _cache(speeds: _ServiceSpeeds, key: tuple, make) -> Tiers:
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -24,7 +24,10 @@
 
 
 class Tier(enum.IntEnum):
-    """Preference among workers that have room; lower tiers are used first."""
+    """Preference among workers that have room; lower tiers are used first.
+
+    ``adequacy`` uses other values up to ``COLD`` for work that is not urgent or is late.
+    """
 
     PREFERRED = 0
     """Adequate, for urgent work: the job is expected to meet its objective there with a margin."""
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -75,8 +75,9 @@
     found: preemption.Preemption | None = None
     if context.workers.has_slow(unit.service):
         found = _choose_victims(context, unit, _list_not_slow(candidates))
-    if found is None:
-        found = _choose_victims(context, unit, candidates)
+    if found is None or found.cost >= URGENT_VICTIM_COST:
+        # No urgent run is stopped for the sake of speed alone.
+        found = _choose_victims(context, unit, candidates) or found
     if found is not None:
         _apply_preemption(context, unit, found)
 
@@ -131,13 +132,24 @@
 ) -> bool:
     """Returns whether a job meets its objective with a preemption, and loses less than it gains."""
     remaining_work = ordering.predict_remaining_work(context.current, unit.job)
-    if found.cost > MAX_SPEED_COST_RATIO * remaining_work:
+    if found.cost > MAX_SPEED_COST_RATIO * remaining_work or _spans_needlessly(
+        context, unit, found.placement
+    ):
         return False
     limit = context.speeds.compute_limit(unit.job, _compute_delay_s(context, found))
     slowest = max(context.speeds.get_estimate(worker_id).ratio for worker_id in found.placement)
     return slowest * adequacy.ALLOWANCE_RATIO <= limit
 
 
+def _spans_needlessly(context: units.PassContext, unit: units.Unit, chosen: list[str]) -> bool:
+    """Returns whether a gang would be slower because it spans racks, although it fits in one."""
+    step = unit.step.step
+    if not step.same_rack or len({context.current.workers[w].rack for w in chosen}) < 2:
+        return False
+    candidates = units.list_suitable(context, unit)
+    return not placement.exceeds_every_rack(len(unit.indices), step.need, candidates)
+
+
 def _compute_delay_s(context: units.PassContext, found: preemption.Preemption) -> float:
     """Returns after which time the room of a preemption is free, unless something goes wrong."""
     stop_s = context.current.policy.stop_s + PREEMPTION_MARGIN_S if found.victims else 0.0
--- a/lycheegate/jobs/tests/test_estimates.py
+++ b/lycheegate/jobs/tests/test_estimates.py
@@ -2,7 +2,20 @@
 
 import pytest
 
-from lycheegate.jobs import estimates, lifecycle, model, runs, scheduling, state, workers, writes
+from lycheegate.jobs import (
+    adequacy,
+    estimates,
+    evacuation,
+    lifecycle,
+    model,
+    ordering,
+    runs,
+    scheduling,
+    state,
+    workers,
+    writes,
+)
+from lycheegate.jobs.durations import factors, predictions
 
 _NEED = model.Resources(1_000, 1_000, 1)
 _CAPACITY = model.Resources(8_000, 8_000, 8)
@@ -50,3 +63,60 @@
         _report(current, run, percent, at_s)
     found_s = estimates.predict_remaining_s(run, now_s)
     assert found_s == (None if expected_s is None else pytest.approx(expected_s))
+
+
+def _fix_step_estimate(monkeypatch, ratio: float, observations: int) -> None:
+    estimate = factors.Estimate(ratio, ratio, observations)
+    monkeypatch.setattr(predictions, "get_step_estimate", lambda *_: estimate)
+
+
+@pytest.mark.parametrize(
+    ("ratio", "slack_band", "is_late"), [(1.0, 1, False), (3.0, 0, False), (3.1, 1, True)]
+)
+def test_rank_depends_on_the_learned_duration(monkeypatch, ratio, slack_band, is_late):
+    """Guards against a job that is too late because its declared duration hides its slack."""
+    current, run = _make_state()
+    job = current.jobs[run.task.job_id]
+    declared = ordering.rank_job(current, job, set(), 1.0)
+    _fix_step_estimate(monkeypatch, ratio, 5)
+    rank = ordering.rank_job(current, job, set(), 1.0)
+    assert (rank.slack_band, rank.is_late) == (slack_band, is_late)
+    assert rank.size == pytest.approx(ratio * declared.size)
+    assert ordering.compute_remaining_s(job) == 60.0
+
+
+@pytest.mark.parametrize(
+    ("step_runs", "worker_runs", "now_s", "percent", "expected_s"),
+    [
+        (5, 5, 21.0, 0, 10.0),
+        (2, 5, 21.0, 0, None),
+        (5, 0, 21.0, 0, None),
+        (5, 5, 32.0, 0, None),
+        (5, 5, 21.0, 40, 30.0),
+    ],
+    ids=["learned", "too_few_runs", "unknown_worker", "overdue", "progress"],
+)
+def test_end_is_predicted_from_learned_durations(
+    monkeypatch, step_runs, worker_runs, now_s, percent, expected_s
+):
+    """Guards against urgent work that waits for an end which nothing proves to be near."""
+    current, run = _make_state()
+    job = current.jobs[run.task.job_id]
+    _fix_step_estimate(monkeypatch, 0.25, step_runs)
+    worker = factors.Estimate(2.0, 2.0, worker_runs)
+    monkeypatch.setattr(factors, "get_worker_estimate", lambda *_: worker)
+    if percent:
+        _report(current, run, percent, now_s)
+    found = adequacy.FleetSpeeds(current, now_s, now_s)
+    duration_s = found.predict_known_s(job, job.steps[0, 0], run.worker_id)
+    assert estimates.predict_end_s(run, duration_s, now_s) == expected_s
+
+
+@pytest.mark.parametrize(("ratio", "is_stopped"), [(1.0, True), (0.5, False)])
+def test_run_that_ends_before_its_worker_leaves_goes_on(monkeypatch, ratio, is_stopped):
+    """Guards against lost work: a run is stopped although its learned duration is short enough."""
+    current, run = _make_state()
+    current.workers["w0"].draining, current.workers["w0"].leaves_at_s = True, 31.1
+    _fix_step_estimate(monkeypatch, ratio, 5)
+    evacuation.evacuate(current, 30.4)
+    assert (run.phase is state.RunPhase.STOPPING) is is_stopped
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -124,7 +124,9 @@
     candidates = list_suitable(context, unit)
     if not context.workers.has_slow(unit.service):
         return candidates
-    if adequacy.may_hold(len(unit.indices), unit.step.step.need, candidates):
+    step = unit.step.step
+    same_rack = step.gang and step.same_rack
+    if adequacy.may_hold(len(unit.indices), step.need, candidates, same_rack):
         return candidates
     tiers = context.speeds.get_tiers_by_speed(unit.service, of_service)
     context.workers.set_tiers(unit.service, tiers)
