--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -39,7 +39,7 @@
 others wait for the next tick or change, because passes without a pause would fill the thread."""
 MAX_PLACED_URGENT_TASKS = 1000
 """Number of placed tasks from which a pass places no urgent ones either."""
-MAX_COMPARED_STEPS = 20
+MAX_COMPARED_STEPS = 5
 """Number of steps in a pass whose choice of workers is compared with the one without speeds, for
 the log; each takes another search for room."""
 MAX_LOCALITY_WAIT_RATIO = 1.0
