Limit the search for preemptions that serve only speed

Cause: with free room on slow workers only, one urgent gang took 49 ms of a pass at 930 workers, and 447 ms if it has to be in one rack; 5 ms before learned speeds.

Change: at most about 60 workers are examined, in the racks with the most free room.

--- a/lycheegate/jobs/adequacy.py
+++ b/lycheegate/jobs/adequacy.py
@@ -36,7 +36,8 @@
 with hundreds of jobs. A limit counts as the lower bound of its band."""
 SPEED_BAND_RATIO = 1.25
 """Workers within this ratio are equally preferred where the order is by speed alone."""
-MAX_SPEED_TIER = placement.Tier.COLD - 1
+MAX_SPEED_TIER = placement.Tier.COLD - 2
+"""The tiers above are for workers that are cold or may fail."""
 MIN_STEP_RUNS = 3
 """Number of observations of a step from which the end of its runs is predicted without progress; a
 single one may be a task that takes many times as long as the others."""
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -42,6 +42,9 @@
 MAX_PLANNED_RATIO = 0.5
 """Share of the capacity that the reservations of several blocked gangs may hold. The first one may
 hold more, as a large gang would never start otherwise."""
+MAX_EXAMINED_WORKERS = 60
+"""Number of adequate workers on which runs to stop are searched for while slower workers have room.
+A search on all of 930 workers takes 0.05 s, and 0.4 s for a gang in one rack."""
 MAX_SPEED_COST_RATIO = 3.0
 """Cost of stopping runs on adequate workers, as a multiple of a job's own remaining work, up to
 which they are stopped although slower workers have room."""
@@ -116,7 +119,7 @@
         return reservation.preempts and slow.isdisjoint(reservation.placement.values())
     if not _is_view_complete(context.current, context.now_s):
         return False
-    found = _choose_victims(context, unit, preferred)
+    found = _choose_victims(context, unit, _list_roomiest(preferred))
     if found is None or not _is_worth_waiting(context, unit, found):
         return False
     _apply_preemption(context, unit, found)
@@ -127,6 +130,23 @@
     return [candidate for candidate in candidates if candidate.tier < placement.Tier.SLOW]
 
 
+def _list_roomiest(candidates: list[placement.Candidate]) -> list[placement.Candidate]:
+    """Returns the workers of the racks with the most free room, about as many as are examined."""
+    if len(candidates) <= MAX_EXAMINED_WORKERS:
+        return candidates
+    racks = placement.group_by_rack(candidates)
+    room_by_rack = {
+        rack: -sum(ordering.compute_usage(candidate.room) for candidate in members)
+        for rack, members in racks.items()
+    }
+    result: list[placement.Candidate] = []
+    for rack in sorted(racks, key=lambda rack: (room_by_rack[rack], rack)):
+        result += racks[rack]
+        if len(result) >= MAX_EXAMINED_WORKERS:
+            break
+    return result
+
+
 def _is_worth_waiting(
     context: units.PassContext, unit: units.Unit, found: preemption.Preemption
 ) -> bool:
--- a/lycheegate/jobs/tests/test_adequacy.py
+++ b/lycheegate/jobs/tests/test_adequacy.py
@@ -257,3 +257,21 @@
         for number, rack in enumerate(racks)
     ]
     assert adequacy.may_hold(2, speeds.make_need(8), candidates, same_rack) is expected
+
+
+def test_preemption_for_speed_examines_the_racks_with_most_room():
+    """Guards against passes that are too long, and against stops beside free room.
+
+    Load pattern: an urgent gang arrives while all but the slow ones of 140 workers are full, apart
+    from a few tasks of room in one rack.
+    """
+    current = speeds.make_state([8] * 140, rack_size=20)
+    for number in range(120):
+        accelerators = 4 if 60 <= number < 80 else 8
+        _add_running(current, f"b{number}", "batch", f"w{number}", _NOW_S - 1.0, 10, accelerators)
+        current.workers[f"w{number}"].room = speeds.make_need(8 - accelerators)
+    speeds.add_job(current, "job", "urgent", _gang(2, 8, same_rack=True), _NOW_S)
+    with speeds.fix_speeds({f"w{number}": 1.6 for number in range(120, 140)}):
+        speeds.schedule(current, _NOW_S)
+    (reservation,) = current.reservations.values()
+    assert {current.workers[w].rack for w in reservation.placement.values()} == {"r3"}
--- a/lycheegate/jobs/tests/test_speed_replay.py
+++ b/lycheegate/jobs/tests/test_speed_replay.py
@@ -70,7 +70,8 @@
             if job.job.steps[0].gang:
                 durations_s = [max(durations_s, default=0.0)] * len(intended)
             for run, duration_s in zip(intended, durations_s, strict=True):
-                run.phase, run.phase_began_at_s = state.RunPhase.RUNNING, now_s
+                run.phase = state.RunPhase.ORDERED
+                runs.record_start_confirmed(self.current, run, now_s)
                 self._push(now_s + duration_s, run, runs.End.DONE)
 
     def _draw_s(self, job: state.JobState, run: state.Run) -> float:
