Use learned durations only where the workers of a service are uneven

Ranks used learned remaining times against objectives of declared durations, so jobs that take longer than declared counted as late.

Change: learned durations are used for a service from a tenth of its workers on that are known to be too slow for its urgent queues (unevenness.py), and the objective is computed from them as well, since it is a multiple of the work.

--- a/lycheegate/jobs/adequacy.py
+++ b/lycheegate/jobs/adequacy.py
@@ -25,9 +25,6 @@
 
 ALLOWANCE_RATIO = 1.15
 """Allowance for the differences between the durations of tasks of one step."""
-EVEN_SPREAD_RATIO = 1.25
-"""Ratio of the slowest to the fastest worker below which a service counts as even. Differences
-between tasks are as large, so smaller ones between workers may be those of their tasks."""
 TYPICAL_URGENT_S = 2.0
 """Declared duration that is assumed for urgent jobs that have not been submitted yet; it weighs the
 constant part of their objective."""
@@ -74,11 +71,6 @@
     urgent_limit: float | None
     tiers: dict[tuple, Tiers] = dataclasses.field(default_factory=dict)
 
-    @property
-    def is_uneven(self) -> bool:
-        """Whether some worker is considerably slower than another."""
-        return bool(self.ratios) and self.ratios[-1] >= EVEN_SPREAD_RATIO * self.ratios[0]
-
     def count_adequate(self, limit: float) -> int:
         """Returns how many workers are expected to be adequate for a limit."""
         return bisect.bisect_right(self.ratios, limit / ALLOWANCE_RATIO)
@@ -115,12 +107,14 @@
         key = (job.job.job_id, *step.key)
         found = self._step_estimates.get(key)
         if found is None:
-            found = predictions.get_step_estimate(self._current, job, step)
+            found = predictions.get_used_estimate(self._current, job, step)
             self._step_estimates[key] = found
         return found
 
     def predict_s(self, job: state.JobState, step: state.StepState, worker_id: str) -> float:
-        """Returns the predicted duration of a task on a worker, as ``predictions.predict_s``."""
+        """Returns the duration of a task on a worker: the learned one if its service is uneven."""
+        if not predictions.is_used(self._current, job):
+            return step.step.estimate_s
         of_step = self.get_step_estimate(job, step).ratio
         return step.step.estimate_s * of_step * self.get_estimate(worker_id).ratio
 
@@ -128,6 +122,8 @@
         self, job: state.JobState, step: state.StepState, worker_id: str
     ) -> float | None:
         """Returns the predicted duration, or None if too few runs tell it."""
+        if not predictions.is_used(self._current, job):
+            return None
         if (
             self.get_step_estimate(job, step).runs < MIN_STEP_RUNS
             or not self.get_estimate(worker_id).runs
@@ -168,9 +164,9 @@
             step: Step of the unit.
             is_urgent: Whether the unit is urgent.
         """
-        speeds = self._get_service(service, candidates)
-        if not speeds.is_uneven:
+        if service not in self._current.uneven_services:
             return None
+        speeds = self._get_service(service, candidates)
         limit = self.compute_limit(job)
         if is_urgent:
             if not speeds.count_adequate(limit):
@@ -182,9 +178,9 @@
         self, service: str, candidates: list[placement.Candidate]
     ) -> Tiers | None:
         """Returns tiers by speed alone, for units that no set of adequate workers can hold."""
-        speeds = self._get_service(service, candidates)
-        if not speeds.is_uneven:
+        if service not in self._current.uneven_services:
             return None
+        speeds = self._get_service(service, candidates)
         return _cache(speeds, ("speed",), lambda: _make_speed_tiers(speeds))
 
     def _get_service(self, service: str, candidates: list[placement.Candidate]) -> _ServiceSpeeds:
--- a/lycheegate/jobs/durations/factors.py
+++ b/lycheegate/jobs/durations/factors.py
@@ -194,7 +194,7 @@
     refreshed_at_s: float = 0.0
     reported_at_s: float = 0.0
     unreported: int = 0
-    queue_effects: dict[str, Effect] = dataclasses.field(default_factory=dict)
+    queue_effects: dict[str, Effect] = dataclasses.field(default_factory=dict, compare=False)
 
 
 def make_estimate(mean: float, variance: float, runs: int) -> Estimate:
--- a/lycheegate/jobs/durations/predictions.py
+++ b/lycheegate/jobs/durations/predictions.py
@@ -3,7 +3,7 @@
 from lycheegate.jobs import state
 from lycheegate.jobs.durations import factors
 
-__all__ = ["get_step_estimate", "predict_s"]
+__all__ = ["get_step_estimate", "get_used_estimate", "is_used", "predict_s"]
 
 
 def get_step_estimate(
@@ -16,6 +16,23 @@
     return factors.make_estimate(effect.mean, effect.variance, effect.runs)
 
 
+def is_used(current: state.SchedulerState, job: state.JobState) -> bool:
+    """Returns whether learned durations are used for a job: if its service is uneven."""
+    return (
+        bool(current.uneven_services)
+        and state.get_route(current, job).service in current.uneven_services
+    )
+
+
+def get_used_estimate(
+    current: state.SchedulerState, job: state.JobState, step: state.StepState
+) -> factors.Estimate:
+    """Returns the estimate of a step if learned durations are used for it, else a neutral one."""
+    if not is_used(current, job):
+        return factors.Estimate()
+    return get_step_estimate(current, job, step)
+
+
 def predict_s(
     current: state.SchedulerState,
     job: state.JobState,
--- a/lycheegate/jobs/evacuation.py
+++ b/lycheegate/jobs/evacuation.py
@@ -56,7 +56,11 @@
 ) -> bool:
     if not step.step.long_running:
         job = current.jobs[run.task.job_id]
-        duration_s = predictions.predict_s(current, job, step, run.worker_id, now_s)
+        duration_s = (
+            predictions.predict_s(current, job, step, run.worker_id, now_s)
+            if predictions.is_used(current, job)
+            else None
+        )
         if estimates.estimate_remaining_s(step, run, now_s, duration_s) <= leaves_in_s:
             return False
     can_stop_late = step.step.checkpoints or step.step.long_running
--- a/lycheegate/jobs/ordering.py
+++ b/lycheegate/jobs/ordering.py
@@ -15,6 +15,7 @@
     "Rank",
     "compute_objective_s",
     "compute_remaining_s",
+    "predict_objective_s",
     "compute_remaining_work",
     "compute_usage",
     "list_guaranteed_accounts",
@@ -68,7 +69,7 @@
         wall_s: Time of day, in seconds since 1970.
     """
     route = state.get_route(current, job)
-    slack_s = compute_objective_s(job, route) - wall_s - predict_remaining_s(current, job)
+    slack_s = predict_objective_s(current, job, route) - wall_s - predict_remaining_s(current, job)
     is_late = slack_s < 0.0
     if route.priority == 0:
         level = 0 if job.job.account in guaranteed else 1
@@ -83,7 +84,26 @@
 
     For a timed job, this is the time by which its first open occurrence should have ended.
     """
-    chain_s = model.estimate_chain_s(job.job.steps)
+    return _compute_objective_s(job, route, model.estimate_chain_s(job.job.steps))
+
+
+def predict_objective_s(
+    current: state.SchedulerState, job: state.JobState, route: model.Route
+) -> float:
+    """Returns the same as ``compute_objective_s`` with learned durations, on typical workers.
+
+    The objective is a multiple of the work, so a job that takes longer than declared has more time.
+    """
+    if not predictions.is_used(current, job):
+        return compute_objective_s(job, route)
+    ratios = {
+        key[1]: predictions.get_step_estimate(current, job, step).ratio
+        for key, step in job.steps.items()
+    }
+    return _compute_objective_s(job, route, _sum_chain_s(job, ratios))
+
+
+def _compute_objective_s(job: state.JobState, route: model.Route, chain_s: float) -> float:
     begin_s = job.job.accepted_at_s
     if job.job.is_timed:
         open_occurrences = [key[0] for key in job.steps]
@@ -100,12 +120,14 @@
 
 def predict_remaining_s(current: state.SchedulerState, job: state.JobState) -> float:
     """Returns the same as ``compute_remaining_s`` with learned durations, on typical workers."""
+    if not predictions.is_used(current, job):
+        return compute_remaining_s(job)
     ratios: dict[int, float] = {}
     for key, step in job.steps.items():
         if step.is_done:
             ratios[key[1]] = 0.0
         elif key[1] not in ratios:
-            ratios[key[1]] = predictions.get_step_estimate(current, job, step).ratio
+            ratios[key[1]] = predictions.get_used_estimate(current, job, step).ratio
     return _sum_chain_s(job, ratios)
 
 
@@ -136,7 +158,7 @@
         remaining = step.step.count - len(step.done)
         if remaining:
             duration_s = step.step.estimate_s * (
-                predictions.get_step_estimate(current, job, step).ratio
+                predictions.get_used_estimate(current, job, step).ratio
             )
             work += remaining * duration_s * compute_usage(step.step.need)
     return work
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -228,7 +228,7 @@
         )
 
     route = state.get_route(context.current, unit.job)
-    objective_s = ordering.compute_objective_s(unit.job, route)
+    objective_s = ordering.predict_objective_s(context.current, unit.job, route)
     remaining_s = ordering.predict_remaining_s(context.current, unit.job)
     slack_s = objective_s - context.wall_s - remaining_s
     waited_s = unit.step.compute_waited_s(context.now_s)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -19,6 +19,7 @@
     reclaiming,
     runs,
     state,
+    unevenness,
     units,
 )
 
@@ -75,7 +76,9 @@
         _drop_reservations(current, dict(keys), now_s)
     if not waiting:
         return []
+    decisions = unevenness.update_uneven_services(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
+    context.result += decisions
     _measure_capacities(context, waiting)
     context.planned_reservations = sum(
         not reservation.preempts for reservation in current.reservations.values()
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -558,6 +558,8 @@
         idle_jobs: Jobs that have nothing running; affects the log only.
         evacuations: The operators' requests to evacuate data centres.
         durations: Learned durations of work and speeds of workers.
+        uneven_services: Services whose workers differ so much that learned durations are used.
+        unevenness_checked_at_s: When the unevenness was last checked, or None.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -584,6 +586,8 @@
     idle_jobs: IdleJobs = dataclasses.field(default_factory=IdleJobs)
     evacuations: Evacuations = Evacuations()
     durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
+    uneven_services: frozenset[str] = frozenset()
+    unevenness_checked_at_s: float | None = None
     unconfirmed_since_s: float | None = -1.0
 
 
--- a/lycheegate/jobs/tests/test_adequacy.py
+++ b/lycheegate/jobs/tests/test_adequacy.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheegate.jobs import adequacy, commands, model, placement, runs, state
+from lycheegate.jobs import adequacy, commands, model, placement, runs, state, unevenness
 from lycheegate.jobs.tests import speeds
 
 _NOW_S = 1000.0
@@ -275,3 +275,27 @@
         speeds.schedule(current, _NOW_S)
     (reservation,) = current.reservations.values()
     assert {current.workers[w].rack for w in reservation.placement.values()} == {"r3"}
+
+
+@pytest.mark.parametrize(
+    ("slow", "unknown", "was_uneven", "is_uneven"),
+    [
+        (1, 0, False, False),
+        (2, 0, False, True),
+        (1, 0, True, True),
+        (0, 0, True, False),
+        (0, 20, False, False),
+    ],
+    ids=["few", "enough", "kept", "ended", "unknown"],
+)
+def test_learned_durations_are_used_for_uneven_services_only(slow, unknown, was_uneven, is_uneven):
+    """Guards against an even fleet whose work is ordered by chance differences between workers."""
+    current = speeds.make_state([8] * 20)
+    current.uneven_services = frozenset({"render"} if was_uneven else ())
+    known = {f"w{number}": 1.67 for number in range(slow)}
+    unsure = {f"w{number}": (1.67, 2.0) for number in range(slow, unknown)}
+    with speeds.fix_speeds(known | unsure):
+        found = unevenness.update_uneven_services(current, 1.0)
+        assert unevenness.update_uneven_services(current, 1.5) == []
+    assert current.uneven_services == frozenset({"render"} if is_uneven else ())
+    assert len(found) == (is_uneven != was_uneven)
