--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -240,8 +240,10 @@
     def set_evacuations(self, evacuations: state.Evacuations) -> None:
         """Applies the data centres to evacuate, or confirms those that are known."""
         now_s = self._runtime.now_s()
-        self._execute(data_centres.apply_evacuations(self._state, evacuations, now_s))
-        self._request_pass(self._state.schedule_due)
+        decisions = data_centres.apply_evacuations(self._state, evacuations, now_s)
+        if decisions:
+            self._execute(decisions)
+            self._request_pass()
 
     def _decode_durations(self, data: bytes) -> factors.DurationModel:
         """Returns the model that earlier schedulers have learned, or an empty one."""
