--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lycheegate.jobs import admission, health, leases, lifecycle, load_summary, state
+from lycheegate.jobs.durations import encoding
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, load_row, storage, tables
 
@@ -14,12 +15,19 @@
 """Minimum time between two writes of the load."""
 MAX_UNCHANGED_LOAD_S = 1.8
 """Age from which an unchanged load is written again while work waits, before VMs ignore it."""
+DURATIONS_INTERVAL_S = 5.0
+"""Interval at which learned durations are written at most. Their row may have 48 KB and is sent to
+all VMs."""
+DURATIONS_BYTES_PER_S = 4_000
+"""Rate at which large rows of learned durations are written at most; a VM has 20 KB/s for all."""
+DURATIONS_CHECK_S = 1.0
+"""Interval at which they are compared with the row at most, and written again after a failure."""
 
 
 class TermRows:
     """Heartbeat, and the rows that go with it, of one term.
 
-    These are counts of waiting jobs, suspected workers, ends of leases, and the load of services.
+    These are counts of waiting jobs, the load of services, and what the next holder is to know.
 
     Args:
         current: State of the scheduler.
@@ -49,6 +57,12 @@
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
+        self._written_durations = encoding.make_snapshot(current.durations, now_s())
+        """Estimates in the stored row of durations."""
+        self._are_durations_stored = True
+        self._are_durations_sent = False
+        """Whether durations went with the last heartbeat, whose outcome is not known."""
+        self._durations_not_before_s = 0.0
         self._listed_workers: frozenset[str] = frozenset()
         """Workers whose ends of leases went with the last heartbeat that was sent."""
         self._may_list_workers = False
@@ -70,10 +84,12 @@
             *self._make_suspects_write(is_loaded),
             *self._make_leases_write(release, is_loaded, clock_ms),
             *self._make_load_write(release, is_loaded, clock_ms),
+            *self._make_durations_write(clock_ms),
         ]
 
     def handle_stored(self) -> None:
         """Lets leases be granted again to workers that the stored heartbeat does not list."""
+        self._are_durations_sent = False
         self._may_list_workers = bool(self._listed_workers)
         self._state.withheld_leases = self._listed_workers
         self._state.withholds_all_leases = False
@@ -81,6 +97,9 @@
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
+        if self._are_durations_sent:
+            self._are_durations_sent = self._are_durations_stored = False
+            self._durations_not_before_s = self._now_s() + DURATIONS_CHECK_S
         self._written_counts = dict.fromkeys(self._written_counts)
         self._written_load = None
 
@@ -117,6 +136,25 @@
         until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
         return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
 
+    def _make_durations_write(self, clock_ms: int) -> list[storage.Write]:
+        """Returns the write of the learned durations, if some have changed since the last one."""
+        now_s = self._now_s()
+        if not clock_ms or now_s < self._durations_not_before_s:
+            return []
+        model = self._state.durations
+        durations = encoding.make_snapshot(model, now_s)
+        has_changed = encoding.has_changed(self._written_durations, durations)
+        if self._are_durations_stored and not has_changed:
+            self._durations_not_before_s = now_s + DURATIONS_CHECK_S
+            return []
+        self._written_durations = durations
+        self._are_durations_stored = self._are_durations_sent = True
+        max_bytes = self._state.policy.max_row_bytes
+        data = encoding.encode_model(model, now_s, clock_ms, max_bytes)
+        interval_s = max(DURATIONS_INTERVAL_S, len(data) / DURATIONS_BYTES_PER_S)
+        self._durations_not_before_s = now_s + interval_s
+        return [storage.Write(tables.DURATIONS, data)]
+
     def _make_leases_write(
         self, release: bool, is_loaded: bool, clock_ms: int
     ) -> list[storage.Write]:
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -4,7 +4,7 @@
 import random
 
 from lycheegate.jobs import model, progress, state
-from lycheegate.metrics import histograms, jsonlog
+from lycheegate.metrics import duration_errors, histograms, jsonlog
 from lycheegate.node import scheduler, storage, tables, terms
 from lycheegate.node.tests import fake_store, fake_workers, idleness
 from lycheegate.platform import workers as worker_calls
@@ -23,6 +23,8 @@
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
         self.fleet = fake_workers.Fleet(self.loop, self.faults, self.generator)
         self.fleet.on_returned = self._register_returned
+        self.data_centres: dict[str, str] = {}
+        """Data centre of each worker; ``z`` if it is not named."""
         self.evacuated: frozenset[str] = frozenset()
         """Data centres that are being evacuated."""
         self.policy = state.Policy()
@@ -51,7 +53,8 @@
         elif worker.draining_since_s is None:
             worker.draining_since_s = self.loop.now_s
         text = (
-            f'{{"service":"render","address":"{worker.address}","zone":"z",'
+            f'{{"service":"render","address":"{worker.address}",'
+            f'"zone":"{self.data_centres.get(worker_id, "z")}",'
             f'"state":"{"draining" if draining else "ready"}",'
             f'"capacity":{{"cpu":{worker.capacity.cpu_millicores},'
             f'"mem-mb":{worker.capacity.memory_mb},"gpu":{worker.capacity.accelerators}}},'
@@ -152,6 +155,7 @@
             lambda at_s: int(at_s * 1000) + 1,
             jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
+            duration_errors.DurationErrors(),
         )
         new_scheduler = scheduler.Scheduler(
             runtime,
@@ -163,6 +167,7 @@
             state.Evacuations(self.evacuated, self.loop.now_s),
             terms.list_suspects(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
+            view.durations,
             lambda reason: None,
         )
         self.schedulers[vm] = new_scheduler
