Refuse late jobs only on queues whose configuration asks for it

Cause: refusals applied to all deployments: each submission had a further condition, the holder summarised and wrote its load, and read the table of marks.

Change: the optional field refuse-late of a route switches refusals on for a queue. A VM refuses only once a version has been in force there for longer than submissions of older views can last, and keeps the condition after the switch was removed until no refusal of an older view is in force. The load that was published shows this to a VM that has started since. Views are read in the order that makes their age a bound, and the time limit of a call counts from its start.

--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -164,6 +164,7 @@
             declared duration of its longest chain of steps.
         target_s: Constant part of the latency objective, in seconds.
         is_public: Whether its requests need no key.
+        refuses_late: Whether its jobs are refused under overload if they cannot end in time.
     """
 
     name: str
@@ -175,6 +176,7 @@
     stretch_ratio: float
     target_s: float
     is_public: bool = False
+    refuses_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from lycheegate.entry import server
-from lycheegate.jobs import admission, model, progress
+from lycheegate.jobs import admission, model, progress, refusal_switch
 from lycheegate.metrics import jsonlog
 from lycheegate.node import storage, tables, terms, waiting
 from lycheegate.platform import submissions
@@ -53,12 +53,14 @@
     Attributes:
         configuration: Configuration in force, or None if none has been read.
         evacuated: Data centres that the operators evacuate.
+        switches: Queues that refuse late jobs, or did so; updated before the configuration.
         confirmed_at_s: When configuration and evacuations were last confirmed to be the newest.
         term: View of the scheduler's term.
         drain_ends_s: Time by which all calls must be answered, or None unless draining.
     """
 
     configuration: model.Configuration | None = None
+    switches: refusal_switch.Switches = dataclasses.field(default_factory=refusal_switch.Switches)
     evacuated: frozenset[str] = frozenset()
     confirmed_at_s: float = 0.0
     term: terms.TermView = dataclasses.field(default_factory=terms.TermView)
@@ -77,6 +79,7 @@
         begun_at_s: When the VM began to read the call.
         deadline_s: Time by which it is to be answered.
         is_connected: Returns whether the caller has not closed its connection.
+        is_bound: Whether the job may only be stored if no call for it was refused.
     """
 
     job: model.Job
@@ -86,6 +89,7 @@
     begun_at_s: float
     deadline_s: float
     is_connected: Callable[[], bool]
+    is_bound: bool
 
 
 class CallerApplication:
@@ -152,9 +156,12 @@
         return response(environ, start_response)
 
     def _answer(self, request: werkzeug.Request) -> werkzeug.Response:
+        # Read in this order, the configuration is at least as new as its confirmation says, also if
+        # this VM is suspended in between. Refusals rely on the age of other VMs' views.
+        confirmed_at_s = self._view.confirmed_at_s
         configuration = self._view.configuration
         begun_at_s = self._now_s()
-        age_s = begun_at_s - self._view.confirmed_at_s
+        age_s = begun_at_s - confirmed_at_s
         if configuration is None or age_s > self._max_configuration_age_s:
             return self._respond_unavailable(
                 "configuration_not_confirmed", request.path, age_s=round(age_s, 2)
@@ -185,7 +192,7 @@
             return self._get_pending_count(request, route)
         if not submissions.JOB_ID.fullmatch(job_id):
             return werkzeug.Response(status=404)
-        deadline_s = self._now_s() + self._parse_time_limit_s(request)
+        deadline_s = begun_at_s + self._parse_time_limit_s(request)
         if self._view.drain_ends_s is not None:
             deadline_s = min(deadline_s, self._view.drain_ends_s)
         if request.method == "POST":
@@ -207,7 +214,7 @@
             limit_s = float(text) / 1000.0
         except ValueError:
             limit_s = DEFAULT_DEADLINE_S
-        return max(0.1, min(limit_s, 60.0) - RESPONSE_MARGIN_S)
+        return max(0.1, min(limit_s, refusal_switch.MAX_TIME_LIMIT_S) - RESPONSE_MARGIN_S)
 
     def _submit(
         self,
@@ -233,9 +240,51 @@
             self._log.write("job_invalid", job=job_id, error=text)
             return werkzeug.Response(text, status=413)
         call_id = uuid.uuid4().hex[:12]
-        submission = _Submission(job, route, record, call_id, begun_at_s, deadline_s, is_connected)
+        is_bound = refusal_switch.is_bound(
+            self._view.switches,
+            route,
+            self._now_s(),
+            self._max_configuration_age_s,
+            terms.find_load_age_s(self._view.term, self._now_s()),
+        )
+        submission = _Submission(
+            job, route, record, call_id, begun_at_s, deadline_s, is_connected, is_bound
+        )
+        if not is_bound:
+            return self._accept_unbound(submission)
         return self._refuse_under_overload(submission) or self._accept(submission)
 
+    def _accept_unbound(self, submission: _Submission) -> werkzeug.Response:
+        """Stores a job of a queue that refuses no late jobs, unless it was cancelled before."""
+        job_id = submission.job.job_id
+        job_key, cancel_key = tables.get_job_key(job_id), tables.get_cancel_key(job_id)
+        # The job may have been cancelled at another VM while this call was on its way.
+        transaction = storage.Transaction(
+            conditions=(
+                storage.Condition(job_key, storage.ABSENT),
+                storage.Condition(cancel_key, storage.ABSENT),
+            ),
+            writes=(storage.Write(job_key, submission.record),),
+        )
+        outcome = self._transact(transaction, submission.deadline_s)
+        if isinstance(outcome, result.Success):
+            return self._respond_accepted(submission, outcome.unwrap())
+        error = outcome.failure()
+        if not isinstance(error, storage.ConflictError):
+            return self._respond_store_error(error, "submit", job_id)
+        if error.rows and all(row.key == cancel_key for row in error.rows):
+            return self._respond_cancelled(job_id)
+        # The job already exists: an earlier answer was lost, or the call was repeated.
+        return self._respond_repeated(job_id)
+
+    def _respond_cancelled(self, job_id: str) -> werkzeug.Response:
+        self._log.write("job_cancelled_before", job=job_id)
+        return werkzeug.Response("the job was cancelled before", status=410)
+
+    def _respond_repeated(self, job_id: str) -> werkzeug.Response:
+        self._log.write("job_repeated", job=job_id)
+        return _make_json(b"{}")
+
     def _refuse_under_overload(self, submission: _Submission) -> werkzeug.Response | None:
         """Refuses a job that cannot end in time, or returns None if it is to be accepted.
 
@@ -244,6 +293,9 @@
         stored, the job is accepted.
         """
         job, route, now_s = submission.job, submission.route, self._now_s()
+        max_age_s = self._max_configuration_age_s
+        if not refusal_switch.may_refuse(self._view.switches, route, now_s, max_age_s):
+            return None
         load, age_s = terms.find_load(self._view.term, now_s)
         account = self._view.configuration.accounts.get(job.account)
         decision = admission.decide(load, age_s, job, route, account, self._random.random)
@@ -297,11 +349,9 @@
             found = {row.key: row for row in error.rows}
             if job_key in found:
                 # An earlier answer was lost, or the call was repeated.
-                self._log.write("job_repeated", job=job.job_id)
-                return _make_json(b"{}")
+                return self._respond_repeated(job.job_id)
             if cancel_key in found:
-                self._log.write("job_cancelled_before", job=job.job_id)
-                return werkzeug.Response("the job was cancelled before", status=410)
+                return self._respond_cancelled(job.job_id)
             mark = found.get(refusal_key)
             if mark is None and not mark_version:
                 return self._respond_to_unknown_conflict(submission)
@@ -330,8 +380,7 @@
         job_id = submission.job.job_id
         outcome = self._read_row(tables.get_job_key(job_id), submission.deadline_s)
         if isinstance(outcome, result.Success) and outcome.unwrap() is not None:
-            self._log.write("job_repeated", job=job_id)
-            return _make_json(b"{}")
+            return self._respond_repeated(job_id)
         self._log.write("outcome_unknown", call="submit", job=job_id, error="unknown conflict")
         return werkzeug.Response(status=504)
 
@@ -360,12 +409,14 @@
         self, submission: _Submission, retry_after_s: int, **figures
     ) -> werkzeug.Response:
         job = submission.job
+        retry_after_s = max(RETRY_AFTER_S, retry_after_s)
         with self._lock:
             self.refusals[job.account, submission.route.name] += 1
         return self._respond_unavailable(
             "overload",
             job.job_id,
-            max(RETRY_AFTER_S, retry_after_s),
+            retry_after_s,
+            retry_after_s=retry_after_s,
             account=job.account,
             route=submission.route.name,
             priority=submission.route.priority,
@@ -525,12 +576,11 @@
         return self._respond_unavailable("store_unavailable", job_id, call=call, error=str(error))
 
     def _respond_unavailable(
-        self, reason: str, subject: str, retry_after_s: int = RETRY_AFTER_S, **fields
+        self, reason: str, subject: str, delay_s: int = RETRY_AFTER_S, **fields
     ) -> werkzeug.Response:
-        fields["retry_after_s"] = retry_after_s
         self._log.write("refused", reason=reason, subject=subject, **fields)
         response = werkzeug.Response(status=503)
-        response.headers["Retry-After"] = str(retry_after_s)
+        response.headers["Retry-After"] = str(delay_s)
         return response
 
 
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -11,7 +11,7 @@
 
 from lycheegate.clients import http
 from lycheegate.entry import server
-from lycheegate.jobs import progress, state
+from lycheegate.jobs import progress, refusal_switch, state
 from lycheegate.metrics import duration_errors, exposition, histograms, jsonlog
 from lycheegate.node import (
     callers,
@@ -263,6 +263,9 @@
                 continue
             current = self._view.configuration
             if current is None or configuration.version > current.version:
+                self._view.switches = refusal_switch.apply_configuration(
+                    self._view.switches, configuration, read_boottime_s()
+                )
                 self._view.configuration = configuration
                 self._log.write("configuration", version=configuration.version, row=row.version)
                 if self._scheduler is not None:
--- a/lycheegate/node/refusals.py
+++ b/lycheegate/node/refusals.py
@@ -16,6 +16,9 @@
 
 SWEEP_INTERVAL_S = 10.0
 """Time between the reads of two parts, so that the whole table is read every 160 s."""
+SWEEP_AFTER_S = 900.0
+"""Time beyond the retention of marks for which they are deleted after refusals were switched off.
+The last ones end within ``refusal_switch.compute_keep_s``; the table is read twice in the rest."""
 TIMEOUT_S = 2.0
 
 
@@ -26,6 +29,7 @@
         store: The store.
         store_clock_ms: The store's clock, as estimated from its last answer, or 0.
         retention_s: How long marks are kept after their callers were to come again.
+        is_any_on: Returns whether any queue refuses late jobs.
         log: Log of decisions.
     """
 
@@ -34,21 +38,32 @@
         store: storage.Store,
         store_clock_ms: Callable[[], int],
         retention_s: float,
+        is_any_on: Callable[[], bool],
         log: jsonlog.JsonLog,
     ):
         self._store = store
         self._store_clock_ms = store_clock_ms
         self._retention_s = retention_s
+        self._is_any_on = is_any_on
         self._log = log
         self._next_part = 0
         self._swept_at_s: float | None = None
+        self._on_at_s: float | None = None
 
     def sweep(self, now_s: float) -> None:
-        """Deletes the old marks of the next part, if the last sweep was long enough ago."""
+        """Deletes the old marks of the next part, if the last sweep was long enough ago.
+
+        It goes on for a while after no queue refuses late jobs any more. Marks that are left then
+        do no harm, and are deleted when refusals are used again.
+        """
         if self._swept_at_s is not None and now_s - self._swept_at_s < SWEEP_INTERVAL_S:
             return
         is_first = self._swept_at_s is None
         self._swept_at_s = now_s
+        if self._is_any_on():
+            self._on_at_s = now_s
+        if self._on_at_s is None or now_s - self._on_at_s > self._retention_s + SWEEP_AFTER_S:
+            return
         if is_first:
             # The first seconds of a term are for the jobs.
             return
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -15,6 +15,7 @@
     lifecycle,
     model,
     progress,
+    refusal_switch,
     scheduling,
     state,
     waiting,
@@ -130,7 +131,11 @@
         self._registry = registry.WorkerRegistry(self._log_odd_registration)
         self._deleter = deletion.RecordDeleter(runtime.store, runtime.log, holder_version)
         self._refusal_sweeper = refusals.RefusalSweeper(
-            runtime.store, runtime.store_clock_ms, policy.retention_s, runtime.log
+            runtime.store,
+            runtime.store_clock_ms,
+            policy.retention_s,
+            lambda: refusal_switch.is_any_on(self._state.configuration),
+            runtime.log,
         )
         self._writer = term_writer.TermWriter(
             runtime.store,
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -2,7 +2,15 @@
 
 from collections.abc import Callable
 
-from lycheegate.jobs import admission, health, leases, lifecycle, load_summary, state
+from lycheegate.jobs import (
+    admission,
+    health,
+    leases,
+    lifecycle,
+    load_summary,
+    refusal_switch,
+    state,
+)
 from lycheegate.jobs.durations import encoding
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, load_row, storage, tables
@@ -185,8 +193,10 @@
         """Returns the write of the load if it has changed, or would become too old to count.
 
         The load of a released term does not count, and one without waiting work refuses nothing
-        however old it is.
+        however old it is. It is not even summarised where no queue refuses late jobs.
         """
+        if not refusal_switch.is_any_on(self._state.configuration):
+            return []
         now_s = self._now_s()
         age_s = now_s - self._load_written_at_s
         if release or not is_loaded or not clock_ms or age_s < LOAD_INTERVAL_S:
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -36,6 +36,7 @@
     "find_claimed_version",
     "find_lease_ends",
     "find_load",
+    "find_load_age_s",
     "is_heartbeat_overdue",
     "list_suspects",
     "make_claim",
@@ -225,6 +226,15 @@
     return row.load, max(clock_age_s, now_s - view.load_read_at_s)
 
 
+def find_load_age_s(view: TermView, now_s: float) -> float | None:
+    """Returns the age of the load that any holder has last published, or None if it is not known.
+
+    It is counted on the store's clock, as the row may have been written long before it was read.
+    """
+    clock_ms = estimate_clock_ms(view, now_s)
+    return (clock_ms - view.load.sent_at_ms) / 1000.0 if view.load and clock_ms else None
+
+
 def count_pending(view: TermView, route: str) -> int:
     """Returns the number of jobs of a queue that have not started, as of the last heartbeat."""
     if view.heartbeat is None:
--- a/lycheegate/node/tests/test_refusals.py
+++ b/lycheegate/node/tests/test_refusals.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from lycheegate.entry import server
-from lycheegate.jobs import admission, model
+from lycheegate.jobs import admission, load_summary, model, refusal_switch
 from lycheegate.metrics import exposition, histograms, jsonlog
 from lycheegate.node import callers, load_row, refusals, storage, tables, terms
 from lycheegate.node.tests import fake_store, simulation
@@ -19,7 +19,11 @@
 
 _JOB_ID = "5c0e7a21d94b36f8"
 _BODY = b'{"spec":"x","steps":[{"count":2,"cpu":100,"estimate-ms":1000}]}'
-_ROUTE = model.Route("q", "h.example", "/q/", "s", 1, 3, 3.0, 1.0)
+_OFF = model.Route("q", "h.example", "/q/", "s", 1, 3, 3.0, 1.0)
+_ON = dataclasses.replace(_OFF, refuses_late=True)
+_MAX_VIEW_AGE_S = 3.5
+_ON_DELAY_S = refusal_switch.compute_on_delay_s(_MAX_VIEW_AGE_S)
+_KEEP_S = refusal_switch.compute_keep_s(_MAX_VIEW_AGE_S)
 _TOTAL = model.Resources(100_000, 100_000, 8)
 _NONE = model.Resources()
 _LOST = exceptions.OutcomeUnknownError("lost")
@@ -33,6 +37,16 @@
     return load_row.LoadRow(epoch, sent_at_ms, {"s": service})
 
 
+def _apply_version(view: callers.NodeView, version: int, route: model.Route, now_s: float) -> None:
+    """Applies a version of the configuration as the daemon does."""
+    account = model.Account("acme", frozenset({"k"}))
+    configuration = model.Configuration(
+        version, {"q": route}, {}, {"acme": account}, {"k": "acme"}, 10_000
+    )
+    view.switches = refusal_switch.apply_configuration(view.switches, configuration, now_s)
+    view.configuration = configuration
+
+
 class _World:
     """A linearizable store and the callers' interfaces of VMs; the clock is that of the store."""
 
@@ -47,8 +61,10 @@
         """Transactions whose answer was lost, to be applied later."""
         self.applies_lost = False
         self.is_connected = True
+        self.transactions: list[storage.Transaction] = []
 
     def transact(self, transaction, timeout_s, callback):
+        self.transactions.append(transaction)
         if not self.failures:
             callback(self.store.apply(transaction))
             return
@@ -69,13 +85,18 @@
         ]
         callback(result.Success(storage.Page(tuple(rows), False, 1)))
 
-    def make_vm(self, row: load_row.LoadRow | None) -> callers.CallerApplication:
-        """Returns the interface of a VM that has read a load at the current time."""
+    def make_vm(
+        self, row: load_row.LoadRow | None, route: model.Route = _ON, on_for_s: float = 1e6
+    ) -> callers.CallerApplication:
+        """Returns the interface of a VM that has read a load at the current time.
+
+        Args:
+            row: The load.
+            route: The queue in the first version of the configuration that the VM has seen.
+            on_for_s: Time since it has seen that version.
+        """
         view = callers.NodeView(confirmed_at_s=1e9)
-        account = model.Account("acme", frozenset({"k"}))
-        view.configuration = model.Configuration(
-            1, {"q": _ROUTE}, {}, {"acme": account}, {"k": "acme"}, 10_000
-        )
+        _apply_version(view, 1, route, self.now_s - on_for_s)
         rows = [
             storage.Row(tables.HOLDER, tables.encode_holder(tables.Holder(3, "a/1")), 7),
             storage.Row(tables.HEARTBEAT, _encode_beat(3), 7),
@@ -89,7 +110,7 @@
             lambda: self.now_s,
             lambda: self.now_s,
             jsonlog.JsonLog("vm", lambda: 0.0, self._log),
-            3.5,
+            _MAX_VIEW_AGE_S,
             lambda row: None,
             lambda job_id, timeout_s: None,
             49_152,
@@ -305,31 +326,125 @@
     return len(versions)
 
 
-@pytest.mark.parametrize("has_overload", [False, True])
-def test_holder_publishes_its_load(has_overload):
-    """Guards against a load that is not published, too often, or while nothing waits."""
+@pytest.mark.parametrize(("is_on", "has_overload"), [(True, False), (True, True), (False, True)])
+def test_holder_publishes_its_load(is_on, has_overload, monkeypatch):
+    """Guards against a load that is not published, too often, while nothing waits, or unasked."""
     world = simulation.World(1)
+    route = dataclasses.replace(world.route, refuses_late=is_on)
+    world.configuration = simulation.make_configuration(route, world.urgent)
+    if not is_on:
+        monkeypatch.delattr(load_summary, "summarise_load")
     if has_overload:
         world.submit(simulation.make_job("1" * 16, model.Step(5_000, simulation.SMALL, 30.0)))
     world.claim_term("a")
     writes = _count_writes(world, 13.0)
-    assert writes in (range(5, 11) if has_overload else range(1))
-    if has_overload:
+    assert writes in (range(5, 11) if is_on and has_overload else range(1))
+    if writes:
         row = load_row.decode_load(world.store.rows[tables.LOAD].value)
         (priority,) = row.load["render"].priorities
         assert row.epoch == 1
         assert priority.waiting_core_s > 100_000
 
 
-def test_old_marks_are_deleted():
-    """Guards against marks of callers who gave up that stay for ever."""
+@pytest.mark.parametrize(
+    ("on_until_s", "left"), [(400, 50), (15, 50), (-1, 100)], ids=["on", "switched_off", "never_on"]
+)
+def test_old_marks_are_deleted(on_until_s, left):
+    """Guards against marks of callers who gave up that stay for ever, and needless reads."""
     world = _World()
     for number in range(100):
         mark = tables.RefusalMark(100_000 if number % 2 else 10**9, "x")
         key = tables.get_refusal_key(f"{number:016x}")
         world.store.put(key, tables.encode_refusal_mark(mark))
     log = jsonlog.JsonLog("vm", lambda: 0.0, len)
-    sweeper = refusals.RefusalSweeper(world, lambda: 300_000, 150.0, log)
+    second = 0
+    sweeper = refusals.RefusalSweeper(
+        world, lambda: 300_000, 150.0, lambda: second <= on_until_s, log
+    )
     for second in range(400):
         sweeper.sweep(float(second))
-    assert len(world.store.rows) == 50
+    assert len(world.store.rows) == left
+
+
+def _count_conditions(world: _World) -> int:
+    return len(world.transactions[-1].conditions)
+
+
+@pytest.mark.parametrize(
+    ("route", "on_for_s", "status", "conditions"),
+    [
+        (_OFF, 1e6, 200, 2),
+        (_ON, 0.0, 200, 3),
+        (_ON, _ON_DELAY_S - 0.1, 200, 3),
+        (_ON, _ON_DELAY_S, 503, 2),
+    ],
+    ids=["off", "just_on", "before_the_delay", "after_the_delay"],
+)
+def test_refusals_of_a_queue_that_is_switched_on(route, on_for_s, status, conditions):
+    """Guards against refusals that nobody asked for, or while a VM may store without the condition.
+
+    The load that is left from an earlier use of refusals has no effect once it is old.
+    """
+    world = _World()
+    vm = world.make_vm(_make_row(sent_at_ms=100_000), route, on_for_s)
+    if route is _OFF:
+        world.now_s += _KEEP_S
+    assert world.call(vm).status_code == status
+    assert _count_conditions(world) == conditions
+
+
+@pytest.mark.parametrize("arrives_after_s", [0.0, _ON_DELAY_S - 1.0])
+def test_call_of_an_older_view_that_is_on_its_way(arrives_after_s):
+    """Guards against a refused job that a VM stores which has not seen that refusals are on."""
+    world = _World()
+    older, newer = world.make_vm(None, _OFF), world.make_vm(None, _ON, 0.0)
+    world.failures = [_LOST, _DOWN, _DOWN, _DOWN]
+    assert world.call(older).status_code == 504
+    (late,) = world.held
+    assert len(late.conditions) == 2
+    world.now_s += arrives_after_s
+    row = _make_row(sent_at_ms=int(world.now_s * 1000))
+    rows = (storage.Row(tables.LOAD, load_row.encode_load(row), 9),)
+    terms.apply_rows(newer._view.term, rows, world.now_s, int(world.now_s * 1000))
+    assert world.call(newer).status_code == 200
+    world.store.apply(late)
+    world.now_s += 2.0 * _ON_DELAY_S
+    assert world.call(newer).status_code == 200
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_refusal_by_an_older_view_after_the_switch_was_removed(is_restarted):
+    """Guards against a job that is stored after a VM that has not seen the removal refused it.
+
+    The VM that stores it has seen the removal, or has started after it.
+    """
+    world = _World()
+    older = world.make_vm(_make_row())
+    newer = world.make_vm(_make_row(), _OFF if is_restarted else _ON)
+    if not is_restarted:
+        _apply_version(newer._view, 2, _OFF, world.now_s)
+    world.failures = [_LOST, _DOWN, _DOWN, _DOWN]
+    assert world.call(newer).status_code == 504
+    assert world.call(older).status_code == 503
+    (late,) = world.held
+    assert isinstance(world.store.apply(late), result.Failure)
+    assert world.call(newer).status_code == 503
+    assert not world.is_stored
+    world.now_s += _KEEP_S
+    assert world.call(newer).status_code == 200
+    assert _count_conditions(world) == 2
+
+
+def test_mark_that_is_left_when_refusals_are_used_again():
+    """Guards against a job that an old mark keeps out, or a refusal soon after a second change."""
+    world = _World()
+    vm = world.make_vm(_make_row())
+    assert world.call(vm).status_code == 503
+    _apply_version(vm._view, 2, _OFF, world.now_s)
+    world.now_s += _KEEP_S
+    _apply_version(vm._view, 3, _ON, world.now_s)
+    row = _make_row(sent_at_ms=int(world.now_s * 1000))
+    rows = (storage.Row(tables.LOAD, load_row.encode_load(row), 9),)
+    terms.apply_rows(vm._view.term, rows, world.now_s, int(world.now_s * 1000))
+    assert world.call(vm).status_code == 200
+    assert world.store.rows.keys() == {tables.get_job_key(_JOB_ID)}
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -1,6 +1,7 @@
 """Configuration document written by the platform's operators."""
 
 from collections.abc import Iterable
+from typing import Any
 
 import msgspec
 
@@ -28,6 +29,7 @@
     stretch: float = 3.0
     target_duration_ms: float = 0.0
     public: bool = False
+    refuse_late: Any = False
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -67,8 +69,8 @@
         document = foreign.decode_json(data, _Configuration, strict=False)
     except exceptions.ProtocolError as error:
         raise exceptions.ProtocolError(f"cannot decode configuration: {error}") from error
-    routes = {route.name: _make_route(route) for route in document.routes}
     try:
+        routes = {route.name: _make_route(route) for route in document.routes}
         for route in routes.values():
             validation.check_route(route)
     except ValueError as error:
@@ -102,6 +104,12 @@
 
 
 def _make_route(route: _Route) -> model.Route:
+    if not isinstance(route.refuse_late, bool):
+        # Other values could be read as true or as false, and VMs of other builds may differ in it.
+        raise ValueError(
+            f"queue {route.name!r:.60}: refuse-late: expected true or false, "
+            f"got {route.refuse_late!r:.40}"
+        )
     return model.Route(
         name=route.name,
         host=route.host,
@@ -112,6 +120,7 @@
         stretch_ratio=route.stretch,
         target_s=route.target_duration_ms / 1000.0,
         is_public=route.public,
+        refuses_late=route.refuse_late,
     )
 
 
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -238,6 +238,7 @@
                     "max-attempts": 4,
                     "stretch": 1.5,
                     "target-duration-ms": 250,
+                    "refuse-late": True,
                 },
                 {"name": "longer", "host": "h", "path-prefix": "/p/q/", "service": "s"},
             ],
@@ -252,6 +253,17 @@
     assert found.account_by_key == {"k1": "t"}
     assert found.accounts["t"].guaranteed_accelerators == 32
     assert found.services["s"].checks_admission
+    assert [r.refuses_late for r in found.routes.values()] == [True, False]
+
+
+@pytest.mark.parametrize("value", ["true", 1, 0, None, [], 1.0])
+def test_wrong_value_of_refuse_late(value):
+    """Guards against refusals that one build reads from a value and another does not."""
+    route = {"name": "q7", "host": "h", "path-prefix": "/p/", "service": "s", "refuse-late": value}
+    with pytest.raises(exceptions.ProtocolError) as raised:
+        configuration.decode_configuration(msgspec.json.encode({"version": 7, "routes": [route]}))
+    expected = f"configuration 7: queue 'q7': refuse-late: expected true or false, got {value!r}"
+    assert str(raised.value) == expected
 
 
 def test_job_survives_encoding():
