Limit the work lost to preemptions beyond the guarantee

Urgent gangs beyond their accounts' guarantee stopped several times the work that they do, and the stopped work waited again. Guaranteed work is not limited.

--- a/lycheegate/jobs/headroom.py
+++ b/lycheegate/jobs/headroom.py
@@ -58,12 +58,14 @@
         headroom: Capacity that only urgent work may use.
         largest: Largest amount of each resource that any worker has; one worker of this size is
             the unit of the other amounts.
+        cores: Total capacity in cores, an accelerator counting as several.
     """
 
     total: float = 0.0
     used: float = 0.0
     headroom: float = 0.0
     largest: model.Resources = model.Resources()
+    cores: float = 0.0
 
 
 def compute_share(need: model.Resources, largest: model.Resources) -> float:
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from lycheegate.jobs import (
     commands,
@@ -15,6 +16,7 @@
     ordering,
     placement,
     preemption,
+    preemption_limits,
     runs,
     state,
     units,
@@ -41,6 +43,9 @@
 MAX_PLANNED_RATIO = 0.5
 """Share of the capacity that the reservations of several blocked gangs may hold. The first one may
 hold more, as a large gang would never start otherwise."""
+MAX_DECLINED_PLANS = 6
+"""Number of reservations without preemption up to which one is made for an urgent unit whose
+preemption was declined, so that it starts when runs end."""
 MAX_MIXED_COST_RATIO = 0.5
 """A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
 Above it, the room that is freed at once would idle for little gain."""
@@ -65,10 +70,14 @@
     """Stops less urgent runs so that an urgent unit fits, and reserves their room for it."""
     if not _is_view_complete(context.current, context.now_s):
         return
+    if not preemption_limits.is_due(context, unit):
+        return
     candidates = units.list_candidates(context, unit)
     if not candidates:
         return
     found = _choose_victims(context, unit, candidates)
+    if found is not None:
+        found = _limit(context, unit, candidates, found)
     if found is None:
         return
     for victim in found.victims:
@@ -94,6 +103,47 @@
     context.current.schedule_due = True
 
 
+def _limit(
+    context: units.PassContext,
+    unit: units.Unit,
+    candidates: list[placement.Candidate],
+    found: preemption.Preemption,
+) -> preemption.Preemption | None:
+    """Returns a preemption that is within the limits, or None if it is declined.
+
+    Instead of one that costs too much, one that awaits more runs is tried. For a unit whose
+    preemption is declined, room is reserved where runs end by themselves.
+    """
+    wait_s = _predict_wait_s(context, unit) if unit.rank.is_late and found.victims else 0.0
+    denial = preemption_limits.examine(context, unit, _sum_loss(found), wait_s)
+    if denial is not None and not unit.rank.is_late:
+        patient = _choose_with_wait(context, unit, candidates, _compute_slack_s(context, unit))
+        if patient is not None and not preemption_limits.examine(
+            context, unit, _sum_loss(patient), 0.0
+        ):
+            found, denial = patient, None
+    if denial is None:
+        preemption_limits.spend(context, unit, _sum_loss(found))
+        return found
+    retry_s, report = preemption_limits.decline(context, unit, denial)
+    context.result += report
+    if context.planned_reservations < MAX_DECLINED_PLANS:
+        plan_reservation(context, unit, retry_s)
+    return None
+
+
+def _sum_loss(found: preemption.Preemption) -> float:
+    return sum(victim.lost_core_s for victim in found.victims)
+
+
+def _predict_wait_s(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns in how many seconds enough runs have ended by themselves for a unit."""
+    found = _find_ending_units(context, unit)
+    if found is None:
+        return math.inf
+    return max((ending.cost for ending in found.victims), default=0.0)
+
+
 def _is_view_complete(current: state.SchedulerState, now_s: float) -> bool:
     """Returns whether all workers have reported to this scheduler, or have had time to.
 
@@ -109,29 +159,39 @@
     context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
 ) -> preemption.Preemption | None:
     """Returns the runs to stop and to await for an urgent unit, or None if it cannot fit."""
-    step = unit.step.step
     level = unit.rank.level
-    victims = list(_get_victims(context, level).values())
-
-    def choose(wait_s: float) -> preemption.Preemption | None:
-        return preemption.choose_victims(
-            len(unit.indices), step.need, candidates, victims, step.same_rack, wait_s
-        )
-
-    route = state.get_route(context.current, unit.job)
-    objective_s = ordering.compute_objective_s(unit.job, route)
-    slack_s = objective_s - context.wall_s - ordering.compute_remaining_s(unit.job)
     waited_s = unit.step.compute_waited_s(context.now_s)
-    wait_s = compute_wait_s(level, slack_s, waited_s)
-    found = choose(wait_s)
+    wait_s = compute_wait_s(level, _compute_slack_s(context, unit), waited_s)
+    found = _choose_with_wait(context, unit, candidates, wait_s)
     if found is None or not found.awaited or not found.victims:
         return found
-    immediate = choose(compute_wait_s(level, 0.0, waited_s))
+    immediate = _choose_with_wait(context, unit, candidates, compute_wait_s(level, 0.0, waited_s))
     if immediate is None or found.cost <= MAX_MIXED_COST_RATIO * immediate.cost:
         return found
     return immediate
 
 
+def _choose_with_wait(
+    context: units.PassContext,
+    unit: units.Unit,
+    candidates: list[placement.Candidate],
+    wait_s: float,
+) -> preemption.Preemption | None:
+    """Returns the runs to stop, and those that end within ``wait_s`` and are awaited."""
+    step = unit.step.step
+    victims = list(_get_victims(context, unit.rank.level).values())
+    return preemption.choose_victims(
+        len(unit.indices), step.need, candidates, victims, step.same_rack, wait_s
+    )
+
+
+def _compute_slack_s(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns the time until a unit's job must have started in order to meet its objective."""
+    route = state.get_route(context.current, unit.job)
+    objective_s = ordering.compute_objective_s(unit.job, route)
+    return objective_s - context.wall_s - ordering.compute_remaining_s(unit.job)
+
+
 def _reserve(
     context: units.PassContext,
     unit: units.Unit,
@@ -170,6 +230,9 @@
                 continue
             is_urgent = state.get_route(context.current, job).priority == 0
             for group in _group_runs(step):
+                index = group[0].task.index
+                if preemption_limits.is_protected(step, index, level, context.now_s):
+                    continue
                 victim = _make_victim(context, job, step, group)
                 if is_urgent:
                     victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
@@ -263,15 +326,37 @@
     job_id, occurrence, number, index = key
     step = context.current.jobs[job_id].steps[occurrence, number]
     reason = state.StopReason.PREEMPTED
+    preemption_limits.record_preemption(step, max(index, 0), context.now_s)
     if index == units.GANG_INDEX:
         return runs.stop_step(context.current, step, reason, context.now_s)
     return runs.stop_run(context.current, step.runs[index], reason, context.now_s)
 
 
-def plan_reservation(context: units.PassContext, unit: units.Unit) -> None:
-    """Reserves room for a blocked gang where running tasks are expected to end first."""
+def plan_reservation(
+    context: units.PassContext, unit: units.Unit, timeout_s: float | None = None
+) -> None:
+    """Reserves room for a blocked unit where running tasks are expected to end first.
+
+    Args:
+        context: Inputs and results of the pass.
+        unit: The unit.
+        timeout_s: How long the room stays reserved, or None for the time that blocked gangs have.
+    """
     if _leaves_too_little(context, unit):
         return
+    found = _find_ending_units(context, unit)
+    if found is None:
+        return
+    if timeout_s is None:
+        timeout_s = context.current.policy.reservation_s
+    context.planned_reservations += 1
+    _reserve(context, unit, found.placement, timeout_s, preempts=False)
+
+
+def _find_ending_units(
+    context: units.PassContext, unit: units.Unit
+) -> preemption.Preemption | None:
+    """Returns the runs that are expected to make room for a unit first, or None if none do."""
     step = unit.step.step
     candidates = units.list_candidates(context, unit)
     if context.ending_units is None:
@@ -279,13 +364,9 @@
     spans = not step.same_rack or placement.exceeds_every_rack(
         len(unit.indices), step.need, candidates
     )
-    found = preemption.choose_victims(
+    return preemption.choose_victims(
         len(unit.indices), step.need, candidates, context.ending_units, step.same_rack and not spans
     )
-    if found is None:
-        return
-    context.planned_reservations += 1
-    _reserve(context, unit, found.placement, context.current.policy.reservation_s, preempts=False)
 
 
 def _leaves_too_little(context: units.PassContext, unit: units.Unit) -> bool:
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -141,6 +141,7 @@
     for worker in usable:
         capacity = capacities[worker.service]
         capacity.total += headroom.compute_share(worker.capacity, capacity.largest)
+        capacity.cores += ordering.compute_usage(worker.capacity)
         capacity.used += headroom.compute_share(worker.capacity - worker.room, capacity.largest)
     return capacities
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -13,14 +13,18 @@
 __all__ = [
     "CountedCrash",
     "MAX_BATCH_JOBS",
+    "DeclinedUnit",
     "EndSource",
     "Evacuations",
+    "FailureWave",
     "IdleJob",
     "IdleJobs",
     "InheritedLeases",
     "JobState",
     "JobStatus",
     "Policy",
+    "PreemptionBudget",
+    "PreemptionMemory",
     "Reservation",
     "ReservationKey",
     "Run",
@@ -183,6 +187,7 @@
             those of a gang count for task 0.
         last_crashed_numbers: Number of the last run of each task for which a crash was counted.
         crashed_workers: Workers that have crashed under each task during this term.
+        preempted_at_s: When each task was last preempted during this term; for a gang, task 0.
     """
 
     key: StepKey
@@ -199,6 +204,7 @@
     crash_weights: dict[int, int] = dataclasses.field(default_factory=dict)
     last_crashed_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
     crashed_workers: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    preempted_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
@@ -346,6 +352,8 @@
         quarantined_until_s: When its quarantine after failures ends.
         quarantines: Number of consecutive quarantines; the duration doubles with each.
         suspected_until_s: Time until which it is suspected to fail what it runs.
+        proved_at_s: When a run last succeeded on it or had been running for long enough, or None if
+            none has since a run failed early on it.
         unreachable_until_s: Time until which it gets no work because orders were not answered.
         is_replaced: Whether another worker was found at its endpoint.
         cold_until_s: Time until which it is slow because it has started recently.
@@ -390,6 +398,7 @@
     quarantined_until_s: float = 0.0
     quarantines: int = 0
     suspected_until_s: float = 0.0
+    proved_at_s: float | None = None
     unreachable_until_s: float = 0.0
     is_replaced: bool = False
     cold_until_s: float = 0.0
@@ -455,6 +464,60 @@
     preempts: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreemptionBudget:
+    """Work that may be lost to preemptions for urgent work beyond the guarantee.
+
+    Attributes:
+        available_core_s: What is left of it, in core-seconds.
+        updated_at_s: When it was last refilled.
+    """
+
+    available_core_s: float
+    updated_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeclinedUnit:
+    """Waiting tasks for which a preemption was declined.
+
+    Attributes:
+        retry_at_s: When victims for them are searched for again.
+        interval_s: Time between the last search and that one.
+    """
+
+    retry_at_s: float
+    interval_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class PreemptionMemory:
+    """What limits preemptions for urgent work beyond the guarantee.
+
+    Attributes:
+        budgets: Budget of each service.
+        declined: Waiting tasks for which a preemption was declined.
+        reported_at_s: When a declined preemption was last logged, by job.
+    """
+
+    budgets: dict[str, PreemptionBudget] = dataclasses.field(default_factory=dict)
+    declined: dict["ReservationKey", DeclinedUnit] = dataclasses.field(default_factory=dict)
+    reported_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailureWave:
+    """A time in which many workers fail the runs that they start.
+
+    Attributes:
+        began_at_s: When the first of these workers became suspected.
+        last_at_s: When the last one did.
+    """
+
+    began_at_s: float
+    last_at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class IdleJob:
     """An open job that has no confirmed run although tasks of it are ready.
@@ -545,6 +608,8 @@
         idle_jobs: Jobs that have nothing running; affects the log only.
         evacuations: The operators' requests to evacuate data centres.
         durations: Learned durations of work and speeds of workers.
+        preemption: What limits preemptions for urgent work beyond the guarantee.
+        failure_wave: The current wave of failures on workers, or None.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -571,6 +636,8 @@
     idle_jobs: IdleJobs = dataclasses.field(default_factory=IdleJobs)
     evacuations: Evacuations = Evacuations()
     durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
+    preemption: PreemptionMemory = dataclasses.field(default_factory=PreemptionMemory)
+    failure_wave: FailureWave | None = None
     unconfirmed_since_s: float | None = -1.0
 
 
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -67,6 +67,7 @@
         result: Commands of the pass.
         planned_reservations: Number of reservations for which nothing was preempted.
         placed_tasks: Number of tasks that were placed.
+        declined_preemptions: Number of preemptions that were declined.
     """
 
     current: state.SchedulerState
@@ -80,6 +81,7 @@
     result: list[commands.Command] = dataclasses.field(default_factory=list)
     planned_reservations: int = 0
     placed_tasks: int = 0
+    declined_preemptions: int = 0
 
 
 def make_reservation_key(
