Prefer proved workers for gangs in a wave of failures

When many workers fail what they start, gangs failed again and again on workers that were not yet suspected, and used up their attempts. From 4 workers suspected within 3 s on, gangs go first to workers that have proved sound since, 2 at a time start on others, and a last attempt waits for proved ones. Guaranteed work is not limited. health.record_success takes the time, so its tests do.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -81,6 +81,7 @@
     if age_s >= EARLY_FAILURE_S or other_workers >= MAX_SUSPECTS_PER_STEP:
         return []
     worker.suspected_until_s = now_s + SUSPICION_S
+    worker.proved_at_s = None
     fields = {"worker": worker.worker_id, "job": run.task.job_id, "failed_after_s": round(age_s, 3)}
     return [commands.Decision("worker_suspected", fields)]
 
@@ -99,14 +100,15 @@
     return [commands.Decision("worker_quarantined", fields)]
 
 
-def record_success(current: state.SchedulerState, worker_id: str) -> None:
-    """Clears a worker's failures and ends its suspicion and quarantine."""
+def record_success(current: state.SchedulerState, worker_id: str, now_s: float) -> None:
+    """Clears a worker's failures and ends its suspicion and quarantine; the worker is proved."""
     worker = current.workers.get(worker_id)
     if worker is not None:
         worker.failures.clear()
         worker.quarantines = 0
         worker.quarantined_until_s = 0.0
         worker.suspected_until_s = 0.0
+        worker.proved_at_s = now_s
 
 
 def is_suspected(worker: state.WorkerState, now_s: float) -> bool:
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -27,6 +27,8 @@
     """Preference among workers that have room; lower tiers are used first."""
 
     PREFERRED = 0
+    UNPROVED = 8
+    """For gangs, in a wave of failures: no run has proved the worker sound since it began."""
     COLD = 9
     """Has started recently and is slow for a while."""
 
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import crashes, data_centres, health, model, placement, state
+from lycheegate.jobs import crashes, data_centres, failure_waves, health, model, placement, state
 
 __all__ = ["WorkerPool", "is_eligible", "is_usable"]
 
@@ -55,6 +55,8 @@
         self._by_service: dict[str, list[placement.Candidate]] = {}
         self._by_worker: dict[str, placement.Candidate] = {}
         self._workers = current.workers
+        self.unproved = failure_waves.list_unproved(current)
+        """Workers that are not proved sound in a wave of failures."""
         self._on_trial = {w.worker_id for w in current.workers.values() if w.trials}
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -224,7 +224,7 @@
     run: state.Run,
     now_s: float,
 ) -> None:
-    health.record_success(current, run.worker_id)
+    health.record_success(current, run.worker_id, now_s)
     job.dirty = True
     if step.step.long_running:
         return
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -10,6 +10,7 @@
     commands,
     crashes,
     data_centres,
+    failure_waves,
     headroom,
     lifecycle,
     model,
@@ -72,7 +73,9 @@
         _drop_reservations(current, dict(keys), now_s)
     if not waiting:
         return []
+    decisions = failure_waves.update_waves(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
+    context.result += decisions
     _measure_capacities(context, waiting)
     context.planned_reservations = sum(
         not reservation.preempts for reservation in current.reservations.values()
@@ -287,6 +290,9 @@
     reservation = context.current.reservations.get(unit.reservation_key)
     if reservation is None or set(reservation.placement) != set(unit.indices):
         return None
+    reserved = set(reservation.placement.values())
+    if units.is_limited_to_proved(context, unit) and reserved & context.workers.unproved:
+        return None
     if not all(
         context.workers.is_usable(worker_id)
         and not context.workers.is_on_trial(worker_id)
@@ -368,6 +374,7 @@
     step = unit.step
     context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += units.compute_share(context, unit)
+    units.record_gang(context, unit, chosen)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -609,7 +609,7 @@
         evacuations: The operators' requests to evacuate data centres.
         durations: Learned durations of work and speeds of workers.
         preemption: What limits preemptions for urgent work beyond the guarantee.
-        failure_wave: The current wave of failures on workers, or None.
+        failure_waves: Current waves of failures on workers, by service.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -637,7 +637,7 @@
     evacuations: Evacuations = Evacuations()
     durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
     preemption: PreemptionMemory = dataclasses.field(default_factory=PreemptionMemory)
-    failure_wave: FailureWave | None = None
+    failure_waves: dict[str, FailureWave] = dataclasses.field(default_factory=dict)
     unconfirmed_since_s: float | None = -1.0
 
 
--- a/lycheegate/jobs/tests/replay.py
+++ b/lycheegate/jobs/tests/replay.py
@@ -1,12 +1,15 @@
 """Replays a load on simulated workers against the decisions of the scheduler, without a network."""
 
 import dataclasses
+import math
 import random
 
 from lycheegate.jobs import commands, lifecycle, model, ordering, runs, scheduling, state
 
 TICK_S = 0.05
 STOP_S = 0.15
+FAILS_AFTER_S = 0.2
+"""Age at which a run fails on a failing worker."""
 CAPACITY = model.Resources(32_000, 128_000, 8)
 ROUTES = {
     "batch": model.Route("batch", "h", "/b/", "render", 2, 3, 3.0, 3.0),
@@ -40,7 +43,7 @@
         self.records: dict[str, Record] = {}
         self.events: list[tuple[float, commands.Decision]] = []
         self.silent: set[str] = set()
-        self.failing: set[str] = set()
+        self.failing_since_s: dict[str, float] = {}
         self._generator = random.Random(seed)
         self._duration_s: dict[tuple, float] = {}
         accounts = {n: model.Account(n, frozenset(), g) for n, g in guaranteed.items()}
@@ -69,7 +72,7 @@
         self.now_s += TICK_S
         for worker in self.current.workers.values():
             if worker.worker_id not in self.silent:
-                worker.reported_at_s = self.now_s
+                worker.reported_at_s = worker.listed_at_s = self.now_s
                 for run in list(worker.runs.values()):
                     if worker.runs.get(run.task) is run:
                         self._advance(run)
@@ -100,7 +103,8 @@
                 record.started_after_s = self.now_s - job.job.accepted_at_s
             return
         worked_s = self.now_s - run.running_since_s
-        if run.worker_id in self.failing and worked_s >= 0.1:
+        failing_since_s = self.failing_since_s.get(run.worker_id, math.inf)
+        if run.running_since_s >= failing_since_s and worked_s >= FAILS_AFTER_S:
             self.lost_core_s += self._compute_worked(run)
             self._log(runs.end_run(self.current, run, runs.End.FAILED, "failed", self.now_s))
             return
--- a/lycheegate/jobs/tests/test_health.py
+++ b/lycheegate/jobs/tests/test_health.py
@@ -80,7 +80,7 @@
         ends.append(worker.quarantined_until_s)
     assert ends == sorted(ends)
     assert ends[-1] - 10.0 == health.MAX_QUARANTINE_S
-    health.record_success(current, "w")
+    health.record_success(current, "w", 10.0)
     assert not health.is_quarantined(worker, 10.1)
 
 
@@ -98,7 +98,7 @@
     assert [decision.event for decision in decisions] == ["worker_suspected"] * expected
     assert health.is_suspected(worker, 10.1) is expected
     assert not health.is_suspected(worker, 10.0 + health.SUSPICION_S)
-    health.record_success(current, "w")
+    health.record_success(current, "w", 10.0)
     assert not health.is_suspected(worker, 10.1)
 
 
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -5,7 +5,17 @@
 
 import pytest
 
-from lycheegate.jobs import commands, headroom, lifecycle, model, runs, scheduling, state, waiting
+from lycheegate.jobs import (
+    commands,
+    failure_waves,
+    headroom,
+    lifecycle,
+    model,
+    runs,
+    scheduling,
+    state,
+    waiting,
+)
 
 _NOW_S = 100.0
 _CAPACITY = model.Resources(8_000, 8_000, 8)
@@ -191,6 +201,16 @@
     return {"candidates": 2}
 
 
+def _make_unproved(current: state.SchedulerState) -> dict:
+    gang = model.Step(1, _NEED, 30.0, gang=True)
+    current.failure_waves["render"] = state.FailureWave(_NOW_S - 2.0, _NOW_S - 1.0)
+    for number in range(failure_waves.MAX_UNPROVED_GANGS):
+        job = _add_job(current, f"{number + 1:016x}", gang)
+        _add_run(current, job, state.RunPhase.RUNNING).running_since_s = _NOW_S
+    _add_job(current, step=gang)
+    return {"unproved": 2}
+
+
 _REASON = waiting.Reason
 _ORDERED, _STOPPING = state.RunPhase.ORDERED, state.RunPhase.STOPPING
 _STOPPED = {"stop_reason": state.StopReason.EVACUATED}
@@ -223,6 +243,7 @@
     "free": (_REASON.NOT_PLACED, _make_free),
     "headroom": (_REASON.HEADROOM, _make_headroom),
     "reserved for others": (_REASON.ROOM_RESERVED, _make_reserved_for_others),
+    "unproved": (_REASON.UNPROVED_WORKERS, _make_unproved),
     "far": (_REASON.RACK_OF_DATA, _make_far),
     "full": (_REASON.NO_ROOM, _make_full),
 }
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -5,6 +5,7 @@
 from lycheegate.jobs import (
     commands,
     crashes,
+    failure_waves,
     headroom,
     ordering,
     placement,
@@ -19,8 +20,10 @@
     "Unit",
     "compute_share",
     "is_last_attempt",
+    "is_limited_to_proved",
     "list_candidates",
     "make_reservation_key",
+    "record_gang",
 ]
 
 GANG_INDEX = -1
@@ -68,6 +71,8 @@
         planned_reservations: Number of reservations for which nothing was preempted.
         placed_tasks: Number of tasks that were placed.
         declined_preemptions: Number of preemptions that were declined.
+        starting_gangs: Cache of the number of gangs of each service that are being started on
+            unproved workers.
     """
 
     current: state.SchedulerState
@@ -82,6 +87,7 @@
     planned_reservations: int = 0
     placed_tasks: int = 0
     declined_preemptions: int = 0
+    starting_gangs: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def make_reservation_key(
@@ -111,5 +117,45 @@
     if crashes.is_suspect(unit.step, unit.indices):
         candidates = context.workers.list_for_trial(candidates)
     if unit.step.step.gang or is_last_attempt(context, unit):
-        return placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
-    return candidates
+        candidates = placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
+    unproved = context.workers.unproved
+    if not unproved or not unit.step.step.gang:
+        return candidates
+    if is_limited_to_proved(context, unit):
+        return [c for c in candidates if c.worker_id not in unproved]
+    if unit.rank.level > 0 and is_last_attempt(context, unit):
+        marked = [dataclasses.replace(c, is_avoided=c.worker_id in unproved) for c in candidates]
+        proved = placement.list_sound(len(unit.indices), unit.step.step.need, marked)
+        if proved is not marked:
+            return proved
+    return [
+        dataclasses.replace(c, tier=max(c.tier, placement.Tier.UNPROVED))
+        if c.worker_id in unproved
+        else c
+        for c in candidates
+    ]
+
+
+def is_limited_to_proved(context: PassContext, unit: Unit) -> bool:
+    """Returns whether a gang must wait for proved workers, as enough others start on unproved ones.
+
+    Guaranteed work need not, because it has to start in time.
+    """
+    if not context.workers.unproved or not unit.step.step.gang or unit.rank.level == 0:
+        return False
+    return _count_starting_gangs(context, unit.service) >= failure_waves.MAX_UNPROVED_GANGS
+
+
+def _count_starting_gangs(context: PassContext, service: str) -> int:
+    if service not in context.starting_gangs:
+        context.starting_gangs[service] = failure_waves.count_starting_gangs(
+            context.current, service, context.workers.unproved
+        )
+    return context.starting_gangs[service]
+
+
+def record_gang(context: PassContext, unit: Unit, chosen: list[str]) -> None:
+    """Counts a gang that is about to be placed if it starts on unproved workers."""
+    if unit.step.step.gang and not context.workers.unproved.isdisjoint(chosen):
+        count = _count_starting_gangs(context, unit.service)
+        context.starting_gangs[unit.service] = count + 1
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -75,6 +75,9 @@
     """The room that is left is kept free for urgent work."""
     ROOM_RESERVED = "room_reserved"
     """The room that is left is reserved for other tasks."""
+    UNPROVED_WORKERS = "unproved_workers"
+    """Many workers fail what they start, no proved one has room for the gang, and enough other
+    gangs are being started on unproved ones."""
     RACK_OF_DATA = "rack_of_data"
     """There is room, but not yet in the rack of its data."""
     NO_ROOM = "no_room"
@@ -404,6 +407,9 @@
     step = unit.step.step
     if not data_centres.is_view_confirmed(check.current, check.now_s):
         return Reason.EVACUATED, {"confirmed": False}
+    is_limited = units.is_limited_to_proved(context, unit)
+    if is_limited and scheduling.choose_workers(context, unit, has_reservation=False) is None:
+        return Reason.UNPROVED_WORKERS, {"unproved": len(context.workers.unproved)}
     candidates = units.list_candidates(context, unit)
     if not candidates:
         return _explain_missing_workers(context, unit)
