Check the oldest waits in the replay of a burst

The replay compared lost work and guaranteed starts only, so a starving gang would not have been noticed.

--- a/lycheegate/jobs/tests/test_preemption_limits.py
+++ b/lycheegate/jobs/tests/test_preemption_limits.py
@@ -162,6 +162,13 @@
         in_time, total = run.count_in_time(0)
         assert in_time == total == before.count_in_time(0)[0] > 0
         assert all(r.ended_after_s is not None for r in run.records.values())
+        assert _find_oldest_wait_s(run, 2) <= _find_oldest_wait_s(before, 2)
+        # The burst is over after 10 s; declined gangs then start before all other work.
+        assert _find_oldest_wait_s(run, 1) < 20.0
+
+
+def _find_oldest_wait_s(run: replay.Replay, level: int) -> float:
+    return max(r.started_after_s for r in run.records.values() if r.level == level)
 
 
 def test_light_preemption_is_as_before(monkeypatch):
