Keep avoided workers avoided for last attempts in a wave

The candidates of a last attempt were marked anew, so a suspected worker could count as sound if too few others were left. Tests of lycheegate/jobs: all pass but the two that fail at the base.

--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -124,7 +124,10 @@
     if is_limited_to_proved(context, unit):
         return [c for c in candidates if c.worker_id not in unproved]
     if unit.rank.level > 0 and is_last_attempt(context, unit):
-        marked = [dataclasses.replace(c, is_avoided=c.worker_id in unproved) for c in candidates]
+        marked = [
+            dataclasses.replace(c, is_avoided=c.is_avoided or c.worker_id in unproved)
+            for c in candidates
+        ]
         proved = placement.list_sound(len(unit.indices), unit.step.step.need, marked)
         if proved is not marked:
             return proved
