--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -10,6 +10,7 @@
     commands,
     crashes,
     data_centres,
+    failure_waves,
     headroom,
     lifecycle,
     model,
@@ -77,6 +78,7 @@
     if not waiting:
         return []
     decisions = unevenness.update_uneven_services(current, now_s)
+    decisions += failure_waves.update_waves(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
     context.result += decisions
     _measure_capacities(context, waiting)
@@ -147,6 +149,7 @@
     for worker in usable:
         capacity = capacities[worker.service]
         capacity.total += headroom.compute_share(worker.capacity, capacity.largest)
+        capacity.cores += ordering.compute_usage(worker.capacity)
         capacity.used += headroom.compute_share(worker.capacity - worker.room, capacity.largest)
     return capacities
 
@@ -340,6 +343,9 @@
     reservation = context.current.reservations.get(unit.reservation_key)
     if reservation is None or set(reservation.placement) != set(unit.indices):
         return None
+    reserved = set(reservation.placement.values())
+    if units.is_limited_to_proved(context, unit) and reserved & context.workers.unproved:
+        return None
     if not all(
         context.workers.is_usable(worker_id)
         and not context.workers.is_on_trial(worker_id)
@@ -427,6 +433,7 @@
     step = unit.step
     context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += units.compute_share(context, unit)
+    units.record_gang(context, unit, chosen)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
