Divide room between client accounts while more work waits than fits

Cause: waiting work of one level is ordered by size only, so a hundred small jobs of one client account go before a larger job of another.

Change: tasks of equal level, lateness, priority and slack band are placed in turns of the accounts, the one with the smallest dominant share of present and recent use first. It applies only while the waiting work of several accounts certainly exceeds the free room.

--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -198,11 +198,13 @@
         name: Its name.
         keys: Credentials of its callers.
         guaranteed_accelerators: Number of accelerators guaranteed to its urgent jobs.
+        weight: Weight of its share while accounts compete for room; finite and above 0.
     """
 
     name: str
     keys: frozenset[str]
     guaranteed_accelerators: int = 0
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -139,6 +139,15 @@
             self._by_label[service, label] = found
         return found
 
+    def sum_room(self, service: str) -> tuple[int, int, int]:
+        """Returns the free millicores, megabytes and accelerators of a service."""
+        rooms = [candidate.room for candidate in self._by_service.get(service, ())]
+        return (
+            sum(room.cpu_millicores for room in rooms),
+            sum(room.memory_mb for room in rooms),
+            sum(room.accelerators for room in rooms),
+        )
+
     def allocate(self, worker_id: str, need: model.Resources) -> None:
         """Subtracts the room of a run that was placed; unusable workers are ignored."""
         candidate = self._by_worker.get(worker_id)
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -201,13 +201,19 @@
     loss = _estimate_loss(context, step, group)
     return preemption.VictimUnit(
         _make_victim_key(job, step, group),
-        loss * (1 + _count_interruptions(step, group)),
+        loss * (1 + _count_interruptions(step, group)) * _compute_share_ratio(context, job),
         _sum_room(group),
         _predict_end_s(group, context.now_s),
         loss,
     )
 
 
+def _compute_share_ratio(context: units.PassContext, job: state.JobState) -> float:
+    """Returns by which ratio it costs more to stop a job whose account has less than others."""
+    account_shares = context.account_shares.get(state.get_route(context.current, job).service)
+    return 1.0 if account_shares is None else account_shares.compute_victim_ratio(job.job.account)
+
+
 def _make_victim_key(job: state.JobState, step: state.StepState, group: list[state.Run]) -> tuple:
     index = units.GANG_INDEX if step.step.gang else group[0].task.index
     return (job.job.job_id, *step.key, index)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -18,6 +18,7 @@
     pool,
     reclaiming,
     runs,
+    sharing,
     state,
     units,
 )
@@ -63,6 +64,7 @@
         Stop orders for preempted runs, and decisions to be logged.
     """
     current.schedule_due = False
+    sharing.update_recent_use(current, now_s)
     if not data_centres.is_view_confirmed(current, now_s):
         return data_centres.report_unconfirmed(current, now_s)
     guaranteed = ordering.list_guaranteed_accounts(current)
@@ -77,8 +79,14 @@
     context.planned_reservations = sum(
         not reservation.preempts for reservation in current.reservations.values()
     )
+    sharing.measure_shares(context, waiting)
+    turns_by_class = sharing.list_turns(context, waiting)
     for unit in waiting:
-        _place_step(context, unit)
+        turns = turns_by_class.get(sharing.make_class_key(unit)) if turns_by_class else None
+        if turns is None:
+            _place_step(context, unit)
+        else:
+            _place_in_turns(context, turns, 1 if unit.step.step.gang else len(unit.indices))
     current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
     return context.result
 
@@ -117,7 +125,7 @@
 
 def _place_step(context: units.PassContext, unit: units.Unit) -> None:
     """Places the unplaced tasks of a step until one of them does not fit, or enough were placed."""
-    max_placed = MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
+    max_placed = _get_max_placed(unit)
     if unit.step.step.gang:
         if context.placed_tasks < max_placed:
             _place_unit(context, unit)
@@ -129,6 +137,26 @@
             return
 
 
+def _get_max_placed(unit: units.Unit) -> int:
+    return MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
+
+
+def _place_in_turns(context: units.PassContext, turns: sharing.Turns, count: int) -> None:
+    """Places up to ``count`` tasks or gangs in turns of their accounts.
+
+    A step whose turn comes in the order of rank gives its place to others. All are tried in the
+    end, because there are as many places as tasks.
+    """
+    for _ in range(count):
+        unit = turns.get_next()
+        if unit is None or context.placed_tasks >= _get_max_placed(unit):
+            return
+        goes_on = _place_unit(context, unit)
+        if unit.reservation_key in context.current.reservations:
+            sharing.charge(context, unit)
+        turns.end_turn(goes_on)
+
+
 def measure_use(
     current: state.SchedulerState, workers: pool.WorkerPool
 ) -> dict[str, headroom.ServiceCapacity]:
@@ -367,6 +395,7 @@
     step = unit.step
     context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += units.compute_share(context, unit)
+    sharing.charge(context, unit)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from lycheegate.jobs import headroom, model
+from lycheegate.jobs import headroom, model, shares
 from lycheegate.jobs.durations import factors
 
 __all__ = [
@@ -545,6 +545,7 @@
         idle_jobs: Jobs that have nothing running; affects the log only.
         evacuations: The operators' requests to evacuate data centres.
         durations: Learned durations of work and speeds of workers.
+        recent_use: What client accounts have used of each service during this term.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -571,6 +572,7 @@
     idle_jobs: IdleJobs = dataclasses.field(default_factory=IdleJobs)
     evacuations: Evacuations = Evacuations()
     durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
+    recent_use: shares.RecentUse = dataclasses.field(default_factory=shares.RecentUse)
     unconfirmed_since_s: float | None = -1.0
 
 
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -10,6 +10,7 @@
     placement,
     pool,
     preemption,
+    shares,
     state,
 )
 
@@ -62,6 +63,7 @@
         guaranteed: Client accounts whose urgent jobs are all within their guarantee.
         workers: Usable workers, with the room that is left on them.
         capacities: Capacity of each service.
+        account_shares: Shares of client accounts, for services in which several compete for room.
         victims: Cache of the units that work of each level may preempt.
         ending_units: Cache of the units that end by themselves, or None before it is needed.
         result: Commands of the pass.
@@ -75,6 +77,7 @@
     guaranteed: set[str]
     workers: pool.WorkerPool
     capacities: dict[str, headroom.ServiceCapacity] = dataclasses.field(default_factory=dict)
+    account_shares: dict[str, shares.AccountShares] = dataclasses.field(default_factory=dict)
     victims: dict[int, dict[tuple, preemption.VictimUnit]] = dataclasses.field(default_factory=dict)
     ending_units: list[preemption.VictimUnit] | None = None
     result: list[commands.Command] = dataclasses.field(default_factory=list)
