Read the weights of client accounts from the configuration

Cause: operators could not give an account a larger share of contended room.

Change: the optional field weight of an account is read; a value that is not finite and above 0 is logged as configuration_finding and replaced by 1, and the rest of the document stays in force.

--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -218,6 +218,7 @@
         accounts: Client accounts by name.
         account_by_key: Name of the client account of each key.
         max_body_bytes: Maximum size of a request body, in bytes.
+        findings: Invalid values of the document that were replaced by defaults, for the log.
     """
 
     version: int
@@ -226,6 +227,7 @@
     accounts: dict[str, Account]
     account_by_key: dict[str, str]
     max_body_bytes: int
+    findings: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of ``host`` with the longest prefix of ``path``, or None."""
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -264,6 +264,10 @@
             if current is None or configuration.version > current.version:
                 self._view.configuration = configuration
                 self._log.write("configuration", version=configuration.version, row=row.version)
+                for finding in configuration.findings:
+                    self._log.write(
+                        "configuration_finding", version=configuration.version, finding=finding
+                    )
                 if self._scheduler is not None:
                     self._scheduler.set_configuration(configuration)
 
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -1,5 +1,6 @@
 """Configuration document written by the platform's operators."""
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -16,6 +17,10 @@
 _EVACUATION_PREFIX = "evacuate/"
 """Prefix of the keys of rows that request the evacuation of a data centre."""
 DEFAULT_MAX_BODY_BYTES = 262144
+DEFAULT_WEIGHT = 1.0
+MAX_FINDINGS = 10
+"""Maximum number of findings that are kept of one document; each is logged."""
+MAX_QUOTED_CHARACTERS = 60
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -47,6 +52,7 @@
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
+    weight: msgspec.Raw = msgspec.Raw()
 
 
 class _Configuration(msgspec.Struct):
@@ -73,7 +79,10 @@
             validation.check_route(route)
     except ValueError as error:
         raise exceptions.ProtocolError(f"configuration {document.version}: {error}") from error
-    accounts = {tenant.name: _make_account(tenant) for tenant in document.tenants}
+    accounts: dict[str, model.Account] = {}
+    findings: list[str] = []
+    for tenant in document.tenants:
+        accounts[tenant.name] = _make_account(tenant, findings)
     return model.Configuration(
         version=document.version,
         routes=routes,
@@ -81,6 +90,7 @@
         accounts=accounts,
         account_by_key={key: a.name for a in accounts.values() for key in a.keys},
         max_body_bytes=document.limits.max_body_bytes,
+        findings=tuple(findings[:MAX_FINDINGS]),
     )
 
 
@@ -115,5 +125,25 @@
     )
 
 
-def _make_account(tenant: _Tenant) -> model.Account:
-    return model.Account(tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpu)
+def _make_account(tenant: _Tenant, findings: list[str]) -> model.Account:
+    weight = _read_weight(tenant, findings)
+    return model.Account(tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpu, weight)
+
+
+def _read_weight(tenant: _Tenant, findings: list[str]) -> float:
+    """Returns the weight of an account; a wrong one does not invalidate the whole document."""
+    data = bytes(tenant.weight)
+    if not data:
+        return DEFAULT_WEIGHT
+    try:
+        weight = foreign.decode_json(data, float)
+    except exceptions.ProtocolError:
+        weight = math.nan
+    if 0.0 < weight < math.inf:
+        return weight
+    findings.append(
+        f"account {tenant.name:.{MAX_QUOTED_CHARACTERS}}: weight "
+        f"{data.decode():.{MAX_QUOTED_CHARACTERS}} is not a finite number above 0; "
+        f"{DEFAULT_WEIGHT} is used"
+    )
+    return DEFAULT_WEIGHT
--- a/lycheegate/platform/tests/test_malformed.py
+++ b/lycheegate/platform/tests/test_malformed.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 
 import cbor2
 import hypothesis
@@ -34,7 +35,7 @@
             {"name": "r", "host": "h", "path-prefix": "/p/", "service": "s", "priority": 1},
         ],
         "services": [{"name": "s"}],
-        "tenants": [{"name": "t", "api-keys": ["k"], "guaranteed": {"gpu": 8}}],
+        "tenants": [{"name": "t", "api-keys": ["k"], "guaranteed": {"gpu": 8}, "weight": 2.0}],
         "limits": {"max-body-bytes": 1000},
     },
     "job": {
@@ -121,6 +122,7 @@
     except exceptions.ProtocolError:
         return
     found.find_route("h", "/p/x")
+    assert all(0.0 < account.weight < math.inf for account in found.accounts.values())
 
 
 @hypothesis.given(data=_make_malformed("job"))
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -244,7 +244,36 @@
     assert found.find_route("x", "/p/1") is None
     assert found.account_by_key == {"k1": "t"}
     assert found.accounts["t"].guaranteed_accelerators == 32
+    assert found.accounts["t"].weight == 1.0
     assert found.services["s"].checks_admission
+    assert not found.findings
+
+
+@pytest.mark.parametrize(
+    ("weight", "expected"),
+    [
+        ("2.5", 2.5),
+        ("3", 3.0),
+        ("0", None),
+        ("-1", None),
+        ("1e400", None),
+        ("null", None),
+        ("true", None),
+        ('"2"', None),
+        ("[" * 500 + "]" * 500, None),
+    ],
+)
+def test_wrong_weight_is_reported_and_does_not_reject_the_document(weight, expected):
+    """Guards against one wrong weight that keeps all other changes from coming into force."""
+    data = f'{{"version": 1, "tenants": [{{"name": "acme", "weight": {weight}}}, {{"name": "b"}}]}}'
+    found = configuration.decode_configuration(data.encode())
+    assert found.accounts["acme"].weight == (expected or 1.0)
+    assert found.accounts["b"].weight == 1.0
+    assert len(found.findings) == (expected is None)
+    for finding in found.findings:
+        assert "account acme: weight " in finding
+        assert "is not a finite number above 0" in finding
+        assert len(finding) < 200
 
 
 def test_job_survives_encoding():
