--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -153,7 +153,7 @@
             return
         goes_on = _place_unit(context, unit)
         if unit.reservation_key in context.current.reservations:
-            sharing.charge(context, unit)
+            sharing.charge_reserved(context, unit)
         turns.end_turn(goes_on)
 
 
@@ -395,7 +395,7 @@
     step = unit.step
     context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += units.compute_share(context, unit)
-    sharing.charge(context, unit)
+    sharing.charge_placed(context, unit)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/jobs/shares.py
+++ b/lycheegate/jobs/shares.py
@@ -2,8 +2,8 @@
 
 Handles loads in which one client account submits a hundred jobs at once while others submit one,
 and more work waits than fits. By size alone, the many jobs of the one account would go ahead of a
-single larger job of another, which would wait for all of them. Accounts therefore take turns: the
-next task is that of the account with the smallest dominant share.
+single larger job of another, which would wait for all of them. Accounts therefore take turns: those
+below the equal share go first, then those with the smallest dominant share.
 """
 
 import collections
@@ -155,6 +155,13 @@
         share = compute_dominant_share(self._amounts.get(account, NOTHING), self._total)
         return share / self._weights.get(account, 1.0)
 
+    def compute_turn_key(self, account: str) -> float:
+        """Returns the sort key of an account's turns, which is equal for those below their share.
+
+        The order of their jobs holds between these, which ends small jobs early.
+        """
+        return max(self.equal_share, self.get_share(account))
+
     def add(self, account: str, need: model.Resources, count: int) -> None:
         """Adds tasks of an account that were placed, or for which room is reserved."""
         self._amounts[account] = add_need(self._amounts.get(account, NOTHING), need, count)
@@ -172,19 +179,19 @@
 
 
 class TurnQueue(Generic[_T]):
-    """Waiting items of several accounts, of which the account with the least share has its turn.
+    """Waiting items of several accounts, of which the account with the least key has its turn.
 
-    The share of an account is read again after each of its turns only, so a turn must not change
-    the shares of other accounts. A turn takes a time logarithmic in the number of accounts.
+    The key of an account is computed again after each of its turns only, so a turn must not change
+    the keys of other accounts. A turn takes a time logarithmic in the number of accounts.
 
     Args:
         items: Account and item, in the order that holds within an account and between accounts of
-            equal share.
-        get_share: Returns the share of an account.
+            equal key.
+        compute_key: Returns the key of an account.
     """
 
-    def __init__(self, items: Iterable[tuple[str, _T]], get_share: Callable[[str], float]):
-        self._get_share = get_share
+    def __init__(self, items: Iterable[tuple[str, _T]], compute_key: Callable[[str], float]):
+        self._compute_key = compute_key
         self._items: dict[str, collections.deque[tuple[int, _T]]] = {}
         for number, (account, item) in enumerate(items):
             self._items.setdefault(account, collections.deque()).append((number, item))
@@ -193,8 +200,8 @@
     def get_next(self) -> _T | None:
         """Returns the first item of the account whose turn it is, or None if there is none."""
         if self._heap is None:
-            # Shares may have changed since the queue was made.
-            self._heap = [(self._get_share(a), q[0][0], a) for a, q in self._items.items()]
+            # Keys may have changed since the queue was made.
+            self._heap = [(self._compute_key(a), q[0][0], a) for a, q in self._items.items()]
             heapq.heapify(self._heap)
         return self._items[self._heap[0][2]][0][1] if self._heap else None
 
@@ -205,6 +212,6 @@
         if is_item_done:
             queue.popleft()
         if queue:
-            heapq.heapreplace(self._heap, (self._get_share(account), queue[0][0], account))
+            heapq.heapreplace(self._heap, (self._compute_key(account), queue[0][0], account))
         else:
             heapq.heappop(self._heap)
--- a/lycheegate/jobs/sharing.py
+++ b/lycheegate/jobs/sharing.py
@@ -13,7 +13,8 @@
 __all__ = [
     "ClassKey",
     "Turns",
-    "charge",
+    "charge_placed",
+    "charge_reserved",
     "list_turns",
     "make_class_key",
     "measure_shares",
@@ -47,7 +48,7 @@
 
     def __init__(self, listed: list[units.Unit], account_shares: shares.AccountShares):
         items = ((unit.job.job.account, _Entry(unit)) for unit in listed)
-        self._queue: shares.TurnQueue[_Entry] = shares.TurnQueue(items, account_shares.get_share)
+        self._queue = shares.TurnQueue(items, account_shares.compute_turn_key)
 
     def get_next(self) -> units.Unit | None:
         """Returns the next task or gang to place, or None if none is left."""
@@ -68,11 +69,13 @@
     """Measures what each client account uses of each service, and adds it to its recent use."""
     used: dict[shares.UseKey, shares.Amounts] = {}
     for job in current.jobs.values():
-        for step in job.steps.values():
-            if step.runs:
-                key = (state.get_route(current, job).service, job.job.account)
-                before = used.get(key, shares.NOTHING)
-                used[key] = shares.add_need(before, step.step.need, len(step.runs))
+        running = [step for step in job.steps.values() if step.runs]
+        if running:
+            key = (state.get_route(current, job).service, job.job.account)
+            amounts = used.get(key, shares.NOTHING)
+            for step in running:
+                amounts = shares.add_need(amounts, step.step.need, len(step.runs))
+            used[key] = amounts
     shares.update_recent(current.recent_use, used, now_s)
 
 
@@ -100,15 +103,18 @@
     capacity = context.capacities.get(service)
     if capacity is None:
         return False
+    room = context.workers.sum_room(service)
     needed = shares.NOTHING
     not_urgent = 0.0
     for unit in listed:
         needed = shares.add_need(needed, unit.step.step.need, len(unit.indices))
         if unit.rank.level >= 2:
             not_urgent += units.compute_share(context, unit)
-    room = context.workers.sum_room(service)
-    exceeds_room = any(n > r for n, r in zip(needed, room, strict=True))
-    return exceeds_room or (not_urgent > 0.0 and not headroom.admits(capacity, not_urgent))
+        if any(n > r for n, r in zip(needed, room, strict=True)):
+            return True
+        if not_urgent > 0.0 and not headroom.admits(capacity, not_urgent):
+            return True
+    return False
 
 
 def _make_shares(
@@ -157,8 +163,18 @@
     }
 
 
-def charge(context: units.PassContext, unit: units.Unit) -> None:
-    """Adds a unit that was placed, or has room reserved, to the share of its account."""
+def charge_placed(context: units.PassContext, unit: units.Unit) -> None:
+    """Adds a unit that was placed to the share and the present use of its account."""
+    used = context.current.recent_use.used
+    key = (unit.service, unit.job.job.account)
+    used[key] = shares.add_need(
+        used.get(key, shares.NOTHING), unit.step.step.need, len(unit.indices)
+    )
+    charge_reserved(context, unit)
+
+
+def charge_reserved(context: units.PassContext, unit: units.Unit) -> None:
+    """Adds a unit for which room is reserved to the share of its account in this pass."""
     account_shares = context.account_shares.get(unit.service)
     if account_shares is not None:
         account_shares.add(unit.job.job.account, unit.step.step.need, len(unit.indices))
