Detect fragmented room as contention, and measure use with less effort

Cause: room that is divided into too small parts, or lies on workers without the label, counted as room for the waiting work. Measuring the use looked up the service of each job and step in each pass.

Change: while the waiting work takes more than half of the free room, the places of its 8 most frequent needs are counted. Use is summed by queue.

--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -148,6 +148,15 @@
             sum(room.accelerators for room in rooms),
         )
 
+    def count_places(self, service: str, label: str, need: model.Resources, limit: int) -> int:
+        """Returns for how many tasks of a need there is room now, at most about ``limit``."""
+        count = 0
+        for candidate in self._list_labeled(service, label):
+            count += placement.count_fitting(need, candidate.room, limit)
+            if count >= limit:
+                break
+        return count
+
     def allocate(self, worker_id: str, need: model.Resources) -> None:
         """Subtracts the room of a run that was placed; unusable workers are ignored."""
         candidate = self._by_worker.get(worker_id)
--- a/lycheegate/jobs/sharing.py
+++ b/lycheegate/jobs/sharing.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from lycheegate.jobs import commands, headroom, shares, state, units
+from lycheegate.jobs import commands, headroom, model, shares, state, units
 
 __all__ = [
     "ClassKey",
@@ -26,6 +26,11 @@
 MAX_REPORTED_ACCOUNTS = 10
 """Maximum number of accounts in a log line; those furthest from the equal share are named."""
 
+MIN_FRAGMENTED_RATIO = 0.5
+"""Part of the free room up to which the waiting work is not checked for too small parts of it."""
+MAX_CHECKED_SHAPES = 8
+"""Maximum number of labels and needs in this check, each of which takes a search of all workers."""
+
 ClassKey = tuple[str, int, bool, int, int]
 """Service, and the part of a rank that goes before the shares of accounts."""
 
@@ -67,15 +72,23 @@
 
 def update_recent_use(current: state.SchedulerState, now_s: float) -> None:
     """Measures what each client account uses of each service, and adds it to its recent use."""
-    used: dict[shares.UseKey, shares.Amounts] = {}
+    # Jobs of one queue share a service, whose look-up for each job would take most of the time.
+    sums: dict[tuple[str, str], list[int]] = {}
+    service_by_queue: dict[str, str] = {}
     for job in current.jobs.values():
-        running = [step for step in job.steps.values() if step.runs]
-        if running:
-            key = (state.get_route(current, job).service, job.job.account)
-            amounts = used.get(key, shares.NOTHING)
-            for step in running:
-                amounts = shares.add_need(amounts, step.step.need, len(step.runs))
-            used[key] = amounts
+        queue = job.route.name
+        for step in job.steps.values():
+            count = len(step.runs)
+            if not count:
+                continue
+            if queue not in service_by_queue:
+                service_by_queue[queue] = state.get_route(current, job).service
+            total = sums.setdefault((service_by_queue[queue], job.job.account), [0, 0, 0])
+            need = step.step.need
+            total[0] += count * need.cpu_millicores
+            total[1] += count * need.memory_mb
+            total[2] += count * need.accelerators
+    used = {key: (float(t[0]), float(t[1]), float(t[2])) for key, t in sums.items()}
     shares.update_recent(current.recent_use, used, now_s)
 
 
@@ -114,7 +127,27 @@
             return True
         if not_urgent > 0.0 and not headroom.admits(capacity, not_urgent):
             return True
-    return False
+    if all(n <= MIN_FRAGMENTED_RATIO * r for n, r in zip(needed, room, strict=True)):
+        return False
+    return _exceeds_places(context, service, listed)
+
+
+def _exceeds_places(context: units.PassContext, service: str, listed: list[units.Unit]) -> bool:
+    """Returns whether more tasks of some label and need wait than there are places for them.
+
+    The room of a service may suffice in total although it is divided into too small parts, or is on
+    workers without the label.
+    """
+    counts: dict[tuple[str, model.Resources], int] = {}
+    for unit in listed:
+        shape = (unit.step.step.label, unit.step.step.need)
+        counts[shape] = counts.get(shape, 0) + len(unit.indices)
+    most_frequent = sorted(counts, key=lambda shape: -counts[shape])[:MAX_CHECKED_SHAPES]
+    return any(
+        counts[label, need]
+        > context.workers.count_places(service, label, need, counts[label, need])
+        for label, need in most_frequent
+    )
 
 
 def _make_shares(
--- a/lycheegate/jobs/tests/share_replay.py
+++ b/lycheegate/jobs/tests/share_replay.py
@@ -59,6 +59,7 @@
         self.now_s = 0.0
         self.events: list[str] = []
         self.placed: list[tuple[float, str]] = []
+        self.stopped: list[str] = []
         self._submissions = sorted(submissions, key=lambda s: s.at_s, reverse=True)
         self._submitted = 0
         self._ends: list[tuple[float, model.TaskKey, int]] = []
@@ -136,4 +137,5 @@
             self.placed.append((self.now_s, self.current.jobs[run.task.job_id].job.account))
             heapq.heappush(self._ends, (self.now_s + step.step.estimate_s, run.task, run.number))
         elif run.phase is state.RunPhase.STOPPING and run.stop_sent_at_s == self.now_s:
+            self.stopped.append(self.current.jobs[run.task.job_id].job.account)
             heapq.heappush(self._ends, (self.now_s + STOP_S, run.task, run.number))
--- a/lycheegate/jobs/tests/test_shares.py
+++ b/lycheegate/jobs/tests/test_shares.py
@@ -275,6 +275,40 @@
     assert [account for _, account in replay.placed] == expected
 
 
+@pytest.mark.parametrize("accounts", ["aab", "baa"])
+def test_urgent_work_stops_work_of_accounts_above_their_share(accounts):
+    """Guards against equal losses of which the account with the least work has most."""
+    step = model.Step(1, model.Resources(4_000, 16_000, 8), 9.0)
+    replay = _make_replay(3, [(account, step) for account in accounts])
+    replay.run(0.05)
+    for account in "ab":
+        replay.submit(share_replay.Submission(0.0, account, step))
+    urgent = model.Step(1, step.need, 1.0, gang=True)
+    replay.submit(share_replay.Submission(0.0, "c", urgent, "urgent"))
+    replay.run(1.0)
+    assert replay.stopped == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("need", "count", "label", "is_contended"),
+    [
+        # Each of 2 workers has 8 accelerators, of which 3 cannot be used by tasks of 5.
+        (model.Resources(1_000, 100, 5), 2, "", True),
+        (model.Resources(1_000, 100, 4), 2, "", False),
+        (model.Resources(1_000, 100, 4), 2, "fast", True),
+        (model.Resources(1_000, 100, 1), 5, "fast", True),
+    ],
+)
+def test_room_in_too_small_parts_is_contended(need, count, label, is_contended):
+    """Guards against the former order while more work waits than fits, as room is fragmented."""
+    step = model.Step(count, need, 6.0, label=label)
+    replay = _make_replay(2, [(account, step) for account in "ab"])
+    if need.accelerators == 1:
+        replay.current.workers["w001"].labels = frozenset({"fast"})
+    replay.run(0.05)
+    assert bool(replay.events) == is_contended
+
+
 @pytest.mark.parametrize(
     ("used", "expected"), [({"a": 8, "b": 0}, (1.0, 1.5)), ({"a": 6, "b": 2}, (1.0, 1.25))]
 )
