--- a/lycheegate/jobs/shares.py
+++ b/lycheegate/jobs/shares.py
@@ -32,6 +32,9 @@
 """Age from which use no longer counts."""
 SAMPLE_INTERVAL_S = 1.0
 """Interval at which averages are kept, so that use beyond the window can be taken out of them."""
+TIE_RATIO = 1.0
+"""Multiple of the equal share up to which accounts go by the order of their jobs. A higher one ends
+more jobs in time in all, but lets some accounts keep that much more than others."""
 MAX_VICTIM_COST_RATIO = 1.5
 """Ratio by which stopping work of an account without use costs more than that of an account at or
 above its share. It decides only between victims whose loss is similar."""
@@ -160,7 +163,7 @@
 
         The order of their jobs holds between these, which ends small jobs early.
         """
-        return max(self.equal_share, self.get_share(account))
+        return max(TIE_RATIO * self.equal_share, self.get_share(account))
 
     def add(self, account: str, need: model.Resources, count: int) -> None:
         """Adds tasks of an account that were placed, or for which room is reserved."""
