--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -167,6 +167,24 @@
             self._by_label[service, label] = found
         return found
 
+    def sum_room(self, service: str) -> tuple[int, int, int]:
+        """Returns the free millicores, megabytes and accelerators of a service."""
+        rooms = [candidate.room for candidate in self._by_service.get(service, ())]
+        return (
+            sum(room.cpu_millicores for room in rooms),
+            sum(room.memory_mb for room in rooms),
+            sum(room.accelerators for room in rooms),
+        )
+
+    def count_places(self, service: str, label: str, need: model.Resources, limit: int) -> int:
+        """Returns for how many tasks of a need there is room now, at most about ``limit``."""
+        count = 0
+        for candidate in self._list_labeled(service, label):
+            count += placement.count_fitting(need, candidate.room, limit)
+            if count >= limit:
+                break
+        return count
+
     def allocate(self, worker_id: str, need: model.Resources) -> None:
         """Subtracts the room of a run that was placed; unusable workers are ignored."""
         candidate = self._by_worker.get(worker_id)
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from lycheegate.jobs import headroom, model
+from lycheegate.jobs import headroom, model, shares
 from lycheegate.jobs.durations import factors
 
 __all__ = [
@@ -560,6 +560,7 @@
         durations: Learned durations of work and speeds of workers.
         uneven_services: Services whose workers differ so much that learned durations are used.
         unevenness_checked_at_s: When the unevenness was last checked, or None.
+        recent_use: What client accounts have used of each service during this term.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -588,6 +589,7 @@
     durations: factors.DurationModel = dataclasses.field(default_factory=factors.DurationModel)
     uneven_services: frozenset[str] = frozenset()
     unevenness_checked_at_s: float | None = None
+    recent_use: shares.RecentUse = dataclasses.field(default_factory=shares.RecentUse)
     unconfirmed_since_s: float | None = -1.0
 
 
