Divide room between client accounts only if the configuration states a weight

Change: shares are in force only if the configuration document states a weight for some account.

Measured: pytest lycheegate/jobs lycheegate/platform passes.

--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -219,6 +219,7 @@
         account_by_key: Name of the client account of each key.
         max_body_bytes: Maximum size of a request body, in bytes.
         findings: Invalid values of the document that were replaced by defaults, for the log.
+        divides_room: Whether client accounts have shares while they compete for room.
     """
 
     version: int
@@ -228,6 +229,7 @@
     account_by_key: dict[str, str]
     max_body_bytes: int
     findings: tuple[str, ...] = ()
+    divides_room: bool = False
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of ``host`` with the longest prefix of ``path``, or None."""
--- a/lycheegate/jobs/sharing.py
+++ b/lycheegate/jobs/sharing.py
@@ -1,7 +1,8 @@
 """Division of room between client accounts during a scheduling pass.
 
 Handles loads in which one client account submits a hundred jobs at once while others submit one.
-It applies only to a service for which more work waits than fits, of more than one account. Waiting
+It applies only if the operators state a weight for some account, and only to a service for which
+more work waits than fits, of more than one account. Waiting
 tasks of equal level, lateness, queue priority and slack band are then placed in turns of the
 accounts (``shares``); otherwise their order is that of ``ordering``.
 """
@@ -71,7 +72,12 @@
 
 
 def update_recent_use(current: state.SchedulerState, now_s: float) -> None:
-    """Measures what each client account uses of each service, and adds it to its recent use."""
+    """Measures what each client account uses of each service, and adds it to its recent use.
+
+    Does nothing unless the configuration divides room between accounts.
+    """
+    if current.configuration is None or not current.configuration.divides_room:
+        return
     # Jobs of one queue share a service, whose look-up for each job would take most of the time.
     sums: dict[tuple[str, str], list[int]] = {}
     service_by_queue: dict[str, str] = {}
@@ -101,6 +107,9 @@
         context: Context of the pass; its capacities are known.
         waiting: Waiting units.
     """
+    configuration = context.current.configuration
+    if configuration is None or not configuration.divides_room:
+        return
     by_service: dict[str, list[units.Unit]] = {}
     for unit in waiting:
         by_service.setdefault(unit.service, []).append(unit)
--- a/lycheegate/jobs/tests/share_replay.py
+++ b/lycheegate/jobs/tests/share_replay.py
@@ -41,7 +41,9 @@
     current = state.SchedulerState(1, state.Policy(), 0.0)
     accounts = {name: model.Account(name, frozenset(), 0, w) for name, w in weights.items()}
     services = {SERVICE: model.Service(SERVICE)}
-    current.configuration = model.Configuration(1, ROUTES, services, accounts, {}, 1)
+    current.configuration = model.Configuration(
+        1, ROUTES, services, accounts, {}, 1, divides_room=True
+    )
     for number in range(workers):
         worker = state.WorkerState(
             f"w{number:03}", SERVICE, "a:1", "z", f"r{number // 8}", frozenset(), CAPACITY, CAPACITY
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -91,6 +91,8 @@
         account_by_key={key: a.name for a in accounts.values() for key in a.keys},
         max_body_bytes=document.limits.max_body_bytes,
         findings=tuple(findings[:MAX_FINDINGS]),
+        # Operators ask for shares by stating a weight.
+        divides_room=any(bytes(tenant.weight) for tenant in document.tenants),
     )
 
 
