--- a/lycheegate/jobs/preemption_limits.py
+++ b/lycheegate/jobs/preemption_limits.py
@@ -3,7 +3,7 @@
 Handles bursts of urgent gangs beyond their accounts' guarantee while the workers are full of long
 work that waits again after each stop. Without a limit, each gang stops several times the work that
 it does itself, and the stopped work competes for the same room again. Guaranteed urgent work
-(level 0) is never limited.
+(level 0) is never limited, and neither is a service for which the configuration states no limit.
 """
 
 import dataclasses
@@ -34,8 +34,6 @@
 """Multiple of its objective from which a job counts nothing any more."""
 PROTECTED_S = 10.0
 """How long a task that was preempted is not preempted again for work beyond the guarantee."""
-BUDGET_RATIO = 0.02
-"""Share of a service's capacity that may be lost to preemptions for such work in the long run."""
 BUDGET_BURST_S = 0.5
 """Size of the budget, as seconds of the service's whole capacity."""
 MIN_BURST_CORE_S = 1_000.0
@@ -77,9 +75,20 @@
     fields: dict[str, Any]
 
 
+def _get_ratio(current: state.SchedulerState, service: str) -> float | None:
+    """Returns the share of a service's capacity that may be lost, or None if it is not limited."""
+    if current.configuration is None or service not in current.configuration.services:
+        return None
+    return current.configuration.services[service].preemption_loss_ratio
+
+
+def _is_limited(context: units.PassContext, unit: units.Unit) -> bool:
+    return unit.rank.level > 0 and _get_ratio(context.current, unit.service) is not None
+
+
 def is_due(context: units.PassContext, unit: units.Unit) -> bool:
     """Returns whether victims for a unit are to be searched for in this pass."""
-    if unit.rank.level == 0:
+    if not _is_limited(context, unit):
         return True
     if context.declined_preemptions >= MAX_DECLINED_PER_PASS:
         return False
@@ -98,7 +107,7 @@
         lost_core_s: Estimated work that would be lost.
         wait_s: Time until enough runs have ended by themselves; used for late jobs only.
     """
-    if unit.rank.level == 0 or lost_core_s <= 0.0:
+    if not _is_limited(context, unit) or lost_core_s <= 0.0:
         return None
     fields: dict[str, Any] = {"lost_core_s": round(lost_core_s, 1)}
     # The declared duration of long-running work says nothing about its worth.
@@ -143,19 +152,20 @@
 
 
 def refill(
-    budget: state.PreemptionBudget | None, capacity_cores: float, now_s: float
+    budget: state.PreemptionBudget | None, capacity_cores: float, ratio: float, now_s: float
 ) -> state.PreemptionBudget:
     """Returns a service's budget at ``now_s``; a new one is full.
 
     Args:
         budget: The budget as it was, or None.
         capacity_cores: Capacity of the service; an accelerator counts as several cores.
+        ratio: Share of the capacity that may be lost in the long run.
         now_s: Time on the scheduler's clock.
     """
     size_core_s = max(MIN_BURST_CORE_S, BUDGET_BURST_S * capacity_cores)
     if budget is None:
         return state.PreemptionBudget(size_core_s, now_s)
-    refilled_core_s = BUDGET_RATIO * capacity_cores * max(0.0, now_s - budget.updated_at_s)
+    refilled_core_s = ratio * capacity_cores * max(0.0, now_s - budget.updated_at_s)
     return state.PreemptionBudget(
         min(size_core_s, budget.available_core_s + refilled_core_s), now_s
     )
@@ -165,14 +175,15 @@
     budgets = context.current.preemption.budgets
     capacity = context.capacities.get(service)
     cores = 0.0 if capacity is None else capacity.cores
-    budgets[service] = refill(budgets.get(service), cores, context.now_s)
+    ratio = _get_ratio(context.current, service) or 0.0
+    budgets[service] = refill(budgets.get(service), cores, ratio, context.now_s)
     return budgets[service]
 
 
 def spend(context: units.PassContext, unit: units.Unit, lost_core_s: float) -> None:
     """Takes the loss of an admitted preemption from the budget; level 0 uses none of it."""
     context.current.preemption.declined.pop(unit.reservation_key, None)
-    if unit.rank.level > 0:
+    if _is_limited(context, unit):
         budget = _update_budget(context, unit.service)
         context.current.preemption.budgets[unit.service] = dataclasses.replace(
             budget, available_core_s=budget.available_core_s - lost_core_s
@@ -217,7 +228,16 @@
     step.preempted_at_s[step.get_counted_index(index)] = now_s
 
 
-def is_protected(step: state.StepState, index: int, level: int, now_s: float) -> bool:
+def is_protected(
+    current: state.SchedulerState,
+    service: str,
+    step: state.StepState,
+    index: int,
+    level: int,
+    now_s: float,
+) -> bool:
     """Returns whether a task may not be preempted for work of a level, as it was lately."""
+    if _get_ratio(current, service) is None:
+        return False
     preempted_at_s = step.preempted_at_s.get(step.get_counted_index(index))
     return level > 0 and preempted_at_s is not None and now_s - preempted_at_s < PROTECTED_S
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from lycheegate.jobs import headroom, model
+from lycheegate.jobs import headroom, model, shares
 from lycheegate.jobs.durations import factors
 
 __all__ = [
@@ -625,6 +625,7 @@
         unevenness_checked_at_s: When the unevenness was last checked, or None.
         preemption: What limits preemptions for urgent work beyond the guarantee.
         failure_waves: Current waves of failures on workers, by service.
+        recent_use: What client accounts have used of each service during this term.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
     """
 
@@ -655,6 +656,7 @@
     unevenness_checked_at_s: float | None = None
     preemption: PreemptionMemory = dataclasses.field(default_factory=PreemptionMemory)
     failure_waves: dict[str, FailureWave] = dataclasses.field(default_factory=dict)
+    recent_use: shares.RecentUse = dataclasses.field(default_factory=shares.RecentUse)
     unconfirmed_since_s: float | None = -1.0
 
 
