--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -186,10 +186,13 @@
     Attributes:
         name: Its name.
         checks_admission: Whether its workers refuse tasks that do not fit.
+        preemption_loss_ratio: Share of its capacity that may be lost to preemptions for urgent work
+            beyond the guarantee, above 0 and at most 1, or None if it is not limited.
     """
 
     name: str
     checks_admission: bool = False
+    preemption_loss_ratio: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,11 +203,13 @@
         name: Its name.
         keys: Credentials of its callers.
         guaranteed_accelerators: Number of accelerators guaranteed to its urgent jobs.
+        weight: Weight of its share while accounts compete for room; finite and above 0.
     """
 
     name: str
     keys: frozenset[str]
     guaranteed_accelerators: int = 0
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,6 +223,8 @@
         accounts: Client accounts by name.
         account_by_key: Name of the client account of each key.
         max_body_bytes: Maximum size of a request body, in bytes.
+        findings: Invalid values of the document that were replaced by defaults, for the log.
+        divides_room: Whether client accounts have shares while they compete for room.
     """
 
     version: int
@@ -226,6 +233,8 @@
     accounts: dict[str, Account]
     account_by_key: dict[str, str]
     max_body_bytes: int
+    findings: tuple[str, ...] = ()
+    divides_room: bool = False
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of ``host`` with the longest prefix of ``path``, or None."""
--- a/lycheegate/jobs/placement.py
+++ b/lycheegate/jobs/placement.py
@@ -35,6 +35,8 @@
     """For urgent work: the job meets its objective there if the expected speed is right."""
     SLOW = 2
     """For urgent work: the job is expected to miss its objective there."""
+    UNPROVED = 8
+    """For gangs, in a wave of failures: no run has proved the worker sound since it began."""
     COLD = 9
     """Has started recently and is slow for a while."""
 
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -7,7 +7,16 @@
 
 import dataclasses
 
-from lycheegate.jobs import adequacy, crashes, data_centres, health, model, placement, state
+from lycheegate.jobs import (
+    adequacy,
+    crashes,
+    data_centres,
+    failure_waves,
+    health,
+    model,
+    placement,
+    state,
+)
 
 __all__ = ["WorkerPool", "is_eligible", "is_usable"]
 
@@ -55,6 +64,8 @@
         self._by_service: dict[str, list[placement.Candidate]] = {}
         self._by_worker: dict[str, placement.Candidate] = {}
         self._workers = current.workers
+        self.unproved = failure_waves.list_unproved(current)
+        """Workers that are not proved sound in a wave of failures."""
         self._on_trial = {w.worker_id for w in current.workers.values() if w.trials}
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
@@ -171,6 +182,24 @@
             self._by_label[service, label] = found
         return found
 
+    def sum_room(self, service: str) -> tuple[int, int, int]:
+        """Returns the free millicores, megabytes and accelerators of a service."""
+        rooms = [candidate.room for candidate in self._by_service.get(service, ())]
+        return (
+            sum(room.cpu_millicores for room in rooms),
+            sum(room.memory_mb for room in rooms),
+            sum(room.accelerators for room in rooms),
+        )
+
+    def count_places(self, service: str, label: str, need: model.Resources, limit: int) -> int:
+        """Returns for how many tasks of a need there is room now, at most about ``limit``."""
+        count = 0
+        for candidate in self._list_labeled(service, label):
+            count += placement.count_fitting(need, candidate.room, limit)
+            if count >= limit:
+                break
+        return count
+
     def allocate(self, worker_id: str, need: model.Resources) -> None:
         """Subtracts the room of a run that was placed; unusable workers are ignored."""
         candidate = self._by_worker.get(worker_id)
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from lycheegate.jobs import (
     adequacy,
@@ -16,6 +17,7 @@
     ordering,
     placement,
     preemption,
+    preemption_limits,
     runs,
     state,
     units,
@@ -48,6 +50,9 @@
 MAX_SPEED_COST_RATIO = 3.0
 """Cost of stopping runs on adequate workers, as a multiple of a job's own remaining work, up to
 which they are stopped although slower workers have room."""
+MAX_DECLINED_PLANS = 6
+"""Number of reservations without preemption up to which one is made for an urgent unit whose
+preemption was declined, so that it starts when runs end."""
 MAX_MIXED_COST_RATIO = 0.5
 """A plan that both stops and awaits runs is used up to this part of the cost of stopping runs only.
 Above it, the room that is freed at once would idle for little gain."""
@@ -72,6 +77,8 @@
     """Stops less urgent runs so that an urgent unit fits, and reserves their room for it."""
     if not _is_view_complete(context.current, context.now_s):
         return
+    if not preemption_limits.is_due(context, unit):
+        return
     candidates = units.list_candidates(context, unit)
     if not candidates:
         return
@@ -81,6 +88,8 @@
     if found is None or found.cost >= URGENT_VICTIM_COST:
         # No urgent run is stopped for the sake of speed alone.
         found = _choose_victims(context, unit, candidates) or found
+    if found is not None:
+        found = _limit(context, unit, candidates, found)
     if found is not None:
         _apply_preemption(context, unit, found)
 
@@ -122,6 +131,9 @@
     found = _choose_victims(context, unit, _list_roomiest(preferred))
     if found is None or not _is_worth_waiting(context, unit, found):
         return False
+    if preemption_limits.examine(context, unit, _sum_loss(found), 0.0) is not None:
+        return False
+    preemption_limits.spend(context, unit, _sum_loss(found))
     _apply_preemption(context, unit, found)
     return True
 
@@ -203,6 +215,47 @@
     context.current.schedule_due = True
 
 
+def _limit(
+    context: units.PassContext,
+    unit: units.Unit,
+    candidates: list[placement.Candidate],
+    found: preemption.Preemption,
+) -> preemption.Preemption | None:
+    """Returns a preemption that is within the limits, or None if it is declined.
+
+    Instead of one that costs too much, one that awaits more runs is tried. For a unit whose
+    preemption is declined, room is reserved where runs end by themselves.
+    """
+    wait_s = _predict_wait_s(context, unit) if unit.rank.is_late and found.victims else 0.0
+    denial = preemption_limits.examine(context, unit, _sum_loss(found), wait_s)
+    if denial is not None and not unit.rank.is_late:
+        patient = _choose_with_wait(context, unit, candidates, _compute_slack_s(context, unit))
+        if patient is not None and not preemption_limits.examine(
+            context, unit, _sum_loss(patient), 0.0
+        ):
+            found, denial = patient, None
+    if denial is None:
+        preemption_limits.spend(context, unit, _sum_loss(found))
+        return found
+    retry_s, report = preemption_limits.decline(context, unit, denial)
+    context.result += report
+    if context.planned_reservations < MAX_DECLINED_PLANS:
+        plan_reservation(context, unit, retry_s)
+    return None
+
+
+def _sum_loss(found: preemption.Preemption) -> float:
+    return sum(victim.lost_core_s for victim in found.victims)
+
+
+def _predict_wait_s(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns in how many seconds enough runs have ended by themselves for a unit."""
+    found = _find_ending_units(context, unit)
+    if found is None:
+        return math.inf
+    return max((ending.cost for ending in found.victims), default=0.0)
+
+
 def _is_view_complete(current: state.SchedulerState, now_s: float) -> bool:
     """Returns whether all workers have reported to this scheduler, or have had time to.
 
@@ -218,30 +271,40 @@
     context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
 ) -> preemption.Preemption | None:
     """Returns the runs to stop and to await for an urgent unit, or None if it cannot fit."""
-    step = unit.step.step
     level = unit.rank.level
-    victims = list(_get_victims(context, level).values())
-
-    def choose(wait_s: float) -> preemption.Preemption | None:
-        return preemption.choose_victims(
-            len(unit.indices), step.need, candidates, victims, step.same_rack, wait_s
-        )
-
-    route = state.get_route(context.current, unit.job)
-    objective_s = ordering.predict_objective_s(context.current, unit.job, route)
-    remaining_s = ordering.predict_remaining_s(context.current, unit.job)
-    slack_s = objective_s - context.wall_s - remaining_s
     waited_s = unit.step.compute_waited_s(context.now_s)
-    wait_s = compute_wait_s(level, slack_s, waited_s)
-    found = choose(wait_s)
+    wait_s = compute_wait_s(level, _compute_slack_s(context, unit), waited_s)
+    found = _choose_with_wait(context, unit, candidates, wait_s)
     if found is None or not found.awaited or not found.victims:
         return found
-    immediate = choose(compute_wait_s(level, 0.0, waited_s))
+    immediate = _choose_with_wait(context, unit, candidates, compute_wait_s(level, 0.0, waited_s))
     if immediate is None or found.cost <= MAX_MIXED_COST_RATIO * immediate.cost:
         return found
     return immediate
 
 
+def _choose_with_wait(
+    context: units.PassContext,
+    unit: units.Unit,
+    candidates: list[placement.Candidate],
+    wait_s: float,
+) -> preemption.Preemption | None:
+    """Returns the runs to stop, and those that end within ``wait_s`` and are awaited."""
+    step = unit.step.step
+    victims = list(_get_victims(context, unit.rank.level).values())
+    return preemption.choose_victims(
+        len(unit.indices), step.need, candidates, victims, step.same_rack, wait_s
+    )
+
+
+def _compute_slack_s(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns the time until a unit's job must have started in order to meet its objective."""
+    route = state.get_route(context.current, unit.job)
+    objective_s = ordering.predict_objective_s(context.current, unit.job, route)
+    remaining_s = ordering.predict_remaining_s(context.current, unit.job)
+    return objective_s - context.wall_s - remaining_s
+
+
 def _reserve(
     context: units.PassContext,
     unit: units.Unit,
@@ -278,8 +341,14 @@
         for step in job.steps.values():
             if step.is_done or step.step.long_running and step.step.may_miss:
                 continue
-            is_urgent = state.get_route(context.current, job).priority == 0
+            route = state.get_route(context.current, job)
+            is_urgent, service = route.priority == 0, route.service
             for group in _group_runs(step):
+                index = group[0].task.index
+                if preemption_limits.is_protected(
+                    context.current, service, step, index, level, context.now_s
+                ):
+                    continue
                 victim = _make_victim(context, job, step, group)
                 if is_urgent:
                     victim = dataclasses.replace(victim, cost=victim.cost + URGENT_VICTIM_COST)
@@ -311,13 +380,19 @@
     loss = _estimate_loss(context, step, group)
     return preemption.VictimUnit(
         _make_victim_key(job, step, group),
-        loss * (1 + _count_interruptions(step, group)),
+        loss * (1 + _count_interruptions(step, group)) * _compute_share_ratio(context, job),
         _sum_room(group),
         _predict_end_s(context, job, step, group),
         loss,
     )
 
 
+def _compute_share_ratio(context: units.PassContext, job: state.JobState) -> float:
+    """Returns by which ratio it costs more to stop a job whose account has less than others."""
+    account_shares = context.account_shares.get(state.get_route(context.current, job).service)
+    return 1.0 if account_shares is None else account_shares.compute_victim_ratio(job.job.account)
+
+
 def _make_victim_key(job: state.JobState, step: state.StepState, group: list[state.Run]) -> tuple:
     index = units.GANG_INDEX if step.step.gang else group[0].task.index
     return (job.job.job_id, *step.key, index)
@@ -376,15 +451,37 @@
     job_id, occurrence, number, index = key
     step = context.current.jobs[job_id].steps[occurrence, number]
     reason = state.StopReason.PREEMPTED
+    preemption_limits.record_preemption(step, max(index, 0), context.now_s)
     if index == units.GANG_INDEX:
         return runs.stop_step(context.current, step, reason, context.now_s)
     return runs.stop_run(context.current, step.runs[index], reason, context.now_s)
 
 
-def plan_reservation(context: units.PassContext, unit: units.Unit) -> None:
-    """Reserves room for a blocked gang where running tasks are expected to end first."""
+def plan_reservation(
+    context: units.PassContext, unit: units.Unit, timeout_s: float | None = None
+) -> None:
+    """Reserves room for a blocked unit where running tasks are expected to end first.
+
+    Args:
+        context: Inputs and results of the pass.
+        unit: The unit.
+        timeout_s: How long the room stays reserved, or None for the time that blocked gangs have.
+    """
     if _leaves_too_little(context, unit):
         return
+    found = _find_ending_units(context, unit)
+    if found is None:
+        return
+    if timeout_s is None:
+        timeout_s = context.current.policy.reservation_s
+    context.planned_reservations += 1
+    _reserve(context, unit, found.placement, timeout_s, preempts=False)
+
+
+def _find_ending_units(
+    context: units.PassContext, unit: units.Unit
+) -> preemption.Preemption | None:
+    """Returns the runs that are expected to make room for a unit first, or None if none do."""
     step = unit.step.step
     candidates = units.list_candidates(context, unit)
     if context.ending_units is None:
@@ -392,13 +489,9 @@
     spans = not step.same_rack or placement.exceeds_every_rack(
         len(unit.indices), step.need, candidates
     )
-    found = preemption.choose_victims(
+    return preemption.choose_victims(
         len(unit.indices), step.need, candidates, context.ending_units, step.same_rack and not spans
     )
-    if found is None:
-        return
-    context.planned_reservations += 1
-    _reserve(context, unit, found.placement, context.current.policy.reservation_s, preempts=False)
 
 
 def _leaves_too_little(context: units.PassContext, unit: units.Unit) -> bool:
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -10,6 +10,7 @@
     commands,
     crashes,
     data_centres,
+    failure_waves,
     headroom,
     lifecycle,
     model,
@@ -18,6 +19,7 @@
     pool,
     reclaiming,
     runs,
+    sharing,
     state,
     unevenness,
     units,
@@ -67,6 +69,7 @@
         Stop orders for preempted runs, and decisions to be logged.
     """
     current.schedule_due = False
+    sharing.update_recent_use(current, now_s)
     if not data_centres.is_view_confirmed(current, now_s):
         return data_centres.report_unconfirmed(current, now_s)
     guaranteed = ordering.list_guaranteed_accounts(current)
@@ -77,14 +80,21 @@
     if not waiting:
         return []
     decisions = unevenness.update_uneven_services(current, now_s)
+    decisions += failure_waves.update_waves(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
     context.result += decisions
     _measure_capacities(context, waiting)
     context.planned_reservations = sum(
         not reservation.preempts for reservation in current.reservations.values()
     )
+    sharing.measure_shares(context, waiting)
+    turns_by_class = sharing.list_turns(context, waiting)
     for unit in waiting:
-        _place_step(context, unit)
+        turns = turns_by_class.get(sharing.make_class_key(unit)) if turns_by_class else None
+        if turns is None:
+            _place_step(context, unit)
+        else:
+            _place_in_turns(context, turns, 1 if unit.step.step.gang else len(unit.indices))
     current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
     return context.result
 
@@ -123,7 +133,7 @@
 
 def _place_step(context: units.PassContext, unit: units.Unit) -> None:
     """Places the unplaced tasks of a step until one of them does not fit, or enough were placed."""
-    max_placed = MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
+    max_placed = _get_max_placed(unit)
     if unit.step.step.gang:
         if context.placed_tasks < max_placed:
             _place_unit(context, unit)
@@ -135,6 +145,26 @@
             return
 
 
+def _get_max_placed(unit: units.Unit) -> int:
+    return MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
+
+
+def _place_in_turns(context: units.PassContext, turns: sharing.Turns, count: int) -> None:
+    """Places up to ``count`` tasks or gangs in turns of their accounts.
+
+    A step whose turn comes in the order of rank gives its place to others. All are tried in the
+    end, because there are as many places as tasks.
+    """
+    for _ in range(count):
+        unit = turns.get_next()
+        if unit is None or context.placed_tasks >= _get_max_placed(unit):
+            return
+        goes_on = _place_unit(context, unit)
+        if unit.reservation_key in context.current.reservations:
+            sharing.charge_reserved(context, unit)
+        turns.end_turn(goes_on)
+
+
 def measure_use(
     current: state.SchedulerState, workers: pool.WorkerPool
 ) -> dict[str, headroom.ServiceCapacity]:
@@ -147,6 +177,7 @@
     for worker in usable:
         capacity = capacities[worker.service]
         capacity.total += headroom.compute_share(worker.capacity, capacity.largest)
+        capacity.cores += ordering.compute_usage(worker.capacity)
         capacity.used += headroom.compute_share(worker.capacity - worker.room, capacity.largest)
     return capacities
 
@@ -340,6 +371,9 @@
     reservation = context.current.reservations.get(unit.reservation_key)
     if reservation is None or set(reservation.placement) != set(unit.indices):
         return None
+    reserved = set(reservation.placement.values())
+    if units.is_limited_to_proved(context, unit) and reserved & context.workers.unproved:
+        return None
     if not all(
         context.workers.is_usable(worker_id)
         and not context.workers.is_on_trial(worker_id)
@@ -427,6 +461,8 @@
     step = unit.step
     context.placed_tasks += len(unit.indices)
     context.capacities[unit.service].used += units.compute_share(context, unit)
+    units.record_gang(context, unit, chosen)
+    sharing.charge_placed(context, unit)
     if step.step.gang:
         number = max(step.run_numbers.values(), default=0) + 1
         numbers = [number] * len(unit.indices)
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -1,7 +1,7 @@
 """Configuration document written by the platform's operators."""
 
+import math
 from collections.abc import Iterable
-from typing import Any
 
 import msgspec
 
@@ -17,6 +17,10 @@
 _EVACUATION_PREFIX = "evacuate/"
 """Prefix of the keys of rows that request the evacuation of a data centre."""
 DEFAULT_MAX_BODY_BYTES = 262144
+DEFAULT_WEIGHT = 1.0
+MAX_FINDINGS = 10
+"""Maximum number of findings that are kept of one document; each is logged."""
+MAX_QUOTED_CHARACTERS = 60
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -29,12 +33,15 @@
     stretch: float = 3.0
     target_duration_ms: float = 0.0
     public: bool = False
-    refuse_late: Any = False
+    refuse_late: msgspec.Raw = msgspec.Raw()
+    """Whether late jobs are refused, as true or false."""
 
 
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
     admission_check: bool = False
+    preemption_loss: msgspec.Raw = msgspec.Raw()
+    """Share of the capacity, as a number."""
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -49,6 +56,7 @@
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
+    weight: msgspec.Raw = msgspec.Raw()
 
 
 class _Configuration(msgspec.Struct):
@@ -69,20 +77,27 @@
         document = foreign.decode_json(data, _Configuration, strict=False)
     except exceptions.ProtocolError as error:
         raise exceptions.ProtocolError(f"cannot decode configuration: {error}") from error
+    findings: list[str] = []
+    routes = {route.name: _make_route(route, findings) for route in document.routes}
     try:
-        routes = {route.name: _make_route(route) for route in document.routes}
         for route in routes.values():
             validation.check_route(route)
     except ValueError as error:
         raise exceptions.ProtocolError(f"configuration {document.version}: {error}") from error
-    accounts = {tenant.name: _make_account(tenant) for tenant in document.tenants}
+    accounts: dict[str, model.Account] = {}
+    services = {service.name: _make_service(service, findings) for service in document.services}
+    for tenant in document.tenants:
+        accounts[tenant.name] = _make_account(tenant, findings)
     return model.Configuration(
         version=document.version,
         routes=routes,
-        services={s.name: model.Service(s.name, s.admission_check) for s in document.services},
+        services=services,
         accounts=accounts,
         account_by_key={key: a.name for a in accounts.values() for key in a.keys},
         max_body_bytes=document.limits.max_body_bytes,
+        findings=tuple(findings[:MAX_FINDINGS]),
+        # Operators ask for shares by stating a weight.
+        divides_room=any(bytes(tenant.weight) for tenant in document.tenants),
     )
 
 
@@ -103,13 +118,7 @@
     return frozenset(result)
 
 
-def _make_route(route: _Route) -> model.Route:
-    if not isinstance(route.refuse_late, bool):
-        # Other values could be read as true or as false, and VMs of other builds may differ in it.
-        raise ValueError(
-            f"queue {route.name!r:.60}: refuse-late: expected true or false, "
-            f"got {route.refuse_late!r:.40}"
-        )
+def _make_route(route: _Route, findings: list[str]) -> model.Route:
     return model.Route(
         name=route.name,
         host=route.host,
@@ -120,9 +129,68 @@
         stretch_ratio=route.stretch,
         target_s=route.target_duration_ms / 1000.0,
         is_public=route.public,
-        refuses_late=route.refuse_late,
+        refuses_late=_read_refuse_late(route, findings),
+    )
+
+
+def _read_refuse_late(route: _Route, findings: list[str]) -> bool:
+    """Returns whether late jobs of a queue are refused; a wrong value counts as false."""
+    data = bytes(route.refuse_late)
+    if not data:
+        return False
+    try:
+        return foreign.decode_json(data, bool)
+    except exceptions.ProtocolError:
+        findings.append(
+            f"queue {route.name:.{MAX_QUOTED_CHARACTERS}}: refuse-late "
+            f"{data.decode():.{MAX_QUOTED_CHARACTERS}} is not true or false; "
+            "no job is refused as late"
+        )
+        return False
+
+
+def _make_account(tenant: _Tenant, findings: list[str]) -> model.Account:
+    subject = f"account {tenant.name:.{MAX_QUOTED_CHARACTERS}}: weight"
+    weight = _read_number(tenant.weight, subject, math.inf, f"{DEFAULT_WEIGHT} is used", findings)
+    return model.Account(
+        tenant.name,
+        frozenset(tenant.api_keys),
+        tenant.guaranteed.gpu,
+        DEFAULT_WEIGHT if weight is None else weight,
     )
 
 
-def _make_account(tenant: _Tenant) -> model.Account:
-    return model.Account(tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpu)
+def _make_service(service: _Service, findings: list[str]) -> model.Service:
+    subject = f"service {service.name:.{MAX_QUOTED_CHARACTERS}}: preemption-loss"
+    ratio = _read_number(service.preemption_loss, subject, 1.0, "it is not limited", findings)
+    return model.Service(service.name, service.admission_check, ratio)
+
+
+def _read_number(
+    value: msgspec.Raw, subject: str, maximum: float, consequence: str, findings: list[str]
+) -> float | None:
+    """Returns an optional number above 0, or None if it is missing or wrong.
+
+    A wrong one does not invalidate the whole document.
+
+    Args:
+        value: The number as it is written.
+        subject: What it belongs to, for the finding.
+        maximum: Its maximum; infinite for any finite number.
+        consequence: What is done if it is wrong, for the finding.
+        findings: Receives a finding if it is wrong.
+    """
+    data = bytes(value)
+    if not data:
+        return None
+    try:
+        number = foreign.decode_json(data, float)
+    except exceptions.ProtocolError:
+        number = math.nan
+    if 0.0 < number <= maximum and number < math.inf:
+        return number
+    allowed = "a finite number above 0" if maximum == math.inf else f"above 0 and at most {maximum}"
+    findings.append(
+        f"{subject} {data.decode():.{MAX_QUOTED_CHARACTERS}} is not {allowed}; {consequence}"
+    )
+    return None
