--- a/lycheegate/jobs/durations/observations.py
+++ b/lycheegate/jobs/durations/observations.py
@@ -11,7 +11,7 @@
 from lycheegate.jobs import commands, crashes, estimates, state
 from lycheegate.jobs.durations import factors, predictions
 
-__all__ = ["measure_errors", "observe_end", "observe_report", "observe_stop"]
+__all__ = ["is_far", "measure_errors", "observe_end", "observe_report", "observe_stop"]
 
 MIN_PROGRESS_PERCENT = 25
 """Progress from which the speed of a run is known well enough."""
@@ -109,7 +109,7 @@
     if measurement is None or not all(_counts(current, step, member) for member in members):
         return {}
     duration_s = measurement.duration_s
-    if _is_far(current, step, members):
+    if is_far(current, step, _list_worker_ids(members)):
         duration_s /= current.policy.far_factor
     learned_s = max(member.predicted_s for member in members)
     return {
@@ -143,7 +143,7 @@
     ran_s = stopped_at_s - max(m.running_since_s or 0.0 for m in members)
     slowest = _find_slowest(current, members, stopped_at_s)
     predicted_s = predictions.predict_s(current, job, step, slowest.worker_id, stopped_at_s)
-    if _is_far(current, step, members):
+    if is_far(current, step, _list_worker_ids(members)):
         predicted_s *= current.policy.far_factor
     if ran_s > predicted_s:
         measurement = Measurement(ran_s, (TIME_ERROR_S / ran_s) ** 2)
@@ -202,7 +202,7 @@
         return
     slowest = _find_slowest(current, members, now_s)
     duration_s = measurement.duration_s
-    if _is_far(current, step, members):
+    if is_far(current, step, _list_worker_ids(members)):
         duration_s /= current.policy.far_factor
     value = math.log(duration_s) - math.log(step.step.estimate_s)
     value = max(-factors.MAX_LOG, min(factors.MAX_LOG, value))
@@ -291,17 +291,21 @@
     return excess * excess
 
 
-def _is_far(current: state.SchedulerState, step: state.StepState, members: list[state.Run]) -> bool:
+def _list_worker_ids(members: list[state.Run]) -> list[str]:
+    return [member.worker_id for member in members]
+
+
+def is_far(current: state.SchedulerState, step: state.StepState, worker_ids: list[str]) -> bool:
     """Returns whether a run is outside the rack of its data, or its gang spans racks and is slow.
 
     Args:
         current: State of the scheduler.
         step: The step.
-        members: The run, or the members of its gang.
+        worker_ids: Worker of the run, or those of the members of its gang.
     """
     if not step.step.near_rack and not (step.step.same_rack and step.step.gang):
         return False
-    workers = [current.workers.get(member.worker_id) for member in members]
+    workers = [current.workers.get(worker_id) for worker_id in worker_ids]
     racks = {worker.rack for worker in workers if worker is not None}
     if step.step.near_rack and racks - {step.step.near_rack}:
         return True
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -28,6 +28,8 @@
     "compute_locality_wait_s",
     "is_admitted",
     "measure_use",
+    "place_step",
+    "prepare_pass",
     "schedule",
     "sum_urgent_use",
 ]
@@ -69,13 +71,34 @@
     current.schedule_due = False
     if not data_centres.is_view_confirmed(current, now_s):
         return data_centres.report_unconfirmed(current, now_s)
+    context, waiting = prepare_pass(current, now_s, wall_s)
+    if context is None:
+        return []
+    for unit in waiting:
+        place_step(context, unit)
+    current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
+    return context.result
+
+
+def prepare_pass(
+    current: state.SchedulerState, now_s: float, wall_s: float
+) -> tuple[units.PassContext | None, list[units.Unit]]:
+    """Returns the context of a pass and the unplaced tasks of each step, in order of rank.
+
+    The context is None if nothing is waiting.
+
+    Args:
+        current: State of the scheduler.
+        now_s: Time on the scheduler's clock.
+        wall_s: Time of day, in seconds since 1970.
+    """
     guaranteed = ordering.list_guaranteed_accounts(current)
     waiting = _list_units(current, guaranteed, now_s, wall_s)
     if current.reservations:
         keys = ((key, unit.service) for unit in waiting for key in _list_reservation_keys(unit))
         _drop_reservations(current, dict(keys), now_s)
     if not waiting:
-        return []
+        return None, []
     decisions = unevenness.update_uneven_services(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
     context.result += decisions
@@ -83,10 +106,7 @@
     context.planned_reservations = sum(
         not reservation.preempts for reservation in current.reservations.values()
     )
-    for unit in waiting:
-        _place_step(context, unit)
-    current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
-    return context.result
+    return context, waiting
 
 
 def _list_units(
@@ -121,7 +141,7 @@
     return [(*key_prefix, index) for index in unit.indices]
 
 
-def _place_step(context: units.PassContext, unit: units.Unit) -> None:
+def place_step(context: units.PassContext, unit: units.Unit) -> None:
     """Places the unplaced tasks of a step until one of them does not fit, or enough were placed."""
     max_placed = MAX_PLACED_URGENT_TASKS if unit.rank.level < 2 else MAX_PLACED_TASKS
     if unit.step.step.gang:
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -26,7 +26,16 @@
     units,
 )
 
-__all__ = ["CHECK_INTERVAL_S", "MAX_LINES", "WAITING_REPORT_S", "Reason", "check_waiting"]
+__all__ = [
+    "CHECK_INTERVAL_S",
+    "MAX_LINES",
+    "WAITING_REPORT_S",
+    "Finding",
+    "Reason",
+    "check_waiting",
+    "explain_job",
+    "explain_step",
+]
 
 WAITING_REPORT_S = 2.0
 """Time without a confirmed run after which a job is reported, and the minimum time between two
@@ -84,7 +93,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Finding:
+class Finding:
     """Why a job has nothing running.
 
     Attributes:
@@ -109,9 +118,16 @@
         current: State of the scheduler.
         now_s: Time on the scheduler's clock.
         wall_s: Time of day, in seconds since 1970.
+        context: Context of the scheduling pass to explain, or None for one that starts now.
     """
 
-    def __init__(self, current: state.SchedulerState, now_s: float, wall_s: float):
+    def __init__(
+        self,
+        current: state.SchedulerState,
+        now_s: float,
+        wall_s: float,
+        context: units.PassContext | None = None,
+    ):
         self.current = current
         self.now_s = now_s
         self.wall_s = wall_s
@@ -121,7 +137,7 @@
         """Tasks that have stray runs, by job."""
         for task in current.stray_tasks:
             self.strays.setdefault(task.job_id, []).append(task)
-        self._context: units.PassContext | None = None
+        self._context = context
 
     def get_context(self) -> units.PassContext:
         """Returns the context that a scheduling pass would have now, without its side effects."""
@@ -222,7 +238,7 @@
     return commands.Decision("job_resumed", fields)
 
 
-_Found = tuple[state.JobState, state.IdleJob, _Finding]
+_Found = tuple[state.JobState, state.IdleJob, Finding]
 _Groups = dict[tuple[str, str], list[_Found]]
 """Waiting jobs with their reasons, by client account and reason."""
 
@@ -269,11 +285,36 @@
     return (idle.reported_at_s, idle.since_s)
 
 
-def _explain(check: _Check, job: state.JobState) -> _Finding | None:
+def explain_job(
+    current: state.SchedulerState, job: state.JobState, now_s: float, wall_s: float
+) -> Finding | None:
+    """Returns why a job has nothing running, or None if none of its steps is ready and not done.
+
+    Args:
+        current: State of the scheduler.
+        job: The job.
+        now_s: Time on the scheduler's clock.
+        wall_s: Time of day, in seconds since 1970.
+    """
+    if not any(_iterate_waiting_steps(job)):
+        return None
+    return _explain(_Check(current, now_s, wall_s), job)
+
+
+def explain_step(
+    context: units.PassContext, job: state.JobState, step: state.StepState
+) -> Finding | None:
+    """Returns why unplaced tasks of a step got no place in a pass that has just tried them."""
+    check = _Check(context.current, context.now_s, context.wall_s, context)
+    found = _explain_strays(check, step, check.strays.get(job.job.job_id, ()))
+    return found[0] if found else _explain_unplaced(check, job, step)
+
+
+def _explain(check: _Check, job: state.JobState) -> Finding | None:
     """Returns why a job has nothing running, or None if that takes one search too many."""
     steps = list(_iterate_waiting_steps(job))
     stray_tasks = check.strays.get(job.job.job_id, ())
-    findings: list[_Finding] = []
+    findings: list[Finding] = []
     for step in steps:
         if step.runs:
             examined = itertools.islice(step.runs.values(), MAX_EXAMINED_RUNS)
@@ -282,14 +323,14 @@
             findings += _explain_strays(check, step, stray_tasks)
         if step.not_before_s > check.now_s:
             fields = {"retry_in_s": round(step.not_before_s - check.now_s, 3)}
-            findings.append(_Finding(Reason.BACKOFF, step.key, fields))
+            findings.append(Finding(Reason.BACKOFF, step.key, fields))
     if findings:
         return min(findings, key=lambda finding: _PRECEDENCE[finding.reason])
     # All tasks of these steps are unplaced.
     return _explain_unplaced(check, job, steps[0])
 
 
-def _explain_run(check: _Check, run: state.Run) -> _Finding:
+def _explain_run(check: _Check, run: state.Run) -> Finding:
     """Returns why a run that is not confirmed keeps its task from running."""
     worker = check.current.workers.get(run.worker_id)
     fields: dict[str, Any] = {"worker": run.worker_id, "run": run.number}
@@ -311,7 +352,7 @@
         is_confirmed = run.confirmed_at_s is not None
         reason = Reason.STOP_UNFINISHED if is_confirmed else Reason.STOP_UNCONFIRMED
         fields["stopped"] = run.stop_reason.value if run.stop_reason is not None else ""
-    return _Finding(reason, (run.task.occurrence, run.task.step), fields)
+    return Finding(reason, (run.task.occurrence, run.task.step), fields)
 
 
 def _is_silent(check: _Check, worker: state.WorkerState) -> bool:
@@ -326,9 +367,9 @@
 
 def _explain_strays(
     check: _Check, step: state.StepState, stray_tasks: Iterable[model.TaskKey]
-) -> list[_Finding]:
+) -> list[Finding]:
     """Returns the stray runs that keep unplaced tasks of a step from starting."""
-    findings: list[_Finding] = []
+    findings: list[Finding] = []
     for task in stray_tasks:
         is_placed = task.index in step.runs or task.index in step.done
         if (task.occurrence, task.step) != step.key or is_placed:
@@ -344,11 +385,11 @@
             fields = {"worker": worker.worker_id, "run": number}
             if _is_silent(check, worker):
                 fields |= _make_lapse_fields(check, leases.compute_lapse_s(worker))
-        findings.append(_Finding(Reason.STRAY_RUN, step.key, fields))
+        findings.append(Finding(Reason.STRAY_RUN, step.key, fields))
     return findings
 
 
-def _explain_unplaced(check: _Check, job: state.JobState, step: state.StepState) -> _Finding | None:
+def _explain_unplaced(check: _Check, job: state.JobState, step: state.StepState) -> Finding | None:
     """Returns why the first tasks of a step have no place, or None after too many searches."""
     indices = step.list_unplaced()
     indices = indices if step.step.gang else indices[:1]
@@ -358,7 +399,7 @@
             "workers": sorted(set(reservation.placement.values())),
             "expires_in_s": round(reservation.expires_s - check.now_s, 3),
         }
-        return _Finding(Reason.RESERVATION, step.key, fields)
+        return Finding(Reason.RESERVATION, step.key, fields)
     shape = _make_shape(check, job, step, indices)
     found = check.found_by_shape.get(shape) if shape is not None else None
     if found is None:
@@ -368,7 +409,7 @@
         found = _search_room(check, _make_unit(check, job, step, indices))
         if shape is not None:
             check.found_by_shape[shape] = found
-    return _Finding(found[0], step.key, found[1])
+    return Finding(found[0], step.key, found[1])
 
 
 def _make_shape(
