Add the path and the command of the placement preview

The readiness address of each VM takes a submission at /where and asks the holder of the term (peer call "where"), which copies its state on the event thread and tries the pass on the thread of the call. lycheegate where FILE|-|ID shows the answer as text or JSON.

--- a/lycheegate/cli/base.py
+++ b/lycheegate/cli/base.py
@@ -14,7 +14,14 @@
 from lycheegate.cli import client, exits
 from lycheegate.utils import findings
 
-__all__ = ["JSON_OPTION", "LocalCommand", "OperatorCommand", "read_input", "sanitize"]
+__all__ = [
+    "JSON_OPTION",
+    "LocalCommand",
+    "OperatorCommand",
+    "parse_timeout_s",
+    "read_input",
+    "sanitize",
+]
 
 JSON_OPTION = helpers.option("json", None, "Write JSON instead of tables.")
 _UNPRINTABLE = re.compile(r"[\x00-\x08\x0b-\x1f\x7f-\x9f]")
@@ -116,18 +123,10 @@
             write(findings.format_findings(items))
 
     def _make_connection(self) -> result.Result[client.Connection, client.CallError]:
-        try:
-            timeout_s = float(self.option("timeout"))
-        except ValueError:
-            timeout_s = 0.0
-        if not 0.0 < timeout_s <= 3600.0:
-            message = (
-                "--timeout: expected a number of seconds above 0 and at most 3600, "
-                f"got {self.option('timeout')!r}"
+        return parse_timeout_s(self.option("timeout")).bind(
+            lambda timeout_s: client.read_connection(
+                self.option("server"), self.option("token-file"), self.option("ca-file"), timeout_s
             )
-            return result.Failure(client.CallError(message, exits.Exit.USAGE))
-        return client.read_connection(
-            self.option("server"), self.option("token-file"), self.option("ca-file"), timeout_s
         )
 
     def _report_refusal(self, body: Mapping[str, Any]) -> None:
@@ -151,6 +150,18 @@
             self.write_error(f"the answer is incomplete: no answer from {names}")
 
 
+def parse_timeout_s(text: str) -> result.Result[float, client.CallError]:
+    """Returns the value of the option ``--timeout``, in seconds."""
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = 0.0
+    if not 0.0 < timeout_s <= 3600.0:
+        message = f"--timeout: expected a number of seconds above 0 and at most 3600, got {text!r}"
+        return result.Failure(client.CallError(message, exits.Exit.USAGE))
+    return result.Success(timeout_s)
+
+
 def sanitize(text: str) -> str:
     """Returns text with control characters replaced and formatting tags escaped."""
     return formatter.Formatter.escape(_UNPRINTABLE.sub("\N{REPLACEMENT CHARACTER}", text))
--- a/lycheegate/cli/client.py
+++ b/lycheegate/cli/client.py
@@ -16,7 +16,7 @@
 
 from lycheegate.cli import exits
 
-__all__ = ["Answer", "CallError", "Connection", "call", "read_connection"]
+__all__ = ["Answer", "CallError", "Connection", "call", "read_connection", "read_key_connection"]
 
 _PREFIX = "/v1/operator/"
 _MAX_ANSWER_BYTES = 256 * 1024 * 1024
@@ -67,10 +67,12 @@
     Attributes:
         message: Description of the failure.
         exit_code: Exit code of the command.
+        is_malformed: Whether an answer arrived that is not a JSON object.
     """
 
     message: str
     exit_code: exits.Exit
+    is_malformed: bool = False
 
 
 def read_connection(
@@ -85,6 +87,49 @@
     token = os.environ.get("LYCHEEGATE_TOKEN", "")
     if not server:
         return _make_usage_error("no server: give --server or set LYCHEEGATE_SERVER")
+    if not token_file and not token.strip():
+        return _make_usage_error(
+            "no token: give --token-file or set LYCHEEGATE_TOKEN_FILE or LYCHEEGATE_TOKEN"
+        )
+    return _make_connection(server, token, token_file, ca_file, timeout_s)
+
+
+def read_key_connection(
+    server: str | None, key_file: str | None, ca_file: str | None, timeout_s: float
+) -> result.Result[Connection, CallError]:
+    """Returns the connection to the readiness address of a VM, with a caller's key or without one.
+
+    Other variables than those of the operator's token are read, so that neither is sent to the
+    address of the other.
+    """
+    server = server or os.environ.get("LYCHEEGATE_READY_SERVER")
+    key_file = key_file or os.environ.get("LYCHEEGATE_KEY_FILE")
+    key = os.environ.get("LYCHEEGATE_KEY", "")
+    if not server:
+        return _make_usage_error("no server: give --server or set LYCHEEGATE_READY_SERVER")
+    return _make_connection(server, key, key_file, ca_file, timeout_s, "key", is_required=False)
+
+
+def _make_connection(
+    server: str,
+    token: str,
+    token_file: str | None,
+    ca_file: str | None,
+    timeout_s: float,
+    kind: str = "token",
+    is_required: bool = True,
+) -> result.Result[Connection, CallError]:
+    """Returns a connection after checks of its parameters.
+
+    Args:
+        server: URL of a server.
+        token: Token, unless a file is given.
+        token_file: File with the token, or None.
+        ca_file: PEM file with the CA certificates, or None for those of the system.
+        timeout_s: Timeout of a request, in seconds.
+        kind: What the token is called in messages.
+        is_required: Whether there must be a token.
+    """
     if not _is_http_url(server):
         return _make_usage_error(f"server: expected an http or https URL, got {server!r}")
     if token_file:
@@ -92,13 +137,12 @@
             token = pathlib.Path(token_file).read_text(encoding="ascii")
         except (OSError, UnicodeDecodeError) as error:
             reason = getattr(error, "strerror", None) or "not ASCII text"
-            return _make_usage_error(f"cannot read token file {token_file}: {reason}")
-    if not token.strip():
-        return _make_usage_error(
-            "no token: give --token-file or set LYCHEEGATE_TOKEN_FILE or LYCHEEGATE_TOKEN"
-        )
-    if not token.isascii() or len(token.split()) != 1:
-        return _make_usage_error("the token contains white space or non-ASCII characters")
+            return _make_usage_error(f"cannot read {kind} file {token_file}: {reason}")
+    words = len(token.split())
+    if not words and (is_required or token_file):
+        return _make_usage_error(f"no {kind}: {token_file} is empty")
+    if not token.isascii() or words > 1:
+        return _make_usage_error(f"the {kind} contains white space or non-ASCII characters")
     return result.Success(Connection(server.rstrip("/"), token.strip(), ca_file, timeout_s))
 
 
@@ -108,26 +152,30 @@
     path: str,
     body: bytes | None = None,
     parameters: Mapping[str, str] | None = None,
+    prefix: str = _PREFIX,
+    content_type: str = "application/yaml",
 ) -> result.Result[Answer, CallError]:
     """Sends a request once, without retries.
 
     Args:
         connection: Server, token and timeout.
         method: HTTP method.
-        path: Path of the request below ``/v1/operator/``.
-        body: Body of the request, a release note in YAML.
+        path: Path of the request below ``prefix``.
+        body: Body of the request, such as a release note in YAML.
         parameters: Query parameters.
+        prefix: Prefix of the path; that of the operators' interface by default.
+        content_type: Type of the body.
 
     Returns:
         The answer, whatever its status, or the error. If a request that may have changed something
         gets no usable answer, the exit code is ``UNKNOWN``.
     """
-    url = f"{connection.server}{_PREFIX}{path}"
+    url = f"{connection.server}{prefix}{path}"
     if parameters:
         url += f"?{urllib.parse.urlencode(parameters)}"
     headers = {"Authorization": f"Bearer {connection.token}"}
     if body is not None:
-        headers["Content-Type"] = "application/yaml"
+        headers["Content-Type"] = content_type
     request = urllib.request.Request(url, body, headers, method=method)
     lost_exit_code = (
         exits.Exit.UNKNOWN if path in ("release/apply", "drain") else exits.Exit.UNREACHABLE
@@ -158,7 +206,9 @@
         )
     except ValueError:
         return result.Failure(
-            CallError(f"the answer of {connection.server} is not a JSON object", lost_exit_code)
+            CallError(
+                f"the answer of {connection.server} is not a JSON object", lost_exit_code, True
+            )
         )
 
 
@@ -196,7 +246,7 @@
     except ValueError:
         exit_code = _EXIT_BY_STATUS.get(error.code, exits.Exit.REFUSED)
         return result.Failure(
-            CallError(f"the answer with status {error.code} is not a JSON object", exit_code)
+            CallError(f"the answer with status {error.code} is not a JSON object", exit_code, True)
         )
 
 
--- a/lycheegate/cli/exits.py
+++ b/lycheegate/cli/exits.py
@@ -13,8 +13,8 @@
     """An unexpected error of lycheegate itself."""
 
     FINDINGS = 2
-    """Invalid settings or an invalid note, and nothing was started or applied; or jobs that had
-    nothing running."""
+    """Invalid settings or an invalid note, and nothing was started or applied; jobs that had
+    nothing running; or a job whose tasks would not all start now."""
 
     REFUSED = 3
     """The entry VM refused the request, or a file cannot be read or written."""
--- a/lycheegate/cli/main.py
+++ b/lycheegate/cli/main.py
@@ -19,6 +19,7 @@
     losses,
     release,
     report,
+    where,
 )
 
 __all__ = ["main", "make_application", "run"]
@@ -40,6 +41,7 @@
         losses.LossesCommand,
         idle.IdleCommand,
         durations.DurationsCommand,
+        where.WhereCommand,
     ):
         app.add(command())
     return app
--- a/lycheegate/jobs/copies.py
+++ b/lycheegate/jobs/copies.py
@@ -21,7 +21,7 @@
 
 
 def _make_copier(kind: type[_T]) -> Callable[[_T], _T]:
-    """Returns a function that makes a shallow copy, four times as fast as ``copy.copy``."""
+    """Returns a function that makes a shallow copy, six times as fast as ``copy.copy``."""
     get_values = operator.attrgetter(*(field.name for field in dataclasses.fields(kind)))
     return lambda original: kind(*get_values(original))
 
--- a/lycheegate/jobs/preview.py
+++ b/lycheegate/jobs/preview.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Any
 
 from lycheegate.jobs import (
@@ -51,6 +52,8 @@
     JOB_ENDED = "job_ended"
     JOB_NOT_WAITING = "job_not_waiting"
     """All tasks that may start have runs."""
+    TOO_LONG = "too_long"
+    """The units before the job take too long to place."""
 
 
 class PreviewError(Exception):
@@ -263,7 +266,17 @@
     return result
 
 
-def examine(copied: state.SchedulerState, job_id: str, now_s: float, wall_s: float) -> Preview:
+def _continue_always() -> bool:
+    return True
+
+
+def examine(
+    copied: state.SchedulerState,
+    job_id: str,
+    now_s: float,
+    wall_s: float,
+    may_continue: Callable[[], bool] = _continue_always,
+) -> Preview:
     """Tries a scheduling pass on a copy of the state, which it changes.
 
     Args:
@@ -271,9 +284,10 @@
         job_id: The job.
         now_s: Time on the scheduler's clock at which the copy was made.
         wall_s: Time of day then, in seconds since 1970.
+        may_continue: Called before each step that is placed; returns whether there is time left.
 
     Raises:
-        PreviewError: The job is not waiting.
+        PreviewError: The job is not waiting, or the time is over.
     """
     lifecycle.advance_jobs(copied, now_s, wall_s)
     evacuation.evacuate(copied, now_s)
@@ -290,7 +304,7 @@
     elif not data_centres.is_view_confirmed(copied, now_s):
         steps = [_make_unconfirmed(context, listed, unit) for unit in own]
     else:
-        steps = _try_units(context, listed, own)
+        steps = _try_units(context, listed, own, may_continue)
     route = state.get_route(copied, job)
     return Preview(
         job_id,
@@ -334,11 +348,17 @@
 
 
 def _try_units(
-    context: units.PassContext, listed: list[units.Unit], own: list[units.Unit]
+    context: units.PassContext,
+    listed: list[units.Unit],
+    own: list[units.Unit],
+    may_continue: Callable[[], bool],
 ) -> list[StepPreview]:
     """Places the units in their order up to the last one of the job."""
     result: list[StepPreview] = []
     for number, unit in enumerate(listed):
+        if not may_continue():
+            tried = f"{_count_units(listed[:number])} of {_count_units(listed)} units"
+            raise PreviewError(Problem.TOO_LONG, f"{tried} were tried before the job's turn")
         if unit.job is own[0].job:
             result.append(_try_unit(context, unit, _count_units(listed[:number])))
             if len(result) == len(own):
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -15,7 +15,13 @@
 from lycheegate.platform import submissions
 from lycheegate.utils import exceptions
 
-__all__ = ["CallerApplication", "NodeView"]
+__all__ = [
+    "CallerApplication",
+    "NodeView",
+    "TooLargeError",
+    "decode_submission",
+    "identify_account",
+]
 
 STORE_TIMEOUT_S = 0.7
 DEFAULT_DEADLINE_S = 3.0
@@ -54,6 +60,48 @@
     drain_ends_s: float | None = None
 
 
+class TooLargeError(exceptions.ProtocolError):
+    """A job takes more bytes than a row of the store may have."""
+
+
+def identify_account(configuration: model.Configuration, request: werkzeug.Request) -> str:
+    """Returns the client account of a request's key, or an empty string without a valid key."""
+    key = submissions.parse_key(request.headers.get("Authorization", ""))
+    return configuration.account_by_key.get(key, "") if key is not None else ""
+
+
+def decode_submission(
+    body: bytes,
+    job_id: str,
+    route: model.Route,
+    account: str,
+    wall_s: float,
+    max_row_bytes: int,
+) -> tuple[model.Job, bytes]:
+    """Returns a submitted job, and the record of its acceptance.
+
+    Args:
+        body: Job document.
+        job_id: Identifier of the job.
+        route: Its queue.
+        account: Its client account, or an empty string.
+        wall_s: Time of day, in seconds since 1970.
+        max_row_bytes: Maximum size of a row in the store.
+
+    Raises:
+        TooLargeError: The record is larger than a row.
+        ProtocolError: The document is malformed or exceeds another limit.
+    """
+    job = submissions.decode_job(body, job_id, route.name, account, wall_s)
+    record = progress.encode_accepted(progress.AcceptedJob(job, route), max_row_bytes)
+    if len(record) > max_row_bytes:
+        raise TooLargeError(
+            f"job {job_id}: expected a job that takes at most {max_row_bytes} bytes to "
+            f"store, got {len(record)} bytes for {len(job.steps)} steps"
+        )
+    return job, record
+
+
 class CallerApplication:
     """WSGI application that serves callers.
 
@@ -121,10 +169,7 @@
         route = configuration.find_route(host, request.path)
         if route is None:
             return werkzeug.Response(status=404)
-        account = ""
-        key = submissions.parse_key(request.headers.get("Authorization", ""))
-        if key is not None:
-            account = configuration.account_by_key.get(key, "")
+        account = identify_account(configuration, request)
         if not account and not route.is_public:
             return werkzeug.Response(status=401)
         job_id = request.path.removeprefix(route.path_prefix).strip("/")
@@ -169,18 +214,15 @@
         self, body: bytes, job_id: str, route: model.Route, account: str, deadline_s: float
     ) -> werkzeug.Response:
         try:
-            job = submissions.decode_job(body, job_id, route.name, account, self._wall_s())
+            job, record = decode_submission(
+                body, job_id, route, account, self._wall_s(), self._max_row_bytes
+            )
+        except TooLargeError as error:
+            self._log.write("job_invalid", job=job_id, error=str(error))
+            return werkzeug.Response(str(error), status=413)
         except exceptions.ProtocolError as error:
             self._log.write("job_invalid", job=job_id, error=str(error))
             return werkzeug.Response(str(error), status=400)
-        record = progress.encode_accepted(progress.AcceptedJob(job, route), self._max_row_bytes)
-        if len(record) > self._max_row_bytes:
-            text = (
-                f"job {job_id}: expected a job that takes at most {self._max_row_bytes} bytes to "
-                f"store, got {len(record)} bytes for {len(job.steps)} steps"
-            )
-            self._log.write("job_invalid", job=job_id, error=text)
-            return werkzeug.Response(text, status=413)
         job_key = tables.get_job_key(job_id)
         # The job may have been cancelled at another VM while this call was on its way.
         cancel_key = tables.get_cancel_key(job_id)
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -19,6 +19,7 @@
     holder,
     members,
     peer_calls,
+    previews,
     relay,
     scheduler,
     storage,
@@ -38,7 +39,8 @@
 CLAIM_CHECK_S = 0.15
 CLAIM_TIMEOUT_S = 1.0
 CALLER_THREADS = 24
-READINESS_THREADS = 2
+READINESS_THREADS = 3
+"""One of them may be busy with a preview."""
 PEER_THREADS = 16
 CONNECTIONS_PER_ORIGIN = 32
 """A VM that relays store calls has the feeds of several peers open in addition to its own."""
@@ -123,6 +125,22 @@
             self._query_holder,
             settings.policy.max_row_bytes,
         )
+        self._holder_previews = previews.HolderPreviews(
+            self._client.call_later,
+            lambda: self._scheduler,
+            self._holds_term,
+            read_boottime_s,
+            time.sleep,
+            log,
+        )
+        self._preview_application = previews.PreviewApplication(
+            self._view,
+            read_boottime_s,
+            time.time,
+            settings.revoke_s - KEY_REVOCATION_MARGIN_S,
+            settings.policy.max_row_bytes,
+            self._query_preview,
+        )
         self._caller_server = server.CallersServer(
             *settings.callers_address,
             application,
@@ -140,7 +158,9 @@
                 self._store.reachability,
                 self._store.record_peer_outcome,
                 self._apply_notified_row,
-                peer_calls.TermQueries(self._holds_term, self._find_status),
+                peer_calls.TermQueries(
+                    self._holds_term, self._find_status, self._holder_previews.answer
+                ),
             ),
             models.LimitSettings(caller_threads=PEER_THREADS),
         )
@@ -226,6 +246,13 @@
             return self._find_status(job_id)
         return self._holder_client.query_status(job_id, timeout_s)
 
+    def _query_preview(self, account: str, job_id: str, record: bytes) -> peer_calls.PreviewAnswer:
+        current = self._scheduler
+        if current is not None:
+            query = peer_calls.PreviewQuery(current.epoch, account, job_id, record)
+            return self._holder_previews.answer(query)
+        return self._holder_client.query_preview(account, job_id, record, previews.QUERY_TIMEOUT_S)
+
     def _handle_reachability(self, is_unreachable: bool) -> None:
         self._log.write("store_lost" if is_unreachable else "store_reached")
         if not is_unreachable:
@@ -396,6 +423,8 @@
             text = exposition.format_metrics(self._log.counts, self._histograms)
             text += self._duration_errors.format_metrics()
             return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
+        if environ.get("PATH_INFO") == previews.PATH:
+            return self._preview_application(environ, start_response)
         age_s = read_boottime_s() - self._view.confirmed_at_s
         is_ready = (
             self._view.configuration is not None
--- a/lycheegate/node/holder.py
+++ b/lycheegate/node/holder.py
@@ -1,5 +1,6 @@
 """Client of the VM that holds the scheduler's term."""
 
+import enum
 import threading
 from collections.abc import Callable
 
@@ -11,13 +12,27 @@
 from lycheegate.metrics import jsonlog
 from lycheegate.node import peer_calls, relay, storage, terms
 
-__all__ = ["HolderClient"]
+__all__ = ["HolderClient", "HolderProblem"]
 
 NOTIFY_TIMEOUT_S = 0.5
 PROBE_TIMEOUT_S = 0.3
 PROBE_INTERVAL_S = 0.3
 
 
+class HolderProblem(enum.StrEnum):
+    """Why the holder did not answer a query where a job would be placed."""
+
+    NO_HOLDER = "no_holder"
+    HOLDER_CHANGED = "holder_changed"
+    HOLDER_SILENT = "holder_silent"
+    UNSUPPORTED = "unsupported"
+    """The holder runs a build without previews, or with others."""
+
+
+def _make_problem(problem: HolderProblem, text: str) -> peer_calls.PreviewAnswer:
+    return peer_calls.PreviewAnswer(problem.value, text, {})
+
+
 class HolderClient:
     """Sends notifications, probes and queries to the holder of the term.
 
@@ -109,6 +124,48 @@
             self._log.write("peer_answer_unreadable", job=job_id, error=str(error))
             return None
 
+    def query_preview(
+        self, account: str, job_id: str, record: bytes, timeout_s: float
+    ) -> peer_calls.PreviewAnswer:
+        """Returns where a job would be placed as the holder answers it, or why it did not.
+
+        Blocks the calling thread.
+
+        Args:
+            account: Client account that asks, or an empty string.
+            job_id: The job.
+            record: Record of acceptance that the job would get, or nothing for a job that waits.
+            timeout_s: Time limit of the call.
+        """
+        term_holder = self._view.holder
+        address = self._find_holder_address()
+        if term_holder is None or address is None:
+            return _make_problem(HolderProblem.NO_HOLDER, "no VM is known to hold the term")
+        query = peer_calls.PreviewQuery(term_holder.epoch, account, job_id, record)
+        answered = threading.Event()
+        future = self._send(address, peer_calls.encode_preview_query(query), timeout_s)
+        future.add_done_callback(lambda _: answered.set())
+        is_answered = answered.wait(timeout_s + NOTIFY_TIMEOUT_S)
+        now_holder = self._view.holder
+        if now_holder is None or now_holder.epoch != term_holder.epoch:
+            text = f"{term_holder.vm} held the term when it was asked"
+            return _make_problem(HolderProblem.HOLDER_CHANGED, text)
+        if not is_answered or not isinstance(future.result(), result.Success):
+            text = f"{term_holder.vm} did not answer within {timeout_s:g} s"
+            return _make_problem(HolderProblem.HOLDER_SILENT, text)
+        response = future.result().unwrap()
+        if response.status != 200:
+            text = f"{term_holder.vm} answered with status {response.status}"
+            is_unsupported = response.status == 400
+            return _make_problem(
+                HolderProblem.UNSUPPORTED if is_unsupported else HolderProblem.HOLDER_SILENT, text
+            )
+        try:
+            return peer_calls.decode_preview(response.body)
+        except ValueError as error:
+            self._log.write("peer_answer_unreadable", job=job_id, error=str(error))
+            return _make_problem(HolderProblem.UNSUPPORTED, str(error))
+
     def _find_holder_address(self) -> str | None:
         holder = self._view.holder
         return self._find_address(holder.vm) if holder is not None else None
--- a/lycheegate/node/peer_calls.py
+++ b/lycheegate/node/peer_calls.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 from collections.abc import Callable
+from typing import Any
 
 import cbor2
 import werkzeug
@@ -18,10 +19,15 @@
     "HOLDS_TERM",
     "JOB_STATUS",
     "NOTIFY",
+    "PREVIEW",
     "PeerApplication",
+    "PreviewAnswer",
+    "PreviewQuery",
     "TermQueries",
     "decode_holds_term",
+    "decode_preview",
     "decode_status",
+    "encode_preview_query",
 ]
 
 NOTIFY = "notify"
@@ -30,6 +36,10 @@
 """Query whether this VM holds the term with a given epoch."""
 JOB_STATUS = "job_status"
 """Query for the stored status of a job."""
+PREVIEW = "where"
+"""Query where a job would be placed. Builds that do not know it answer 400."""
+PREVIEW_LAYOUT = 1
+"""Layout of the answer to ``PREVIEW``."""
 MAX_STORE_WAIT_S = 3.0
 _CBOR = "application/cbor"
 _DECODE_ERRORS = (
@@ -48,6 +58,38 @@
     return False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreviewQuery:
+    """Query where a job would be placed.
+
+    Attributes:
+        epoch: Epoch of the term whose holder is asked.
+        account: Client account that asks, or an empty string.
+        job_id: The job.
+        record: Record of acceptance that the job would get, or nothing for a job that waits.
+    """
+
+    epoch: int
+    account: str
+    job_id: str
+    record: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreviewAnswer:
+    """Answer to a query where a job would be placed.
+
+    Attributes:
+        problem: Why there is no preview, or an empty string.
+        text: Description of the problem.
+        document: The preview, which can be written as JSON.
+    """
+
+    problem: str
+    text: str
+    document: dict[str, Any]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TermQueries:
     """Functions that answer the queries of peers to the holder of the term.
@@ -55,10 +97,13 @@
     Attributes:
         holds_term: Returns whether this VM holds, or is claiming, the term with an epoch.
         find_status: Returns the stored status of a job, or None if this VM does not know the job.
+        preview: Returns where a job would be placed, and blocks the thread of the call. None if
+            such queries are unknown, as to earlier builds.
     """
 
     holds_term: Callable[[int], bool]
     find_status: Callable[[str], progress.JobStatus | None]
+    preview: Callable[[PreviewQuery], PreviewAnswer] | None = None
 
 
 class PeerApplication:
@@ -110,6 +155,9 @@
             if kind == JOB_STATUS:
                 (job_id,) = arguments
                 return self._answer_status(job_id)
+            if kind == PREVIEW and self._queries.preview is not None:
+                answer = self._queries.preview(_decode_preview_query(arguments))
+                return _make_reply([PREVIEW_LAYOUT, answer.problem, answer.text, answer.document])
             return self._relay_store_call(kind, arguments, send_processing)
         except _DECODE_ERRORS as error:
             return werkzeug.Response(str(error), status=400)
@@ -183,3 +231,32 @@
     except TypeError as error:
         raise ValueError(f"{JOB_STATUS}: expected [outcome, started], got {data!r:.100}") from error
     return progress.JobStatus(model.Outcome(outcome) if outcome else None, bool(started))
+
+
+def encode_preview_query(query: PreviewQuery) -> list:
+    """Returns the call for a query where a job would be placed."""
+    return [PREVIEW, query.epoch, query.account, query.job_id, query.record]
+
+
+def _decode_preview_query(arguments: list) -> PreviewQuery:
+    epoch, account, job_id, record = arguments
+    kinds = (int, str, str, bytes)
+    if not all(isinstance(each, kind) for each, kind in zip(arguments, kinds, strict=True)):
+        raise ValueError(f"{PREVIEW}: expected a number, two strings and bytes")
+    return PreviewQuery(epoch, account, job_id, record)
+
+
+def decode_preview(data: bytes) -> PreviewAnswer:
+    """Returns the answer to ``PREVIEW``.
+
+    Raises:
+        ValueError: The answer cannot be decoded.
+    """
+    try:
+        layout, problem, text, document = _load(data)
+    except TypeError as error:
+        raise ValueError(f"{PREVIEW}: expected a list of four, got {data!r:.100}") from error
+    kinds = (isinstance(problem, str), isinstance(text, str), isinstance(document, dict))
+    if layout != PREVIEW_LAYOUT or not all(kinds):
+        raise ValueError(f"{PREVIEW}: expected layout {PREVIEW_LAYOUT}, got {layout!r:.100}")
+    return PreviewAnswer(problem, text, document)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -14,6 +14,7 @@
     leases,
     lifecycle,
     model,
+    preview,
     progress,
     scheduling,
     state,
@@ -304,6 +305,29 @@
         job = self._state.jobs.get(job_id)
         return job.stored_status if job is not None and self._loaded else None
 
+    def prepare_preview(
+        self, job_or_id: model.Job | str, account: str
+    ) -> tuple[state.SchedulerState, float, float] | None:
+        """Returns a copy of the state for a preview, with the times of the scheduler's clocks.
+
+        Returns None until the jobs have been loaded.
+
+        Args:
+            job_or_id: A job as it would be accepted now, or the identifier of a job.
+            account: Client account that asks. Waiting jobs of others are unknown to it.
+
+        Raises:
+            preview.PreviewError: There is no preview for the job.
+        """
+        if not self._loaded:
+            return None
+        if isinstance(job_or_id, str):
+            known = self._state.jobs.get(job_or_id)
+            if known is not None and known.job.account not in (account, ""):
+                raise preview.PreviewError(preview.Problem.JOB_UNKNOWN, job_or_id)
+        now_s, wall_s = self._runtime.now_s(), self._runtime.wall_s()
+        return preview.prepare(self._state, job_or_id, now_s, wall_s), now_s, wall_s
+
     def _log_odd_registration(self, worker_id: str, reason: str, size_bytes: int) -> None:
         self._runtime.log.write(
             "registration_unreadable",
