--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -30,6 +30,8 @@
     "compute_locality_wait_s",
     "is_admitted",
     "measure_use",
+    "place_step",
+    "prepare_pass",
     "schedule",
     "sum_urgent_use",
 ]
@@ -69,16 +71,38 @@
         Stop orders for preempted runs, and decisions to be logged.
     """
     current.schedule_due = False
-    sharing.update_recent_use(current, now_s)
     if not data_centres.is_view_confirmed(current, now_s):
         return data_centres.report_unconfirmed(current, now_s)
+    context, waiting = prepare_pass(current, now_s, wall_s)
+    if context is None:
+        return []
+    turns = sharing.list_turns(context, waiting)
+    for unit in waiting:
+        place_step(context, unit, turns)
+    current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
+    return context.result
+
+
+def prepare_pass(
+    current: state.SchedulerState, now_s: float, wall_s: float
+) -> tuple[units.PassContext | None, list[units.Unit]]:
+    """Returns the context of a pass and the unplaced tasks of each step, in order of rank.
+
+    The context is None if nothing is waiting.
+
+    Args:
+        current: State of the scheduler.
+        now_s: Time on the scheduler's clock.
+        wall_s: Time of day, in seconds since 1970.
+    """
+    sharing.update_recent_use(current, now_s)
     guaranteed = ordering.list_guaranteed_accounts(current)
     waiting = _list_units(current, guaranteed, now_s, wall_s)
     if current.reservations:
         keys = ((key, unit.service) for unit in waiting for key in _list_reservation_keys(unit))
         _drop_reservations(current, dict(keys), now_s)
     if not waiting:
-        return []
+        return None, []
     decisions = unevenness.update_uneven_services(current, now_s)
     decisions += failure_waves.update_waves(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
@@ -88,15 +112,7 @@
         not reservation.preempts for reservation in current.reservations.values()
     )
     sharing.measure_shares(context, waiting)
-    turns_by_class = sharing.list_turns(context, waiting)
-    for unit in waiting:
-        turns = turns_by_class.get(sharing.make_class_key(unit)) if turns_by_class else None
-        if turns is None:
-            _place_step(context, unit)
-        else:
-            _place_in_turns(context, turns, 1 if unit.step.step.gang else len(unit.indices))
-    current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
-    return context.result
+    return context, waiting
 
 
 def _list_units(
@@ -131,8 +147,17 @@
     return [(*key_prefix, index) for index in unit.indices]
 
 
-def _place_step(context: units.PassContext, unit: units.Unit) -> None:
-    """Places the unplaced tasks of a step until one of them does not fit, or enough were placed."""
+def place_step(
+    context: units.PassContext, unit: units.Unit, turns: dict[sharing.ClassKey, sharing.Turns]
+) -> None:
+    """Places the unplaced tasks of a step until one of them does not fit, or enough were placed.
+
+    Where client accounts have turns, as many tasks of the accounts whose turn it is are placed.
+    """
+    of_class = turns.get(sharing.make_class_key(unit)) if turns else None
+    if of_class is not None:
+        _place_in_turns(context, of_class, 1 if unit.step.step.gang else len(unit.indices))
+        return
     max_placed = _get_max_placed(unit)
     if unit.step.step.gang:
         if context.placed_tasks < max_placed:
