Repeat a feed's call at once that was lost before the store came back

Change: such a call is repeated without a delay once it fails. A call that retry_now has made is not, so a store that is lost again gets no more calls.

The new test of the interleaving fails on the previous sources.

--- a/lycheegate/node/feeds.py
+++ b/lycheegate/node/feeds.py
@@ -69,6 +69,10 @@
         self._stopped = False
         self._failures = 0
         self._pending_retry: object | None = None
+        self._may_repeat_at_once = False
+        """Whether a call for changes is on its way that was not made by ``retry_now``."""
+        self._repeats_at_once = False
+        """Whether that call is repeated without a delay if it fails."""
         self._version = 0
 
     def start(self) -> None:
@@ -104,12 +108,14 @@
         finally:
             self._follow()
 
-    def _follow(self) -> None:
+    def _follow(self, is_retried_now: bool = False) -> None:
         if self._stopped:
             return
         # After a failure, the store answers at once, which confirms the rows that are known.
         wait_s = 0.0 if self._failures else self._wait_s
         self._sent_at_s = self._now_s()
+        self._may_repeat_at_once = not is_retried_now
+        self._repeats_at_once = False
         try:
             self._store.follow(self._table, self._version, wait_s, self._handle_changes)
         except Exception as error:
@@ -119,6 +125,7 @@
     def _handle_changes(self, outcome: storage.StoreResult) -> None:
         if self._stopped:
             return
+        self._may_repeat_at_once = False
         if not isinstance(outcome, result.Success):
             error = outcome.failure()
             if isinstance(error, storage.HistoryLostError):
@@ -149,20 +156,35 @@
             self._on_error(error)
 
     def retry_now(self) -> None:
-        """Makes a retry that is due later at once, because the store is reachable again."""
+        """Makes a retry that is due later at once, because the store is reachable again.
+
+        A call that is on its way may have been lost before that. If it fails, it is repeated at
+        once instead, unless it was itself made for this reason.
+        """
         if self._pending_retry is not None:
             self._pending_retry = None
-            self._follow()
+            self._follow(is_retried_now=True)
+        elif self._may_repeat_at_once:
+            self._repeats_at_once = True
 
     def _retry_follow(self, error: Exception) -> None:
+        self._may_repeat_at_once = False
         self._failures += 1
+        is_first = self._failures == 1
+        if self._repeats_at_once:
+            self._follow(is_retried_now=True)
+        else:
+            self._schedule_retry()
+        if is_first:
+            self._on_error(error)
+
+    def _schedule_retry(self) -> None:
         limit_s = min(MAX_RETRY_S, RETRY_S * 2.0 ** min(self._failures - 1, 8))
         retry = self._pending_retry = object()
 
         def run() -> None:
             if self._pending_retry is retry:
-                self.retry_now()
+                self._pending_retry = None
+                self._follow()
 
         self._call_later(self._jitter.uniform(limit_s / 2, limit_s), run)
-        if self._failures == 1:
-            self._on_error(error)
--- a/lycheegate/node/tests/test_reads.py
+++ b/lycheegate/node/tests/test_reads.py
@@ -146,6 +146,39 @@
     assert store.waits_s[-2:] == [1.0, 1.0]
 
 
+@pytest.mark.parametrize("is_down_again", [False, True])
+def test_call_on_its_way_when_the_store_is_reachable_again_is_repeated_at_once(is_down_again):
+    """Guards against a feed that waits for the usual delay after a call that was lost before.
+
+    A call has failed on the way, and its outcome arrives after the store is reachable again. If the
+    store is lost once more meanwhile, later calls are made after the usual delays.
+    """
+    store = _FlakyStore(fake_store.EventLoop(), 0.0)
+    feed = feeds.TableFeed(
+        store,
+        store.loop.call_later,
+        "t",
+        ("p",),
+        lambda *_: None,
+        lambda error: None,
+        jitter=random.Random(1),
+    )
+    feed.start()
+    _run(store.loop, 0.5)
+    store.loss_ratio = 1.0
+    _run(store.loop, 5.0)
+    made = store.follows
+    while store.follows == made:
+        _run(store.loop, 0.001)
+    store.loss_ratio = 1.0 if is_down_again else 0.0
+    feed.retry_now()
+    assert store.follows == made + 1
+    _run(store.loop, 0.004)
+    assert store.follows == made + 2
+    _run(store.loop, 0.4)
+    assert store.follows == (made + 2 if is_down_again else made + 3)
+
+
 def test_feed_keeps_up_with_thousands_of_heartbeats():
     """Guards against work on a worker that announced its departure seconds ago.
 
