Keep no headroom for urgent work that fits nowhere

Cause: a waiting urgent gang raised the demand for headroom also if the usable workers could not hold it even when empty.

Change: such work adds no demand.

--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -5,6 +5,7 @@
 room only shrinks while tasks are placed.
 """
 
+import collections
 import dataclasses
 
 from lycheegate.jobs import adequacy, crashes, data_centres, health, model, placement, state
@@ -59,6 +60,7 @@
         self._labels = {w.worker_id: w.labels for w in current.workers.values()}
         self._by_label: dict[tuple[str, str], list[placement.Candidate]] = {}
         self._tiers: dict[str, adequacy.Tiers | None] = {}
+        self._capacities: dict[tuple[str, str], collections.Counter[model.Resources]] = {}
         self._unplaceable_needs: dict[tuple[str, str], list[model.Resources]] = {}
         if stalled is None:
             stalled = health.list_stalled(current, now_s)
@@ -167,6 +169,25 @@
             self._by_label[service, label] = found
         return found
 
+    def could_hold(self, service: str, step: model.Step) -> bool:
+        """Returns whether the usable workers could hold a gang, or a single task, if empty.
+
+        Many urgent steps may wait in each pass, and most workers are alike, so workers of the same
+        capacity are looked at together.
+        """
+        capacities = self._capacities.get((service, step.label))
+        if capacities is None:
+            labeled = self._list_labeled(service, step.label)
+            capacities = collections.Counter(candidate.capacity for candidate in labeled)
+            self._capacities[service, step.label] = capacities
+        limit = step.max_per_worker or NO_LIMIT
+        held = 0
+        for capacity, workers in capacities.items():
+            held += workers * placement.count_fitting(step.need, capacity, limit)
+            if held >= (step.count if step.gang else 1):
+                return True
+        return False
+
     def allocate(self, worker_id: str, need: model.Resources) -> None:
         """Subtracts the room of a run that was placed; unusable workers are ignored."""
         candidate = self._by_worker.get(worker_id)
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -167,12 +167,16 @@
 
 
 def _measure_capacities(context: units.PassContext, listed: list[units.Unit]) -> None:
-    """Computes the capacity of each service, with its use and its headroom for urgent work."""
+    """Computes the capacity of each service, with its use and its headroom for urgent work.
+
+    Work that the usable workers could not hold even if they were empty adds no demand, because no
+    headroom helps it. While workers are unusable for a moment, the recent peak still includes it.
+    """
     context.capacities = measure_use(context.current, context.workers)
     urgent_used = sum_urgent_use(context.current, context.capacities)
     waiting: dict[str, float] = {}
     for unit in listed:
-        if unit.rank.level < 2:
+        if unit.rank.level < 2 and context.workers.could_hold(unit.service, unit.step.step):
             share = units.compute_share(context, unit)
             waiting[unit.service] = waiting.get(unit.service, 0.0) + share
     for service, capacity in context.capacities.items():
--- a/lycheegate/jobs/tests/test_headroom.py
+++ b/lycheegate/jobs/tests/test_headroom.py
@@ -172,3 +172,30 @@
     _schedule(current, 1.2)
     assert len(current.jobs[job_id].list_runs()) == gang.count
     assert gang.count <= headroom.ALWAYS_ALLOWED_RATIO * _WORKERS
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({"count": 24, "gang": True}, 24.0),
+        ({"count": 25, "gang": True}, 0.0),
+        ({"count": 30}, 30.0),
+        ({"count": 2, "gang": True, "label": "other"}, 0.0),
+        ({"count": 26, "gang": True, "max_per_worker": 1, "need": _BATCH.need}, 0.0),
+        ({"count": 1, "need": model.Resources(64_001, 1, 0)}, 0.0),
+    ],
+)
+def test_only_work_that_fits_raises_the_demand(fields, expected):
+    """Guards against headroom for urgent work that no worker could hold, which serves nobody.
+
+    It is still kept while a worker of a gang that fits is silent for a moment.
+    """
+    current = _make_state()
+    _submit(current, 1, model.Step(**{"need": _URGENT.need, "estimate_s": 1.0} | fields), "urgent")
+    for worker in current.workers.values():
+        worker.room = model.Resources()
+    _schedule(current, 100.0)
+    assert current.urgent_demand["render"].peak == pytest.approx(expected)
+    current.workers["w00"].unreachable_until_s = 200.0
+    _schedule(current, 102.0)
+    assert current.urgent_demand["render"].peak == pytest.approx(expected)
