Tell the next holder when workers leave

Cause: a registration tells how long its worker stayed when it was written. A new holder reads it later and counted the whole notice anew. It also counted the declared duration of recovered runs from the begin of its term, so that a run that had exceeded it long ago seemed to end just before the departure.

Change: the holder tells the departures of workers with runs in the row terms/departures, with the heartbeat and only when one is new or has changed. A departure that another incarnation announced, or that was announced anew with a longer notice, counts from when it is read, as before. Runs with checkpoints whose start and progress are not known are stopped in time.

Weighed against deriving the time from the registry row: it carries only remaining-ms and the start of the incarnation, and the version of a row is no time. That the other VMs follow the registry would tell them, at the cost of the whole registry for each VM. A row has about 30 bytes for each worker that leaves, 46 KB at most for 200 with the longest identifiers. A departure that is announced less than 0.7 s before the holder is lost is not told.

--- a/lycheegate/jobs/evacuation.py
+++ b/lycheegate/jobs/evacuation.py
@@ -9,13 +9,37 @@
 from lycheegate.jobs import commands, estimates, runs, state
 from lycheegate.jobs.durations import predictions
 
-__all__ = ["evacuate"]
+__all__ = ["evacuate", "list_departures"]
 
 STOP_MARGIN_S = 0.6
 """Time for a stop order to reach the worker and for its report of the checkpoint to arrive, in
 addition to the time that the worker takes to stop a run."""
 
 
+MAX_LISTED_DEPARTURES = 200
+"""Number of departures that fit into a row, also with the longest identifiers of workers."""
+
+
+def list_departures(current: state.SchedulerState) -> dict[str, state.AnnouncedDeparture]:
+    """Returns the departures of workers with runs, for the next scheduler; the next ones of many.
+
+    Their registrations tell only how long they stayed when these were written, so that the next
+    scheduler would expect them too late.
+    """
+    leaving = [
+        worker
+        for worker in current.workers.values()
+        if worker.runs and worker.draining and worker.leaves_at_s is not None
+    ]
+    leaving.sort(key=lambda worker: worker.leaves_at_s)
+    return {
+        worker.worker_id: state.AnnouncedDeparture(
+            worker.leaves_at_s, worker.registered_remaining_s, worker.registered_born_ms
+        )
+        for worker in leaving[:MAX_LISTED_DEPARTURES]
+    }
+
+
 def evacuate(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Stops runs that would be lost with draining workers whose departure time is known."""
     result: list[commands.Command] = []
@@ -47,6 +71,16 @@
     return result + runs.stop_run(current, run, reason, now_s)
 
 
+def _has_unknown_end(step: state.StepState, run: state.Run, now_s: float) -> bool:
+    """Returns whether nothing tells when a run ends that an earlier scheduler has started.
+
+    When it began is not known, and it may have exceeded its expected duration long ago. Only runs
+    with checkpoints are treated so, as these lose little by a stop shortly before the departure.
+    """
+    is_predicted = estimates.predict_remaining_s(run, now_s) is not None
+    return run.was_recovered and step.step.checkpoints and not is_predicted
+
+
 def _must_stop(
     current: state.SchedulerState,
     step: state.StepState,
@@ -54,7 +88,7 @@
     leaves_in_s: float,
     now_s: float,
 ) -> bool:
-    if not step.step.long_running:
+    if not step.step.long_running and not _has_unknown_end(step, run, now_s):
         job = current.jobs[run.task.job_id]
         duration_s = (
             predictions.predict_s(current, job, step, run.worker_id, now_s)
--- a/lycheegate/jobs/progress.py
+++ b/lycheegate/jobs/progress.py
@@ -303,6 +303,7 @@
             phase_began_at_s=now_s,
             advanced_at_s=now_s,
             baseline_percent=None,
+            was_recovered=True,
             worker_born_ms=incarnations.get(index, 0),
             awaits_first_report=True,
         )
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -11,6 +11,7 @@
 from lycheegate.jobs.durations import factors
 
 __all__ = [
+    "AnnouncedDeparture",
     "CountedCrash",
     "MAX_BATCH_JOBS",
     "EndSource",
@@ -142,6 +143,8 @@
             the cause of a later crash.
         awaits_first_report: Whether it comes from the records of an earlier term, and its worker
             has not listed it since. This scheduler has sent no start order for it.
+        was_recovered: Whether it comes from the records of an earlier term, so that its start is
+            not known.
         predicted_s: Predicted duration of the task on its worker when it was placed, or 0.
         was_observed: Whether its duration has been learned from, its gang's for a gang.
         had_end_observed: Whether the same has been done at its end.
@@ -166,6 +169,7 @@
     may_have_started: bool = False
     has_survived: bool = False
     awaits_first_report: bool = False
+    was_recovered: bool = False
     predicted_s: float = 0.0
     was_observed: bool = False
     had_end_observed: bool = False
@@ -515,6 +519,21 @@
     others_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnnouncedDeparture:
+    """A departure of a worker that a registration has announced.
+
+    Attributes:
+        leaves_at_s: Earliest time at which it leaves, on this scheduler's clock.
+        remaining_s: Time until then according to that registration.
+        born_ms: Start of the worker's incarnation in milliseconds since 1970, or 0.
+    """
+
+    leaves_at_s: float
+    remaining_s: float
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuations:
     """Data centres to whose workers nothing may be sent, as the operators request it.
@@ -547,6 +566,7 @@
         stall_checked_at_s: When stalled runs were last checked.
         urgent_demand: Recent peak of urgent demand, by service.
         inherited_suspects: Time until which the previous scheduler suspected workers.
+        inherited_departures: Departures of workers that the previous scheduler knew of.
         inherited_leases: Ends of leases that earlier schedulers have granted.
         withheld_leases: Workers to which no lease is granted, because the next scheduler may rely
             on the end of those that they have.
@@ -576,6 +596,7 @@
     stall_checked_at_s: float = 0.0
     urgent_demand: dict[str, headroom.UrgentDemand] = dataclasses.field(default_factory=dict)
     inherited_suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+    inherited_departures: dict[str, AnnouncedDeparture] = dataclasses.field(default_factory=dict)
     inherited_leases: InheritedLeases = InheritedLeases()
     withheld_leases: frozenset[str] = frozenset()
     withholds_all_leases: bool = False
--- a/lycheegate/jobs/tests/test_registrations.py
+++ b/lycheegate/jobs/tests/test_registrations.py
@@ -71,3 +71,28 @@
     workers.apply_registrations(current, [resized], 2.0)
     assert current.schedule_due is (capacity != _CAPACITY)
     assert current.workers["w0"].room == capacity
+
+
+@pytest.mark.parametrize(
+    ("remaining_s", "born_ms", "expected_s"),
+    [
+        (2.0, 1, 11.0),
+        (1.5, 1, 11.0),
+        (0.5, 1, 10.5),
+        # Announced anew, so that the worker stays longer.
+        (3.0, 1, 13.0),
+        # Announced by an earlier incarnation.
+        (2.0, 2, 12.0),
+    ],
+)
+def test_departure_is_counted_from_when_the_previous_scheduler_read_it(
+    remaining_s, born_ms, expected_s
+):
+    """Guards against a notice that each new scheduler counts anew, so that it stops work late."""
+    current = state.SchedulerState(2, state.Policy(), 10.0)
+    current.inherited_departures = {"w0": state.AnnouncedDeparture(11.0, 2.0, 1)}
+    registration = dataclasses.replace(
+        _make_registration("w0"), draining=True, remaining_s=remaining_s, born_ms=born_ms
+    )
+    workers.apply_registrations(current, [registration], 10.0)
+    assert current.workers["w0"].leaves_at_s == pytest.approx(expected_s)
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -223,6 +223,18 @@
     worker.registered_remaining_s = remaining_s
 
 
+def _apply_inherited_departure(current: state.SchedulerState, worker: state.WorkerState) -> None:
+    """Takes a departure over from the previous scheduler, which has read its announcement earlier.
+
+    A worker that now announces less time than then has repeated it, and leaves no later.
+    """
+    told = current.inherited_departures.pop(worker.worker_id, None)
+    if told is None or worker.leaves_at_s is None or told.born_ms != worker.born_ms:
+        return
+    if worker.registered_remaining_s <= told.remaining_s:
+        worker.leaves_at_s = min(worker.leaves_at_s, told.leaves_at_s)
+
+
 def _update_cold_time(worker: state.WorkerState, cold_s: float, now_s: float) -> None:
     """Updates the time until which a worker is slow; as for its departure, repetitions count not.
 
@@ -258,6 +270,7 @@
     worker.leases_expire_at_s = leases.compute_inherited_end_s(current, worker.worker_id)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
     _update_leave_time(worker, registration.remaining_s, now_s)
+    _apply_inherited_departure(current, worker)
     _update_cold_time(worker, registration.cold_s, now_s)
     if existing is not None:
         worker.runs = existing.runs
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -372,6 +372,7 @@
             self._view.configuration,
             self._make_evacuations(),
             terms.list_suspects(self._view.term, read_boottime_s()),
+            terms.list_departures(self._view.term, read_boottime_s()),
             inherited_leases,
             self._view.term.durations,
             self._handle_term_end,
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -89,6 +89,7 @@
         configuration: Configuration in force, or None.
         evacuations: Data centres that are being evacuated.
         suspects: For how many seconds from now on the last scheduler suspected each worker.
+        departures: Departures of workers that the last scheduler knew of.
         inherited_leases: Ends of leases that earlier schedulers have granted.
         durations: Record of what earlier schedulers have learned about durations, or nothing.
         on_ended: Called once, with the reason, when the term is lost or released.
@@ -104,6 +105,7 @@
         configuration: model.Configuration | None,
         evacuations: state.Evacuations,
         suspects: dict[str, float],
+        departures: dict[str, state.AnnouncedDeparture],
         inherited_leases: state.InheritedLeases,
         durations: bytes,
         on_ended: Callable[[str], None],
@@ -118,6 +120,7 @@
             worker_id: self._state.began_at_s + duration_s
             for worker_id, duration_s in suspects.items()
         }
+        self._state.inherited_departures = departures
         self._state.inherited_leases = inherited_leases
         self._state.durations = self._decode_durations(durations)
         self._stopped = False
--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -16,6 +16,7 @@
 from lycheegate.utils import exceptions, numbers
 
 __all__ = [
+    "DEPARTURES",
     "DURATIONS",
     "HEARTBEAT",
     "MAX_COUNT_ROWS",
@@ -28,16 +29,19 @@
     "PROGRESS",
     "SUSPECTS",
     "TERMS",
+    "Departure",
     "Heartbeat",
     "Holder",
     "LeaseEnds",
     "PendingCounts",
     "decode_counts",
+    "decode_departures",
     "decode_heartbeat",
     "decode_holder",
     "decode_lease_ends",
     "decode_suspects",
     "encode_counts",
+    "encode_departures",
     "encode_heartbeat",
     "encode_holder",
     "encode_lease_ends",
@@ -74,6 +78,9 @@
 LEASES = storage.RowKey(TERMS, PART, "leases")
 """Row that tells the holder of the next term when leases of runs end. It belongs to the heartbeat
 that was written with it and counts no longer once there is a later one."""
+DEPARTURES = storage.RowKey(TERMS, PART, "departures")
+"""Row that tells the holder of the next term when workers with runs leave. A registration tells
+only how long its worker stayed when it was written."""
 DURATIONS = storage.RowKey(TERMS, PART, "durations")
 """Row of what the holder has learned about durations, for the holder of the next term
 (``lycheegate.jobs.durations.encoding``)."""
@@ -137,6 +144,21 @@
     others_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """An announced departure of a worker; times in milliseconds.
+
+    Attributes:
+        leaves_at_ms: Earliest time at which it leaves, on the store's clock.
+        remaining_ms: Time until then according to the registration that announced it.
+        born_ms: Start of its incarnation since 1970, or 0 if not reported.
+    """
+
+    leaves_at_ms: int
+    remaining_ms: int
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingCounts:
     """Further counts of waiting jobs, which do not fit into the heartbeat.
@@ -276,6 +298,27 @@
     return suspects
 
 
+def encode_departures(departures: dict[str, Departure]) -> bytes:
+    """Returns the content of the row of announced departures, by worker."""
+    return cbor2.dumps([{w: list(dataclasses.astuple(d)) for w, d in departures.items()}])
+
+
+def decode_departures(data: bytes) -> dict[str, Departure]:
+    """Returns the announced departures that a row holds, by worker.
+
+    Raises:
+        ProtocolError: The row cannot be decoded.
+    """
+    (entries,) = _decode_items(data, (dict,))
+    result: dict[str, Departure] = {}
+    for worker_id, items in entries.items():
+        is_valid = isinstance(worker_id, str) and isinstance(items, list) and len(items) == 3
+        if not is_valid or not all(map(numbers.is_whole, items)):
+            raise exceptions.ProtocolError(f"expected a departure, got {items!r:.100}")
+        result[worker_id] = Departure(*items)
+    return result
+
+
 def encode_lease_ends(lease_ends: LeaseEnds) -> bytes:
     """Returns the content of the row of the ends of leases."""
     return cbor2.dumps(
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lycheegate.jobs import health, leases, lifecycle, state
+from lycheegate.jobs import evacuation, health, leases, lifecycle, state
 from lycheegate.jobs.durations import encoding
 from lycheegate.metrics import jsonlog
 from lycheegate.node import division, storage, tables
@@ -45,6 +45,7 @@
         self._latest_store_clock_ms = latest_store_clock_ms
         self._log = log
         self._written_suspects: set[str] | None = None
+        self._written_departures: dict[str, state.AnnouncedDeparture] = {}
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
@@ -70,6 +71,7 @@
         return [
             *self._make_heartbeat_writes(release, clock_ms),
             *self._make_suspects_write(is_loaded),
+            *self._make_departures_write(is_loaded, clock_ms),
             *self._make_leases_write(release, is_loaded, clock_ms),
             *self._make_durations_write(clock_ms),
         ]
@@ -84,6 +86,7 @@
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
+        self._written_departures = {}
         if self._are_durations_sent:
             self._are_durations_sent = self._are_durations_stored = False
             self._durations_not_before_s = self._now_s() + DURATIONS_CHECK_S
@@ -122,6 +125,27 @@
         until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
         return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
 
+    def _make_departures_write(self, is_loaded: bool, clock_ms: int) -> list[storage.Write]:
+        """Returns the write of the announced departures, if any differ from those written.
+
+        Those of workers that have left or have no runs any more are harmless, so nothing is written
+        only to remove them.
+        """
+        departures = evacuation.list_departures(self._state)
+        if not clock_ms or not is_loaded or departures.items() <= self._written_departures.items():
+            return []
+        self._written_departures = departures
+        now_s = self._now_s()
+        entries = {
+            worker_id: tables.Departure(
+                max(0, clock_ms + int(1000.0 * (departure.leaves_at_s - now_s))),
+                max(0, round(1000.0 * departure.remaining_s)),
+                departure.born_ms,
+            )
+            for worker_id, departure in departures.items()
+        }
+        return [storage.Write(tables.DEPARTURES, tables.encode_departures(entries))]
+
     def _make_durations_write(self, clock_ms: int) -> list[storage.Write]:
         """Returns the write of the learned durations, if some have changed since the last one."""
         now_s = self._now_s()
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -36,6 +36,7 @@
     "find_claimed_version",
     "find_lease_ends",
     "is_heartbeat_overdue",
+    "list_departures",
     "list_suspects",
     "make_claim",
     "may_claim",
@@ -97,6 +98,8 @@
         more_counts: Further counts of waiting jobs, by the key of their row.
         suspects: Until when each worker is suspected, in milliseconds on the store's clock.
         suspects_version: Version of the row of suspected workers.
+        departures: Announced departures of workers, by worker.
+        departures_version: Version of their row.
         durations: Content of the row of learned durations, which only the next holder decodes.
         durations_version: Version of that row.
         lease_ends: When leases end according to the row that was last read, or None.
@@ -117,6 +120,8 @@
     more_counts: dict[str, tables.PendingCounts] = dataclasses.field(default_factory=dict)
     suspects: dict[str, int] = dataclasses.field(default_factory=dict)
     suspects_version: int = storage.ABSENT
+    departures: dict[str, tables.Departure] = dataclasses.field(default_factory=dict)
+    departures_version: int = storage.ABSENT
     durations: bytes = b""
     durations_version: int = storage.ABSENT
     lease_ends: tables.LeaseEnds | None = None
@@ -174,6 +179,9 @@
     elif row.key == tables.SUSPECTS and row.version > view.suspects_version:
         view.suspects = tables.decode_suspects(row.value)
         view.suspects_version = row.version
+    elif row.key == tables.DEPARTURES and row.version > view.departures_version:
+        view.departures = {} if row.deleted else tables.decode_departures(row.value)
+        view.departures_version = row.version
     elif row.key == tables.DURATIONS and row.version > view.durations_version:
         view.durations = b"" if row.deleted else row.value
         view.durations_version = row.version
@@ -206,6 +214,19 @@
     }
 
 
+def list_departures(view: TermView, now_s: float) -> dict[str, state.AnnouncedDeparture]:
+    """Returns the departures of workers that the last holder knew of, on this VM's clock."""
+    clock_ms = estimate_clock_ms(view, now_s)
+    return {
+        worker_id: state.AnnouncedDeparture(
+            now_s + (departure.leaves_at_ms - clock_ms) / 1000.0,
+            departure.remaining_ms / 1000.0,
+            departure.born_ms,
+        )
+        for worker_id, departure in view.departures.items()
+    }
+
+
 def find_lease_ends(view: TermView, now_s: float) -> state.InheritedLeases:
     """Returns when the leases that earlier holders have granted end, as far as the last one tells.
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -166,6 +166,7 @@
             self.configuration,
             state.Evacuations(self.evacuated, self.loop.now_s),
             terms.list_suspects(view, self.loop.now_s),
+            terms.list_departures(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
             view.durations,
             lambda reason: None,
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -243,3 +243,20 @@
     terms.apply_rows(view, rows, 100.0, 50_500)
     found = terms.find_lease_ends(view, 100.0)
     assert found.others_s == pytest.approx(101.5)
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"\x81\xa1aw\x01", b"\x81\xa1aw\x82\x01\x02"])
+def test_departures_are_told_by_the_clock_of_the_store(value):
+    """Guards against a departure that a new holder expects late, and one that hides other rows."""
+    told = {f"i-{n:05}".ljust(190, "w"): tables.Departure(53_000, 2**53, 2**53) for n in range(200)}
+    told["w"] = tables.Departure(53_000, 2_000, 7)
+    data = tables.encode_departures(told)
+    assert len(data) < 49_152
+    view = _make_view()
+    terms.apply_rows(view, (storage.Row(tables.DEPARTURES, data, 9),), 12.0, 52_000)
+    found = terms.list_departures(view, 12.5)["w"]
+    assert (found.leaves_at_s, found.remaining_s, found.born_ms) == (pytest.approx(13.0), 2.0, 7)
+    holder = storage.Row(tables.HOLDER, tables.encode_holder(tables.Holder(4, "b/1")), 10)
+    with pytest.raises(exceptions.ProtocolError):
+        terms.apply_rows(view, (storage.Row(tables.DEPARTURES, value, 10), holder), 12.0, 52_000)
+    assert view.holder.epoch == 4
