--- a/lycheegate/jobs/copies.py
+++ b/lycheegate/jobs/copies.py
@@ -61,6 +61,8 @@
         stray_tasks=dict(current.stray_tasks),
         urgent_demand=dict(current.urgent_demand),
         inherited_suspects=dict(current.inherited_suspects),
+        inherited_departures=dict(current.inherited_departures),
+        lease_limits=dict(current.lease_limits),
         other_crashes_at_s=list(current.other_crashes_at_s),
         counted_crashes=list(current.counted_crashes),
         unknown_cancellations=dict(current.unknown_cancellations),
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -4,6 +4,7 @@
 
 from lycheegate.jobs import (
     admission,
+    evacuation,
     health,
     leases,
     lifecycle,
@@ -62,6 +63,7 @@
         self._latest_store_clock_ms = latest_store_clock_ms
         self._log = log
         self._written_suspects: set[str] | None = None
+        self._written_departures: dict[str, state.AnnouncedDeparture] = {}
         self._written_counts: dict[int, dict[str, int] | None] = {}
         """Counts of waiting jobs in each further row, or None if these may differ."""
         self._omitted_counts = 0
@@ -73,6 +75,8 @@
         self._durations_not_before_s = 0.0
         self._listed_workers: frozenset[str] = frozenset()
         """Workers whose ends of leases went with the last heartbeat that was sent."""
+        self._sent_limits: dict[str, float] = {}
+        """Limits of leases that went with the last heartbeat that was sent."""
         self._may_list_workers = False
         """Whether the stored ends of leases may name any worker."""
         self._written_load: admission.Load | None = None
@@ -90,6 +94,7 @@
         return [
             *self._make_heartbeat_writes(release, clock_ms),
             *self._make_suspects_write(is_loaded),
+            *self._make_departures_write(is_loaded, clock_ms),
             *self._make_leases_write(release, is_loaded, clock_ms),
             *self._make_load_write(release, is_loaded, clock_ms),
             *self._make_durations_write(clock_ms),
@@ -98,13 +103,15 @@
     def handle_stored(self) -> None:
         """Lets leases be granted again to workers that the stored heartbeat does not list."""
         self._are_durations_sent = False
-        self._may_list_workers = bool(self._listed_workers)
+        self._may_list_workers = bool(self._listed_workers or self._sent_limits)
+        self._state.lease_limits = self._sent_limits
         self._state.withheld_leases = self._listed_workers
         self._state.withholds_all_leases = False
 
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
         self._written_suspects = None
+        self._written_departures = {}
         if self._are_durations_sent:
             self._are_durations_sent = self._are_durations_stored = False
             self._durations_not_before_s = self._now_s() + DURATIONS_CHECK_S
@@ -144,6 +151,27 @@
         until_ms = {w: clock_ms + int(1000.0 * s) for w, s in suspects.items()}
         return [storage.Write(tables.SUSPECTS, tables.encode_suspects(until_ms))]
 
+    def _make_departures_write(self, is_loaded: bool, clock_ms: int) -> list[storage.Write]:
+        """Returns the write of the announced departures, if any differ from those written.
+
+        Those of workers that have left or have no runs any more are harmless, so nothing is written
+        only to remove them.
+        """
+        departures = evacuation.list_departures(self._state)
+        if not clock_ms or not is_loaded or departures.items() <= self._written_departures.items():
+            return []
+        self._written_departures = departures
+        now_s = self._now_s()
+        entries = {
+            worker_id: tables.Departure(
+                max(0, clock_ms + int(1000.0 * (departure.leaves_at_s - now_s))),
+                max(0, round(1000.0 * departure.remaining_s)),
+                departure.born_ms,
+            )
+            for worker_id, departure in departures.items()
+        }
+        return [storage.Write(tables.DEPARTURES, tables.encode_departures(entries))]
+
     def _make_durations_write(self, clock_ms: int) -> list[storage.Write]:
         """Returns the write of the learned durations, if some have changed since the last one."""
         now_s = self._now_s()
@@ -172,16 +200,27 @@
         that names workers is emptied all the same, as the estimate of the store's clock may recur.
         """
         self._listed_workers = frozenset()
+        self._sent_limits = {}
         now_s = self._now_s()
         if not is_loaded or not clock_ms or not self._latest_store_clock_ms(now_s):
             return []
         ends = leases.list_lease_ends(self._state, now_s, release)
-        if not ends.workers and not release and not self._may_list_workers:
+        departed = frozenset(ends.workers)
+        limits = {} if release else leases.list_lease_limits(self._state, now_s, departed)
+        if not departed and not limits and not release and not self._may_list_workers:
             return []
         self._may_list_workers = True
-        latest_ms = {w: self._latest_store_clock_ms(end_s) for w, end_s in ends.workers.items()}
+        latest_ms = {
+            w: self._latest_store_clock_ms(end_s) for w, end_s in (ends.workers | limits).items()
+        }
         others_ms = 0 if ends.others_s is None else self._latest_store_clock_ms(ends.others_s)
-        self._listed_workers = frozenset(latest_ms)
+        self._listed_workers = departed
+        self._sent_limits = limits
+        # Any row that was sent may be the one that is stored, until a later one certainly is.
+        earlier = self._state.lease_limits
+        self._state.lease_limits = earlier | {
+            w: min(limit_s, earlier.get(w, limit_s)) for w, limit_s in limits.items()
+        }
         self._state.withheld_leases |= self._listed_workers
         self._state.withholds_all_leases |= release
         row = tables.LeaseEnds(self._state.epoch, clock_ms, latest_ms, others_ms)
