--- a/lycheegate/node/tables.py
+++ b/lycheegate/node/tables.py
@@ -346,7 +346,7 @@
     Raises:
         ProtocolError: The row cannot be decoded.
     """
-    (entries,) = _decode_items(data, (dict,))
+    (entries,) = decode_items(data, (dict,))
     result: dict[str, Departure] = {}
     for worker_id, items in entries.items():
         is_valid = isinstance(worker_id, str) and isinstance(items, list) and len(items) == 3
