--- a/lycheegate/jobs/tests/test_adequacy.py
+++ b/lycheegate/jobs/tests/test_adequacy.py
@@ -1,5 +1,7 @@
 """Order of workers by learned speeds, and preemption for the sake of speed."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -277,6 +279,20 @@
     assert {current.workers[w].rack for w in reservation.placement.values()} == {"r3"}
 
 
+@pytest.mark.parametrize(
+    ("known", "spread", "is_uneven"),
+    [(9, 1.44, False), (10, 1.44, True), (10, 1.18, False), (0, 1.44, False)],
+)
+def test_spread_of_the_fleet_tells_before_most_workers_are_known(known, spread, is_uneven):
+    """Guards against urgent work on slow workers until a tenth of the fleet is known to be slow."""
+    current = speeds.make_state([8] * 40)
+    current.durations.worker_variance = math.log(spread) ** 2
+    unsure = {f"w{number}": (1.0, 1.4) for number in range(known, 40)}
+    with speeds.fix_speeds(unsure | dict.fromkeys((f"w{n}" for n in range(known)), 1.0)):
+        unevenness.update_uneven_services(current, 1.0)
+    assert current.uneven_services == frozenset({"render"} if is_uneven else ())
+
+
 @pytest.mark.parametrize(
     ("slow", "unknown", "was_uneven", "is_uneven"),
     [
