--- a/lycheegate/jobs/unevenness.py
+++ b/lycheegate/jobs/unevenness.py
@@ -19,8 +19,6 @@
 uneven. Fewer may seem slow by chance, and leave enough others."""
 KEPT_SLOW_RATIO = 0.05
 """Share down to which it stays uneven, so that it does not change with each observation."""
-
-
 MIN_KNOWN_WORKERS = 10
 """Number of workers with observations from which the spread of the fleet tells about a service."""
 
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -236,9 +236,10 @@
 
 
 def _update_cold_time(worker: state.WorkerState, cold_s: float, now_s: float) -> None:
-    """Updates the time until which a worker is slow; as for its departure, repetitions count not.
+    """Updates the time until which a worker is slow after its start.
 
-    A worker that reports a shorter remaining time than is left is taken at its word.
+    The complete list of registrations is applied whenever one of them changes, so an unchanged
+    remaining time comes from an old registration and is ignored.
     """
     if cold_s != worker.registered_cold_s:
         worker.cold_until_s = now_s + cold_s if cold_s > 0.0 else 0.0
