--- a/lycheegate/jobs/failure_waves.py
+++ b/lycheegate/jobs/failure_waves.py
@@ -33,6 +33,8 @@
 def update_waves(current: state.SchedulerState, now_s: float) -> list[commands.Command]:
     """Detects the begin and the end of waves, and records which workers have proved sound.
 
+    Only services whose configuration asks for it have waves.
+
     The times at which workers became suspected follow from the ends of their suspicion, which a
     new holder knows from the previous one.
 
@@ -43,9 +45,11 @@
     Returns:
         Decisions to be logged.
     """
+    services = current.configuration.services.values() if current.configuration else ()
+    limited = {service.name for service in services if service.limits_unproved_gangs}
     suspected_at_s: dict[str, list[float]] = collections.defaultdict(list)
     for worker in current.workers.values():
-        if health.is_suspected(worker, now_s):
+        if worker.service in limited and health.is_suspected(worker, now_s):
             at_s = worker.suspected_until_s - health.SUSPICION_S
             suspected_at_s[worker.service].append(at_s)
     result: list[commands.Command] = []
--- a/lycheegate/jobs/model.py
+++ b/lycheegate/jobs/model.py
@@ -188,11 +188,13 @@
         checks_admission: Whether its workers refuse tasks that do not fit.
         preemption_loss_ratio: Share of its capacity that may be lost to preemptions for urgent work
             beyond the guarantee, above 0 and at most 1, or None if it is not limited.
+        limits_unproved_gangs: Whether gangs prefer proved workers while many workers fail.
     """
 
     name: str
     checks_admission: bool = False
     preemption_loss_ratio: float | None = None
+    limits_unproved_gangs: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/jobs/tests/replay.py
+++ b/lycheegate/jobs/tests/replay.py
@@ -26,7 +26,7 @@
     accounts: dict[str, model.Account], preemption_loss_ratio: float | None
 ) -> model.Configuration:
     """Returns a configuration with one service and a limit on what preemptions lose there."""
-    services = {"render": model.Service("render", preemption_loss_ratio=preemption_loss_ratio)}
+    services = {"render": model.Service("render", False, preemption_loss_ratio, True)}
     return model.Configuration(1, ROUTES, services, accounts, {}, 1)
 
 
--- a/lycheegate/jobs/tests/test_failure_waves.py
+++ b/lycheegate/jobs/tests/test_failure_waves.py
@@ -1,5 +1,6 @@
 """Gangs while many workers fail what they start, with a replay of that load."""
 
+import dataclasses
 import random
 
 import pytest
@@ -38,6 +39,15 @@
     assert (wave and (wave.began_at_s, wave.last_at_s)) == (expected and pytest.approx(expected))
 
 
+def test_no_wave_unless_the_configuration_asks_for_it():
+    """Guards against gangs that wait for proved workers although the operators want none."""
+    current = _make_replay([9.0, 9.1, 9.2, 9.3]).current
+    services = {"render": model.Service("render")}
+    current.configuration = dataclasses.replace(current.configuration, services=services)
+    assert failure_waves.update_waves(current, 10.0) == []
+    assert current.failure_waves == {}
+
+
 def test_wave_is_extended_and_ends():
     """Guards against a limit of gangs that stays after the failures have ended."""
     current = _make_replay([9.0, 9.1, 9.2, 9.3]).current
--- a/lycheegate/platform/configuration.py
+++ b/lycheegate/platform/configuration.py
@@ -42,6 +42,8 @@
     admission_check: bool = False
     preemption_loss: msgspec.Raw = msgspec.Raw()
     """Share of the capacity, as a number."""
+    prove_workers: msgspec.Raw = msgspec.Raw()
+    """Whether gangs prefer proved workers while many workers fail, as true or false."""
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -134,18 +136,28 @@
 
 
 def _read_refuse_late(route: _Route, findings: list[str]) -> bool:
-    """Returns whether late jobs of a queue are refused; a wrong value counts as false."""
-    data = bytes(route.refuse_late)
+    """Returns whether late jobs of a queue are refused."""
+    subject = f"queue {route.name:.{MAX_QUOTED_CHARACTERS}}: refuse-late"
+    return _read_flag(route.refuse_late, subject, "no job is refused as late", findings)
+
+
+def _read_flag(value: msgspec.Raw, subject: str, consequence: str, findings: list[str]) -> bool:
+    """Returns an optional true or false; a missing or wrong value counts as false.
+
+    Args:
+        value: The value as it is written.
+        subject: What it belongs to, for the finding.
+        consequence: What is done if it is wrong, for the finding.
+        findings: Receives a finding if it is wrong.
+    """
+    data = bytes(value)
     if not data:
         return False
     try:
         return foreign.decode_json(data, bool)
     except exceptions.ProtocolError:
-        findings.append(
-            f"queue {route.name:.{MAX_QUOTED_CHARACTERS}}: refuse-late "
-            f"{data.decode():.{MAX_QUOTED_CHARACTERS}} is not true or false; "
-            "no job is refused as late"
-        )
+        quoted = f"{data.decode():.{MAX_QUOTED_CHARACTERS}}"
+        findings.append(f"{subject} {quoted} is not true or false; {consequence}")
         return False
 
 
@@ -163,7 +175,9 @@
 def _make_service(service: _Service, findings: list[str]) -> model.Service:
     subject = f"service {service.name:.{MAX_QUOTED_CHARACTERS}}: preemption-loss"
     ratio = _read_number(service.preemption_loss, subject, 1.0, "it is not limited", findings)
-    return model.Service(service.name, service.admission_check, ratio)
+    subject = f"service {service.name:.{MAX_QUOTED_CHARACTERS}}: prove-workers"
+    proves = _read_flag(service.prove_workers, subject, "gangs prefer no workers", findings)
+    return model.Service(service.name, service.admission_check, ratio, proves)
 
 
 def _read_number(
--- a/lycheegate/platform/tests/test_translation.py
+++ b/lycheegate/platform/tests/test_translation.py
@@ -316,6 +316,20 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "expected", "is_reported"),
+    [("true", True, False), ("false", False, False), ('"yes"', False, True), ("1", False, True)],
+)
+def test_wrong_request_to_prove_workers_is_reported(value, expected, is_reported):
+    """Guards against a wrong value that keeps all other changes from coming into force."""
+    data = f'{{"version": 1, "services": [{{"name": "s", "prove-workers": {value}}}]}}'
+    found = configuration.decode_configuration(data.encode())
+    assert found.services["s"].limits_unproved_gangs is expected
+    assert [f.startswith("service s: prove-workers ") for f in found.findings] == (
+        [True] if is_reported else []
+    )
+
+
 def test_job_survives_encoding():
     """Guards against fields of a job that are lost when it is stored."""
     data = msgspec.json.encode(
