Restore the batch work of the preemption tests

It had been given checkpoints while limits of preemption were always on; without a stated limit the former work passes again (pytest lycheegate/jobs/tests/test_reclaiming.py).

--- a/lycheegate/jobs/tests/test_reclaiming.py
+++ b/lycheegate/jobs/tests/test_reclaiming.py
@@ -41,9 +41,7 @@
         )
     count = sum(map(len, percents))
     need = model.Resources(8_000 // len(percents[0]), 1_000, 8 // len(percents[0]))
-    # A stop loses only the restart, so the limits on lost work do not affect these tests.
-    step = model.Step(count, need, 10.0, checkpoints=True)
-    _add_job(current, _BATCH_JOB, "batch", step, 1.0)
+    _add_job(current, _BATCH_JOB, "batch", model.Step(count, need, 10.0), 1.0)
     for worker, worker_percents in zip(current.workers.values(), percents, strict=True):
         runs = sorted(worker.runs.values(), key=lambda run: run.task)
         for run, percent in zip(runs, worker_percents, strict=True):
