Group the fields of the pass, and look the switch of learned durations up once

Cause: two merges left fields of PassContext behind its __post_init__, where its documentation does not order them, and predict_remaining_s asked for each step whether learned durations are used after it had asked for the job.

Change: the fields stand together; the function calls get_step_estimate after its own check. No decision changes.

Measured: pytest lycheegate/jobs, and test_scheduler, test_previews, test_exchange and test_where pass; ruff is clean.

--- a/lycheegate/jobs/ordering.py
+++ b/lycheegate/jobs/ordering.py
@@ -127,7 +127,7 @@
         if step.is_done:
             ratios[key[1]] = 0.0
         elif key[1] not in ratios:
-            ratios[key[1]] = predictions.get_used_estimate(current, job, step).ratio
+            ratios[key[1]] = predictions.get_step_estimate(current, job, step).ratio
     return _sum_chain_s(job, ratios)
 
 
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -94,14 +94,13 @@
     planned_reservations: int = 0
     placed_tasks: int = 0
     compared_steps: set[tuple] = dataclasses.field(default_factory=set)
+    declined_preemptions: int = 0
+    starting_gangs: dict[str, int] = dataclasses.field(default_factory=dict)
     speeds: adequacy.FleetSpeeds = dataclasses.field(init=False)
 
     def __post_init__(self):
         self.speeds = adequacy.FleetSpeeds(self.current, self.now_s, self.wall_s)
 
-    declined_preemptions: int = 0
-    starting_gangs: dict[str, int] = dataclasses.field(default_factory=dict)
-
 
 def make_reservation_key(
     job: state.JobState, step: state.StepState, index: int
