Show that urgent work without accelerators takes guaranteed room

An account whose urgent jobs need no accelerator counts as within its guarantee, whatever cores they take, so that guaranteed work of others cannot stop them.

--- a/review/standin2/harness.py
+++ b/review/standin2/harness.py
@@ -23,6 +23,7 @@
     "HOST",
     "KEY",
     "LASTING",
+    "OTHER_KEY",
     "SERVICE",
     "URGENT",
     "Case",
@@ -41,6 +42,9 @@
 """Prefix of a queue of priority 0."""
 SERVICE = "render"
 KEY = "key-of-the-tenant-0001"
+"""Key of a tenant with a guarantee."""
+OTHER_KEY = "key-of-the-tenant-0002"
+"""Key of a tenant without one."""
 CAPACITY = {"cpu": 128000, "mem-mb": 262144, "gpu": 8}
 GUARANTEED_GPU = 16
 """Half of the accelerators of the smallest deployment of a case."""
@@ -81,13 +85,16 @@
         }
         for prefix, priority in ((LASTING, 1), (URGENT, 0))
     ]
-    tenant = {"name": "t1", "api-keys": [KEY], "guaranteed": {"gpu": GUARANTEED_GPU}}
+    tenants = [
+        {"name": "t1", "api-keys": [KEY], "guaranteed": {"gpu": GUARANTEED_GPU}},
+        {"name": "t2", "api-keys": [OTHER_KEY], "guaranteed": {"gpu": 0}},
+    ]
     return {
         "version": 1,
         "routes": routes,
         "services": [{"name": SERVICE, "health-path": "/health", "max-conns": 64}],
         "limits": {"max-body-bytes": 262144},
-        "tenants": [tenant],
+        "tenants": tenants,
     }
 
 
@@ -287,7 +294,9 @@
         self.record("call", node=node.name, method=method, path=path, answer=answer)
         return answer
 
-    async def submit(self, prefix: str, job_id: str, steps: list[dict[str, Any]]) -> None:
+    async def submit(
+        self, prefix: str, job_id: str, steps: list[dict[str, Any]], key: str = KEY
+    ) -> None:
         """Submits a job until it is accepted.
 
         Raises:
@@ -296,7 +305,7 @@
         for number in range(5):
             node = self.nodes[number % len(self.nodes)]
             document = {"spec": "work", "steps": steps}
-            answer = await self.call(node, "POST", prefix + job_id, document)
+            answer = await self.call(node, "POST", prefix + job_id, document, key)
             if answer is not None and answer[0] // 100 == 2:
                 return
             await asyncio.sleep(0.5)
