Carry the ends of leases on with a claim

Cause: the row that tells when leases on departed workers end is valid only with the heartbeat that it was written with. A claim writes a heartbeat and did not write the row, nor did the heartbeats before the jobs are loaded. A holder that was lost in that time left nothing, and the next one waited for leases of which it knew nothing.

The claim writes the row anew with its own epoch and time. The claimant grants no lease to the workers in it, or to any if the term was released, until its first heartbeat with the loaded jobs is stored, and that one is requested at once. So what the row tells stays true for whoever claims next.

--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -359,11 +359,12 @@
         claim_id = tables.make_claim_id(self._settings.node_name)
         term_holder, transaction = terms.make_claim(self._view.term, claim_id, now_s)
         inherited_leases = terms.find_lease_ends(self._view.term, now_s)
+        lease_row = terms.find_lease_row(self._view.term)
         self._store.transact(
             transaction,
             CLAIM_TIMEOUT_S,
             lambda outcome: self._handle_claim_result(
-                term_holder, now_s, inherited_leases, outcome
+                term_holder, now_s, inherited_leases, lease_row, outcome
             ),
         )
 
@@ -372,6 +373,7 @@
         term_holder: tables.Holder,
         claimed_at_s: float,
         inherited_leases: state.InheritedLeases,
+        lease_row: tables.LeaseEnds | None,
         outcome: storage.StoreResult,
     ) -> None:
         self._claiming = False
@@ -408,6 +410,7 @@
             terms.list_suspects(self._view.term, read_boottime_s()),
             terms.list_departures(self._view.term, read_boottime_s()),
             inherited_leases,
+            lease_row,
             self._view.term.durations,
             self._handle_term_end,
         )
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -94,6 +94,7 @@
         suspects: For how many seconds from now on the last scheduler suspected each worker.
         departures: Departures of workers that the last scheduler knew of.
         inherited_leases: Ends of leases that earlier schedulers have granted.
+        lease_row: Row that tells them, which the claim has carried on, or None.
         durations: Record of what earlier schedulers have learned about durations, or nothing.
         on_ended: Called once, with the reason, when the term is lost or released.
     """
@@ -110,6 +111,7 @@
         suspects: dict[str, float],
         departures: dict[str, state.AnnouncedDeparture],
         inherited_leases: state.InheritedLeases,
+        lease_row: tables.LeaseEnds | None,
         durations: bytes,
         on_ended: Callable[[str], None],
     ):
@@ -151,6 +153,7 @@
                 runtime.store_clock_ms,
                 runtime.latest_store_clock_ms,
                 runtime.log,
+                lease_row,
             ),
             holder_version,
             claimed_at_s,
@@ -285,6 +288,8 @@
         self._state.began_at_s = self._runtime.now_s()
         self._job_rows.apply_loaded(loaded)
         self._loaded = True
+        # Until a heartbeat with the records is stored, no lease is granted against carried ends.
+        self._writer.renew_soon()
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
         self._request_pass()
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -1,5 +1,6 @@
 """Rows that the holder of the term writes with its heartbeat."""
 
+import dataclasses
 from collections.abc import Callable
 
 from lycheegate.jobs import (
@@ -45,6 +46,7 @@
         store_clock_ms: The store's clock, as estimated from its last answer, or 0.
         latest_store_clock_ms: Latest time that the store's clock can show at a time, or 0.
         log: Log of decisions.
+        lease_row: Ends of leases that the claim has carried on, or None.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         store_clock_ms: Callable[[], int],
         latest_store_clock_ms: Callable[[float], int],
         log: jsonlog.JsonLog,
+        lease_row: tables.LeaseEnds | None = None,
     ):
         self._state = current
         self._now_s = now_s
@@ -77,8 +80,14 @@
         """Workers whose ends of leases went with the last heartbeat that was sent."""
         self._sent_limits: dict[str, float] = {}
         """Limits of leases that went with the last heartbeat that was sent."""
-        self._may_list_workers = False
-        """Whether the stored ends of leases may name any worker."""
+        self._carried = lease_row
+        self._withholds_all = False
+        """Whether the last heartbeat that was sent tells the ends of the leases of all workers."""
+        self._may_list_workers = lease_row is not None
+        """Whether the stored row of the ends of leases may tell any."""
+        if lease_row is not None:
+            current.withheld_leases = frozenset(lease_row.workers)
+            current.withholds_all_leases = bool(lease_row.others_ms)
         self._written_load: admission.Load | None = None
         self._load_written_at_s = 0.0
         self._omitted_services = 0
@@ -103,10 +112,12 @@
     def handle_stored(self) -> None:
         """Lets leases be granted again to workers that the stored heartbeat does not list."""
         self._are_durations_sent = False
-        self._may_list_workers = bool(self._listed_workers or self._sent_limits)
+        self._may_list_workers = bool(
+            self._listed_workers or self._sent_limits or self._withholds_all
+        )
         self._state.lease_limits = self._sent_limits
         self._state.withheld_leases = self._listed_workers
-        self._state.withholds_all_leases = False
+        self._state.withholds_all_leases = self._withholds_all
 
     def handle_failure(self) -> None:
         """Lets the next writes include all rows, as the last ones may not have been stored."""
@@ -198,11 +209,15 @@
 
         A row from before the heartbeat does not count, so none is written if nothing is known. One
         that names workers is emptied all the same, as the estimate of the store's clock may recur.
+        Before the jobs are loaded, no lease is granted, so what earlier terms tell still holds.
         """
         self._listed_workers = frozenset()
         self._sent_limits = {}
+        self._withholds_all = release
         now_s = self._now_s()
-        if not is_loaded or not clock_ms or not self._latest_store_clock_ms(now_s):
+        if not is_loaded:
+            return self._make_carried_write(clock_ms)
+        if not clock_ms or not self._latest_store_clock_ms(now_s):
             return []
         ends = leases.list_lease_ends(self._state, now_s, release)
         departed = frozenset(ends.workers)
@@ -226,6 +241,15 @@
         row = tables.LeaseEnds(self._state.epoch, clock_ms, latest_ms, others_ms)
         return [storage.Write(tables.LEASES, tables.encode_lease_ends(row))]
 
+    def _make_carried_write(self, clock_ms: int) -> list[storage.Write]:
+        """Returns the write of the ends of leases of earlier terms."""
+        if self._carried is None or not clock_ms:
+            return []
+        self._listed_workers = frozenset(self._carried.workers)
+        self._withholds_all |= bool(self._carried.others_ms)
+        row = dataclasses.replace(self._carried, epoch=self._state.epoch, sent_at_ms=clock_ms)
+        return [storage.Write(tables.LEASES, tables.encode_lease_ends(row))]
+
     def _make_load_write(
         self, release: bool, is_loaded: bool, clock_ms: int
     ) -> list[storage.Write]:
--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -125,6 +125,10 @@
         self.is_releasing = True
         self.write()
 
+    def renew_soon(self) -> None:
+        """Lets the next write hold the heartbeat, however recent the last one is."""
+        self._renewal_sent_at_s = 0.0
+
     def retry_now(self) -> None:
         """Makes a write at once that waits for a retry."""
         self._not_before_s = 0.0
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -35,6 +35,7 @@
     "estimate_clock_ms",
     "find_claimed_version",
     "find_lease_ends",
+    "find_lease_row",
     "find_load",
     "find_load_age_s",
     "is_heartbeat_overdue",
@@ -278,14 +279,10 @@
     }
 
 
-def find_lease_ends(view: TermView, now_s: float) -> state.InheritedLeases:
-    """Returns when the leases that earlier holders have granted end, as far as the last one tells.
-
-    The result holds for a claim of the term that names the versions in the view.
+def find_lease_row(view: TermView) -> tables.LeaseEnds | None:
+    """Returns the row of the ends of leases if it belongs to the last heartbeat, else None.
 
-    Args:
-        view: This VM's view of the term.
-        now_s: Time on a clock that includes time spent suspended.
+    It holds for a claim of the term that names the versions in the view.
     """
     heartbeat, ends = view.heartbeat, view.lease_ends
     if (
@@ -294,6 +291,21 @@
         or not heartbeat.sent_at_ms
         or (ends.epoch, ends.sent_at_ms) != (heartbeat.epoch, heartbeat.sent_at_ms)
     ):
+        return None
+    return ends
+
+
+def find_lease_ends(view: TermView, now_s: float) -> state.InheritedLeases:
+    """Returns when the leases that earlier holders have granted end, as far as the last one tells.
+
+    The result holds for a claim of the term that names the versions in the view.
+
+    Args:
+        view: This VM's view of the term.
+        now_s: Time on a clock that includes time spent suspended.
+    """
+    ends = find_lease_row(view)
+    if ends is None:
         return state.InheritedLeases()
     # The estimate is never later than the store's clock.
     clock_ms = estimate_clock_ms(view, now_s)
@@ -388,7 +400,11 @@
 def make_claim(
     view: TermView, claim_id: str, now_s: float
 ) -> tuple[tables.Holder, storage.Transaction]:
-    """Returns the holder of the next term, and the transaction that claims it."""
+    """Returns the holder of the next term, and the transaction that claims it.
+
+    The claim carries the ends of leases on, as its heartbeat replaces the one that they belong to.
+    The claimant grants no lease to which they apply until it has stored a later heartbeat.
+    """
     epoch = (view.holder.epoch if view.holder else 0) + 1
     holder = tables.Holder(epoch, claim_id)
     heartbeat = tables.Heartbeat(
@@ -397,15 +413,20 @@
         view.heartbeat.pending if view.heartbeat else {},
         estimate_clock_ms(view, now_s),
     )
+    writes = [
+        storage.Write(tables.HOLDER, tables.encode_holder(holder)),
+        storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat)),
+    ]
+    ends = find_lease_row(view)
+    if ends is not None and heartbeat.sent_at_ms:
+        carried = dataclasses.replace(ends, epoch=epoch, sent_at_ms=heartbeat.sent_at_ms)
+        writes.append(storage.Write(tables.LEASES, tables.encode_lease_ends(carried)))
     transaction = storage.Transaction(
         conditions=(
             storage.Condition(tables.HOLDER, view.holder_version),
             storage.Condition(tables.HEARTBEAT, view.heartbeat_version),
         ),
-        writes=(
-            storage.Write(tables.HOLDER, tables.encode_holder(holder)),
-            storage.Write(tables.HEARTBEAT, tables.encode_heartbeat(heartbeat)),
-        ),
+        writes=tuple(writes),
     )
     return holder, transaction
 
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -168,6 +168,7 @@
             terms.list_suspects(view, self.loop.now_s),
             terms.list_departures(view, self.loop.now_s),
             terms.find_lease_ends(view, self.loop.now_s),
+            terms.find_lease_row(view),
             view.durations,
             lambda reason: None,
         )
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -408,3 +408,69 @@
     world.unregister(busy[0])
     world.run(7.0 + 6.0 + 3.0)
     assert sum(world.fleet.starts[task] for task in world.fleet.starts if task.job_id == JOB_ID) > 2
+
+
+@pytest.mark.parametrize("is_released", [True, False])
+@pytest.mark.parametrize("held_s", [0.0, 0.002, 0.3])
+def test_ends_of_leases_outlast_a_holder_that_is_lost_soon_after_its_claim(held_s, is_released):
+    """Guards against ends of leases that a claim makes unknown, as it replaces the heartbeat.
+
+    The second holder is lost before it has told any itself.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    first = world.claim_term("a")
+    world.run(2.0)
+    _depart(world)
+    world.run(3.5)
+    if is_released:
+        first.release()
+        world.run(0.1)
+    else:
+        first.stop("killed")
+    second = world.claim_term("b")
+    world.faults.lost_writes = 1.0
+    world.run(held_s)
+    second.stop("killed")
+    world.faults.lost_writes = 0.0
+    world.claim_term("c")
+    check = world.watch_idleness()
+    world.run(20.0)
+    assert check.found == {}
+    assert world.fleet.violations == []
+
+
+@pytest.mark.parametrize("is_released", [True, False])
+def test_claimant_grants_no_lease_beyond_the_ends_that_its_claim_has_told(is_released):
+    """Guards against a second run of a task on a worker that is back under the next holder.
+
+    That holder cannot store a heartbeat, so the third one relies on what the claim has told.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    first = world.claim_term("a")
+    world.run(2.0)
+    cut_off = world.fleet.find_busy_worker()
+    if is_released:
+        first.release()
+        world.run(0.1)
+    else:
+        world.fleet.answers_lost.add(cut_off)
+        world.unregister(cut_off)
+        world.run(4.0)
+        first.stop("killed")
+        world.fleet.answers_lost.clear()
+        world.register(cut_off)
+    second = world.claim_term("b")
+    world.store.rejected_keys.add(tables.HEARTBEAT)
+    world.run(4.5)
+    second.stop("killed")
+    world.store.rejected_keys.clear()
+    world.fleet.unreachable.add(cut_off)
+    world.unregister(cut_off)
+    world.claim_term("c")
+    world.run(15.0)
+    assert world.fleet.violations == []
+    assert world.fleet.starts[model.TaskKey(JOB_ID, 0, 0, 0)] == 2
