Keep the error of one job from holding up all others

Cause: a pass had no boundary. One unit of work that raised ended the pass for all that rank after it and skipped the write that follows, again at each tick. The only sign was timer_failed, which the node writes to standard error and not to its structured log.

Each job is advanced, ranked and placed by itself, each urgent unit measured and the leases of each worker checked by themselves. What raises is logged as stage_failed with its job, counted, undone where a part of a gang was placed, and tried again with growing delays. An error of a whole stage does not keep the later stages and the write from running.

--- a/lycheegate/jobs/copies.py
+++ b/lycheegate/jobs/copies.py
@@ -67,6 +67,7 @@
         counted_crashes=list(current.counted_crashes),
         unknown_cancellations=dict(current.unknown_cancellations),
         idle_jobs=state.IdleJobs(),
+        errors=dict(current.errors),
         durations=_copy_durations(current.durations),
         recent_use=copy.deepcopy(current.recent_use),
         preemption=copy.deepcopy(current.preemption),
--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -6,8 +6,9 @@
 """
 
 import dataclasses
+import functools
 
-from lycheegate.jobs import commands, runs, state, strays
+from lycheegate.jobs import boundaries, commands, runs, state, strays
 
 __all__ = [
     "RecordedDeadline",
@@ -233,7 +234,9 @@
     result: list[commands.Command] = []
     for worker in list(current.workers.values()):
         if worker.runs or worker.strays:
-            result += _check_worker(current, worker, now_s)
+            check = functools.partial(_check_worker, current, worker, now_s)
+            subject = ("leases", worker.worker_id)
+            result += boundaries.run_guarded(current, subject, now_s, check, result) or []
     if not current.unlisted_runs_ended:
         result += _end_unlisted_runs(current, now_s)
         current.unlisted_runs_ended = now_s > compute_handover_end_s(current)
--- a/lycheegate/jobs/lifecycle.py
+++ b/lycheegate/jobs/lifecycle.py
@@ -1,6 +1,8 @@
 """Life cycle of jobs from acceptance to the end: occurrences, dependencies, cancellation."""
 
-from lycheegate.jobs import commands, model, runs, state, validation
+import functools
+
+from lycheegate.jobs import boundaries, commands, model, runs, state, validation
 
 __all__ = [
     "add_job",
@@ -50,17 +52,26 @@
     """Opens occurrences that are due, and ends jobs that are done or have a task to give up."""
     result: list[commands.Command] = []
     for job in state.iterate_open_jobs(current):
-        result += runs.give_up_tasks(current, job, now_s)
-        if not job.is_open:
-            continue
-        _close_finished_occurrences(job)
-        if _open_due_occurrences(job, wall_s):
-            current.schedule_due = True
-        if job.next_occurrence >= job.job.occurrences and _is_done(job):
-            job.end(model.Outcome.SUCCEEDED, now_s)
-            fields = {"job": job.job.job_id, "account": job.job.account, "route": job.job.route}
-            fields["after_s"] = round(wall_s - job.job.accepted_at_s, 3)
-            result.append(commands.Decision("job_succeeded", fields))
+        advance = functools.partial(_advance_job, current, job, now_s, wall_s)
+        subject = ("advance", job.job.job_id)
+        result += boundaries.run_guarded(current, subject, now_s, advance, result) or []
+    return result
+
+
+def _advance_job(
+    current: state.SchedulerState, job: state.JobState, now_s: float, wall_s: float
+) -> list[commands.Command]:
+    result = runs.give_up_tasks(current, job, now_s)
+    if not job.is_open:
+        return result
+    _close_finished_occurrences(job)
+    if _open_due_occurrences(job, wall_s):
+        current.schedule_due = True
+    if job.next_occurrence >= job.job.occurrences and _is_done(job):
+        job.end(model.Outcome.SUCCEEDED, now_s)
+        fields = {"job": job.job.job_id, "account": job.job.account, "route": job.job.route}
+        fields["after_s"] = round(wall_s - job.job.accepted_at_s, 3)
+        result.append(commands.Decision("job_succeeded", fields))
     return result
 
 
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import functools
 
 from lycheegate.jobs import (
+    boundaries,
     commands,
     crashes,
     data_centres,
@@ -97,13 +99,14 @@
     """
     sharing.update_recent_use(current, now_s)
     guaranteed = ordering.list_guaranteed_accounts(current)
-    waiting = _list_units(current, guaranteed, now_s, wall_s)
+    errors: list[commands.Command] = []
+    waiting = _list_units(current, guaranteed, now_s, wall_s, errors)
     if current.reservations:
         keys = ((key, unit.service) for unit in waiting for key in _list_reservation_keys(unit))
         _drop_reservations(current, dict(keys), now_s)
-    if not waiting:
+    if not waiting and not errors:
         return None, []
-    decisions = unevenness.update_uneven_services(current, now_s)
+    decisions = errors + unevenness.update_uneven_services(current, now_s)
     decisions += failure_waves.update_waves(current, now_s)
     context = units.PassContext(current, now_s, wall_s, guaranteed, pool.WorkerPool(current, now_s))
     context.result += decisions
@@ -115,31 +118,53 @@
     return context, waiting
 
 
+_Ranked = list[tuple[tuple, units.Unit]]
+"""Units with their sort keys."""
+
+
 def _list_units(
-    current: state.SchedulerState, guaranteed: set[str], now_s: float, wall_s: float
+    current: state.SchedulerState,
+    guaranteed: set[str],
+    now_s: float,
+    wall_s: float,
+    errors: list[commands.Command],
 ) -> list[units.Unit]:
     """Returns the unplaced tasks of each step that may start, in order of rank."""
-    ranked: list[tuple[tuple, units.Unit]] = []
+    ranked: _Ranked = []
     for job in state.iterate_open_jobs(current):
-        rank: ordering.Rank | None = None
-        for step in job.steps.values():
-            if step.not_before_s > now_s or step.is_done:
-                continue
-            unplaced = step.list_unplaced()
-            if not unplaced or not lifecycle.is_ready(job, step):
-                continue
-            if step.step.gang and (step.runs or len(unplaced) < step.step.count):
-                continue
-            rank = rank or ordering.rank_job(current, job, guaranteed, wall_s)
-            if step.ready_since_s is None:
-                step.ready_since_s = now_s
-            service = state.get_route(current, job).service
-            unit = units.Unit(job, step, unplaced, rank, service)
-            ranked.append(((*rank.as_key(), step.key), unit))
+        list_job = functools.partial(_list_of_job, current, job, guaranteed, now_s, wall_s)
+        subject = ("rank", job.job.job_id)
+        ranked += boundaries.run_guarded(current, subject, now_s, list_job, errors) or []
     ranked.sort(key=lambda item: item[0])
     return [unit for _, unit in ranked]
 
 
+def _list_of_job(
+    current: state.SchedulerState,
+    job: state.JobState,
+    guaranteed: set[str],
+    now_s: float,
+    wall_s: float,
+) -> _Ranked:
+    ranked: _Ranked = []
+    rank: ordering.Rank | None = None
+    for step in job.steps.values():
+        if step.not_before_s > now_s or step.is_done:
+            continue
+        unplaced = step.list_unplaced()
+        if not unplaced or not lifecycle.is_ready(job, step):
+            continue
+        if step.step.gang and (step.runs or len(unplaced) < step.step.count):
+            continue
+        rank = rank or ordering.rank_job(current, job, guaranteed, wall_s)
+        if step.ready_since_s is None:
+            step.ready_since_s = now_s
+        service = state.get_route(current, job).service
+        unit = units.Unit(job, step, unplaced, rank, service)
+        ranked.append(((*rank.as_key(), step.key), unit))
+    return ranked
+
+
 def _list_reservation_keys(unit: units.Unit) -> list[state.ReservationKey]:
     key_prefix = (unit.job.job.job_id, *unit.step.key)
     if unit.step.step.gang:
@@ -232,9 +257,13 @@
     urgent_used = sum_urgent_use(context.current, context.capacities)
     waiting: dict[str, float] = {}
     for unit in listed:
-        if unit.rank.level < 2 and context.workers.could_hold(unit.service, unit.step.step):
-            share = units.compute_share(context, unit)
-            waiting[unit.service] = waiting.get(unit.service, 0.0) + share
+        if unit.rank.level < 2:
+            measure = functools.partial(_measure_demand, context, unit)
+            subject = ("measure", unit.job.job.job_id, str(unit.step.key))
+            share = boundaries.run_guarded(
+                context.current, subject, context.now_s, measure, context.result
+            )
+            waiting[unit.service] = waiting.get(unit.service, 0.0) + (share or 0.0)
     for service, capacity in context.capacities.items():
         used = urgent_used.get(service, 0.0)
         recent = context.current.urgent_demand.get(service, headroom.UrgentDemand())
@@ -243,6 +272,12 @@
         capacity.headroom = headroom.compute_headroom(demand, used, capacity.total)
 
 
+def _measure_demand(context: units.PassContext, unit: units.Unit) -> float:
+    """Returns what an urgent unit adds to the demand, in workers."""
+    could_fit = context.workers.could_hold(unit.service, unit.step.step)
+    return units.compute_share(context, unit) if could_fit else 0.0
+
+
 def _drop_reservations(
     current: state.SchedulerState, service_by_key: dict[state.ReservationKey, str], now_s: float
 ) -> None:
@@ -301,6 +336,34 @@
 
 
 def _place_unit(context: units.PassContext, unit: units.Unit) -> bool:
+    """Places a unit unless that raises, which must not keep the others from being placed.
+
+    Returns:
+        Whether to go on with the other tasks of its step.
+    """
+    names = (unit.job.job.job_id, *map(str, unit.reservation_key[1:]))
+    place = functools.partial(_try_to_place, context, unit)
+    errors: list[commands.Command] = []
+    subject = ("place", *names)
+    placed = boundaries.run_guarded(context.current, subject, context.now_s, place, errors)
+    context.result += errors
+    if errors:
+        _undo_placement(context, unit)
+        return False
+    # A task that has raised lately says nothing about the others of its step.
+    return placed is not False
+
+
+def _undo_placement(context: units.PassContext, unit: units.Unit) -> None:
+    """Removes what an error has left of a placement, as a part of a gang must not start."""
+    context.current.reservations.pop(unit.reservation_key, None)
+    for index in unit.indices:
+        run = unit.step.runs.get(index)
+        if run is not None and run.phase is state.RunPhase.INTENDED:
+            runs.remove_run(context.current, run)
+
+
+def _try_to_place(context: units.PassContext, unit: units.Unit) -> bool:
     """Places a unit if it fits now, else preempts runs or reserves room for it.
 
     Returns:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -31,6 +31,7 @@
     "Run",
     "RunPhase",
     "SchedulerState",
+    "StageError",
     "StepKey",
     "StepState",
     "StopReason",
@@ -565,6 +566,19 @@
     reported_at_s: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageError:
+    """Errors in a row of one stage of a pass for one job or worker.
+
+    Attributes:
+        count: Number of errors.
+        retry_at_s: When the stage is tried again, on the scheduler's clock.
+    """
+
+    count: int
+    retry_at_s: float
+
+
 ReservationKey = tuple[str, int, int, int]
 """Job, occurrence, step and task (or -1 for a gang) that a reservation is for."""
 
@@ -649,6 +663,7 @@
         failure_waves: Current waves of failures on workers, by service.
         recent_use: What client accounts have used of each service during this term.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
+        errors: Stages that have raised, with the jobs or workers for which they have.
     """
 
     epoch: int
@@ -682,6 +697,7 @@
     failure_waves: dict[str, FailureWave] = dataclasses.field(default_factory=dict)
     recent_use: shares.RecentUse = dataclasses.field(default_factory=shares.RecentUse)
     unconfirmed_since_s: float | None = -1.0
+    errors: dict[tuple[str, ...], StageError] = dataclasses.field(default_factory=dict)
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from lycheegate.jobs import (
+    boundaries,
     commands,
     data_centres,
     evacuation,
@@ -385,13 +386,40 @@
         self._pass_due = False
         now_s, wall_s = self._runtime.now_s(), self._runtime.wall_s()
         self._passed_at_s = now_s
-        self._execute(lifecycle.advance_jobs(self._state, now_s, wall_s))
-        self._execute(evacuation.evacuate(self._state, now_s))
+        self._run_stage(
+            "advance", now_s, lambda: lifecycle.advance_jobs(self._state, now_s, wall_s)
+        )
+        self._run_stage("evacuate", now_s, lambda: evacuation.evacuate(self._state, now_s))
         if self._state.schedule_due and not self._writer.is_releasing:
-            self._execute(scheduling.schedule(self._state, now_s, wall_s))
+            self._run_stage(
+                "schedule", now_s, lambda: scheduling.schedule(self._state, now_s, wall_s), True
+            )
         self._pass_delay_s = passes.compute_pass_delay_s(self._runtime.now_s() - now_s)
         self._writer.write()
 
+    def _run_stage(
+        self,
+        stage: str,
+        now_s: float,
+        function: Callable[[], list[commands.Command]],
+        is_repeated: bool = False,
+    ) -> None:
+        """Executes the commands of a stage; its error must not keep the later ones from running.
+
+        Args:
+            stage: Name of the stage, for the log.
+            now_s: Time on the scheduler's clock.
+            function: The stage.
+            is_repeated: Whether it runs again with the next pass if it raises.
+        """
+        errors: list[commands.Command] = []
+        # All jobs wait for such a stage, so it is tried again soon.
+        max_retry_s = boundaries.BASE_RETRY_S
+        result = boundaries.run_guarded(self._state, (stage,), now_s, function, errors, max_retry_s)
+        self._execute(errors + (result or []))
+        if result is None and is_repeated:
+            self._state.schedule_due = True
+
     def _tick(self) -> None:
         if self._stopped:
             return
@@ -409,15 +437,19 @@
             self._runtime.log.write("tick_delayed", epoch=self.epoch, by_s=round(delay_s, 3))
         if self._loaded:
             if delay_s <= MAX_TICK_DELAY_S:
-                self._execute(leases.check_leases(self._state, now_s))
-            self._job_rows.delete_expired(now_s)
-            self._refusal_sweeper.sweep(now_s)
+                self._run_stage("leases", now_s, lambda: leases.check_leases(self._state, now_s))
+            self._run_stage("delete", now_s, lambda: self._job_rows.delete_expired(now_s) or [])
+            self._run_stage("sweep", now_s, lambda: self._refusal_sweeper.sweep(now_s) or [])
             # Due times, backoffs and the age of reports affect what may start.
             self._state.schedule_due = True
             self._request_pass()
         self._writer.write()
         if self._loaded:
-            self._execute(waiting.check_waiting(self._state, now_s, self._runtime.wall_s()))
+            self._run_stage(
+                "waiting",
+                now_s,
+                lambda: waiting.check_waiting(self._state, now_s, self._runtime.wall_s()),
+            )
 
     def _handle_completed_write(self, orders: list[commands.Command], sent_at_s: float) -> None:
         """Sends the start orders that a write allows."""
