Let a service without usable workers have no tiers by speed

A new holder that has inherited an uneven service, and to which no worker has reported, raised IndexError in each pass while an urgent job waited, so that it placed nothing. It healed with the first report.

Cause: the order of workers by speed begins with the fastest of them, and there was none.

Evidence: test_uneven_service_without_usable_workers_has_no_tiers_by_speed failed before with stage_failed and holds.

--- a/lycheegate/jobs/adequacy.py
+++ b/lycheegate/jobs/adequacy.py
@@ -297,7 +297,7 @@
 
 def _make_speed_tiers(speeds: _ServiceSpeeds) -> Tiers:
     width = math.log(SPEED_BAND_RATIO)
-    fastest = speeds.ratios[0]
+    fastest = speeds.ratios[0] if speeds.ratios else 1.0
     return Tiers(
         [
             min(MAX_SPEED_TIER, round(math.log(estimate.ratio / fastest) / width))
--- a/lycheegate/jobs/tests/test_adequacy.py
+++ b/lycheegate/jobs/tests/test_adequacy.py
@@ -6,7 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheegate.jobs import adequacy, commands, model, placement, runs, state, unevenness
+from lycheegate.jobs import (
+    adequacy,
+    commands,
+    model,
+    placement,
+    runs,
+    scheduling,
+    state,
+    unevenness,
+)
 from lycheegate.jobs.tests import speeds
 
 _NOW_S = 1000.0
@@ -315,3 +324,17 @@
         assert unevenness.update_uneven_services(current, 1.5) == []
     assert current.uneven_services == frozenset({"render"} if is_uneven else ())
     assert len(found) == (is_uneven != was_uneven)
+
+
+def test_uneven_service_without_usable_workers_has_no_tiers_by_speed():
+    """Guards against a pass that raises while urgent work waits and no worker has reported yet.
+
+    A new holder knows from its predecessor that the service is uneven.
+    """
+    current = speeds.make_state([8, 8], rack_size=4)
+    current.uneven_services, current.unevenness_checked_at_s = frozenset({"render"}), _NOW_S
+    for worker in current.workers.values():
+        worker.confirmed = False
+    speeds.add_job(current, "job", "urgent", _gang(2, 8), _NOW_S)
+    result = scheduling.schedule(current, _NOW_S, _NOW_S)
+    assert _list_events(result, "stage_failed") == []
