Let preferences give way where work stands still beside free room

Cause: each preference of the scheduler was made for a loaded service and ends by a rule of its own, or never. A gang that should not span racks waited for one rack with room for all of it, for as long as runs last there. A task waited for the rack of its data for its declared duration unless the holder took the service for lightly loaded, and the holder counted the usable workers only. Room stayed reserved for gangs that wait, or was kept for urgent work, and quarantined workers got nothing that could prove them sound.

lycheegate.jobs.starvation holds the one bound: for a job that has had nothing running for 2 s on a lightly loaded service, all these preferences give way for one task or gang. Load is counted over all registered workers. A task that lasts gets the same whatever the load. Gangs and last attempts still wait for workers without failures, as a failure there costs the gang or the job; room that was freed by stopping runs stays with the work that it was freed for.

The check of the simulated workers took one rack for a condition of such gangs, so that no play could find them idle.

--- a/lycheegate/jobs/copies.py
+++ b/lycheegate/jobs/copies.py
@@ -95,6 +95,7 @@
     result.last_crashed_numbers = dict(step.last_crashed_numbers)
     result.crashed_workers = {key: set(ids) for key, ids in step.crashed_workers.items()}
     result.preempted_at_s = dict(step.preempted_at_s)
+    result.absent_since_s = dict(step.absent_since_s)
     result.wave = None
     result.runs = {}
     for index, run in step.runs.items():
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -27,21 +27,27 @@
 
 def is_eligible(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker may get new work as soon as it reports."""
+    return _is_allowed(current, worker) and not health.is_quarantined(worker, now_s)
+
+
+def _is_allowed(current: state.SchedulerState, worker: state.WorkerState) -> bool:
     return (
         worker.registered
         and worker.has_current_registration
         and not worker.draining
         and not worker.unknown_runs
-        and not health.is_quarantined(worker, now_s)
         and not data_centres.is_evacuated(current, worker)
     )
 
 
 def is_usable(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     """Returns whether a worker may get new work now."""
+    return is_eligible(current, worker, now_s) and _is_reporting(current, worker, now_s)
+
+
+def _is_reporting(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     return (
-        is_eligible(current, worker, now_s)
-        and worker.confirmed
+        worker.confirmed
         and now_s - worker.reported_at_s < current.policy.report_stale_s
         and now_s >= worker.unreachable_until_s
     )
@@ -62,6 +68,8 @@
         now_s: float,
         stalled: frozenset[str] | None = None,
     ):
+        self._current = current
+        self._now_s = now_s
         self._by_service: dict[str, list[placement.Candidate]] = {}
         self._by_worker: dict[str, placement.Candidate] = {}
         self._workers = current.workers
@@ -172,6 +180,27 @@
             for candidate in labeled
         ]
 
+    def list_quarantined(self, service: str, step: state.StepState) -> list[placement.Candidate]:
+        """Returns the workers without runs that could run tasks of a step but for a quarantine."""
+        label = step.step.label
+        return [
+            placement.Candidate(
+                worker.worker_id,
+                worker.rack,
+                worker.room,
+                worker.capacity,
+                step.step.max_per_worker or NO_LIMIT,
+                worker.worker_id in step.avoided_workers,
+            )
+            for worker in self._workers.values()
+            if worker.service == service
+            and (not label or label in worker.labels)
+            and not worker.runs
+            and health.is_quarantined(worker, self._now_s)
+            and _is_allowed(self._current, worker)
+            and _is_reporting(self._current, worker, self._now_s)
+        ]
+
     def _list_labeled(self, service: str, label: str) -> list[placement.Candidate]:
         candidates = self._by_service.get(service, [])
         if not label:
--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -22,6 +22,7 @@
     reclaiming,
     runs,
     sharing,
+    starvation,
     state,
     unevenness,
     units,
@@ -52,11 +53,6 @@
 MAX_LOCALITY_WAIT_RATIO = 1.0
 """How long a task waits for room in the rack of its data before it may run elsewhere, as a
 multiple of its declared duration."""
-MAX_IDLE_LOCALITY_WAIT_S = 2.0
-"""Limit of that wait while its service is lightly loaded, for a job that has nothing running and
-for each task that lasts. These must not stay idle for 3 s."""
-LIGHT_LOAD_RATIO = 0.5
-"""Share of its capacity below whose use a service is lightly loaded."""
 
 
 def schedule(current: state.SchedulerState, now_s: float, wall_s: float) -> list[commands.Command]:
@@ -149,6 +145,8 @@
     ranked: _Ranked = []
     rank: ordering.Rank | None = None
     for step in job.steps.values():
+        if step.step.long_running:
+            starvation.update_absences(step, now_s)
         if step.not_before_s > now_s or step.is_done:
             continue
         unplaced = step.list_unplaced()
@@ -382,6 +380,10 @@
             return True
         if chosen is not None:
             _report_if_differs(context, unit, chosen)
+    if chosen is None and starvation.is_starved(context, unit):
+        chosen = starvation.choose_workers(context, unit)
+        if chosen is not None:
+            context.result.append(starvation.make_decision(context, unit))
     if chosen is not None:
         context.current.reservations.pop(unit.reservation_key, None)
         _add_runs(context, unit, chosen)
@@ -535,16 +537,12 @@
 
     Args:
         context: Inputs of the pass.
-        unit: The unit; its service has usable workers.
+        unit: The unit.
     """
     step = unit.step.step
     if not step.near_rack:
         return 0.0
     max_wait_s = MAX_LOCALITY_WAIT_RATIO * step.estimate_s
-    capacity = context.capacities[unit.service]
-    is_light = capacity.used < LIGHT_LOAD_RATIO * capacity.total
-    if is_light and (step.long_running or not unit.job.list_runs()):
-        max_wait_s = min(max_wait_s, MAX_IDLE_LOCALITY_WAIT_S)
     return max(0.0, max_wait_s - unit.step.compute_waited_s(context.now_s))
 
 
@@ -552,7 +550,8 @@
     """Places the tasks of a unit on the chosen workers and logs the placement."""
     step = unit.step
     context.placed_tasks += len(unit.indices)
-    context.capacities[unit.service].used += units.compute_share(context, unit)
+    if unit.service in context.capacities:
+        context.capacities[unit.service].used += units.compute_share(context, unit)
     units.record_gang(context, unit, chosen)
     sharing.charge_placed(context, unit)
     if step.step.gang:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -203,6 +203,8 @@
         crashed_workers: Workers that have crashed under each task during this term.
         wave: Its tasks whose durations were observed first, or None before that.
         preempted_at_s: When each task was last preempted during this term; for a gang, task 0.
+        absent_since_s: When each task without a run was first found to have none during this term,
+            in a step that lasts.
     """
 
     key: StepKey
@@ -221,6 +223,7 @@
     crashed_workers: dict[int, set[str]] = dataclasses.field(default_factory=dict)
     wave: factors.Wave | None = None
     preempted_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    absent_since_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -23,6 +23,7 @@
     "compute_share",
     "is_last_attempt",
     "is_limited_to_proved",
+    "list_allowed",
     "list_candidates",
     "list_suitable",
     "make_reservation_key",
@@ -79,6 +80,9 @@
         declined_preemptions: Number of preemptions that were declined.
         starting_gangs: Cache of the number of gangs of each service that are being started on
             unproved workers.
+        loads: Cache of the share of each service that is in use, or None before it is needed.
+        relief_searches: Number of searches for room for work that has stood still for too long.
+        unplaced_shapes: Kinds of such work for which no room was found.
     """
 
     current: state.SchedulerState
@@ -96,6 +100,9 @@
     compared_steps: set[tuple] = dataclasses.field(default_factory=set)
     declined_preemptions: int = 0
     starting_gangs: dict[str, int] = dataclasses.field(default_factory=dict)
+    loads: dict[str, float] | None = None
+    relief_searches: int = 0
+    unplaced_shapes: set[tuple] = dataclasses.field(default_factory=set)
     speeds: adequacy.FleetSpeeds = dataclasses.field(init=False)
 
     def __post_init__(self):
@@ -111,6 +118,8 @@
 
 def is_last_attempt(context: PassContext, unit: Unit) -> bool:
     """Returns whether one more failure of a unit's tasks fails its job."""
+    if unit.step.step.long_running:
+        return False
     failures = max(unit.step.failures.get(index, 0) for index in unit.indices)
     return failures + 1 >= state.get_route(context.current, unit.job).max_attempts
 
@@ -144,11 +153,17 @@
     return list_suitable(context, unit)
 
 
-def list_suitable(context: PassContext, unit: Unit) -> list[placement.Candidate]:
-    """Returns the workers on which a unit may be placed, with the tiers that are set."""
+def list_allowed(context: PassContext, unit: Unit) -> list[placement.Candidate]:
+    """Returns the workers on which a unit may be placed without regard to preferences."""
     candidates = context.workers.list_candidates(unit.service, unit.step)
     if crashes.is_suspect(unit.step, unit.indices):
         candidates = context.workers.list_for_trial(candidates)
+    return candidates
+
+
+def list_suitable(context: PassContext, unit: Unit) -> list[placement.Candidate]:
+    """Returns the workers on which a unit may be placed, with the tiers that are set."""
+    candidates = list_allowed(context, unit)
     if unit.step.step.gang or is_last_attempt(context, unit):
         candidates = placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
     unproved = context.workers.unproved
--- a/lycheegate/node/tests/idleness.py
+++ b/lycheegate/node/tests/idleness.py
@@ -158,5 +158,5 @@
             for c in candidates
             if not step.label or step.label in self._fleet.workers[c.worker_id].labels
         ]
-        same_rack = step.gang and step.same_rack
-        return placement.place_gang(count, step.need, labeled, same_rack) is not None
+        # A gang that spans racks works, only slower.
+        return placement.place_gang(count, step.need, labeled, same_rack=False) is not None
