Keep an order that raises from holding up the orders after it

Orders that one write allows are sent in a row. An error in one of them ended the row: the runs of up to 39 other jobs counted as ordered until their orders had timed out, and their workers as unreachable after that.

Each order is sent by itself. What raises is logged as stage_failed; the run counts as unanswered.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from lycheegate.jobs import (
@@ -464,12 +465,28 @@
     def _execute(self, command_list: list[commands.Command]) -> None:
         for command in command_list:
             if isinstance(command, commands.Decision):
-                self._runtime.log.write(command.event, epoch=self.epoch, **command.fields)
-                self._record_time(command)
+                self._log_decision(command)
             elif isinstance(command, commands.StartRun):
-                self._exchange.send_start(command)
+                send = functools.partial(self._exchange.send_start, command)
+                self._send_guarded("start", command.task.job_id, send)
             else:
-                self._exchange.send_stop(command)
+                send = functools.partial(self._exchange.send_stop, command)
+                self._send_guarded("stop", command.task.job_id, send)
+
+    def _send_guarded(self, stage: str, job_id: str, send: Callable[[], None]) -> None:
+        """Sends an order; its error must not keep the orders after it from being sent.
+
+        An order that was not sent counts as unanswered, so none is held back for a retry.
+        """
+        errors: list[commands.Command] = []
+        now_s = self._runtime.now_s()
+        boundaries.run_guarded(self._state, (stage, job_id), now_s, send, errors, 0.0)
+        for decision in errors:
+            self._log_decision(decision)
+
+    def _log_decision(self, decision: commands.Decision) -> None:
+        self._runtime.log.write(decision.event, epoch=self.epoch, **decision.fields)
+        self._record_time(decision)
 
     def _record_time(self, decision: commands.Decision) -> None:
         fields = decision.fields
--- /dev/null
+++ b/lycheegate/node/tests/test_review_of_idle_at_rest.py
@@ -0,0 +1,47 @@
+"""Errors of one job and waits that still let other work stand still (docs/incidents)."""
+
+import contextlib
+
+from lycheegate.node import exchange
+from lycheegate.node.tests import simulation
+
+FAULTY_ID = "f" * 16
+MAX_DELAY_S = 2.0
+"""Time in which jobs start beside a faulty one: less than a task may stand still."""
+
+
+def _run(world, duration_s):
+    """Advances the clock; an error ends only its own callback, as on the node's event loop."""
+    until_s = world.loop.now_s + duration_s
+    while world.loop.now_s < until_s:
+        with contextlib.suppress(ValueError):
+            world.loop.run_until(until_s)
+
+
+def _has_started(world, job_id):
+    return any(task.job_id == job_id for task in world.fleet.starts)
+
+
+def test_order_that_raises_does_not_keep_the_other_orders_from_being_sent(monkeypatch):
+    """Guards against jobs that stand still together as they were written with a faulty one.
+
+    Their runs count as ordered, and their workers as unreachable, until the orders have timed out.
+    """
+    original = exchange.WorkerExchange.send_start
+
+    def send_start(self, order):
+        if order.task.job_id == FAULTY_ID:
+            raise ValueError("order of a faulty job")
+        original(self, order)
+
+    monkeypatch.setattr(exchange.WorkerExchange, "send_start", send_start)
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.claim_term("a")
+    world.run(1.0)
+    for job_id in [FAULTY_ID] + [f"{number:016x}" for number in range(8)]:
+        world.submit(simulation.make_job(job_id, simulation.make_step()))
+    _run(world, MAX_DELAY_S)
+    others = [f"{number:016x}" for number in range(8)]
+    assert [job_id for job_id in others if not _has_started(world, job_id)] == []
+    assert world.fleet.violations == []
