Keep errors in optional rows from ending the term

The learned durations and the summary of the load are written with the heartbeat. An error in making them kept the heartbeat and all progress from being written, at each try, and the next holder inherits the same durations.

Without these rows the term goes on, so what raises is logged as stage_failed and left out.

--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -5,6 +5,8 @@
 
 from lycheegate.jobs import (
     admission,
+    boundaries,
+    commands,
     evacuation,
     health,
     leases,
@@ -105,10 +107,26 @@
             *self._make_suspects_write(is_loaded),
             *self._make_departures_write(is_loaded, clock_ms),
             *self._make_leases_write(release, is_loaded, clock_ms),
-            *self._make_load_write(release, is_loaded, clock_ms),
-            *self._make_durations_write(clock_ms),
+            *self._make_guarded(
+                "load_row", lambda: self._make_load_write(release, is_loaded, clock_ms)
+            ),
+            *self._make_guarded("durations_row", lambda: self._make_durations_write(clock_ms)),
         ]
 
+    def _make_guarded(
+        self, stage: str, make: Callable[[], list[storage.Write]]
+    ) -> list[storage.Write]:
+        """Returns the write of a row without which the term goes on, or nothing if that raises.
+
+        An error in what is learned or summarised must not keep the heartbeat, and with it all
+        progress, from being written.
+        """
+        errors: list[commands.Command] = []
+        result = boundaries.run_guarded(self._state, (stage,), self._now_s(), make, errors)
+        for decision in errors:
+            self._log.write(decision.event, epoch=self._state.epoch, **decision.fields)
+        return result or []
+
     def handle_stored(self) -> None:
         """Lets leases be granted again to workers that the stored heartbeat does not list."""
         self._are_durations_sent = False
--- a/lycheegate/node/tests/test_review_of_idle_at_rest.py
+++ b/lycheegate/node/tests/test_review_of_idle_at_rest.py
@@ -2,6 +2,9 @@
 
 import contextlib
 
+import pytest
+
+from lycheegate.jobs.durations import encoding
 from lycheegate.node import exchange
 from lycheegate.node.tests import simulation
 
@@ -45,3 +48,24 @@
     others = [f"{number:016x}" for number in range(8)]
     assert [job_id for job_id in others if not _has_started(world, job_id)] == []
     assert world.fleet.violations == []
+
+
+@pytest.mark.parametrize("name", ["encode_model", "make_snapshot"])
+def test_error_in_a_row_beside_the_heartbeat_does_not_end_the_term(monkeypatch, name):
+    """Guards against learned durations that cannot be encoded and keep all else from being stored.
+
+    The next holder inherits them, so it would fail in the same way.
+    """
+    world = simulation.World(1)
+    world.claim_term("a")
+    world.run(1.0)
+
+    def fail(*args, **fields):
+        raise ValueError(name)
+
+    monkeypatch.setattr(encoding, name, fail)
+    for number in range(30):
+        world.submit(simulation.make_job(f"{number:016x}", simulation.make_step()))
+        _run(world, 1.0)
+    _run(world, 5.0)
+    simulation.assert_all_succeed(world)
