--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -1,9 +1,10 @@
 """Life cycle of a run: intended, ordered, running, stopping, removed."""
 
 import enum
+import functools
 from typing import Any
 
-from lycheegate.jobs import commands, crashes, estimates, health, model, ordering, state
+from lycheegate.jobs import boundaries, commands, crashes, estimates, health, model, ordering, state
 from lycheegate.jobs.durations import observations, predictions
 
 __all__ = [
@@ -184,8 +185,11 @@
     fields = _make_end_fields(run, end, reason, now_s)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
-        fields |= observations.measure_errors(current, step, run, now_s)
-        observations.observe_end(current, job, step, run, now_s)
+        # The run is removed and its end will be acknowledged, so an error in what is learned from
+        # it must not lose the success.
+        observe = functools.partial(_observe_success, current, job, step, run, now_s)
+        subject = ("observe", job.job.job_id)
+        fields |= boundaries.run_guarded(current, subject, now_s, observe, result) or {}
         _record_success(current, job, step, run, now_s)
         return result
     if end is End.INTERRUPTED and run.phase is state.RunPhase.STOPPING:
@@ -201,6 +205,19 @@
     return result
 
 
+def _observe_success(
+    current: state.SchedulerState,
+    job: state.JobState,
+    step: state.StepState,
+    run: state.Run,
+    now_s: float,
+) -> dict[str, Any]:
+    """Learns from the duration of a run that has succeeded, and returns fields for the log."""
+    fields = observations.measure_errors(current, step, run, now_s)
+    observations.observe_end(current, job, step, run, now_s)
+    return fields
+
+
 def _make_run_fields(run: state.Run) -> dict[str, Any]:
     """Returns the log fields that name a run."""
     return {
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -1,8 +1,9 @@
 """Updates of the workers' state from registrations and reports."""
 
 import dataclasses
+import functools
 
-from lycheegate.jobs import commands, crashes, leases, model, runs, state, strays
+from lycheegate.jobs import boundaries, commands, crashes, leases, model, runs, state, strays
 from lycheegate.jobs.durations import factors, observations
 
 __all__ = [
@@ -358,7 +359,9 @@
     result += _apply_ends(current, worker, report, now_s)
     if is_latest:
         result += _apply_running(current, worker, report, now_s)
-        result += observations.observe_report(current, worker, now_s)
+        observe = functools.partial(observations.observe_report, current, worker, now_s)
+        subject = ("observe", worker.worker_id)
+        result += boundaries.run_guarded(current, subject, now_s, observe, result) or []
     return result
 
 
--- a/lycheegate/node/tests/test_review_of_idle_at_rest.py
+++ b/lycheegate/node/tests/test_review_of_idle_at_rest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheegate.jobs.durations import encoding
+from lycheegate.jobs.durations import encoding, observations
 from lycheegate.node import exchange
 from lycheegate.node.tests import simulation
 
@@ -50,6 +50,32 @@
     assert world.fleet.violations == []
 
 
+@pytest.mark.parametrize("name", ["observe_end", "measure_errors"])
+def test_error_at_the_end_of_a_run_does_not_hold_up_its_worker(monkeypatch, name):
+    """Guards against a report that is never applied since the end of one run in it raises.
+
+    The other runs on the worker would count as silent, and the task would run again although its
+    success was reported.
+    """
+    original = getattr(observations, name)
+
+    def observe(current, *args):
+        step_or_job = [a for a in args if hasattr(a, "task")]
+        if any(run.task.job_id == FAULTY_ID for run in step_or_job):
+            raise ZeroDivisionError(name)
+        return original(current, *args)
+
+    monkeypatch.setattr(observations, name, observe)
+    world = simulation.World(1, worker_count=1)
+    world.claim_term("a")
+    world.run(1.0)
+    for job_id in [FAULTY_ID] + [f"{number:016x}" for number in range(8)]:
+        world.submit(simulation.make_job(job_id, simulation.make_step()))
+    world.run(10.0)
+    assert world.fleet.violations == []
+    simulation.assert_all_succeed(world)
+
+
 @pytest.mark.parametrize("name", ["encode_model", "make_snapshot"])
 def test_error_in_a_row_beside_the_heartbeat_does_not_end_the_term(monkeypatch, name):
     """Guards against learned durations that cannot be encoded and keep all else from being stored.
