Try again within a second after an error

A job whose handling had raised was tried again after up to 5 s, so it could stand still for longer than 3 s after the reason was gone (LOST).

Evidence: test_job_starts_soon_after_the_reason_of_its_errors_is_gone failed before and holds.

--- a/lycheegate/jobs/boundaries.py
+++ b/lycheegate/jobs/boundaries.py
@@ -16,7 +16,8 @@
 
 BASE_RETRY_S = 0.25
 """Delay before the next try after an error; doubles with each further one."""
-MAX_RETRY_S = 5.0
+MAX_RETRY_S = 1.0
+"""Maximum delay; work must not stand still for 3 s once the reason for an error is gone."""
 MAX_ERROR_CHARACTERS = 200
 MAX_REMEMBERED = 10_000
 """Number of errors from which those whose delay has passed are forgotten."""
--- a/lycheegate/node/tests/test_review_of_idle_at_rest.py
+++ b/lycheegate/node/tests/test_review_of_idle_at_rest.py
@@ -1,12 +1,15 @@
 """Errors of one job and waits that still let other work stand still (docs/incidents)."""
 
 import contextlib
+import json
 
 import pytest
 
+from lycheegate.jobs import placement
 from lycheegate.jobs.durations import encoding, observations
 from lycheegate.node import exchange
 from lycheegate.node.tests import simulation
+from lycheegate.node.tests.test_idle_at_rest import WAITING_ID
 
 FAULTY_ID = "f" * 16
 MAX_DELAY_S = 2.0
@@ -76,6 +79,28 @@
     simulation.assert_all_succeed(world)
 
 
+def test_job_starts_soon_after_the_reason_of_its_errors_is_gone(monkeypatch):
+    """Guards against a delay between the tries that is itself longer than a job may stand still."""
+    original = placement.place_task
+    is_broken = [True]
+
+    def place_task(need, *args, **fields):
+        if is_broken[0]:
+            raise IndexError("no workers")
+        return original(need, *args, **fields)
+
+    monkeypatch.setattr(placement, "place_task", place_task)
+    world = simulation.World(1)
+    world.claim_term("a")
+    world.run(1.0)
+    world.submit(simulation.make_job(WAITING_ID, simulation.make_step()))
+    world.run(4.5)
+    assert any(json.loads(line)["event"] == "stage_failed" for line in world.lines)
+    is_broken[0] = False
+    world.run(MAX_DELAY_S)
+    assert _has_started(world, WAITING_ID)
+
+
 @pytest.mark.parametrize("name", ["encode_model", "make_snapshot"])
 def test_error_in_a_row_beside_the_heartbeat_does_not_end_the_term(monkeypatch, name):
     """Guards against learned durations that cannot be encoded and keep all else from being stored.
