Reserve room again after a search for starved work raises

A search without regard to preferences adds the reserved room of waiting gangs back. If it raised, that room stayed free for all that ranked after it in the pass.

Evidence: test_error_in_a_search_does_not_release_the_reserved_room failed before and holds.

--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -164,9 +164,11 @@
     ]
     for reservation in planned:
         context.workers.remove_reservation(reservation)
-    chosen = _choose(context, unit)
-    for reservation in planned:
-        context.workers.add_reservation(reservation)
+    try:
+        chosen = _choose(context, unit)
+    finally:
+        for reservation in planned:
+            context.workers.add_reservation(reservation)
     if chosen is None:
         context.unplaced_shapes.add(shape)
     return chosen
--- /dev/null
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -0,0 +1,62 @@
+"""Cases in which preferences do not give way although they must, or do although they must not."""
+
+from lycheegate.jobs import model, starvation, state
+from lycheegate.jobs.tests import speeds
+
+_NOW_S = 1000.0
+_READY_S = _NOW_S - 30.0
+
+
+def _make_state(rooms, rack_size=100):
+    current = speeds.make_state(rooms, rack_size)
+    current.began_at_s = _NOW_S - 100.0
+    return current
+
+
+def _add_waiting(current, job_id, step, route="batch", accepted_s=_READY_S):
+    job = speeds.add_job(current, job_id, route, step, accepted_s)
+    job.steps[0, 0].ready_since_s = _READY_S
+    return job
+
+
+def _run_passes(current, count=8):
+    for number in range(count):
+        speeds.schedule(current, _NOW_S + 0.25 * number)
+
+
+def _occupy_accelerators(current, worker_ids):
+    """Lets tasks that need few cores use all accelerators of workers."""
+    for worker_id in worker_ids:
+        worker = current.workers[worker_id]
+        worker.room = worker.room - model.Resources(4_000, 8_000, 8)
+
+
+def test_error_in_a_search_does_not_release_the_reserved_room(monkeypatch):
+    """Guards against work that takes room of gangs since a search before it has raised.
+
+    The search adds reserved room back for its own duration only.
+    """
+    current = _make_state([8] * 5)
+    for number in range(2):
+        current.workers[f"w{number}"].room = model.Resources()
+    need = speeds.make_need(8)
+    _add_waiting(current, "gang", model.Step(4, need, 60.0, gang=True), "gang")
+    current.reservations["gang", 0, 0, -1] = state.Reservation(
+        {0: "w2", 1: "w3", 2: "w4", 3: "w0"}, need, _NOW_S + 15.0, False
+    )
+    _add_waiting(current, "poor", model.Step(1, need, 60.0))
+    smaller = model.Step(1, speeds.make_need(4), 60.0)
+    fresh = _add_waiting(current, "z", smaller, accepted_s=_READY_S - 100.0)
+    fresh.steps[0, 0].ready_since_s = _NOW_S
+
+    original = starvation._choose
+
+    def choose(context, unit):
+        if unit.job.job.job_id == "poor":
+            raise ValueError("no choice")
+        return original(context, unit)
+
+    monkeypatch.setattr(starvation, "_choose", choose)
+    _run_passes(current, 1)
+    assert {subject[:2] for subject in current.errors} == {("place", "poor")}
+    assert fresh.list_runs() == []
