Count the absence of a lasting task from when it may start

A lasting task of a step that depends on others counted as absent while it was not ready, so it took reserved room in the moment it became ready.

Evidence: test_absence_of_a_lasting_task_begins_when_it_may_start found an absence of 50 s at that moment, and holds.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -145,7 +145,7 @@
     ranked: _Ranked = []
     rank: ordering.Rank | None = None
     for step in job.steps.values():
-        if step.step.long_running:
+        if step.step.long_running and lifecycle.is_ready(job, step):
             starvation.update_absences(step, now_s)
         if step.not_before_s > now_s or step.is_done:
             continue
--- a/lycheegate/jobs/tests/test_review_of_starvation.py
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -1,6 +1,6 @@
 """Cases in which preferences do not give way although they must, or do although they must not."""
 
-from lycheegate.jobs import model, starvation, state
+from lycheegate.jobs import model, runs, starvation, state
 from lycheegate.jobs.tests import speeds
 
 _NOW_S = 1000.0
@@ -60,3 +60,20 @@
     _run_passes(current, 1)
     assert {subject[:2] for subject in current.errors} == {("place", "poor")}
     assert fresh.list_runs() == []
+
+
+def test_absence_of_a_lasting_task_begins_when_it_may_start():
+    """Guards against a lasting task that takes reserved room in the moment it becomes ready."""
+    current = _make_state([8])
+    first = model.Step(1, speeds.make_need(1), 60.0)
+    lasting = model.Step(1, speeds.make_need(1), 60.0, long_running=True, depends_on=(0,))
+    job = model.Job("job", "batch", "acme", "x", (first, lasting), _NOW_S - 60.0)
+    current.jobs["job"] = job_state = state.JobState(job, speeds.ROUTES["batch"])
+    for number, step in enumerate(job.steps):
+        job_state.steps[0, number] = state.StepState((0, number), step)
+    job_state.next_occurrence = 1
+    speeds.schedule(current, _NOW_S - 50.0)
+    run = job_state.steps[0, 0].runs[0]
+    runs.end_run(current, run, runs.End.DONE, "", _NOW_S)
+    speeds.schedule(current, _NOW_S)
+    assert job_state.steps[0, 1].absent_since_s.get(0, _NOW_S) >= _NOW_S
