Try the quarantined worker first that has not failed for longest

Work that stands still beside quarantined workers is placed on one of them. The choice was by room and identifier, so a worker that stays faulty got all such work and the others were not tried until their quarantine had ended.

Evidence: test_trials_of_quarantined_workers_go_round saw four trials on the same one of four workers, and now sees one on each.

--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -181,7 +181,10 @@
         ]
 
     def list_quarantined(self, service: str, step: state.StepState) -> list[placement.Candidate]:
-        """Returns the workers without runs that could run tasks of a step but for a quarantine."""
+        """Returns the workers without runs that could run tasks of a step but for a quarantine.
+
+        Those whose quarantine ends first, which have not failed for longest, are first.
+        """
         label = step.step.label
         return [
             placement.Candidate(
@@ -192,7 +195,7 @@
                 step.step.max_per_worker or NO_LIMIT,
                 worker.worker_id in step.avoided_workers,
             )
-            for worker in self._workers.values()
+            for worker in sorted(self._workers.values(), key=lambda w: w.quarantined_until_s)
             if worker.service == service
             and (not label or label in worker.labels)
             and not worker.runs
--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -192,8 +192,13 @@
     chosen = _place(unit, candidates)
     if chosen is not None:
         return chosen
-    # One run at a time shows whether a quarantined worker is still faulty.
-    return _place(unit, context.workers.list_quarantined(unit.service, unit.step))
+    # One run at a time shows whether a quarantined worker is still faulty. The first that has room
+    # is taken, so that one that stays faulty does not get all of these runs.
+    tried = (
+        _place(unit, [candidate])
+        for candidate in context.workers.list_quarantined(unit.service, unit.step)
+    )
+    return next((chosen for chosen in tried if chosen is not None), None)
 
 
 def _place(unit: units.Unit, candidates: list[placement.Candidate]) -> list[str] | None:
--- a/lycheegate/jobs/tests/test_review_of_starvation.py
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -77,3 +77,25 @@
     runs.end_run(current, run, runs.End.DONE, "", _NOW_S)
     speeds.schedule(current, _NOW_S)
     assert job_state.steps[0, 1].absent_since_s.get(0, _NOW_S) >= _NOW_S
+
+
+def test_trials_of_quarantined_workers_go_round():
+    """Guards against trials that always go to the same worker, which stays faulty.
+
+    All workers are quarantined. Each trial fails and quarantines its worker anew.
+    """
+    current = _make_state([8] * 4)
+    for worker in current.workers.values():
+        worker.quarantined_until_s = _NOW_S + 10.0
+        worker.quarantines = 4
+    tried: list[str] = []
+    for number in range(4):
+        now_s = _NOW_S + 0.5 * number
+        job = _add_waiting(current, f"job{number}", model.Step(1, speeds.make_need(8), 1.0))
+        speeds.schedule(current, now_s)
+        for run in [run for each in current.jobs.values() for run in each.list_runs()]:
+            tried.append(run.worker_id)
+            run.phase, run.running_since_s = state.RunPhase.RUNNING, now_s
+            runs.end_run(current, run, runs.End.FAILED, "", now_s + 0.05)
+        job.outcome = model.Outcome.FAILED
+    assert sorted(tried) == ["w0", "w1", "w2", "w3"]
