Give preferences up only beside room twice over

The load of a service is that of its least used resource. Where tasks use all accelerators and few cores, a full service counted as lightly loaded: work that had waited for 2 s took the room reserved for gangs, and gangs spanned racks, which makes them three times slower.

The rule asks for room twice over, so preferences give way only then. That also leaves out work that fits nowhere, which used up the searches of each pass.

Evidence: the two tests of a service whose accelerators are in use and both cases of test_work_that_fits_nowhere_does_not_use_up_the_searches_of_each_pass failed before and hold.

--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -29,6 +29,8 @@
 intention has to be stored and its order sent before it runs."""
 LIGHT_LOAD_RATIO = 0.5
 """Share of its capacity below whose use a service is lightly loaded."""
+SPARE_FACTOR = 2
+"""How many times over there must be room for work for which preferences give way."""
 PENDING_START_S = 1.5
 """Age up to which a placed run counts as about to start."""
 SETTLING_S = 0.5
@@ -154,7 +156,9 @@
         unit: The unit.
     """
     shape = _make_shape(unit)
-    if shape in context.unplaced_shapes or context.relief_searches >= MAX_SEARCHES:
+    if shape in context.unplaced_shapes or not _has_spare_room(context, unit):
+        return None
+    if context.relief_searches >= MAX_SEARCHES:
         return None
     context.relief_searches += 1
     planned = [
@@ -174,6 +178,28 @@
     return chosen
 
 
+def _has_spare_room(context: units.PassContext, unit: units.Unit) -> bool:
+    """Returns whether there is room for a unit twice over, also on workers that it may not use now.
+
+    Otherwise, others have to wait for each place that it takes against their preferences.
+    """
+    step = unit.step.step
+    count = SPARE_FACTOR * len(unit.indices)
+    key = (unit.service, step.label, step.need, step.max_per_worker, count)
+    if key not in context.spare_rooms:
+        limit = step.max_per_worker or count
+        held = 0
+        for worker in context.current.workers.values():
+            if worker.service != unit.service or not worker.registered or worker.is_replaced:
+                continue
+            if not step.label or step.label in worker.labels:
+                held += placement.count_fitting(step.need, worker.room, limit)
+                if held >= count:
+                    break
+        context.spare_rooms[key] = held >= count
+    return context.spare_rooms[key]
+
+
 def _make_shape(unit: units.Unit) -> tuple:
     """Returns what a search for room depends on; units with a history have their own."""
     step = unit.step
--- a/lycheegate/jobs/tests/test_review_of_starvation.py
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -1,5 +1,7 @@
 """Cases in which preferences do not give way although they must, or do although they must not."""
 
+import pytest
+
 from lycheegate.jobs import model, runs, starvation, state
 from lycheegate.jobs.tests import speeds
 
@@ -24,6 +26,26 @@
         speeds.schedule(current, _NOW_S + 0.25 * number)
 
 
+@pytest.mark.parametrize("max_per_worker", [0, 1])
+def test_work_that_fits_nowhere_does_not_use_up_the_searches_of_each_pass(max_per_worker):
+    """Guards against a limit of searches that the same work reaches in each pass.
+
+    Nothing of it ever starts, so the work that ranks after it is not searched for in later passes
+    either.
+    """
+    current = _make_state([8] * 6, rack_size=2)
+    for worker_id in ("w0", "w1"):
+        current.workers[worker_id].room = model.Resources()
+    for number in range(starvation.MAX_SEARCHES):
+        need = model.Resources(1_000 + number, 300_000, 1)
+        step = model.Step(1, need, 60.0, max_per_worker=max_per_worker)
+        _add_waiting(current, f"a{number:03}", step)
+    step = model.Step(1, speeds.make_need(8), 60.0, near_rack="r0")
+    job = _add_waiting(current, "z", step, accepted_s=_READY_S - 100.0)
+    _run_passes(current)
+    assert len(job.list_runs()) == 1
+
+
 def _occupy_accelerators(current, worker_ids):
     """Lets tasks that need few cores use all accelerators of workers."""
     for worker_id in worker_ids:
@@ -31,6 +53,36 @@
         worker.room = worker.room - model.Resources(4_000, 8_000, 8)
 
 
+def test_gang_keeps_its_reservation_on_a_service_whose_accelerators_are_in_use():
+    """Guards against a gang that never starts, as smaller work takes each worker that gets free.
+
+    Nine of ten workers have no free accelerator, and the tenth is reserved for the gang.
+    """
+    current = _make_state([8] * 10)
+    _occupy_accelerators(current, list(current.workers)[:9])
+    need = model.Resources(4_000, 8_000, 8)
+    gang = _add_waiting(current, "gang", model.Step(2, need, 60.0, gang=True), "gang")
+    current.reservations["gang", 0, 0, -1] = state.Reservation(
+        {0: "w9", 1: "w0"}, need, _NOW_S + 15.0, False
+    )
+    small = _add_waiting(current, "small", model.Step(1, need, 60.0))
+    _run_passes(current, 1)
+    assert gang.list_runs() == []
+    assert small.list_runs() == []
+
+
+def test_gang_does_not_span_racks_on_a_service_whose_accelerators_are_in_use():
+    """Guards against gangs that run three times slower because free cores count as light load."""
+    current = _make_state([8] * 12, rack_size=4)
+    busy = [w for w in current.workers if int(w[1:]) % 4]
+    _occupy_accelerators(current, busy)
+    need = model.Resources(4_000, 8_000, 8)
+    step = model.Step(2, need, 60.0, gang=True, same_rack=True)
+    gang = _add_waiting(current, "gang", step, "gang")
+    _run_passes(current, 1)
+    assert gang.list_runs() == []
+
+
 def test_error_in_a_search_does_not_release_the_reserved_room(monkeypatch):
     """Guards against work that takes room of gangs since a search before it has raised.
 
