Search for all starved work before any of it again

A pass searches for room for at most 20 kinds of starved work. Work that is found no room keeps its rank, so the same 20 were searched for in each pass and the others never.

Evidence: test_vain_searches_do_not_use_up_those_of_each_pass failed before and holds.

--- a/lycheegate/jobs/scheduling.py
+++ b/lycheegate/jobs/scheduling.py
@@ -77,6 +77,7 @@
     turns = sharing.list_turns(context, waiting)
     for unit in waiting:
         place_step(context, unit, turns)
+    starvation.update_deferred_shapes(context)
     current.schedule_due = current.schedule_due or context.placed_tasks >= MAX_PLACED_TASKS
     return context.result
 
--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -22,6 +22,7 @@
     "make_decision",
     "measure_loads",
     "update_absences",
+    "update_deferred_shapes",
 ]
 
 STANDSTILL_S = 2.0
@@ -39,7 +40,7 @@
 """Time between two terms for which nothing starts, unless the first was released."""
 MAX_SEARCHES = 20
 """Maximum number of searches for room in one pass; each looks at all workers of a service. Work
-that is not searched for in one pass comes first in a later one, since others have started."""
+that is not searched for in one pass is in a later one, which leaves out the vain searches."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,7 +159,10 @@
     shape = _make_shape(unit)
     if shape in context.unplaced_shapes or not _has_spare_room(context, unit):
         return None
+    if shape in context.current.deferred_shapes:
+        return None
     if context.relief_searches >= MAX_SEARCHES:
+        context.is_relief_limited = True
         return None
     context.relief_searches += 1
     planned = [
@@ -178,6 +182,15 @@
     return chosen
 
 
+def update_deferred_shapes(context: units.PassContext) -> None:
+    """Defers what was searched for in vain until all other work has been searched for."""
+    current = context.current
+    if context.is_relief_limited:
+        current.deferred_shapes |= context.unplaced_shapes
+    else:
+        current.deferred_shapes = frozenset()
+
+
 def _has_spare_room(context: units.PassContext, unit: units.Unit) -> bool:
     """Returns whether there is room for a unit twice over, also on workers that it may not use now.
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -667,6 +667,8 @@
         recent_use: What client accounts have used of each service during this term.
         unconfirmed_since_s: Last confirmation of these requests whose age was logged as too high.
         errors: Stages that have raised, with the jobs or workers for which they have.
+        deferred_shapes: Kinds of work that stand still and were searched for in vain, while some
+            other such work has not been searched for yet.
     """
 
     epoch: int
@@ -701,6 +703,7 @@
     recent_use: shares.RecentUse = dataclasses.field(default_factory=shares.RecentUse)
     unconfirmed_since_s: float | None = -1.0
     errors: dict[tuple[str, ...], StageError] = dataclasses.field(default_factory=dict)
+    deferred_shapes: frozenset[tuple] = frozenset()
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/jobs/tests/test_review_of_starvation.py
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -26,6 +26,27 @@
         speeds.schedule(current, _NOW_S + 0.25 * number)
 
 
+def test_vain_searches_do_not_use_up_those_of_each_pass():
+    """Guards against work that cannot start and is searched for again in each pass.
+
+    The workers that it needs do not answer. Each step is searched for by itself, as it limits its
+    tasks per worker.
+    """
+    current = _make_state([8] * 10, rack_size=4)
+    for worker_id in ("w0", "w1", "w2", "w3"):
+        current.workers[worker_id].room = model.Resources()
+    for worker_id in ("w7", "w8", "w9"):
+        current.workers[worker_id].labels = frozenset({"big"})
+        current.workers[worker_id].unreachable_until_s = _NOW_S + 60.0
+    for number in range(2 * starvation.MAX_SEARCHES):
+        step = model.Step(1, speeds.make_need(1), 60.0, label="big", max_per_worker=1)
+        _add_waiting(current, f"a{number:03}", step)
+    step = model.Step(1, speeds.make_need(1), 60.0, near_rack="r0", max_per_worker=1)
+    job = _add_waiting(current, "z", step, accepted_s=_READY_S - 100.0)
+    _run_passes(current)
+    assert len(job.list_runs()) == 1
+
+
 @pytest.mark.parametrize("max_per_worker", [0, 1])
 def test_work_that_fits_nowhere_does_not_use_up_the_searches_of_each_pass(max_per_worker):
     """Guards against a limit of searches that the same work reaches in each pass.
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -82,6 +82,7 @@
             unproved workers.
         loads: Cache of the share of each service that is in use, or None before it is needed.
         relief_searches: Number of searches for room for work that has stood still for too long.
+        is_relief_limited: Whether some such work was not searched for as there were too many.
         unplaced_shapes: Kinds of such work for which no room was found.
         spare_rooms: Cache of whether there is room twice over for a kind of such work.
     """
@@ -103,6 +104,7 @@
     starting_gangs: dict[str, int] = dataclasses.field(default_factory=dict)
     loads: dict[str, float] | None = None
     relief_searches: int = 0
+    is_relief_limited: bool = False
     unplaced_shapes: set[tuple] = dataclasses.field(default_factory=set)
     spare_rooms: dict[tuple, bool] = dataclasses.field(default_factory=dict)
     speeds: adequacy.FleetSpeeds = dataclasses.field(init=False)
