Bound the wait of gangs and last attempts for sound workers

After a wave of failures, gangs and last attempts waited for the workers on which nothing had failed for as long as these were in use, beside free workers that had failed: up to 20 s for a quarantine, and without a bound for workers on which the step itself had failed.

If such work stands still and nothing has failed in its service for 4 s, one gang or last attempt a pass is placed on any worker. While a wave goes on, other work fails more often than that, so last attempts are still kept from it.

Evidence: test_last_attempts_do_not_stand_still_beside_workers_that_are_sound_again saw three jobs of one account idle for 16 s beside 9 of 15 workers, and the case of a gang of test_work_that_needs_sound_workers_does_not_outwait_a_quarantine 7 s; both hold, as do the four cases of test_review_of_starvation.py.

--- a/lycheegate/jobs/health.py
+++ b/lycheegate/jobs/health.py
@@ -67,6 +67,7 @@
     worker = current.workers.get(run.worker_id)
     if worker is None:
         return []
+    worker.failed_at_s = now_s
     return [
         *_suspect(worker, run, other_workers, now_s),
         *_quarantine(worker, run.task.job_id, now_s),
--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -30,6 +30,10 @@
 intention has to be stored and its order sent before it runs."""
 LIGHT_LOAD_RATIO = 0.5
 """Share of its capacity below whose use a service is lightly loaded."""
+RECOVERY_S = 4.0
+"""Time since the last failure in a service from which a gang or a last attempt may start on a
+worker that has failed, rather than stand still. During a wave of failures, other work fails more
+often than that."""
 SPARE_FACTOR = 2
 """How many times over there must be room for work for which preferences give way."""
 PENDING_START_S = 1.5
@@ -227,7 +231,8 @@
     if unit.step.step.gang or units.is_last_attempt(context, unit):
         # One member on a faulty worker fails its gang, and a last attempt its job.
         sound = placement.list_sound(len(unit.indices), unit.step.step.need, candidates)
-        return _place(unit, [c for c in sound if c.worker_id not in context.workers.unproved])
+        chosen = _place(unit, [c for c in sound if c.worker_id not in context.workers.unproved])
+        return chosen or _place(unit, _list_recovered(context, unit, candidates))
     chosen = _place(unit, candidates)
     if chosen is not None:
         return chosen
@@ -240,6 +245,22 @@
     return next((chosen for chosen in tried if chosen is not None), None)
 
 
+def _list_recovered(
+    context: units.PassContext, unit: units.Unit, candidates: list[placement.Candidate]
+) -> list[placement.Candidate]:
+    """Returns all workers if nothing has failed on any of the service lately, else none.
+
+    The workers on which nothing has failed may be in use for long, and nothing else may be waiting
+    that could prove the others sound. One gang or last attempt is tried in a pass.
+    """
+    of_service = [w for w in context.current.workers.values() if w.service == unit.service]
+    failed_at_s = max(worker.failed_at_s for worker in of_service)
+    if context.now_s - failed_at_s < RECOVERY_S or unit.service in context.recovered_services:
+        return []
+    context.recovered_services.add(unit.service)
+    return [*candidates, *context.workers.list_quarantined(unit.service, unit.step)]
+
+
 def _place(unit: units.Unit, candidates: list[placement.Candidate]) -> list[str] | None:
     step = unit.step.step
     if not step.gang:
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -372,6 +372,7 @@
         failures: Jobs of its failed runs since its last success or quarantine.
         quarantined_until_s: When its quarantine after failures ends.
         quarantines: Number of consecutive quarantines; the duration doubles with each.
+        failed_at_s: When a run last failed on it during this term, or 0 if none did.
         suspected_until_s: Time until which it is suspected to fail what it runs.
         proved_at_s: When a run last succeeded on it or had been running for long enough, or None if
             none has since a run failed early on it.
@@ -418,6 +419,7 @@
     failures: list[str] = dataclasses.field(default_factory=list)
     quarantined_until_s: float = 0.0
     quarantines: int = 0
+    failed_at_s: float = 0.0
     suspected_until_s: float = 0.0
     proved_at_s: float | None = None
     unreachable_until_s: float = 0.0
--- a/lycheegate/jobs/tests/test_review_of_starvation.py
+++ b/lycheegate/jobs/tests/test_review_of_starvation.py
@@ -135,6 +135,57 @@
     assert fresh.list_runs() == []
 
 
+def test_last_attempt_does_not_wait_for_good_beside_a_worker_on_which_it_failed():
+    """Guards against a task that stands still for as long as a lasting task is on a third worker.
+
+    Its label names three workers. It failed on two of them long ago, and the third is in use by a
+    task that lasts. No worker is suspected or quarantined.
+    """
+    current = _make_state([8] * 8)
+    for number in range(3):
+        current.workers[f"w{number}"].labels = frozenset({"big"})
+    current.workers["w2"].room = model.Resources()
+    job = _add_waiting(current, "job", model.Step(1, speeds.make_need(1), 1.0, label="big"))
+    step = job.steps[0, 0]
+    step.failures[0], step.run_numbers[0] = 2, 2
+    step.avoided_workers = {"w0", "w1"}
+    _run_passes(current, 40)
+    assert len(job.list_runs()) == 1
+
+
+@pytest.mark.parametrize("is_last_attempt", [False, True])
+def test_work_that_needs_sound_workers_does_not_wait_for_a_quarantine_of_all(is_last_attempt):
+    """Guards against a gang or a last attempt that stands for 20 s beside quarantined workers.
+
+    Nothing else waits that could prove one of them sound.
+    """
+    current = _make_state([8] * 8)
+    for worker in list(current.workers.values())[3:]:
+        worker.quarantined_until_s = _NOW_S + 20.0
+    for worker_id in ("w0", "w1", "w2"):
+        current.workers[worker_id].room = model.Resources()
+    if is_last_attempt:
+        job = _add_waiting(current, "job", model.Step(1, speeds.make_need(8), 1.0))
+        job.steps[0, 0].failures[0] = 2
+    else:
+        step = model.Step(2, speeds.make_need(8), 1.0, gang=True)
+        job = _add_waiting(current, "job", step, "gang")
+    _run_passes(current)
+    assert job.list_runs() != []
+
+
+def test_gang_does_not_stand_still_beside_workers_that_are_only_suspected():
+    """Guards against a gang that stands for 10 s as sound workers could hold it but are in use."""
+    current = _make_state([8] * 8)
+    for worker_id in ("w0", "w1", "w2"):
+        current.workers[worker_id].room = model.Resources()
+    for worker in list(current.workers.values())[3:]:
+        worker.suspected_until_s = _NOW_S + 10.0
+    gang = _add_waiting(current, "job", model.Step(2, speeds.make_need(8), 1.0, gang=True), "gang")
+    _run_passes(current)
+    assert len(gang.list_runs()) == 2
+
+
 def test_absence_of_a_lasting_task_begins_when_it_may_start():
     """Guards against a lasting task that takes reserved room in the moment it becomes ready."""
     current = _make_state([8])
--- a/lycheegate/jobs/units.py
+++ b/lycheegate/jobs/units.py
@@ -84,6 +84,8 @@
         relief_searches: Number of searches for room for work that has stood still for too long.
         is_relief_limited: Whether some such work was not searched for as there were too many.
         unplaced_shapes: Kinds of such work for which no room was found.
+        recovered_services: Services in which a gang or a last attempt was searched for on workers
+            that may be sound again.
         spare_rooms: Cache of whether there is room twice over for a kind of such work.
     """
 
@@ -106,6 +108,7 @@
     relief_searches: int = 0
     is_relief_limited: bool = False
     unplaced_shapes: set[tuple] = dataclasses.field(default_factory=set)
+    recovered_services: set[str] = dataclasses.field(default_factory=set)
     spare_rooms: dict[tuple, bool] = dataclasses.field(default_factory=dict)
     speeds: adequacy.FleetSpeeds = dataclasses.field(init=False)
 
--- a/lycheegate/node/tests/test_review_of_idle_at_rest.py
+++ b/lycheegate/node/tests/test_review_of_idle_at_rest.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from lycheegate.jobs import placement
+from lycheegate.jobs import model, placement
 from lycheegate.jobs.durations import encoding, observations
 from lycheegate.node import exchange
-from lycheegate.node.tests import simulation
-from lycheegate.node.tests.test_idle_at_rest import WAITING_ID
+from lycheegate.node.tests import idleness, simulation
+from lycheegate.node.tests.test_idle_at_rest import WAITING_ID, make_world
 
 FAULTY_ID = "f" * 16
 MAX_DELAY_S = 2.0
@@ -120,3 +120,58 @@
         _run(world, 1.0)
     _run(world, 5.0)
     simulation.assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("gang", [True, False])
+def test_work_that_needs_sound_workers_does_not_outwait_a_quarantine(gang):
+    """Guards against a gang, or a last attempt, beside 9 of 15 empty workers for up to 20 s.
+
+    The nine failed all that they started for some seconds, and are sound again. Nothing else waits
+    that could prove them so. The others are in use for long.
+    """
+    world = make_world(busy_per_rack=2)
+    busy = {worker_id for worker_id, worker in world.fleet.workers.items() if worker.live}
+    world.fleet.faulty = set(world.fleet.workers) - busy
+    route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
+    for number in range(14):
+        job_id = f"{0x10 + number:016x}"
+        world.submit(simulation.make_job(job_id, simulation.make_step(6, simulation.WHOLE)))
+        world.run(0.8)
+    for job_id in list(world.fleet.specs):
+        if int(job_id, 16) >= 0x10:
+            world.cancel(job_id)
+    until = [json.loads(line) for line in world.lines if b"worker_quarantined" in line]
+    assert max(line["for_s"] for line in until) >= 12.0
+    world.fleet.faulty = set()
+    world.fleet.work_s = 0.5
+    check = world.watch_idleness()
+    check.record_fault()
+    if gang:
+        step = simulation.make_step(4, simulation.WHOLE, gang=True)
+    else:
+        step = simulation.make_step(1, simulation.WHOLE)
+        route = model.Route("batch", "h", "/b/", "render", 1, 1, 3.0, 1.0)
+    world.submit(simulation.make_job(WAITING_ID, step), route)
+    world.run(20.0)
+    assert check.longest_s <= idleness.MAX_IDLE_S, check.found
+
+
+def test_last_attempts_do_not_stand_still_beside_workers_that_are_sound_again():
+    """Guards against last attempts that wait for long for the workers on which nothing has failed.
+
+    Nine of fifteen workers fail all that they start for 20 s. The others are in use for 60 s.
+    """
+    world = make_world(busy_per_rack=2)
+    world.fleet.work_s = 1.0
+    busy = {worker_id for worker_id, worker in world.fleet.workers.items() if worker.live}
+    world.fleet.faulty = set(world.fleet.workers) - busy
+    for number in range(10):
+        step = simulation.make_step(6, simulation.WHOLE)
+        world.submit(simulation.make_job(f"{0x10 + number:016x}", step))
+        world.run(2.0)
+    world.fleet.faulty = set()
+    world.run(6.0)
+    check = world.watch_idleness()
+    check.record_fault()
+    world.run(20.0)
+    assert check.longest_s <= idleness.MAX_IDLE_S, check.found
