Name up to twelve jobs of a group in a line about waiting jobs

A line about waiting jobs described one job of a client account and reason, at most every 2 s, so a group that stood still for 3 s was recorded with one or two names. The line now names up to 11 further jobs of its group by identifier, in the field `jobs`, at most 400 characters together, first those that no line has named for the longest time. The number of lines and their other fields are as before. `job_resumed` follows only for the job that a line describes.

`lycheegate idle` attributes the reason to the named jobs, without the worker, which is that of the described job.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -548,12 +548,14 @@
     Attributes:
         since_s: From when on it has had none; not before this term knew of it.
         searched_at_s: When room for its tasks was last searched for, or 0 if never.
-        reported_at_s: When a log line last named it, or 0 if none did.
+        reported_at_s: When a log line last described it, or 0 if none did.
+        named_at_s: When a log line last described or named it, or 0 if none did.
     """
 
     since_s: float
     searched_at_s: float = 0.0
     reported_at_s: float = 0.0
+    named_at_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -2,6 +2,7 @@
 
 import copy
 import dataclasses
+import itertools
 
 import pytest
 
@@ -400,6 +401,78 @@
     assert sorted(named) == sorted(2 * [f"{number:016x}" for number in range(10)])
 
 
+def _list_named(decision: commands.Decision) -> list[str]:
+    return [decision.fields["job"], *decision.fields.get("jobs", [])]
+
+
+@pytest.mark.parametrize("stagger_s", [0.0, 0.3, 0.9])
+def test_each_job_of_a_group_of_a_dozen_is_named_within_2_s(stagger_s):
+    """Guards against a group that moves before most of its jobs were named in any line.
+
+    With one job in a line and one line in 2 s, 3 s without a run would leave ten of twelve jobs
+    without a cause. The lines stay as few as they were.
+    """
+    current = _make_state()
+    _make_full(current)
+    del current.jobs[_JOB_ID]
+    due_s = {}
+    for number in range(12):
+        job = _add_job(current, f"{number:016x}")
+        since_s = _NOW_S + stagger_s * number
+        next(iter(job.steps.values())).ready_since_s = since_s
+        due_s[job.job.job_id] = since_s + waiting.WAITING_REPORT_S
+    named_at_s, lines_s = {}, []
+    for tick in range(80):
+        now_s = _NOW_S + 0.25 * tick
+        for worker in current.workers.values():
+            worker.reported_at_s = now_s
+        for decision in _list_decisions(current, now_s):
+            lines_s.append(now_s)
+            for job_id in _list_named(decision):
+                named_at_s.setdefault(job_id, now_s)
+    assert {job_id for job_id in due_s if named_at_s[job_id] - due_s[job_id] > 2.0} == set()
+    assert all(later - earlier >= 2.0 for earlier, later in itertools.pairwise(lines_s))
+
+
+def test_further_jobs_of_a_line_are_limited():
+    """Guards against lines that grow with the number of waiting jobs; all jobs get their turn."""
+    current = _make_state()
+    _make_full(current)
+    del current.jobs[_JOB_ID]
+    for number in range(40):
+        _add_job(current, f"{number:016x}")
+    for number in range(40):
+        _add_job(current, f"{number:0200x}", account="wide")
+    named = {"acme": [], "wide": []}
+    for tick in range(40):
+        now_s = _NOW_S + 0.25 * tick
+        for worker in current.workers.values():
+            worker.reported_at_s = now_s
+        for decision in _list_decisions(current, now_s):
+            further = decision.fields["jobs"]
+            assert len(further) <= waiting.MAX_FURTHER_JOBS
+            assert sum(map(len, further)) <= waiting.MAX_FURTHER_CHARACTERS
+            assert len(set(_list_named(decision))) == 1 + len(further)
+            named[decision.fields["account"]] += _list_named(decision)
+    assert len(set(named["acme"])) == 40
+    assert len(named["wide"]) == 5 * 3
+
+
+def test_job_that_was_only_named_is_not_reported_as_resumed():
+    """Guards against a dozen lines about the end of a wait where one was logged about it."""
+    current = _make_state()
+    _make_full(current)
+    del current.jobs[_JOB_ID]
+    jobs = [_add_job(current, f"{number:016x}") for number in range(3)]
+    (line,) = _list_decisions(current)
+    assert len(_list_named(line)) == 3
+    for job in jobs:
+        run = _add_run(current, job, state.RunPhase.RUNNING)
+        run.running_since_s = _NOW_S + 0.5
+    resumed = _list_decisions(current, _NOW_S + 1.0)
+    assert [(d.event, d.fields["job"]) for d in resumed] == [("job_resumed", line.fields["job"])]
+
+
 def test_interval_of_checks(monkeypatch):
     """Guards against checks of thousands of jobs at each tick, four times as often as intended."""
     current = _make_state()
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import heapq
 import itertools
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -28,6 +29,7 @@
 
 __all__ = [
     "CHECK_INTERVAL_S",
+    "MAX_FURTHER_JOBS",
     "MAX_LINES",
     "WAITING_REPORT_S",
     "Finding",
@@ -43,6 +45,11 @@
 CHECK_INTERVAL_S = 1.0
 MAX_LINES = 20
 """Maximum number of lines about waiting jobs in one check; the log allows 300 a second."""
+MAX_FURTHER_JOBS = 11
+"""Maximum number of further jobs of its group that a line names; 11 identifiers of 16 characters
+take 210 bytes."""
+MAX_FURTHER_CHARACTERS = 400
+"""Maximum number of characters of their identifiers in a line."""
 MAX_SEARCHES = 50
 """Maximum number of searches for room in one check. Jobs that would need another one come first in
 the next check."""
@@ -258,7 +265,11 @@
 
 
 def _report(current: state.SchedulerState, groups: _Groups, now_s: float) -> list[commands.Command]:
-    """Returns one line for each account and reason that is due; the jobs of a group take turns."""
+    """Returns one line for each account and reason that is due.
+
+    The jobs of a group take turns as the one that the line describes. Others of the group are named
+    beside it, first those that no line has named for the longest time.
+    """
     last_s = {
         key: reported_at_s
         for key, reported_at_s in current.idle_jobs.reported_at_s.items()
@@ -270,7 +281,7 @@
     result: list[commands.Command] = []
     for key in due[:MAX_LINES]:
         job, idle, finding = min(groups[key], key=lambda found: _rank_report(found[1]))
-        last_s[key] = idle.reported_at_s = now_s
+        last_s[key] = idle.reported_at_s = idle.named_at_s = now_s
         fields = {
             "job": job.job.job_id,
             "account": job.job.account,
@@ -280,10 +291,30 @@
             "waited_s": round(now_s - idle.since_s, 3),
             "more": len(groups[key]) - 1,
         }
+        further = _name_further_jobs(groups[key], job, now_s)
+        if further:
+            fields["jobs"] = further
         result.append(commands.Decision("job_waiting", fields))
     return result
 
 
+def _name_further_jobs(group: list[_Found], described: state.JobState, now_s: float) -> list[str]:
+    """Returns the identifiers of jobs to name beside the one that a line describes."""
+    others = [(idle, job.job.job_id) for job, idle, _ in group if job is not described]
+    chosen = heapq.nsmallest(
+        MAX_FURTHER_JOBS, others, key=lambda item: (item[0].named_at_s, item[0].since_s)
+    )
+    named: list[str] = []
+    characters = 0
+    for idle, job_id in chosen:
+        characters += len(job_id)
+        if characters > MAX_FURTHER_CHARACTERS:
+            break
+        idle.named_at_s = now_s
+        named.append(job_id)
+    return named
+
+
 def _rank_report(idle: state.IdleJob) -> tuple[float, float]:
     return (idle.reported_at_s, idle.since_s)
 
--- a/lycheegate/metrics/idle_jobs.py
+++ b/lycheegate/metrics/idle_jobs.py
@@ -15,6 +15,8 @@
 COLUMNS = ("job", "from s", "to s", "until", "reasons", "holders")
 MIN_IDLE_S = 3.0
 """Time without a run from which a job is listed."""
+MIN_REPORTED_S = 2.0
+"""Time without a run from which a holder names a job in a line about another one."""
 END_OF_LOGS = "end_of_logs"
 MAX_TIME_S = 1e12
 """Limit of the times in log lines, far above those of any clock."""
@@ -219,7 +221,9 @@
 
     def _find(self, record: dict[str, Any], now_s: float) -> _JobHistory:
         """Returns the history of a record's job; one that is not known begins with the record."""
-        job_id = _get_text(record, "job")
+        return self._find_job(_get_text(record, "job"), now_s)
+
+    def _find_job(self, job_id: str, now_s: float) -> _JobHistory:
         history = self._histories.get(job_id)
         if history is None:
             history = self._histories[job_id] = _JobHistory(job_id, idle_since_s=now_s)
@@ -306,12 +310,28 @@
         if not _is_time(waited_s) or waited_s < 0.0:
             raise _MalformedError("waited_s")
         reason, worker = _get_text(record, "reason"), record.get("worker")
+        further = record.get("jobs", [])
+        if not isinstance(further, list) or not all(isinstance(job_id, str) for job_id in further):
+            raise _MalformedError("jobs")
+        for job_id in further:
+            self._record_further(now_s, job_id, reason)
         history = self._find(record, now_s)
         if history.is_open:
             self._restore_wait(history, now_s - waited_s)
             text = f"{reason} ({worker})" if isinstance(worker, str) else reason
             history.reasons.append((now_s, text))
 
+    def _record_further(self, now_s: float, job_id: str, reason: str) -> None:
+        """Records the reason of a job that a line about another one names.
+
+        The line does not tell for how long the job has waited, only that it is ``MIN_REPORTED_S``
+        at least. The worker that the line may name is that of the other job.
+        """
+        history = self._find_job(job_id, now_s)
+        if history.is_open:
+            self._restore_wait(history, now_s - MIN_REPORTED_S)
+            history.reasons.append((now_s, reason))
+
     def _restore_wait(self, history: _JobHistory, since_s: float) -> None:
         """Records that a job has had nothing running since a time, whatever was placed since."""
         is_first_of_timed = history.is_timed and not history.reasons
--- a/lycheegate/metrics/tests/test_idle_logs.py
+++ b/lycheegate/metrics/tests/test_idle_logs.py
@@ -223,8 +223,10 @@
         _line(3.0, "job_waiting", job="j", reason="no_room", waited_s="long"),
         _line(3.0, "job_waiting", job="j", reason="no_room", waited_s=-1.0),
         _line(3.0, "term_loaded", epoch="x"),
+        _waiting(3.0, 2.0, jobs="k"),
+        _waiting(3.0, 2.0, jobs=["k", 7]),
     ],
-    ids=range(21),
+    ids=range(23),
 )
 def test_malformed_line(line):
     """Guards against a line that ends the search, is taken for another, or is left out unseen."""
@@ -233,6 +235,30 @@
     assert report.idle == idle_jobs.find_idle_jobs(_EVACUATED).idle
 
 
+def test_reason_of_a_job_that_a_line_about_another_one_names():
+    """Guards against jobs of a group that are listed without a cause, as no line is their own.
+
+    The worker of the line is that of the other job. A job whose placement the line disproves waits
+    on, and one that has ended is not listed.
+    """
+    lines = [_accepted(1.0), _line(1.0, "job_accepted", job="k", version=1)]
+    lines += [_line(1.0, "job_accepted", job="gone", version=1)]
+    lines += [_line(1.5, "job_succeeded", job="gone")]
+    lines += [
+        _line(
+            1.6, "placed", job="k", step="0.0", tasks=1, run=1, workers=["w2"], level=2, waited_s=0
+        )
+    ]
+    lines += [_waiting(4.0, 3.0, "worker_silent", worker="w1", jobs=["k", "gone", "other"])]
+    lines += [_line(9.0, "stopped")]
+    found = {item.job_id: item for item in idle_jobs.find_idle_jobs(lines).idle}
+    assert {name: (i.from_s, i.to_s, i.reasons) for name, i in found.items()} == {
+        "j": (1.0, 9.0, ("worker_silent (w1)",)),
+        "k": (1.0, 9.0, ("worker_silent",)),
+        "other": (2.0, 9.0, ("worker_silent",)),
+    }
+
+
 @pytest.mark.parametrize(
     "line", ['{"t":3.0,"event":["x"]}', '{"t":3.0,"event":"unknown","job":5}', '{"t":3,"event":""}']
 )
