Write errors of timers, callbacks and threads to the structured log

Errors of the callbacks that get the answers of the store and the workers went to standard error, through `concurrent.futures`, and the end of a thread did as well. The users record standard output.

`metrics/error_log.py` now passes all of these to the structured log while the daemon runs: `timer_failed`, `row_malformed` and other warnings of logbook under their names, `callback_failed`, `thread_failed`, `uncaught_error`, and `library_message` for warnings of libraries. A line has the class of the error (`error_type`), its text (`error`), and file and line of the innermost frame of this project (`place`).

The lines of the places that catch unexpected errors themselves get class and place from the same function: feed_failed, term_load_failed, poll_failed, report_failed, call_failed, previewed, record_unreadable, record_rejected, registration_failed and stage_failed. In the texts of registration_unreadable and term_ended, the place follows. A decoder's error is the cause of the failure that is returned for it.

--- a/lycheegate/jobs/boundaries.py
+++ b/lycheegate/jobs/boundaries.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 from lycheegate.jobs import commands, state
+from lycheegate.utils import errors
 
 __all__ = ["BASE_RETRY_S", "run_guarded"]
 
@@ -59,7 +60,8 @@
         current.errors[subject] = state.StageError(count, now_s + retry_s)
         stage, *names = subject
         fields = {"stage": stage, "subject": ":".join(names), "errors": count}
-        fields |= {"retry_in_s": retry_s, "error": f"{error!r:.{MAX_ERROR_CHARACTERS}}"}
+        fields["retry_in_s"] = retry_s
+        fields |= errors.describe(error).make_fields(f"{error!r:.{MAX_ERROR_CHARACTERS}}")
         result.append(commands.Decision("stage_failed", fields))
         return None
     if known is not None:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -5,6 +5,7 @@
 
 from lycheegate.jobs import boundaries, commands, crashes, leases, model, runs, state, strays
 from lycheegate.jobs.durations import factors, observations
+from lycheegate.utils import errors
 
 __all__ = [
     "EndedRun",
@@ -131,7 +132,8 @@
             result += _apply_registration(current, registration, recorded_runs, now_s)
         except Exception as error:
             # The other workers must not depend on one registration.
-            fields = {"worker": registration.worker_id, "error": f"{error!r:.200}"}
+            fields = {"worker": registration.worker_id}
+            fields |= errors.describe(error).make_fields(f"{error!r:.200}")
             result.append(commands.Decision("registration_failed", fields))
     for worker in list(current.workers.values()):
         if not worker.registered and not worker.runs and now_s >= worker.leases_expire_at_s:
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -15,6 +15,7 @@
 import dataclasses
 
 from lycheegate.jobs import commands, model, progress, state
+from lycheegate.utils import errors
 
 __all__ = [
     "Batch",
@@ -132,7 +133,9 @@
             write = _make_write(job, limits)
         except Exception as error:
             # One job must not keep the others from being written.
-            decisions.append(_hold_back(job, 0, f"{type(error).__name__}: {error!s:.200}", now_s))
+            decision = _hold_back(job, 0, f"{type(error).__name__}: {error!s:.200}", now_s)
+            decision.fields.update(errors.describe(error).make_fields(decision.fields["error"]))
+            decisions.append(decision)
             continue
         if write.is_large and (writes or has_heartbeat):
             continue
@@ -284,7 +287,9 @@
     return result
 
 
-def _hold_back(job: state.JobState, size_bytes: int, reason: str, now_s: float) -> commands.Command:
+def _hold_back(
+    job: state.JobState, size_bytes: int, reason: str, now_s: float
+) -> commands.Decision:
     """Holds a job's record back, and returns the decision to be logged."""
     delay_s = min(MAX_REJECTION_DELAY_S, BASE_REJECTION_DELAY_S * 2.0 ** min(job.rejections, 8))
     job.rejections += 1
--- a/lycheegate/node/callers.py
+++ b/lycheegate/node/callers.py
@@ -17,7 +17,7 @@
 from lycheegate.metrics import jsonlog
 from lycheegate.node import storage, tables, terms, waiting
 from lycheegate.platform import submissions
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = [
     "CallerApplication",
@@ -197,7 +197,8 @@
             # A change may have been made, so the caller must come again with the same identifier,
             # as after any 504. It gives up after 500.
             text = f"{type(error).__name__}: {error!s:.200}"
-            self._log.write("call_failed", method=request.method, path=request.path, error=text)
+            fields = errors.describe(error).make_fields(text)
+            self._log.write("call_failed", method=request.method, path=request.path, **fields)
             response = werkzeug.Response(status=504)
         if self._view.drain_ends_s is not None:
             response.headers["Connection"] = "close"
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -12,7 +12,7 @@
 from lycheegate.clients import http
 from lycheegate.entry import server
 from lycheegate.jobs import progress, refusal_switch, state
-from lycheegate.metrics import duration_errors, exposition, histograms, jsonlog
+from lycheegate.metrics import duration_errors, error_log, exposition, histograms, jsonlog
 from lycheegate.node import (
     callers,
     feeds,
@@ -32,7 +32,7 @@
 from lycheegate.platform import store as stores
 from lycheegate.platform import workers as worker_calls
 from lycheegate.settings import models
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["Daemon", "main"]
 
@@ -267,7 +267,9 @@
 
     def _make_error_logger(self, table: str):
         def log(error: Exception) -> None:
-            self._log.write("feed_failed", table=table, error=str(error))
+            self._log.write(
+                "feed_failed", table=table, **errors.describe(error).make_fields(str(error))
+            )
 
         return log
 
@@ -418,7 +420,7 @@
             self._scheduler.start()
         except Exception as error:
             # Otherwise this VM would hold a term in which nothing is scheduled.
-            self._scheduler.stop(f"cannot start: {type(error).__name__}: {error}")
+            self._scheduler.stop(f"cannot start: {errors.describe(error).format()}")
 
     def _handle_term_end(self, reason: str) -> None:
         self._log.write("term_ended", epoch=self._scheduler.epoch, reason=reason)
@@ -459,8 +461,9 @@
     stop_requested = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
     signal.signal(signal.SIGHUP, lambda *_: log.write("reload_ignored"))
-    daemon = Daemon(settings, log)
-    daemon.start()
-    stop_requested.wait()
-    daemon.drain()
+    with error_log.install(error_log.ErrorLog(log)):
+        daemon = Daemon(settings, log)
+        daemon.start()
+        stop_requested.wait()
+        daemon.drain()
     return 0
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -22,7 +22,7 @@
 )
 from lycheegate.metrics import jsonlog
 from lycheegate.platform import workers as worker_calls
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["TermHooks", "WorkerExchange"]
 
@@ -134,7 +134,8 @@
             run_step()
         except Exception as error:
             text = f"{type(error).__name__}: {error!s:.200}"
-            self._log.write("poll_failed", worker=worker_id, error=text)
+            fields = errors.describe(error).make_fields(text)
+            self._log.write("poll_failed", worker=worker_id, **fields)
             self._hooks.call_later(REPORT_RETRY_S, lambda: self._poll(worker_id, 0.0))
 
     def _send_poll(self, worker_id: str, wait_s: float) -> None:
@@ -262,7 +263,8 @@
         try:
             self._hooks.execute(workers.apply_report(self._state, report))
         except Exception as error:
-            self._log.write("report_failed", worker=report.worker_id, error=str(error))
+            fields = errors.describe(error).make_fields(str(error))
+            self._log.write("report_failed", worker=report.worker_id, **fields)
         self._hooks.request_pass(True)
 
     def _resume_poll(self, worker_id: str) -> None:
@@ -290,7 +292,8 @@
         elif self._logged_errors.get(worker_id) != str(error):
             # A program that is no worker gives the same answer to each poll.
             self._logged_errors[worker_id] = str(error)
-            self._log.write("report_failed", worker=worker_id, error=str(error))
+            fields = errors.describe(error).make_fields(str(error))
+            self._log.write("report_failed", worker=worker_id, **fields)
         delay_s = 0.0 if is_first_lost else REPORT_RETRY_S
         self._hooks.call_later(delay_s, lambda: self._poll(worker_id, 0.0))
 
--- a/lycheegate/node/job_rows.py
+++ b/lycheegate/node/job_rows.py
@@ -11,7 +11,7 @@
 from lycheegate.jobs import cancellations, commands, lifecycle, progress, state
 from lycheegate.metrics import jsonlog
 from lycheegate.node import deletion, recovery, storage, tables
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["JobRows"]
 
@@ -173,7 +173,8 @@
 
     def _log_unreadable_job(self, job_id: str, error: Exception) -> None:
         text = f"{type(error).__name__}: {error!s:.200}"
-        self._log.write("record_unreadable", job=job_id[:MAX_LOGGED_KEY], error=text)
+        fields = errors.describe(error).make_fields(text)
+        self._log.write("record_unreadable", job=job_id[:MAX_LOGGED_KEY], **fields)
 
     def delete_expired(self, now_s: float) -> None:
         """Deletes the records of jobs and cancellations that are no longer needed."""
--- a/lycheegate/node/previews.py
+++ b/lycheegate/node/previews.py
@@ -19,7 +19,7 @@
 from lycheegate.metrics import jsonlog
 from lycheegate.node import callers, holder, peer_calls
 from lycheegate.platform import submissions
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["PATH", "HolderPreviews", "PreviewApplication", "Problem", "make_document"]
 
@@ -169,6 +169,7 @@
             text = f"the holder makes one preview in {MIN_INTERVAL_S:g} s"
             return _refuse(Problem.BUSY, text)
         self._answered_at_s = now_s
+        defect: dict = {}
         try:
             found = self._make_preview(current, query)
         except preview.PreviewError as error:
@@ -180,6 +181,7 @@
         except Exception as error:
             # The peer would take some of these errors for those of an older build.
             answer = _refuse(Problem.FAILED, f"{type(error).__name__}: {error!s:.200}")
+            defect = errors.describe(error).make_fields(answer.text)
         else:
             answer = Answer("", "", make_document(found, query.account))
         if self._find_current(query.epoch) is not current:
@@ -192,7 +194,7 @@
             job=query.job_id if not query.record else "",
             account=query.account,
             problem=answer.problem,
-            error=answer.text,
+            **defect or {"error": answer.text},
             took_s=round(self._answered_at_s - now_s, 3),
         )
         return answer
--- a/lycheegate/node/registry.py
+++ b/lycheegate/node/registry.py
@@ -5,7 +5,7 @@
 from lycheegate.jobs import workers
 from lycheegate.node import storage
 from lycheegate.platform import workers as worker_calls
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["OddRow", "WorkerRegistry"]
 
@@ -63,7 +63,7 @@
             return None
         except Exception as error:
             # The other rows of the answer are not delivered again, so they must be applied.
-            self._report_odd_row(row, f"{type(error).__name__}: {error!s:.200}")
+            self._report_odd_row(row, errors.describe(error).format())
             return None
         self._odd_reasons.pop(worker_id, None)
         return registration
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -42,7 +42,7 @@
     terms,
 )
 from lycheegate.platform import workers as worker_calls
-from lycheegate.utils import exceptions
+from lycheegate.utils import errors, exceptions
 
 __all__ = ["Runtime", "Scheduler"]
 
@@ -223,11 +223,15 @@
             self._runtime.store,
             self._runtime.call_later,
             self._apply_loaded_jobs,
-            lambda error: self._runtime.log.write("term_load_failed", error=str(error)),
+            self._log_load_error,
             self._is_stopped,
         )
         self._tick()
 
+    def _log_load_error(self, error: Exception) -> None:
+        fields = errors.describe(error).make_fields(str(error))
+        self._runtime.log.write("term_load_failed", **fields)
+
     def stop(self, reason: str) -> None:
         """Ends the term without writing to the store."""
         if not self._stopped:
@@ -282,7 +286,9 @@
 
     def _make_error_logger(self, table: str) -> Callable[[Exception], None]:
         def log(error: Exception) -> None:
-            self._runtime.log.write("feed_failed", table=table, error=str(error))
+            self._runtime.log.write(
+                "feed_failed", table=table, **errors.describe(error).make_fields(str(error))
+            )
 
         return log
 
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -274,6 +274,7 @@
         assert b'"event":"call_failed"' in lines[-1]
         assert _JOB_ID.encode() in lines[-1]
         assert b"ZeroDivisionError" in lines[-1]
+        assert b'"place":"lycheegate/node/tests/test_callers.py:' in lines[-1]
 
 
 _REFUSED = exceptions.UnavailableError("429")
--- a/lycheegate/node/tests/test_previews.py
+++ b/lycheegate/node/tests/test_previews.py
@@ -338,3 +338,14 @@
     _, *arguments = cbor2.loads(cbor2.dumps(peer_calls.encode_preview_query(query)))
     assert peer_calls._decode_preview_query(arguments) == query
     assert dataclasses.astuple(query) == tuple(arguments)
+
+
+def test_place_of_a_defect_is_logged():
+    """Guards against a preview that fails for a defect, of which the log only has the text."""
+    site = _Site()
+    _raise(site)
+    site.ask()
+    (line,) = [line for line in map(json.loads, site.lines) if line["event"] == "previewed"]
+    assert line["problem"] == "failed"
+    assert line["error_type"] in line["error"]
+    assert line["place"].startswith("lycheegate/node/")
--- a/lycheegate/platform/store.py
+++ b/lycheegate/platform/store.py
@@ -192,9 +192,11 @@
     except Exception as error:
         # Each call needs an outcome, whatever the answer holds: a change feed whose callback is not
         # called has ended. The transaction may have been applied although its answer is malformed.
-        return result.Failure(
-            exceptions.OutcomeUnknownError(f"cannot decode the response of the store: {error}")
+        failure = exceptions.OutcomeUnknownError(
+            f"cannot decode the response of the store: {error}"
         )
+        failure.__cause__ = error
+        return result.Failure(failure)
 
 
 def _make_page(answer: _AnswerFields, rows: tuple[storage.Row, ...]) -> storage.Page:
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -342,7 +342,9 @@
     except Exception as error:
         # Whatever a report holds, its worker must be polled again.
         text = f"cannot decode the report of worker {worker_id}: {error!s:.200}"
-        return result.Failure(exceptions.ProtocolError(text))
+        failure = exceptions.ProtocolError(text)
+        failure.__cause__ = error
+        return result.Failure(failure)
     return result.Success(report)
 
 
