Log the load, the silence of workers and the known ends of leases

`job_waiting` did not tell a full service from one whose workers may get no work, nor since when the worker of a run that is only believed in had been silent. It now has `load`, the share of the service in use by which preferences give way, and `silent_s`, the time since the last report of the worker to this holder, or since the begin of the term. `term_loaded` has `runs_with_lease_end` and `runs_without_lease_end`: for how many of the recorded runs an earlier holder has told when the leases on their workers end.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -17,6 +17,7 @@
     "compute_handover_end_s",
     "compute_inherited_end_s",
     "compute_lapse_s",
+    "is_inherited_end_known",
     "list_lease_ends",
     "list_lease_limits",
     "record_deadline",
@@ -62,6 +63,16 @@
     return handover_end_s if end_s is None else min(handover_end_s, end_s + CLOCK_MARGIN_S)
 
 
+def is_inherited_end_known(current: state.SchedulerState, worker_id: str) -> bool:
+    """Returns whether an earlier scheduler has told when leases on a worker end.
+
+    Otherwise they are waited for as long as it may have renewed them without this scheduler's
+    knowledge.
+    """
+    inherited = current.inherited_leases
+    return inherited.workers.get(worker_id, inherited.others_s) is not None
+
+
 def list_lease_ends(
     current: state.SchedulerState, now_s: float, withholds_all: bool
 ) -> state.InheritedLeases:
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -75,7 +75,7 @@
     worker = current.workers["w0"]
     worker.registered = is_registered
     worker.reported_at_s = _NOW_S - 3.0
-    return {"worker": "w0", "run": 3, "leases_expire_in_s": 5.0}
+    return {"worker": "w0", "run": 3, "leases_expire_in_s": 5.0, "silent_s": 3.0}
 
 
 def _make_unlisted(current: state.SchedulerState) -> dict:
@@ -83,7 +83,11 @@
     run = _add_run(current, job, state.RunPhase.ORDERED)
     run.awaits_first_report = True
     del current.workers["w0"]
-    return {"worker": "w0", "leases_expire_in_s": pytest.approx(4.222, abs=0.01)}
+    return {
+        "worker": "w0",
+        "leases_expire_in_s": pytest.approx(4.222, abs=0.01),
+        "silent_s": 10.0,
+    }
 
 
 def _make_stray(current: state.SchedulerState, is_silent: bool) -> dict:
@@ -94,7 +98,7 @@
     fields = {"worker": "w1", "run": 7}
     if is_silent:
         current.workers["w1"].reported_at_s = _NOW_S - 3.0
-        fields["leases_expire_in_s"] = 5.0
+        fields |= {"leases_expire_in_s": 5.0, "silent_s": 3.0}
     return fields
 
 
@@ -401,6 +405,39 @@
     assert sorted(named) == sorted(2 * [f"{number:016x}" for number in range(10)])
 
 
+def test_silence_counts_from_the_begin_of_the_term_on():
+    """Guards against a worker that has never reported to this holder and seems silent for hours."""
+    current = _make_state()
+    job = _add_job(current)
+    _add_run(current, job, state.RunPhase.ORDERED).awaits_first_report = True
+    current.workers["w0"].confirmed = False
+    current.workers["w0"].reported_at_s = 0.0
+    (decision,) = _list_decisions(current)
+    assert (decision.fields["reason"], decision.fields["silent_s"]) == ("worker_silent", 10.0)
+
+
+@pytest.mark.parametrize("is_quarantined", [False, True])
+def test_load_of_the_service_is_that_of_all_registered_workers(is_quarantined):
+    """Guards against a line that cannot tell a full service from one with unusable workers.
+
+    The load is that by which preferences give way, so a job that waits beside an empty service
+    shows as one.
+    """
+    current = _make_state(4)
+    current.workers["w0"].room = model.Resources()
+    current.workers["w1"].room = model.Resources(0, 0, 4)
+    current.workers["w3"].registered = False
+    if is_quarantined:
+        for worker in current.workers.values():
+            worker.quarantined_until_s = _NOW_S + 20.0
+    _add_job(current, step=dataclasses.replace(_STEP, label="b"))
+    (decision,) = _list_decisions(current)
+    assert decision.fields["load"] == 0.5
+    current.workers.clear()
+    (decision,) = _list_decisions(current, _NOW_S + 2.0)
+    assert decision.fields["load"] is None
+
+
 def _list_named(decision: commands.Decision) -> list[str]:
     return [decision.fields["job"], *decision.fields.get("jobs", [])]
 
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -23,6 +23,7 @@
     placement,
     pool,
     scheduling,
+    starvation,
     state,
     units,
 )
@@ -279,6 +280,7 @@
     due = [key for key in groups if key not in last_s or now_s - last_s[key] >= WAITING_REPORT_S]
     due.sort(key=lambda key: last_s.get(key, 0.0))
     result: list[commands.Command] = []
+    loads = starvation.measure_loads(current) if due else {}
     for key in due[:MAX_LINES]:
         job, idle, finding = min(groups[key], key=lambda found: _rank_report(found[1]))
         last_s[key] = idle.reported_at_s = idle.named_at_s = now_s
@@ -288,6 +290,7 @@
             "step": f"{finding.step_key[0]}.{finding.step_key[1]}",
             "reason": finding.reason.value,
             **finding.fields,
+            "load": _round_load(loads.get(state.get_route(current, job).service)),
             "waited_s": round(now_s - idle.since_s, 3),
             "more": len(groups[key]) - 1,
         }
@@ -298,6 +301,10 @@
     return result
 
 
+def _round_load(load: float | None) -> float | None:
+    return None if load is None else round(load, 3)
+
+
 def _name_further_jobs(group: list[_Found], described: state.JobState, now_s: float) -> list[str]:
     """Returns the identifiers of jobs to name beside the one that a line describes."""
     others = [(idle, job.job.job_id) for job, idle, _ in group if job is not described]
@@ -375,10 +382,10 @@
         reason = Reason.INTENTION_NOT_STORED
     elif worker is None:
         lapse_s = leases.compute_inherited_end_s(check.current, run.worker_id)
-        fields |= _make_lapse_fields(check, lapse_s)
+        fields |= _make_silence_fields(check, None, lapse_s)
         reason = Reason.WORKER_NOT_REGISTERED
     elif _is_silent(check, worker):
-        fields |= _make_lapse_fields(check, leases.compute_lapse_s(worker))
+        fields |= _make_silence_fields(check, worker, leases.compute_lapse_s(worker))
         reason = Reason.WORKER_SILENT if worker.registered else Reason.WORKER_NOT_REGISTERED
     elif run.phase is state.RunPhase.ORDERED:
         reason = Reason.START_UNCONFIRMED
@@ -395,8 +402,24 @@
     return not worker.confirmed or age_s >= check.current.policy.report_stale_s
 
 
-def _make_lapse_fields(check: _Check, lapse_s: float) -> dict[str, Any]:
-    return {"leases_expire_in_s": round(max(0.0, lapse_s - check.now_s), 3)}
+def _make_silence_fields(
+    check: _Check, worker: state.WorkerState | None, lapse_s: float
+) -> dict[str, Any]:
+    """Returns the fields about a run that is only believed to exist, as its worker is silent.
+
+    Args:
+        check: The check.
+        worker: The worker, or None if it has not registered since the begin of the term.
+        lapse_s: When the leases of its runs have certainly expired.
+    """
+    since_s = check.current.began_at_s
+    if worker is not None:
+        # An earlier report went to another holder.
+        since_s = max(since_s, worker.reported_at_s)
+    return {
+        "leases_expire_in_s": round(max(0.0, lapse_s - check.now_s), 3),
+        "silent_s": round(check.now_s - since_s, 3),
+    }
 
 
 def _explain_strays(
@@ -418,7 +441,7 @@
         for worker, number in holders[:1]:
             fields = {"worker": worker.worker_id, "run": number}
             if _is_silent(check, worker):
-                fields |= _make_lapse_fields(check, leases.compute_lapse_s(worker))
+                fields |= _make_silence_fields(check, worker, leases.compute_lapse_s(worker))
         findings.append(Finding(Reason.STRAY_RUN, step.key, fields))
     return findings
 
--- a/lycheegate/node/job_rows.py
+++ b/lycheegate/node/job_rows.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from lycheegate.jobs import cancellations, commands, lifecycle, progress, state
+from lycheegate.jobs import cancellations, commands, leases, lifecycle, progress, state
 from lycheegate.metrics import jsonlog
 from lycheegate.node import deletion, recovery, storage, tables
 from lycheegate.utils import errors, exceptions
@@ -87,8 +87,11 @@
     def _log_loaded_term(self, jobs: int, open_jobs: int) -> None:
         """Logs the jobs that the term begins with, and the runs that may exist on workers."""
         runs_by_openness = {True: 0, False: 0}
+        known_ends = 0
         for job in self._state.jobs.values():
-            runs_by_openness[job.is_open] += len(job.list_runs())
+            runs = job.list_runs()
+            runs_by_openness[job.is_open] += len(runs)
+            known_ends += sum(leases.is_inherited_end_known(self._state, r.worker_id) for r in runs)
         self._log.write(
             "term_loaded",
             epoch=self._state.epoch,
@@ -96,6 +99,8 @@
             open=open_jobs,
             runs=runs_by_openness[True],
             runs_of_ended_jobs=runs_by_openness[False],
+            runs_with_lease_end=known_ends,
+            runs_without_lease_end=sum(runs_by_openness.values()) - known_ends,
         )
 
     def _restore_progress(
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lycheegate.jobs import model, runs, state
+from lycheegate.jobs import waiting as waiting_checks
 from lycheegate.node import tables
 from lycheegate.node.tests import fake_workers, simulation
 
@@ -344,6 +345,8 @@
         assert (record["reason"], record["more"]) == ("worker_silent", 0)
         assert record["worker"] in busy
         assert record["leases_expire_in_s"] > 0.0
+        assert 2.0 <= record["silent_s"] <= 6.0 + waiting_checks.CHECK_INTERVAL_S
+        assert 0.0 < record["load"] < 0.5
     (resumed,) = _list_records(world, "job_resumed")
     assert (resumed["node"], resumed["job"]) == ("b", JOB_ID)
     assert resumed["waited_s"] >= 6.0
@@ -474,3 +477,31 @@
     world.run(15.0)
     assert world.fleet.violations == []
     assert world.fleet.starts[model.TaskKey(JOB_ID, 0, 0, 0)] == 2
+
+
+@pytest.mark.parametrize("is_released", [False, True], ids=["killed", "released"])
+def test_term_tells_for_how_many_runs_the_end_of_leases_is_known(is_released):
+    """Guards against a take-over whose log cannot tell whether runs are waited for anew.
+
+    One of two workers with runs leaves before the holder is lost. Only its end of leases is in the
+    row then; a holder that releases its term tells the ends of all.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 20.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(2, max_per_worker=1)))
+    first = world.claim_term("a")
+    world.run(2.0)
+    departed = world.fleet.find_busy_worker()
+    world.fleet.answers_lost.add(departed)
+    world.unregister(departed)
+    world.run(4.0)
+    if is_released:
+        first.release()
+        world.run(0.5)
+    else:
+        first.stop("killed")
+    world.claim_term("b")
+    world.run(1.0)
+    records = [r for r in _list_records(world, "term_loaded") if r["node"] == "b"]
+    counts = [(r["runs"], r["runs_with_lease_end"], r["runs_without_lease_end"]) for r in records]
+    assert counts == [(2, 2, 0) if is_released else (2, 1, 1)]
