Show on the metrics address how many jobs have nothing running

The incident's record had few log lines, and the metrics told nothing about jobs that stand still. The holder now shows at its metrics address how many open jobs had nothing running at the last check (`lycheegate_idle_jobs`), the longest such time (`lycheegate_idle_longest_seconds`), the number by reason (`lycheegate_waiting_jobs`), and the age of the check (`lycheegate_idle_check_age_seconds`), which grows if the checks fail or the event thread is blocked. Other VMs show none of them, so that a sum over all VMs counts each job once.

--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -558,6 +558,24 @@
     named_at_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleSummary:
+    """Idle jobs at one check, for the metrics.
+
+    Attributes:
+        checked_at_s: When the check was made, on the scheduler's clock.
+        jobs: Number of idle jobs.
+        longest_s: Longest time that one of them has been idle, or 0.
+        reasons: Number of the jobs that were reported by each reason. Those that have been idle for
+            a short time, and those for which too many searches would be needed, have none.
+    """
+
+    checked_at_s: float
+    jobs: int
+    longest_s: float
+    reasons: dict[str, int]
+
+
 @dataclasses.dataclass(slots=True)
 class IdleJobs:
     """Idle jobs at the last check, and the log lines about them.
@@ -566,11 +584,14 @@
         checked_at_s: When they were last checked.
         jobs: The idle jobs by identifier.
         reported_at_s: When a line was last logged, by client account and reason.
+        summary: Summary of the last check, or None before the first one. It is replaced as a whole,
+            so that any thread may read it.
     """
 
     checked_at_s: float = 0.0
     jobs: dict[str, IdleJob] = dataclasses.field(default_factory=dict)
     reported_at_s: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+    summary: IdleSummary | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -576,3 +576,34 @@
         _add_job(current, f"{number:016x}")
     (decision,) = _list_decisions(current)
     assert (len(searches), decision.fields["more"]) == (1, 2 * waiting.MAX_SEARCHES - 1)
+
+
+def test_summary_of_a_check():
+    """Guards against metrics that show no job standing still while some do, or the reverse.
+
+    A job that has waited for less than 2 s counts, and has no reason yet.
+    """
+    current = _make_state()
+    _make_full(current)
+    del current.jobs[_JOB_ID]
+    assert current.idle_jobs.summary is None
+    for number in range(30):
+        _add_job(current, f"{number:016x}", account=f"account{number}")
+    jobs = list(current.jobs.values())
+    next(iter(jobs[0].steps.values())).not_before_s = _NOW_S + 9.0
+    next(iter(jobs[1].steps.values())).ready_since_s = _NOW_S - 7.5
+    next(iter(jobs[2].steps.values())).ready_since_s = _NOW_S - 1.5
+    _list_decisions(current)
+    summary = current.idle_jobs.summary
+    assert (summary.checked_at_s, summary.jobs, summary.longest_s) == (_NOW_S, 30, 7.5)
+    assert set(summary.reasons) == set(waiting.Reason)
+    assert {reason: n for reason, n in summary.reasons.items() if n} == {
+        "backoff": 1,
+        "no_room": 28,
+    }
+    for job in jobs:
+        _add_run(current, job, state.RunPhase.RUNNING)
+    _list_decisions(current, _NOW_S + 1.0)
+    summary = current.idle_jobs.summary
+    assert (summary.checked_at_s, summary.jobs, summary.longest_s) == (_NOW_S + 1.0, 0, 0.0)
+    assert set(summary.reasons.values()) == {0}
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -193,8 +193,10 @@
         for job_id, idle in current.idle_jobs.jobs.items()
         if now_s - idle.since_s >= WAITING_REPORT_S
     ]
+    groups = _group_by_reason(_Check(current, now_s, wall_s), due) if due else {}
     if due:
-        result += _report(current, _group_by_reason(_Check(current, now_s, wall_s), due), now_s)
+        result += _report(current, groups, now_s)
+    current.idle_jobs.summary = _summarize(current, groups, now_s)
     return result
 
 
@@ -265,6 +267,16 @@
     return groups
 
 
+def _summarize(current: state.SchedulerState, groups: _Groups, now_s: float) -> state.IdleSummary:
+    """Returns the numbers of idle jobs for the metrics."""
+    reasons = {reason.value: 0 for reason in Reason}
+    for (_, reason), group in groups.items():
+        reasons[reason] += len(group)
+    idle = current.idle_jobs.jobs
+    longest_s = max((now_s - job.since_s for job in idle.values()), default=0.0)
+    return state.IdleSummary(now_s, len(idle), round(max(0.0, longest_s), 3), reasons)
+
+
 def _report(current: state.SchedulerState, groups: _Groups, now_s: float) -> list[commands.Command]:
     """Returns one line for each account and reason that is due.
 
--- a/lycheegate/metrics/exposition.py
+++ b/lycheegate/metrics/exposition.py
@@ -4,7 +4,7 @@
 
 from lycheegate.metrics import histograms
 
-__all__ = ["format_metrics"]
+__all__ = ["format_idle_jobs", "format_metrics"]
 
 
 def format_metrics(
@@ -33,3 +33,26 @@
         for percentile, value_s in model.percentiles_s.items():
             lines.append(f'{name}{{{labels},percentile="{percentile}"}} {value_s}')
     return "\n".join(lines) + "\n"
+
+
+def format_idle_jobs(
+    jobs: int, longest_s: float, reasons: Mapping[str, int], check_age_s: float
+) -> str:
+    """Returns gauges of the open jobs that have nothing running although a step of them is ready.
+
+    Args:
+        jobs: Their number at the last check.
+        longest_s: Longest time that one of them had had nothing running.
+        reasons: Number of them by the reason that was found.
+        check_age_s: Time since the check. If it grows, the numbers are not those of now.
+    """
+    lines = [
+        f"lycheegate_idle_jobs {jobs}",
+        f"lycheegate_idle_longest_seconds {longest_s}",
+        f"lycheegate_idle_check_age_seconds {round(check_age_s, 3)}",
+    ]
+    lines += [
+        f'lycheegate_waiting_jobs{{reason="{reason}"}} {count}'
+        for reason, count in sorted(reasons.items())
+    ]
+    return "\n".join(lines) + "\n"
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -431,12 +431,22 @@
         if self._scheduler is not None:
             self._scheduler.release()
 
+    def _format_idle_jobs(self) -> str:
+        """Returns the gauges of idle jobs, or nothing at a VM that has not checked any lately."""
+        current = self._scheduler
+        summary = current.get_idle_summary() if current is not None else None
+        if summary is None:
+            return ""
+        age_s = read_boottime_s() - summary.checked_at_s
+        return exposition.format_idle_jobs(summary.jobs, summary.longest_s, summary.reasons, age_s)
+
     def _answer_readiness(self, environ: dict, start_response):
         if environ.get("PATH_INFO") == METRICS_PATH:
             text = exposition.format_metrics(
                 self._log.counts, self._histograms, self._application.refusals.copy()
             )
             text += self._duration_errors.format_metrics()
+            text += self._format_idle_jobs()
             return werkzeug.Response(text, mimetype="text/plain")(environ, start_response)
         if environ.get("PATH_INFO") == previews.PATH:
             return self._preview_application(environ, start_response)
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -331,6 +331,10 @@
         job = self._state.jobs.get(job_id)
         return job.stored_status if job is not None and self._loaded else None
 
+    def get_idle_summary(self) -> state.IdleSummary | None:
+        """Returns the summary of the jobs that have nothing running, or None; for any thread."""
+        return self._state.idle_jobs.summary
+
     def prepare_preview(
         self, job_or_id: model.Job | str, account: str
     ) -> tuple[state.SchedulerState, float, float] | None:
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -1,12 +1,15 @@
 """Jobs that have nothing running although a task of theirs could run (docs/incidents)."""
 
 import json
+import types
 
 import pytest
+import werkzeug.test
 
 from lycheegate.jobs import model, runs, state
 from lycheegate.jobs import waiting as waiting_checks
-from lycheegate.node import tables
+from lycheegate.metrics import duration_errors, histograms
+from lycheegate.node import daemon, tables
 from lycheegate.node.tests import fake_workers, simulation
 
 JOB_ID = "0" * 16
@@ -505,3 +508,50 @@
     records = [r for r in _list_records(world, "term_loaded") if r["node"] == "b"]
     counts = [(r["runs"], r["runs_with_lease_end"], r["runs_without_lease_end"]) for r in records]
     assert counts == [(2, 2, 0) if is_released else (2, 1, 1)]
+
+
+def _read_metrics(term, monkeypatch, now_s: float) -> dict[str, float]:
+    """Returns the gauges of idle jobs on the metrics address of a VM with a scheduler, or none."""
+    vm = types.SimpleNamespace(
+        _scheduler=term,
+        _log=types.SimpleNamespace(counts={}),
+        _histograms=histograms.Histograms(),
+        _application=types.SimpleNamespace(refusals={}),
+        _duration_errors=duration_errors.DurationErrors(),
+    )
+    vm._format_idle_jobs = lambda: daemon.Daemon._format_idle_jobs(vm)
+    monkeypatch.setattr(daemon, "read_boottime_s", lambda: now_s)
+    client = werkzeug.test.Client(
+        lambda environ, start: daemon.Daemon._answer_readiness(vm, environ, start)
+    )
+    text = client.get(daemon.METRICS_PATH).text
+    lines = [line.rsplit(" ", 1) for line in text.splitlines() if line]
+    gauges = ("lycheegate_idle_", "lycheegate_waiting_")
+    return {name: float(value) for name, value in lines if name.startswith(gauges)}
+
+
+def test_metrics_show_jobs_that_have_nothing_running(monkeypatch):
+    """Guards against an incident that the metrics of the holder do not show.
+
+    All workers are in use for long when three more jobs arrive. A VM that holds no term shows no
+    gauges, since the sum over all VMs would be wrong otherwise.
+    """
+    world = simulation.World(1, worker_count=1)
+    world.fleet.work_s = 60.0
+    term = world.claim_term("a")
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(2, simulation.WHOLE)))
+    world.run(1.0)
+    for number in range(1, 4):
+        step = simulation.make_step(1, simulation.WHOLE)
+        world.submit(simulation.make_job(f"{number:016x}", step))
+    world.run(6.0)
+    found = _read_metrics(term, monkeypatch, world.loop.now_s)
+    assert found["lycheegate_idle_jobs"] == 3
+    assert found['lycheegate_waiting_jobs{reason="no_room"}'] == 3
+    assert found['lycheegate_waiting_jobs{reason="worker_silent"}'] == 0
+    assert 4.5 <= found["lycheegate_idle_longest_seconds"] <= 6.0
+    assert 0.0 <= found["lycheegate_idle_check_age_seconds"] <= 1.5
+    later = _read_metrics(term, monkeypatch, world.loop.now_s + 30.0)
+    assert later["lycheegate_idle_check_age_seconds"] >= 30.0
+    assert _read_metrics(None, monkeypatch, world.loop.now_s) == {}
+    assert _read_metrics(world.claim_term("b"), monkeypatch, world.loop.now_s) == {}
