Write no further heartbeat at the begin of a term that inherits no ends of leases

The heartbeat that ends the withholding of leases was requested in each term, and the boundaries around orders and optional rows read the clock. Both changed what a holder writes without need: test_calls_to_the_store_are_those_of_before found three more writes and conditions in a term.

The heartbeat is requested only where leases are withheld, and what is tried again without a delay needs no time. The test holds with its recorded values.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -133,6 +133,7 @@
         self._stopped = False
         self._ticked_at_s = runtime.now_s()
         self._loaded = False
+        self._has_carried_leases = lease_row is not None
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
         self._passed_at_s = 0.0
@@ -296,8 +297,9 @@
         self._state.began_at_s = self._runtime.now_s()
         self._job_rows.apply_loaded(loaded)
         self._loaded = True
-        # Until a heartbeat with the records is stored, no lease is granted against carried ends.
-        self._writer.renew_soon()
+        if self._has_carried_leases:
+            # Leases are withheld until a heartbeat with the loaded jobs is stored.
+            self._writer.renew_soon()
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
         self._request_pass()
@@ -489,8 +491,8 @@
         An order that was not sent counts as unanswered, so none is held back for a retry.
         """
         errors: list[commands.Command] = []
-        now_s = self._runtime.now_s()
-        boundaries.run_guarded(self._state, (stage, job_id), now_s, send, errors, 0.0)
+        # Without a delay before the next try, the time does not matter.
+        boundaries.run_guarded(self._state, (stage, job_id), 0.0, send, errors, max_retry_s=0.0)
         for decision in errors:
             self._log_decision(decision)
 
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -122,7 +122,8 @@
         progress, from being written.
         """
         errors: list[commands.Command] = []
-        result = boundaries.run_guarded(self._state, (stage,), self._now_s(), make, errors)
+        # It is tried with each heartbeat, so the time does not matter.
+        result = boundaries.run_guarded(self._state, (stage,), 0.0, make, errors, max_retry_s=0.0)
         for decision in errors:
             self._log.write(decision.event, epoch=self._state.epoch, **decision.fields)
         return result or []
