Draw the delays of retries of simulated terms from the seed

A random play could not be repeated with its seed: the generator of the delays between retries of the change feeds had no seed, and each play cuts the holder off from the store.

The runtime of a scheduler has the generator. The daemon's has no seed, as before.

--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import random
 from collections.abc import Callable
 
 from lycheegate.jobs import (
@@ -68,6 +69,7 @@
         log: Log of decisions.
         histograms: Completion and queueing times, by client account and queue.
         duration_errors: Predicted over measured durations.
+        jitter: Generator of the random part of the delays between retries.
     """
 
     store: storage.Store
@@ -80,6 +82,7 @@
     log: jsonlog.JsonLog
     histograms: histograms.Histograms
     duration_errors: duration_errors.DurationErrors
+    jitter: random.Random = dataclasses.field(default_factory=random.Random)
 
 
 class Scheduler:
@@ -202,6 +205,7 @@
             self._apply_job_rows,
             self._make_error_logger(tables.JOBS),
             wait_s=2.0,
+            jitter=runtime.jitter,
         )
         self._registry_feed = feeds.TableFeed(
             runtime.store,
@@ -211,6 +215,7 @@
             self._apply_registry_rows,
             self._make_error_logger(worker_calls.REGISTRY_TABLE),
             pause_s=REGISTRY_PAUSE_S,
+            jitter=runtime.jitter,
         )
 
     @property
--- a/lycheegate/node/tests/simulation.py
+++ b/lycheegate/node/tests/simulation.py
@@ -18,6 +18,7 @@
 
     def __init__(self, seed: int, worker_count: int = 6):
         self.generator = random.Random(seed)
+        self._jitter = random.Random(seed)
         self.loop = fake_store.EventLoop()
         self.faults = fake_store.Faults()
         self.store = fake_store.FakeStore(self.loop, self.faults, self.generator)
@@ -156,6 +157,7 @@
             jsonlog.JsonLog(vm, self.loop.read_clock_s, self._log),
             histograms.Histograms(),
             duration_errors.DurationErrors(),
+            self._jitter,
         )
         new_scheduler = scheduler.Scheduler(
             runtime,
