Let a run that a faulty simulated worker has started fail

A run that began on a faulty worker takes 0.05 s. If the worker became sound in that time, the run ended as a success, and so did a run of a task that lasts; its next start was a violation of the check of the simulated workers.

The fleet also keeps the numbers of the failed runs of each task, for checks of jobs that end as failed.

--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -49,6 +49,7 @@
         work_s: Duration of the run.
         work_left_s: Part of the duration that remains.
         stops_at_s: When a stop order takes effect, or None.
+        is_faulty: Whether it fails, as its worker was faulty when it started.
     """
 
     task: model.TaskKey
@@ -57,6 +58,7 @@
     work_s: float
     work_left_s: float
     stops_at_s: float | None = None
+    is_faulty: bool = False
 
 
 class FakeWorker:
@@ -132,13 +134,15 @@
                 self._end(run, runs.End.INTERRUPTED, "lapsed")
             elif run.work_left_s <= 0.0:
                 failed = self.fleet.generator.random() < self.fleet.failure_share
-                failed = failed or self.worker_id in self.fleet.faulty
+                failed = failed or run.is_faulty or self.worker_id in self.fleet.faulty
                 self._end(run, runs.End.FAILED if failed else runs.End.DONE, "ended")
 
     def _end(self, run: LiveRun, end: runs.End, reason: str) -> None:
         del self.live[run.task]
         self.end_number += 1
         self.ended.append(workers.EndedRun(self.end_number, run.task, run.number, end, reason, ""))
+        if end is runs.End.FAILED:
+            self.fleet.failed_runs.setdefault(run.task, set()).add(run.number)
         if end is runs.End.DONE:
             self.fleet.succeeded_at_s[run.task] = self.fleet.loop.now_s
             self.ended_at_s[self.end_number] = self.fleet.loop.now_s
@@ -170,9 +174,11 @@
         self.fleet.check_start(order, self)
         need, work_s = self.fleet.get_work(order.task)
         work_s *= self.fleet.work_ratios.get(self.worker_id, 1.0)
-        if self.worker_id in self.fleet.faulty:
+        is_faulty = self.worker_id in self.fleet.faulty
+        if is_faulty:
             work_s = FAILURE_S
-        self.live[order.task] = LiveRun(order.task, order.number, need, work_s, work_s)
+        run = LiveRun(order.task, order.number, need, work_s, work_s, is_faulty=is_faulty)
+        self.live[order.task] = run
         if order.task in self.fleet.deadly:
             born_ms = self.born_ms
             self.fleet.loop.call_later(
@@ -214,6 +220,8 @@
         self.specs: dict[str, model.Job] = {}
         self.succeeded_at_s: dict[model.TaskKey, float] = {}
         self.acknowledged: set[model.TaskKey] = set()
+        self.failed_runs: dict[model.TaskKey, set[int]] = {}
+        """Numbers of the runs of each task that have ended as failed."""
         self.starts: dict[model.TaskKey, int] = {}
         self.started_at_s: dict[model.TaskKey, float] = {}
         self.violations: list[str] = []
