--- a/lycheegate/node/tests/test_random_idleness.py
+++ b/lycheegate/node/tests/test_random_idleness.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -95,23 +96,23 @@
             self.world.run(self.draw.uniform(0.8, 3.0))
 
     def _begin_event(self) -> None:
-        draw = self.draw
-        event = draw.choice(
-            [
-                self._begin_departure,
-                self._begin_departure,
-                self._begin_crash,
-                self._begin_silence,
-                self._change_holder,
-                self._change_holder,
-                self._lose_store,
-                lambda: self._submit(self._draw_steps(12)),
-                lambda: self._submit(self._draw_steps(12)),
-                self._submit_urgent,
-            ]
-        )
+        event = self.draw.choice(self._list_events())
         event()
 
+    def _list_events(self) -> list[Callable[[], None]]:
+        return [
+            self._begin_departure,
+            self._begin_departure,
+            self._begin_crash,
+            self._begin_silence,
+            self._change_holder,
+            self._change_holder,
+            self._lose_store,
+            lambda: self._submit(self._draw_steps(12)),
+            lambda: self._submit(self._draw_steps(12)),
+            self._submit_urgent,
+        ]
+
     def _submit(self, steps: tuple[model.Step, ...], route: model.Route | None = None) -> None:
         name = "batch" if route is None else route.name
         job = simulation.make_job(f"{self._jobs:016x}", *steps, route=name)
