Tell the end of leases on a departing worker at once

Cause: the row that tells the next holder by when leases on departing workers end goes with the heartbeat, which is due each 0.7 s. A holder that was lost after it had read the announcement and before its next heartbeat told nothing, and the next one does not know a worker that has left.

Registry rows with a departing worker that has runs, and whose limit no heartbeat has told, now let the next write hold the heartbeat. The write that follows is often needed anyway, since work is moved from such a worker.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -18,6 +18,7 @@
     "compute_inherited_end_s",
     "compute_lapse_s",
     "is_inherited_end_known",
+    "has_untold_departure",
     "list_lease_ends",
     "list_lease_limits",
     "record_deadline",
@@ -118,12 +119,7 @@
         now_s: Time on the scheduler's clock.
         departed: Workers whose ends of leases are told already.
     """
-    draining = [
-        worker
-        for worker in current.workers.values()
-        if (worker.runs or worker.strays) and worker.draining and worker.leaves_at_s is not None
-        if worker.worker_id not in departed
-    ]
+    draining = [w for w in _list_departing(current) if w.worker_id not in departed]
     draining.sort(key=lambda worker: worker.leaves_at_s)
     return {
         worker.worker_id: _compute_limit_s(current, worker, now_s)
@@ -131,6 +127,30 @@
     }
 
 
+def has_untold_departure(current: state.SchedulerState) -> bool:
+    """Returns whether a worker with runs is about to leave, and no heartbeat has told its limit.
+
+    A worker leaves within seconds of its announcement. If this scheduler is lost before the next
+    heartbeat, the next one does not know the worker and cannot tell when its leases end.
+    """
+    if len(current.lease_limits) >= MAX_LISTED_WORKERS:
+        return False
+    return any(
+        worker.worker_id not in current.lease_limits
+        and worker.worker_id not in current.withheld_leases
+        for worker in _list_departing(current)
+    )
+
+
+def _list_departing(current: state.SchedulerState) -> list[state.WorkerState]:
+    """Returns the workers with runs that have announced when they leave."""
+    return [
+        worker
+        for worker in current.workers.values()
+        if (worker.runs or worker.strays) and worker.draining and worker.leaves_at_s is not None
+    ]
+
+
 def _compute_limit_s(
     current: state.SchedulerState, worker: state.WorkerState, now_s: float
 ) -> float:
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -382,6 +382,8 @@
         self._execute(
             workers.apply_registrations(self._state, self._registry.list_registrations(), now_s)
         )
+        if leases.has_untold_departure(self._state):
+            self._writer.renew_soon()
         self._exchange.poll_new_workers()
         self._request_pass()
 
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -98,9 +98,9 @@
     assert check.found == {}
 
 
-def _depart(world: simulation.World) -> None:
-    """Lets the busy worker leave, with its registration; it answers no call any more."""
-    departed = world.fleet.find_busy_worker()
+def _depart(world: simulation.World, worker_id: str = "") -> None:
+    """Lets a worker, or the busy one, leave with its registration; it answers no call any more."""
+    departed = worker_id or world.fleet.find_busy_worker()
     world.fleet.workers[departed].reset()
     world.fleet.refusing.add(departed)
     world.fleet.unreachable.add(departed)
@@ -135,6 +135,35 @@
     assert check.found == {}
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6])
+def test_ends_of_leases_on_a_departing_worker_outlast_a_holder_that_is_lost_soon(phase_s):
+    """Guards against a job that stays idle because its holder is lost soon after an announcement.
+
+    The worker announces its departure, and the holder is lost before its next heartbeat is due.
+    The worker has left when the next holder begins. The parameter is the time of the announcement
+    relative to the heartbeats.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    holder = world.claim_term("a")
+    world.run(2.0 + phase_s)
+    departing = world.fleet.find_busy_worker()
+    world.register(departing, draining=True, remaining_ms=2_000)
+    while b"worker_draining" not in b"".join(world.lines):
+        world.run(0.01)
+    world.run(0.1)
+    holder.stop("killed")
+    world.run(2.0)
+    _depart(world, departing)
+    world.run(0.5)
+    world.claim_term("b")
+    check = world.watch_idleness()
+    world.run(20.0)
+    assert check.found == {}
+    assert world.fleet.violations == []
+
+
 @pytest.mark.parametrize("is_released", [True, False])
 def test_run_on_a_departed_worker_ends_in_spite_of_many_changes_of_the_holder(is_released):
     """Guards against a wait for the leases of earlier holders that each change begins anew.
