--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -161,14 +161,15 @@
         unit: The unit.
     """
     shape = _make_shape(unit)
-    if shape in context.unplaced_shapes or not _has_spare_room(context, unit):
-        return None
-    if shape in context.current.deferred_shapes:
+    if shape in context.unplaced_shapes or shape in context.current.deferred_shapes:
         return None
     if context.relief_searches >= MAX_SEARCHES:
         context.is_relief_limited = True
         return None
     context.relief_searches += 1
+    if not _has_spare_room(context, unit):
+        context.unplaced_shapes.add(shape)
+        return None
     planned = [
         reservation
         for key, reservation in context.current.reservations.items()
