Renew leases and start tasks at once after a change of the holder

The first heartbeat with the loaded jobs is requested as soon as these are there, mostly before the registry has been read. All workers with recorded runs were then unknown, so the heartbeat told the ends of their leases, and they got no lease until the next heartbeat 0.7 s later. Starts on them were refused meanwhile. A poll that was sent in that time renewed nothing and waited for 1.4 s more, so runs lapsed if the previous holder had been killed 2.3 s before the claim.

The claimant now carries the row on until it has also read the registry; it knows no worker before that and so grants no lease. That first reading requests the heartbeat. A poll that renews no lease waits for 0.2 s at most.

Evidence: without the change to the sources, test_leases_of_listed_workers_outlast_changes_of_the_holder fails in 6 of 28 cases and test_new_holder_starts_tasks_beside_runs_that_it_has_taken_over in 2 of 3. With it, all hold.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -29,6 +29,9 @@
 REPORT_WAIT_S = 1.4
 """How long a poll waits for a change. A lease is renewed by each poll, so what is left of it when a
 scheduler is lost shrinks by this time."""
+UNRENEWED_REPORT_WAIT_S = 0.2
+"""The same for a poll that renews no lease because leases are withheld, mostly until the next
+heartbeat is stored. What is left of a lease after a change of the holder may be less than 1.4 s."""
 IDLE_REPORT_WAIT_S = 1.8
 """The same for a worker without runs, which has no leases to renew. Its report must not become too
 old for new work in between."""
@@ -154,6 +157,8 @@
         is_gone = not worker.registered and worker_id in self._failed_polls
         if now_s - worker.reported_at_s < leases.MAX_REPORT_AGE_S and not is_gone:
             deadline_ms = leases.compute_deadline_ms(self._state, worker, now_s)
+            if deadline_ms is None:
+                wait_s = min(wait_s, UNRENEWED_REPORT_WAIT_S)
         if deadline_ms is not None:
             recorded = leases.record_deadline(self._state, worker, deadline_ms)
         address = worker.address
--- a/lycheegate/node/scheduler.py
+++ b/lycheegate/node/scheduler.py
@@ -137,6 +137,8 @@
         self._ticked_at_s = runtime.now_s()
         self._loaded = False
         self._has_carried_leases = lease_row is not None
+        self._are_workers_known = False
+        """Whether the jobs have been loaded and the registry has been read."""
         self._pass_due = False
         self._pass_delay_s = passes.MIN_PASS_DELAY_S
         self._passed_at_s = 0.0
@@ -172,6 +174,7 @@
                 self._call_later,
                 self._is_stopped,
                 lambda: self._loaded,
+                lambda: self._are_workers_known,
             ),
         )
         self._job_rows = job_rows.JobRows(
@@ -302,9 +305,6 @@
         self._state.began_at_s = self._runtime.now_s()
         self._job_rows.apply_loaded(loaded)
         self._loaded = True
-        if self._has_carried_leases:
-            # Leases are withheld until a heartbeat with the loaded jobs is stored.
-            self._writer.renew_soon()
         self._jobs_feed.follow_from(loaded.version)
         self._registry_feed.start()
         self._request_pass()
@@ -382,8 +382,13 @@
         self._execute(
             workers.apply_registrations(self._state, self._registry.list_registrations(), now_s)
         )
+        is_first, self._are_workers_known = not self._are_workers_known, True
         if leases.has_untold_departure(self._state):
             self._writer.renew_soon()
+        if is_first and self._has_carried_leases:
+            # Until this heartbeat is stored, no lease is granted against the ends carried on.
+            self._writer.renew_soon()
+            self._writer.write()
         self._exchange.poll_new_workers()
         self._request_pass()
 
--- a/lycheegate/node/term_rows.py
+++ b/lycheegate/node/term_rows.py
@@ -94,19 +94,22 @@
         self._load_written_at_s = 0.0
         self._omitted_services = 0
 
-    def make_writes(self, release: bool, is_loaded: bool) -> list[storage.Write]:
+    def make_writes(
+        self, release: bool, is_loaded: bool, are_workers_known: bool
+    ) -> list[storage.Write]:
         """Returns the writes of the heartbeat and of what has changed beside it.
 
         Args:
             release: Whether the heartbeat releases the term.
             is_loaded: Whether the jobs of the term have been loaded.
+            are_workers_known: Whether the registry has been read as well.
         """
         clock_ms = self._store_clock_ms()
         return [
             *self._make_heartbeat_writes(release, clock_ms),
             *self._make_suspects_write(is_loaded),
             *self._make_departures_write(is_loaded, clock_ms),
-            *self._make_leases_write(release, is_loaded, clock_ms),
+            *self._make_leases_write(release, are_workers_known, clock_ms),
             *self._make_guarded(
                 "load_row", lambda: self._make_load_write(release, is_loaded, clock_ms)
             ),
@@ -222,19 +225,21 @@
         return [storage.Write(tables.DURATIONS, data)]
 
     def _make_leases_write(
-        self, release: bool, is_loaded: bool, clock_ms: int
+        self, release: bool, are_workers_known: bool, clock_ms: int
     ) -> list[storage.Write]:
         """Returns the write of the ends of leases, and withholds further leases that it rules out.
 
         A row from before the heartbeat does not count, so none is written if nothing is known. One
         that names workers is emptied all the same, as the estimate of the store's clock may recur.
-        Before the jobs are loaded, no lease is granted, so what earlier terms tell still holds.
+        Before the registry is read, no lease is granted, so what earlier terms tell still holds.
+        Workers that are still there cannot be told from those that have left until then, and to
+        list them all would withhold their leases until the next heartbeat.
         """
         self._listed_workers = frozenset()
         self._sent_limits = {}
         self._withholds_all = release
         now_s = self._now_s()
-        if not is_loaded:
+        if not are_workers_known:
             return self._make_carried_write(clock_ms)
         if not clock_ms or not self._latest_store_clock_ms(now_s):
             return []
--- a/lycheegate/node/term_writer.py
+++ b/lycheegate/node/term_writer.py
@@ -46,6 +46,7 @@
         call_later: Runs a function after a delay in seconds, unless the term has ended.
         is_stopped: Returns whether the term has ended.
         is_loaded: Returns whether the jobs of the term have been loaded.
+        are_workers_known: Returns whether the registry has been read as well.
     """
 
     execute: Callable[[list[commands.Command]], None]
@@ -54,6 +55,7 @@
     call_later: Callable[[float, Callable[[], None]], None]
     is_stopped: Callable[[], bool]
     is_loaded: Callable[[], bool]
+    are_workers_known: Callable[[], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -186,7 +188,9 @@
         changes: list[storage.Write] = []
         if pending.has_heartbeat:
             conditions.append(storage.Condition(tables.HEARTBEAT, self._heartbeat_version))
-            changes += self._rows.make_writes(pending.is_release, self._hooks.is_loaded())
+            changes += self._rows.make_writes(
+                pending.is_release, self._hooks.is_loaded(), self._hooks.are_workers_known()
+            )
         deletes: list[storage.RowKey] = []
         for write in pending.batch.writes if pending.batch else ():
             key = tables.get_progress_key(write.job_id)
--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -65,6 +65,8 @@
     history_lost: bool = False
     transaction_s: float = 0.0
     """Duration of a transaction; those of one part run one after another."""
+    read_delays_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Additional duration of the reads of a table."""
     silent_feeds: bool = False
     rows_per_answer: int = 1_000_000
     """Number of changed rows in one answer of a change feed; the others follow in the next."""
@@ -216,6 +218,7 @@
         page = storage.Page(tuple(rows), False, self._store.version)
         # A slow store takes as long for a read as for a transaction.
         delay_s = max(STORE_DELAY_S, self._store.faults.transaction_s)
+        delay_s += self._store.faults.read_delays_s.get(table, 0.0)
         self._store.loop.call_later(delay_s, lambda: callback(result.Success(page)))
 
     def follow(self, table, after, wait_s, callback: Callable) -> None:
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -11,6 +11,7 @@
 from lycheegate.metrics import duration_errors, histograms
 from lycheegate.node import daemon, tables
 from lycheegate.node.tests import fake_workers, simulation
+from lycheegate.platform import workers as worker_calls
 
 JOB_ID = "0" * 16
 
@@ -584,3 +585,61 @@
     assert later["lycheegate_idle_check_age_seconds"] >= 30.0
     assert _read_metrics(None, monkeypatch, world.loop.now_s) == {}
     assert _read_metrics(world.claim_term("b"), monkeypatch, world.loop.now_s) == {}
+
+
+@pytest.mark.parametrize("registry_s", [0.0, 0.05])
+@pytest.mark.parametrize(
+    "changes",
+    [[("kill", 2.3, 6.0)], [("release", 0.1, 1.5), ("kill", 1.5, 6.0)]],
+    ids=["killed", "released_and_killed"],
+)
+@pytest.mark.parametrize("phase_s", [3.0, 3.2, 3.4, 3.6, 3.8, 4.0, 4.2])
+def test_leases_of_listed_workers_outlast_changes_of_the_holder(phase_s, changes, registry_s):
+    """Guards against runs that lapse since a new holder withholds leases for too long.
+
+    Its first heartbeat with the jobs must not tell ends of leases on workers only because the
+    registry has not been read yet, and a poll that renews no lease must not wait for long.
+
+    Args:
+        phase_s: Time from the first claim to the first change.
+        changes: How each holder ends, the time to the next claim, and how long that term lasts.
+        registry_s: Additional time to read the registry.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 60.0
+    world.faults.read_delays_s = {worker_calls.REGISTRY_TABLE: registry_s}
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(12, max_per_worker=2)))
+    holder = world.claim_term("vm0")
+    world.run(phase_s)
+    for number, (end, gap_s, held_s) in enumerate(changes):
+        if end == "kill":
+            holder.stop("killed")
+        else:
+            holder.release()
+        world.run(gap_s)
+        holder = world.claim_term(f"vm{number + 1}")
+        world.run(held_s)
+    assert set(world.fleet.starts.values()) == {1}
+    assert sum(worker.count_live() for worker in world.fleet.workers.values()) == 12
+
+
+@pytest.mark.parametrize("registry_s", [0.0, 0.02, 0.1])
+def test_new_holder_starts_tasks_beside_runs_that_it_has_taken_over(registry_s):
+    """Guards against starts that are refused until the second heartbeat of a term.
+
+    Load pattern: all workers have runs when the holder changes, and an urgent job arrives.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 60.0
+    world.faults.read_delays_s = {worker_calls.REGISTRY_TABLE: registry_s}
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(12, max_per_worker=2)))
+    first = world.claim_term("a")
+    world.run(3.0)
+    first.stop("killed")
+    world.claim_term("b")
+    job_id = "1" * 16
+    step = simulation.make_step(6, max_per_worker=1)
+    world.submit(simulation.make_job(job_id, step, route="urgent"), world.urgent)
+    world.run(registry_s + 0.1)
+    assert sum(task.job_id == job_id for task in world.fleet.starts) == 6
+    assert b"start_refused" not in b"".join(world.lines)
