Accept ends of leases only from the transaction of the last heartbeat

The row was taken for that of the last heartbeat if it had its epoch and time. The estimate of the store's clock may recur, and the conflict of a claim reports the heartbeat without the row. A VM that knew the second of two heartbeats of equal time in this way took the row of the first for valid, although leases had been granted since. Rows of one transaction have the same version, which is now compared as well.

--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -282,13 +282,16 @@
 def find_lease_row(view: TermView) -> tables.LeaseEnds | None:
     """Returns the row of the ends of leases if it belongs to the last heartbeat, else None.
 
-    It holds for a claim of the term that names the versions in the view.
+    It holds for a claim of the term that names the versions in the view. Rows of one transaction
+    have the same version. Times alone do not tell heartbeats apart, since the estimate of the
+    store's clock may recur, and the conflict of a claim reports the heartbeat without this row.
     """
     heartbeat, ends = view.heartbeat, view.lease_ends
     if (
         heartbeat is None
         or ends is None
         or not heartbeat.sent_at_ms
+        or view.lease_ends_version != view.heartbeat_version
         or (ends.epoch, ends.sent_at_ms) != (heartbeat.epoch, heartbeat.sent_at_ms)
     ):
         return None
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -5,6 +5,7 @@
 import pytest
 from returns import result
 
+from lycheegate.jobs import state
 from lycheegate.node import storage, tables, terms
 from lycheegate.utils import exceptions
 
@@ -231,6 +232,23 @@
     assert found.workers == ({"w": pytest.approx(103.5)} if is_known else {})
 
 
+def test_ends_of_leases_do_not_belong_to_another_heartbeat_of_the_same_time():
+    """Guards against ends from before a heartbeat that is known from the conflict of a claim.
+
+    The estimate of the store's clock has gone back in between, and a conflict does not report the
+    newer row of the ends of leases.
+    """
+    view = terms.TermView()
+    beat = tables.encode_heartbeat(tables.Heartbeat(3, False, {}, 50_000))
+    ends = tables.encode_lease_ends(tables.LeaseEnds(3, 50_000, {"w": 54_000}, 0))
+    rows = (storage.Row(tables.HEARTBEAT, beat, 9), storage.Row(tables.LEASES, ends, 9))
+    terms.apply_rows(view, rows, 100.0, 50_500)
+    assert terms.find_lease_row(view) is not None
+    terms.apply_rows(view, (storage.Row(tables.HEARTBEAT, beat, 10),), 100.1)
+    assert terms.find_lease_row(view) is None
+    assert terms.find_lease_ends(view, 100.1) == state.InheritedLeases()
+
+
 def test_released_term_tells_the_ends_of_all_leases():
     """Guards against a wait for leases that the released term cannot have granted."""
     view = terms.TermView()
