Allow for the lease of an order that a restarted worker carries out

A worker that restarts under its identifier may carry out a start order that was on its way to the incarnation before. The holder kept the expiry of the earlier incarnation.

If a worker with an unconfirmed start order restarts, its leases now count until the longest lease has expired, counted from the time the order can still be on its way.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "RecordedDeadline",
+    "allow_for_restart",
     "check_leases",
     "compute_deadline_ms",
     "compute_handover_end_s",
@@ -252,6 +253,24 @@
     worker.leases_expire_at_s = worker.clock_at_s + remaining_s + CLOCK_MARGIN_S
 
 
+def allow_for_restart(
+    current: state.SchedulerState, worker: state.WorkerState, now_s: float
+) -> None:
+    """Allows for leases that a new incarnation of a worker has granted itself.
+
+    It may have carried out an order to start a run that was meant for the one before. The deadline
+    of such an order lies far ahead on its own clock, so the run gets the longest lease.
+    """
+    if all(
+        run.phase is _INTENDED or run.running_since_s is not None for run in worker.runs.values()
+    ):
+        return
+    policy = current.policy
+    lease_s = policy.max_lease_s / (1.0 - policy.clock_slowness_ratio)
+    end_s = now_s + policy.order_timeout_s + lease_s + CLOCK_MARGIN_S
+    worker.leases_expire_at_s = max(worker.leases_expire_at_s, end_s)
+
+
 def compute_lapse_s(worker: state.WorkerState) -> float:
     """Returns when the runs on a worker end unless it reports before, on the scheduler's clock."""
     return max(worker.leases_expire_at_s, worker.reported_at_s + MIN_SILENCE_S)
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -313,6 +313,7 @@
     worker.clock_ms = worker.listed_clock_ms = worker.max_deadline_ms = 0
     # A deadline from before the restart must not be restored.
     worker.deadlines_recorded += 1
+    leases.allow_for_restart(current, worker, now_s)
     strays.clear_strays(current, worker)
     current.schedule_due = True
     return [commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})]
--- a/lycheegate/node/tests/test_worker_faults.py
+++ b/lycheegate/node/tests/test_worker_faults.py
@@ -7,6 +7,7 @@
 from lycheegate.jobs import leases, model, state, strays
 from lycheegate.node import term_writer
 from lycheegate.node.tests import fake_workers, simulation
+from lycheegate.platform import workers as worker_calls
 
 
 @pytest.mark.parametrize("ends_per_report", [1, 500])
@@ -161,6 +162,46 @@
     simulation.assert_all_succeed(world)
 
 
+@pytest.mark.parametrize("delay_s", [0.002, 0.3, 0.9])
+def test_order_that_a_restarted_worker_carries_out_gets_the_longest_lease(delay_s, monkeypatch):
+    """Guards against a second run while a restarted worker runs the first one unseen.
+
+    The worker restarts under its identifier with the order on its way, carries it out with its new
+    clock, and none of its answers arrive afterwards.
+    """
+    world = simulation.World(1, worker_count=2)
+    world.fleet.work_s = 60.0
+    world.claim_term("a")
+    world.run(20.0)
+    ends_s: list[float] = []
+    send = fake_workers.FakeWorkers.start
+
+    def restart_and_start(client, address, order, epoch, deadline_ms, callback):
+        monkeypatch.setattr(fake_workers.FakeWorkers, "start", send)
+        worker = world.fleet.workers[order.worker_id]
+        worker.restart()
+        world.fleet.unreachable.add(order.worker_id)
+        world.fleet.answers_lost.add(order.worker_id)
+
+        def arrive():
+            assert worker.start(order, epoch, deadline_ms) is worker_calls.StartOutcome.STARTED
+            ends_s.append(world.loop.now_s + (worker.deadline_ms - worker.clock_ms()) / 1000.0)
+
+        world.loop.call_later(0.1, lambda: world.register(order.worker_id))
+        world.loop.call_later(delay_s, arrive)
+        lost = worker_calls.OrderResult(worker_calls.StartOutcome.UNKNOWN)
+        world.loop.call_later(0.5, lambda: callback(lost))
+
+    monkeypatch.setattr(fake_workers.FakeWorkers, "start", restart_and_start)
+    monkeypatch.setattr(fake_workers.FakeWorkers, "stop", lambda *_: None)
+    world.submit(simulation.make_job("0" * 16, simulation.make_step(1)))
+    world.run(14.0)
+    assert world.fleet.violations == []
+    (started_again_s,) = world.fleet.started_at_s.values()
+    assert set(world.fleet.starts.values()) == {2}
+    assert started_again_s > ends_s[0]
+
+
 def test_foreign_registrations_are_ignored():
     """Guards against registry rows of other writers that crash the scheduler or add workers."""
     world = simulation.World(1)
