Log for how long the worker of a lapsed run was silent

A run that was confirmed counts as running until its worker reports it as ended or its lease has expired. `run_ended` with `lease_lapsed` or `worker_unlisted` now has `silent_s`, the time since the last report of the worker to this holder, so that the log tells from when on the job may have stood still.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -134,7 +134,7 @@
     A worker leaves within seconds of its announcement. If this scheduler is lost before the next
     heartbeat, the next one does not know the worker and cannot tell when its leases end.
     """
-    if len(current.lease_limits) >= MAX_LISTED_WORKERS:
+    if len(current.lease_limits) + len(current.withheld_leases) >= MAX_LISTED_WORKERS:
         return False
     return any(
         worker.worker_id not in current.lease_limits
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -10,6 +10,7 @@
 __all__ = [
     "End",
     "add_run",
+    "compute_silence_s",
     "end_run",
     "find_step",
     "find_stop_reason",
@@ -28,6 +29,8 @@
 MAX_RETRY_DELAY_S = 2.0
 UNREACHABLE_S = 2.0
 """How long a worker gets no new work after it did not answer an order."""
+_LAPSES = frozenset({"lease_lapsed", "worker_unlisted"})
+"""Reasons of ends that are inferred from the silence of a worker."""
 
 
 class End(enum.StrEnum):
@@ -161,6 +164,13 @@
         step.checkpoints[run.task.index] = run.checkpoint
 
 
+def compute_silence_s(current: state.SchedulerState, worker_id: str, now_s: float) -> float:
+    """Returns for how long a worker has not reported to this scheduler, at most since its start."""
+    worker = current.workers.get(worker_id)
+    reported_at_s = worker.reported_at_s if worker is not None else 0.0
+    return now_s - max(current.began_at_s, reported_at_s)
+
+
 def end_run(
     current: state.SchedulerState, run: state.Run, end: End, reason: str, now_s: float
 ) -> list[commands.Command]:
@@ -183,6 +193,8 @@
     if run.phase is state.RunPhase.RUNNING:
         job.ran_until_s = now_s
     fields = _make_end_fields(run, end, reason, now_s)
+    if reason in _LAPSES:
+        fields["silent_s"] = round(compute_silence_s(current, run.worker_id, now_s), 3)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
         # The run is removed and its end will be acknowledged, so an error in what is learned from
--- a/lycheegate/jobs/tests/test_leases.py
+++ b/lycheegate/jobs/tests/test_leases.py
@@ -111,3 +111,48 @@
     assert current.stray_tasks == {}
     assert worker.room == worker.capacity
     assert current.schedule_due
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_end_of_a_lease_tells_for_how_long_the_worker_was_silent(seed):
+    """Guards against an incident whose log does not tell when a worker with runs was lost.
+
+    A job whose run is believed in has no line of its own until the lease has expired. A worker that
+    never registered has been silent since the begin of the term.
+    """
+    current = _make_state(seed)
+    reported_at_s = {name: worker.reported_at_s for name, worker in current.workers.items()}
+    seen = set()
+    for now_s in (25.0, 45.0):
+        for command in leases.check_leases(current, now_s):
+            if not isinstance(command, commands.Decision) or command.event != "run_ended":
+                continue
+            fields = command.fields
+            since_s = reported_at_s.get(fields["worker"], current.began_at_s)
+            assert fields["silent_s"] == round(now_s - since_s, 3)
+            seen.add(fields["end"])
+    assert seen == {"lease_lapsed", "worker_unlisted"}
+
+
+def test_only_departures_that_no_heartbeat_has_told_are_urgent():
+    """Guards against a heartbeat at each change of the registry while workers depart.
+
+    What has been told, workers without runs and departures beyond the size of the row do not count.
+    """
+    current = _make_state(1)
+    assert not leases.has_untold_departure(current)
+    worker = next(w for w in current.workers.values() if w.runs)
+    worker.draining, worker.leaves_at_s = True, 50.0
+    assert leases.has_untold_departure(current)
+    current.lease_limits = leases.list_lease_limits(current, 40.0, frozenset())
+    assert not leases.has_untold_departure(current)
+    current.lease_limits = {f"x{number}": 50.0 for number in range(leases.MAX_LISTED_WORKERS - 1)}
+    assert leases.has_untold_departure(current)
+    current.withheld_leases = frozenset({"y"})
+    assert not leases.has_untold_departure(current)
+    current.lease_limits, current.withheld_leases = {}, frozenset({worker.worker_id})
+    assert not leases.has_untold_departure(current)
+    current.withheld_leases = frozenset()
+    worker.runs.clear()
+    worker.strays.clear()
+    assert not leases.has_untold_departure(current)
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -22,6 +22,7 @@
     ordering,
     placement,
     pool,
+    runs,
     scheduling,
     starvation,
     state,
@@ -394,10 +395,10 @@
         reason = Reason.INTENTION_NOT_STORED
     elif worker is None:
         lapse_s = leases.compute_inherited_end_s(check.current, run.worker_id)
-        fields |= _make_silence_fields(check, None, lapse_s)
+        fields |= _make_silence_fields(check, run.worker_id, lapse_s)
         reason = Reason.WORKER_NOT_REGISTERED
     elif _is_silent(check, worker):
-        fields |= _make_silence_fields(check, worker, leases.compute_lapse_s(worker))
+        fields |= _make_silence_fields(check, worker.worker_id, leases.compute_lapse_s(worker))
         reason = Reason.WORKER_SILENT if worker.registered else Reason.WORKER_NOT_REGISTERED
     elif run.phase is state.RunPhase.ORDERED:
         reason = Reason.START_UNCONFIRMED
@@ -414,23 +415,17 @@
     return not worker.confirmed or age_s >= check.current.policy.report_stale_s
 
 
-def _make_silence_fields(
-    check: _Check, worker: state.WorkerState | None, lapse_s: float
-) -> dict[str, Any]:
+def _make_silence_fields(check: _Check, worker_id: str, lapse_s: float) -> dict[str, Any]:
     """Returns the fields about a run that is only believed to exist, as its worker is silent.
 
     Args:
         check: The check.
-        worker: The worker, or None if it has not registered since the begin of the term.
+        worker_id: The worker.
         lapse_s: When the leases of its runs have certainly expired.
     """
-    since_s = check.current.began_at_s
-    if worker is not None:
-        # An earlier report went to another holder.
-        since_s = max(since_s, worker.reported_at_s)
     return {
         "leases_expire_in_s": round(max(0.0, lapse_s - check.now_s), 3),
-        "silent_s": round(check.now_s - since_s, 3),
+        "silent_s": round(runs.compute_silence_s(check.current, worker_id, check.now_s), 3),
     }
 
 
@@ -453,7 +448,9 @@
         for worker, number in holders[:1]:
             fields = {"worker": worker.worker_id, "run": number}
             if _is_silent(check, worker):
-                fields |= _make_silence_fields(check, worker, leases.compute_lapse_s(worker))
+                fields |= _make_silence_fields(
+                    check, worker.worker_id, leases.compute_lapse_s(worker)
+                )
         findings.append(Finding(Reason.STRAY_RUN, step.key, fields))
     return findings
 
--- a/lycheegate/node/tests/test_idle_jobs.py
+++ b/lycheegate/node/tests/test_idle_jobs.py
@@ -9,7 +9,7 @@
 from lycheegate.jobs import model, runs, state
 from lycheegate.jobs import waiting as waiting_checks
 from lycheegate.metrics import duration_errors, histograms
-from lycheegate.node import daemon, tables
+from lycheegate.node import daemon, exchange, tables
 from lycheegate.node.tests import fake_workers, simulation
 from lycheegate.platform import workers as worker_calls
 
@@ -643,3 +643,29 @@
     world.run(registry_s + 0.1)
     assert sum(task.job_id == job_id for task in world.fleet.starts) == 6
     assert b"start_refused" not in b"".join(world.lines)
+
+
+@pytest.mark.parametrize("is_registered", [True, False])
+def test_end_of_a_run_tells_since_when_its_worker_was_lost(is_registered):
+    """Guards against a job that stands still for longer than 3 s without a sign in any line.
+
+    The holder believes in the run of a lost worker until its lease has expired.
+    """
+    world = simulation.World(1)
+    world.fleet.work_s = 30.0
+    world.claim_term("a")
+    world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    world.run(3.0)
+    departed = world.fleet.find_busy_worker()
+    world.fleet.workers[departed].reset()
+    world.fleet.refusing.add(departed)
+    world.fleet.unreachable.add(departed)
+    if not is_registered:
+        world.unregister(departed)
+    lost_at_s = world.loop.now_s
+    world.run(9.0)
+    (ended,) = _list_records(world, "run_ended")
+    assert (ended["end"], ended["worker"]) == ("lease_lapsed", departed)
+    silent_since_s = ended["t"] - ended["silent_s"]
+    # The last report before it may be as old as the time that a poll waits.
+    assert lost_at_s - exchange.REPORT_WAIT_S - 0.5 <= silent_since_s <= lost_at_s + 0.5
