Lose the first holder as soon as it has told the ends of leases

It now loses the holder once the ends of leases are stored, and cannot be run if the holder has ended the runs.

--- a/incidents/idle_at_rest/case.py
+++ b/incidents/idle_at_rest/case.py
@@ -48,6 +48,8 @@
 """Time from the claim of a term to the loss of the VM that made it."""
 EXPIRY_S = 4.5
 """Time from the loss of a worker until its registration is removed: three check-in intervals."""
+LEARNED_S = 0.05
+"""Time in which the holder learns that a registration was removed."""
 DOWN_S = 3.5
 """Time after which a VM that was lost is started again."""
 FAULT_S = 6.0
@@ -375,11 +377,34 @@
     await asyncio.sleep(EXPIRY_S)
     case.store.delete("servers", lost.worker_id)
     case.record("registration_removed", worker=lost.worker_id)
-    await asyncio.sleep(1.0)
+    await wait_lease_ends_stored(case)
+    running = {name for found in case.workers.values() for name in found.runs}
+    if any(name.partition(".")[0] in on_lost for name in running):
+        raise harness.CaseError("the first holder has ended the runs on the lost worker itself")
     await lose_two_holders(scene)
     await asyncio.sleep(16.0)
 
 
+async def wait_lease_ends_stored(case: harness.Case) -> None:
+    """Waits until the holder has stored when the leases on a removed worker end, and no longer.
+
+    Otherwise, these leases end, and the holder ends the runs itself.
+    """
+    note_renewals, removed_at_s = case.store.on_transaction, time.monotonic()
+    stored: list[str] = []
+
+    def note_ends(vm: str, body: dict) -> None:
+        note_renewals(vm, body)
+        writes = body.get("writes") or []
+        if time.monotonic() - removed_at_s > LEARNED_S:
+            stored.extend(vm for w in writes if (w["table"], w["key"]) == ("terms", "leases"))
+
+    case.store.on_transaction = note_ends
+    await case.wait_for("the ends of leases are stored", lambda: bool(stored), 3.0)
+    case.store.on_transaction = note_renewals
+    case.record("lease_ends_stored")
+
+
 async def lose_two_holders(scene: Scene) -> None:
     """Loses the holder, and the next one soon after its claim; returns when a third has begun."""
     case = scene.case
