--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -119,7 +119,7 @@
 
     def resume_polls(self) -> None:
         """Resumes polling the workers whose reported ends have all been stored."""
-        for worker_id in list(self._awaiting_durable_ends):
+        for worker_id in sorted(self._awaiting_durable_ends):
             worker = self._state.workers.get(worker_id)
             if worker is None or worker.durable_end >= worker.processed_end:
                 self._resume_poll(worker_id)
