Give a reservation up once starved work takes its room

A gang waited for up to 20 s for room that others were using.

Cause: a job that has stood still may take room that is reserved for a gang. The reservation stayed until it expired and kept the gang from getting other room.

It is dropped now, and the next pass plans it anew where runs end first.

--- a/lycheegate/jobs/starvation.py
+++ b/lycheegate/jobs/starvation.py
@@ -170,17 +170,25 @@
     if not _has_spare_room(context, unit):
         context.unplaced_shapes.add(shape)
         return None
-    planned = [
-        reservation
+    planned = {
+        key: reservation
         for key, reservation in context.current.reservations.items()
         if not reservation.preempts and key != unit.reservation_key
-    ]
-    for reservation in planned:
+    }
+    for reservation in planned.values():
         context.workers.remove_reservation(reservation)
     try:
         chosen = _choose(context, unit)
+        # Room that was reserved where others start now is of no use to the gang that waits for it.
+        taken = [
+            key
+            for key, r in planned.items()
+            if not set(chosen or ()).isdisjoint(r.placement.values())
+        ]
+        for key in taken:
+            del context.current.reservations[key], planned[key]
     finally:
-        for reservation in planned:
+        for reservation in planned.values():
             context.workers.add_reservation(reservation)
     if chosen is None:
         context.unplaced_shapes.add(shape)
--- a/lycheegate/jobs/tests/test_starvation.py
+++ b/lycheegate/jobs/tests/test_starvation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lycheegate.jobs import model, runs, starvation, state
+from lycheegate.jobs import model, runs, starvation, state, units
 from lycheegate.jobs.tests import speeds
 
 _NOW_S = 1000.0
@@ -103,3 +103,23 @@
     job = _add_job(current)
     speeds.schedule(current, _NOW_S)
     assert len(job.list_runs()) == 1
+
+
+def test_reservation_whose_room_is_taken_is_given_up():
+    """Guards against a gang that waits until its reservation expires for room that others use.
+
+    A gang has reserved all workers, of which one is in use. A job that has stood still takes room
+    on another one, so the gang's room has to be planned anew.
+    """
+    current = speeds.make_state([0, 8, 8], rack_size=4)
+    current.began_at_s = _NOW_S - 100.0
+    step = model.Step(3, speeds.make_need(8), 60.0, gang=True)
+    speeds.add_job(current, "gang", "gang", step, _NOW_S - 100.0)
+    key = ("gang", 0, 0, units.GANG_INDEX)
+    current.reservations[key] = state.Reservation(
+        {0: "w0", 1: "w1", 2: "w2"}, speeds.make_need(8), _NOW_S + 20.0, preempts=False
+    )
+    job = _add_job(current)
+    speeds.schedule(current, _NOW_S)
+    assert len(job.list_runs()) == 1
+    assert key not in current.reservations
