Keep what is known of an incarnation of a worker in one object, and log it

A restart had to reset nine fields of a worker one by one. They are now one object, state.Incarnation, which a restart replaces, and a recorded deadline belongs to it. Decisions are unchanged.

Added: answer_of_other_incarnation for an answer whose clock the known incarnation cannot show; the former and the new incarnation, what told of it and the last acknowledged end in worker_restarted; the incarnations and the last acknowledged end in run_ended for ends that no worker reported; the incarnation in stray_run.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -173,11 +173,19 @@
     }
 
 
-def update_clock(worker: state.WorkerState, clock_ms: int, now_s: float) -> None:
-    """Updates what is known of a worker's clock from any of its answers."""
-    if clock_ms >= worker.clock_ms:
-        worker.clock_ms = clock_ms
-        worker.clock_at_s = now_s
+def update_clock(worker: state.WorkerState, clock_ms: int, sent_at_s: float, now_s: float) -> None:
+    """Updates what is known of a worker's clock from one of its answers.
+
+    Args:
+        worker: The worker.
+        clock_ms: Its clock.
+        sent_at_s: When the call was sent.
+        now_s: When its answer was received.
+    """
+    incarnation = worker.incarnation
+    if clock_ms >= incarnation.clock_ms:
+        incarnation.clock_ms = clock_ms
+        incarnation.clock_sent_at_s, incarnation.clock_at_s = sent_at_s, now_s
 
 
 def compute_deadline_ms(
@@ -189,22 +197,23 @@
         The deadline, or None if the clock is unknown or no lease is granted to the worker.
     """
     is_withheld = current.withholds_all_leases or worker.worker_id in current.withheld_leases
-    if not worker.clock_ms or is_withheld:
+    incarnation = worker.incarnation
+    if not incarnation.clock_ms or is_withheld:
         return None
-    elapsed_s = (now_s - worker.clock_at_s) * (1.0 - current.policy.clock_slowness_ratio)
+    slowness_ratio = current.policy.clock_slowness_ratio
+    elapsed_s = (now_s - incarnation.clock_at_s) * (1.0 - slowness_ratio)
     lease_s = current.policy.lease_s
     if worker.draining and worker.leaves_at_s is not None:
         # Runs that are lost with the worker are known to be gone only once the lease has expired.
         lease_s = min(lease_s, max(MIN_LEASE_S, worker.leaves_at_s - now_s))
-    deadline_ms = worker.clock_ms + int((elapsed_s + lease_s) * 1000.0)
+    deadline_ms = incarnation.clock_ms + int((elapsed_s + lease_s) * 1000.0)
     limit_s = current.lease_limits.get(worker.worker_id)
     if limit_s is None:
         return deadline_ms
     # The latest deadline that has certainly passed by the limit, as ``update_expiry`` computes it.
-    slowness_ratio = current.policy.clock_slowness_ratio
-    until_limit_s = (limit_s - CLOCK_MARGIN_S - worker.clock_at_s) * (1.0 - slowness_ratio)
-    limited_ms = min(deadline_ms, worker.clock_ms + int(until_limit_s * 1000.0))
-    return limited_ms if limited_ms > worker.clock_ms + int(elapsed_s * 1000.0) else None
+    until_limit_s = (limit_s - CLOCK_MARGIN_S - incarnation.clock_at_s) * (1.0 - slowness_ratio)
+    limited_ms = min(deadline_ms, incarnation.clock_ms + int(until_limit_s * 1000.0))
+    return limited_ms if limited_ms > incarnation.clock_ms + int(elapsed_s * 1000.0) else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -212,10 +221,12 @@
     """A lease deadline that was recorded before it was sent.
 
     Attributes:
+        incarnation: Incarnation of the worker for which it was computed.
         count: Number of deadlines recorded for the worker, including this one.
         previous_ms: Latest deadline before it.
     """
 
+    incarnation: state.Incarnation
     count: int
     previous_ms: int
 
@@ -224,9 +235,12 @@
     current: state.SchedulerState, worker: state.WorkerState, deadline_ms: int
 ) -> RecordedDeadline:
     """Records a lease deadline before it is sent, because it may arrive without an answer."""
-    worker.deadlines_recorded += 1
-    recorded = RecordedDeadline(worker.deadlines_recorded, worker.max_deadline_ms)
-    worker.max_deadline_ms = max(worker.max_deadline_ms, deadline_ms)
+    incarnation = worker.incarnation
+    incarnation.deadlines_recorded += 1
+    recorded = RecordedDeadline(
+        incarnation, incarnation.deadlines_recorded, incarnation.max_deadline_ms
+    )
+    incarnation.max_deadline_ms = max(incarnation.max_deadline_ms, deadline_ms)
     update_expiry(current, worker)
     return recorded
 
@@ -239,18 +253,20 @@
     Without this, each attempt to reach a worker that has crashed would postpone the time from which
     its runs certainly have ended.
     """
-    if worker.deadlines_recorded == recorded.count:
-        worker.max_deadline_ms = recorded.previous_ms
+    incarnation = worker.incarnation
+    if incarnation is recorded.incarnation and incarnation.deadlines_recorded == recorded.count:
+        incarnation.max_deadline_ms = recorded.previous_ms
         update_expiry(current, worker)
 
 
 def update_expiry(current: state.SchedulerState, worker: state.WorkerState) -> None:
     """Computes when the leases on a worker have certainly expired, on the scheduler's clock."""
-    if not worker.clock_ms or not worker.confirmed:
+    incarnation = worker.incarnation
+    if not incarnation.clock_ms or not incarnation.confirmed:
         return
-    remaining_s = max(0.0, (worker.max_deadline_ms - worker.clock_ms) / 1000.0)
+    remaining_s = max(0.0, (incarnation.max_deadline_ms - incarnation.clock_ms) / 1000.0)
     remaining_s /= 1.0 - current.policy.clock_slowness_ratio
-    worker.leases_expire_at_s = worker.clock_at_s + remaining_s + CLOCK_MARGIN_S
+    worker.leases_expire_at_s = incarnation.clock_at_s + remaining_s + CLOCK_MARGIN_S
 
 
 def allow_for_restart(
--- a/lycheegate/jobs/pool.py
+++ b/lycheegate/jobs/pool.py
@@ -47,7 +47,7 @@
 
 def _is_reporting(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> bool:
     return (
-        worker.confirmed
+        worker.incarnation.confirmed
         and now_s - worker.reported_at_s < current.policy.report_stale_s
         and now_s >= worker.unreachable_until_s
     )
--- a/lycheegate/jobs/preview.py
+++ b/lycheegate/jobs/preview.py
@@ -554,7 +554,7 @@
         (health.is_quarantined(worker, now_s), Exclusion.QUARANTINED),
         (bool(worker.unknown_runs), Exclusion.UNKNOWN_RUNS),
         (
-            not worker.confirmed or age_s >= current.policy.report_stale_s,
+            not worker.incarnation.confirmed or age_s >= current.policy.report_stale_s,
             Exclusion.NOT_REPORTING,
         ),
         (now_s < worker.unreachable_until_s, Exclusion.NOT_ANSWERING),
--- a/lycheegate/jobs/reclaiming.py
+++ b/lycheegate/jobs/reclaiming.py
@@ -264,7 +264,9 @@
     """
     if now_s - current.began_at_s >= SETTLING_S:
         return True
-    return all(worker.confirmed for worker in current.workers.values() if worker.registered)
+    return all(
+        worker.incarnation.confirmed for worker in current.workers.values() if worker.registered
+    )
 
 
 def _choose_victims(
--- a/lycheegate/jobs/runs.py
+++ b/lycheegate/jobs/runs.py
@@ -31,6 +31,8 @@
 """How long a worker gets no new work after it did not answer an order."""
 _LAPSES = frozenset({"lease_lapsed", "worker_unlisted"})
 """Reasons of ends that are inferred from the silence of a worker."""
+_INFERRED = _LAPSES | {"absent"}
+"""Reasons of ends that no worker has reported."""
 
 
 class End(enum.StrEnum):
@@ -195,6 +197,8 @@
     fields = _make_end_fields(run, end, reason, now_s)
     if reason in _LAPSES:
         fields["silent_s"] = round(compute_silence_s(current, run.worker_id, now_s), 3)
+    if reason in _INFERRED:
+        fields |= _make_incarnation_fields(current, run)
     result: list[commands.Command] = [commands.Decision("run_ended", fields)]
     if end is End.DONE:
         # The run is removed and its end will be acknowledged, so an error in what is learned from
@@ -240,6 +244,17 @@
     }
 
 
+def _make_incarnation_fields(current: state.SchedulerState, run: state.Run) -> dict[str, Any]:
+    """Returns the log fields that tell which incarnation of its worker an inferred end rests on."""
+    worker = current.workers.get(run.worker_id)
+    incarnation = worker.incarnation if worker is not None else state.Incarnation()
+    return {
+        "born_ms": incarnation.born_ms,
+        "run_born_ms": run.worker_born_ms,
+        "acknowledged_end": incarnation.durable_end,
+    }
+
+
 def _make_end_fields(run: state.Run, end: End, reason: str, now_s: float) -> dict[str, Any]:
     """Returns the log fields of the end of a run, with its loss unless it has succeeded."""
     fields: dict[str, Any] = {**_make_run_fields(run), "end": reason}
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -20,6 +20,7 @@
     "FailureWave",
     "IdleJob",
     "IdleJobs",
+    "Incarnation",
     "InheritedLeases",
     "JobState",
     "JobStatus",
@@ -332,6 +333,38 @@
         return [run for step in self.steps.values() for run in step.runs.values()]
 
 
+@dataclasses.dataclass(slots=True)
+class Incarnation:
+    """What is known of one incarnation of a worker; a restart replaces it as a whole.
+
+    Attributes:
+        born_ms: Its start in milliseconds since 1970, or 0 if unknown.
+        known_since_s: When it became known that the worker had restarted, or 0 if it has not since
+            this scheduler knows it.
+        confirmed: Whether it has reported to this scheduler.
+        clock_ms: Its clock in its last report.
+        clock_sent_at_s: When that report was requested.
+        clock_at_s: When that report was received.
+        listed_clock_ms: Its clock when it made the latest list of its runs.
+        max_deadline_ms: Latest lease deadline that was sent to it, on its clock.
+        deadlines_recorded: Number of changes of that deadline.
+        processed_end: Number of the last end of a run that was processed.
+        durable_end: Number of the last end of a run whose effect is durable.
+    """
+
+    born_ms: int = 0
+    known_since_s: float = 0.0
+    confirmed: bool = False
+    clock_ms: int = 0
+    clock_sent_at_s: float = 0.0
+    clock_at_s: float = 0.0
+    listed_clock_ms: int = 0
+    max_deadline_ms: int = 0
+    deadlines_recorded: int = 0
+    processed_end: int = 0
+    durable_end: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class WorkerState:
     """A worker.
@@ -349,10 +382,9 @@
         leaves_at_s: Earliest time at which it leaves, or None if unknown.
         registered_remaining_s: Time until it leaves according to its last registration, or None.
         registered: Whether the registry lists it.
-        born_ms: Start of its incarnation in milliseconds since 1970, or 0 if unknown.
-        registered_born_ms: The same according to its last registration.
-        restarted_at_s: When its last restart became known, or 0 if none did.
-        confirmed: Whether it has reported to this scheduler since the term or the worker started.
+        incarnation: What is known of its present incarnation.
+        registered_born_ms: Start of its incarnation according to its last registration, in
+            milliseconds since 1970, or 0 if unknown.
         runs: Current runs that may exist on it.
         strays: Resources of its stray runs: runs that it lists and that are not the current run
             of their task.
@@ -360,15 +392,8 @@
             parsed. Their resources are unknown, so no work is placed beside them.
         reported_address: Address from which its last report came, or an empty string.
         reported_at_s: When its last report was received.
-        listed_clock_ms: Its clock when it made the latest list of its runs.
-        listed_at_s: When that list was received.
+        listed_at_s: When the latest list of its runs was received.
         leases_expire_at_s: When the leases of all runs on it have certainly expired.
-        clock_ms: Its clock in its last answer.
-        clock_at_s: When that answer was received.
-        max_deadline_ms: Latest lease deadline that was sent to it, on its clock.
-        deadlines_recorded: Number of changes of that deadline.
-        processed_end: Number of the last end of a run that was processed.
-        durable_end: Number of the last end of a run whose effect is durable.
         failures: Jobs of its failed runs since its last success or quarantine.
         quarantined_until_s: When its quarantine after failures ends.
         quarantines: Number of consecutive quarantines; the duration doubles with each.
@@ -396,10 +421,8 @@
     leaves_at_s: float | None = None
     registered_remaining_s: float | None = None
     registered: bool = True
-    born_ms: int = 0
+    incarnation: Incarnation = dataclasses.field(default_factory=Incarnation)
     registered_born_ms: int = 0
-    restarted_at_s: float = 0.0
-    confirmed: bool = False
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
     strays: dict[tuple[model.TaskKey, int], model.Resources] = dataclasses.field(
         default_factory=dict
@@ -407,15 +430,8 @@
     unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     reported_address: str = ""
     reported_at_s: float = 0.0
-    listed_clock_ms: int = 0
     listed_at_s: float = 0.0
     leases_expire_at_s: float = 0.0
-    clock_ms: int = 0
-    clock_at_s: float = 0.0
-    max_deadline_ms: int = 0
-    deadlines_recorded: int = 0
-    processed_end: int = 0
-    durable_end: int = 0
     failures: list[str] = dataclasses.field(default_factory=list)
     quarantined_until_s: float = 0.0
     quarantines: int = 0
@@ -428,6 +444,11 @@
     registered_cold_s: float = 0.0
     trials: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
+    @property
+    def born_ms(self) -> int:
+        """Start of its incarnation in milliseconds since 1970, or 0 if unknown."""
+        return self.incarnation.born_ms
+
     @property
     def has_current_registration(self) -> bool:
         """Whether its registration is not that of an earlier incarnation.
--- a/lycheegate/jobs/tests/durations_fleet.py
+++ b/lycheegate/jobs/tests/durations_fleet.py
@@ -40,7 +40,7 @@
             self.ratios[worker_id] = ratios[number % len(ratios)]
             place = ("render", "a:1", "z", f"r{number // 20}", frozenset())
             worker = state.WorkerState(worker_id, *place, _CAPACITY, _CAPACITY)
-            worker.born_ms = worker.registered_born_ms = 1
+            worker.incarnation.born_ms = worker.registered_born_ms = 1
             self.current.workers[worker_id] = worker
 
     def add_job(self, account="acme", route="batch", ratio=None, **fields) -> state.JobState:
--- a/lycheegate/jobs/tests/replay.py
+++ b/lycheegate/jobs/tests/replay.py
@@ -64,7 +64,15 @@
         for number in range(workers):
             name, rack = f"w{number:03}", f"r{number // 10}"
             self.current.workers[name] = state.WorkerState(
-                name, "render", "a:1", "z", rack, frozenset(), CAPACITY, CAPACITY, confirmed=True
+                name,
+                "render",
+                "a:1",
+                "z",
+                rack,
+                frozenset(),
+                CAPACITY,
+                CAPACITY,
+                incarnation=state.Incarnation(confirmed=True),
             )
 
     def submit(self, route: str, account: str, step: model.Step) -> Record:
--- a/lycheegate/jobs/tests/share_replay.py
+++ b/lycheegate/jobs/tests/share_replay.py
@@ -48,7 +48,7 @@
         worker = state.WorkerState(
             f"w{number:03}", SERVICE, "a:1", "z", f"r{number // 8}", frozenset(), CAPACITY, CAPACITY
         )
-        worker.confirmed = True
+        worker.incarnation.confirmed = True
         current.workers[worker.worker_id] = worker
     return current
 
--- a/lycheegate/jobs/tests/speeds.py
+++ b/lycheegate/jobs/tests/speeds.py
@@ -47,7 +47,15 @@
         worker_id, rack = f"w{number}", f"r{number // rack_size}"
         room = model.Resources(8_000 * accelerators, 32_000 * accelerators, accelerators)
         current.workers[worker_id] = state.WorkerState(
-            worker_id, "render", "a:1", "z", rack, frozenset(), CAPACITY, room, confirmed=True
+            worker_id,
+            "render",
+            "a:1",
+            "z",
+            rack,
+            frozenset(),
+            CAPACITY,
+            room,
+            incarnation=state.Incarnation(confirmed=True),
         )
     return current
 
--- a/lycheegate/jobs/tests/test_adequacy.py
+++ b/lycheegate/jobs/tests/test_adequacy.py
@@ -334,7 +334,7 @@
     current = speeds.make_state([8, 8], rack_size=4)
     current.uneven_services, current.unevenness_checked_at_s = frozenset({"render"}), _NOW_S
     for worker in current.workers.values():
-        worker.confirmed = False
+        worker.incarnation.confirmed = False
     speeds.add_job(current, "job", "urgent", _gang(2, 8), _NOW_S)
     result = scheduling.schedule(current, _NOW_S, _NOW_S)
     assert _list_events(result, "stage_failed") == []
--- a/lycheegate/jobs/tests/test_admission.py
+++ b/lycheegate/jobs/tests/test_admission.py
@@ -136,7 +136,7 @@
         worker = state.WorkerState(
             f"w{number}", "s", "a:1", "z", "r", frozenset(), _WORKER, _WORKER
         )
-        worker.confirmed = True
+        worker.incarnation.confirmed = True
         current.workers[worker.worker_id] = worker
     for number, (route, step, account) in enumerate(jobs):
         job = model.Job(f"{number:016x}", route.name, account, "x", (step,), 0.0)
--- a/lycheegate/jobs/tests/test_admission_replay.py
+++ b/lycheegate/jobs/tests/test_admission_replay.py
@@ -57,7 +57,7 @@
             worker = state.WorkerState(
                 f"w{number}", "s", "a:1", "z", "r", frozenset(), _CAPACITY, _CAPACITY
             )
-            worker.confirmed = True
+            worker.incarnation.confirmed = True
             self.current.workers[worker.worker_id] = worker
         self.ends_s: dict[tuple[model.TaskKey, int], float] = {}
         self.load: admission.Load | None = None
--- a/lycheegate/jobs/tests/test_crashes.py
+++ b/lycheegate/jobs/tests/test_crashes.py
@@ -25,9 +25,17 @@
 
 def _add_worker(current: state.SchedulerState, worker_id: str) -> state.WorkerState:
     worker = state.WorkerState(
-        worker_id, "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+        worker_id,
+        "render",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        _CAPACITY,
+        _CAPACITY,
+        incarnation=state.Incarnation(confirmed=True),
     )
-    worker.born_ms = _BORN_MS
+    worker.incarnation.born_ms = _BORN_MS
     current.workers[worker_id] = worker
     return worker
 
--- a/lycheegate/jobs/tests/test_data_centres.py
+++ b/lycheegate/jobs/tests/test_data_centres.py
@@ -30,7 +30,7 @@
             worker = state.WorkerState(
                 f"{name}{number}", "render", "h:1", name, name, frozenset(), _CAPACITY, _CAPACITY
             )
-            worker.confirmed = True
+            worker.incarnation.confirmed = True
             worker.reported_at_s = _NOW_S
             current.workers[worker.worker_id] = worker
     return current
--- a/lycheegate/jobs/tests/test_durations.py
+++ b/lycheegate/jobs/tests/test_durations.py
@@ -179,7 +179,7 @@
 
 
 def _restart(fleet, job, run):
-    fleet.current.workers["w0"].born_ms = 2
+    fleet.current.workers["w0"].incarnation.born_ms = 2
 
 
 def _inherit(fleet, job, run):
--- a/lycheegate/jobs/tests/test_estimates.py
+++ b/lycheegate/jobs/tests/test_estimates.py
@@ -26,7 +26,15 @@
     """Returns a state with one run, which was started at 1 s."""
     current = state.SchedulerState(1, state.Policy(), 0.0)
     current.workers["w0"] = state.WorkerState(
-        "w0", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+        "w0",
+        "render",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        _CAPACITY,
+        _CAPACITY,
+        incarnation=state.Incarnation(confirmed=True),
     )
     step = model.Step(1, _NEED, 60.0, checkpoints=True)
     job = state.JobState(model.Job("0" * 16, "batch", "acme", "x", (step,), 0.0), _ROUTE)
--- a/lycheegate/jobs/tests/test_evacuation.py
+++ b/lycheegate/jobs/tests/test_evacuation.py
@@ -91,7 +91,7 @@
     """
     current = _make_state(_PLAIN, 10, 2.0, leaves_in_s, draining)
     worker = current.workers["w0"]
-    worker.clock_ms, worker.clock_at_s = 50_000, _NOW_S
+    worker.incarnation.clock_ms, worker.incarnation.clock_at_s = 50_000, _NOW_S
     deadline_ms = leases.compute_deadline_ms(current, worker, _NOW_S)
     assert deadline_ms == 50_000 + int(expected_s * 1000)
 
--- a/lycheegate/jobs/tests/test_headroom.py
+++ b/lycheegate/jobs/tests/test_headroom.py
@@ -86,7 +86,7 @@
         worker = state.WorkerState(
             worker_id, "render", "a:1", "z", f"r{number // 8}", frozenset(), _CAPACITY, _CAPACITY
         )
-        worker.confirmed = True
+        worker.incarnation.confirmed = True
         current.workers[worker_id] = worker
     return current
 
--- a/lycheegate/jobs/tests/test_job_reservations.py
+++ b/lycheegate/jobs/tests/test_job_reservations.py
@@ -22,7 +22,15 @@
     services = {name: model.Service(name) for name in ("render", "other")}
     current.configuration = model.Configuration(1, _ROUTES, services, {"acme": account}, {}, 1)
     worker = state.WorkerState(
-        "w0", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+        "w0",
+        "render",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        _CAPACITY,
+        _CAPACITY,
+        incarnation=state.Incarnation(confirmed=True),
     )
     current.workers["w0"] = worker
     for number, (route, step) in enumerate((("batch", _BATCH), ("urgent", _URGENT))):
--- a/lycheegate/jobs/tests/test_leases.py
+++ b/lycheegate/jobs/tests/test_leases.py
@@ -97,7 +97,7 @@
     """
     current = _make_state(1)
     worker = current.workers["w0"]
-    worker.confirmed = True
+    worker.incarnation.confirmed = True
     task = model.TaskKey(f"{0:016x}", 0, 0, 0)
     listed = workers.ListedRun(task, str(task), 9, "", 10)
     workers.apply_report(current, workers.Report("w0", 5_000, 1, (listed,), (), 40.0, 40.0))
--- a/lycheegate/jobs/tests/test_placed_tasks.py
+++ b/lycheegate/jobs/tests/test_placed_tasks.py
@@ -16,7 +16,15 @@
     for number in range(workers):
         worker_id = f"w{number}"
         worker = state.WorkerState(
-            worker_id, "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+            worker_id,
+            "render",
+            "a:1",
+            "z",
+            "r0",
+            frozenset(),
+            _CAPACITY,
+            _CAPACITY,
+            incarnation=state.Incarnation(confirmed=True),
         )
         worker.reported_at_s = 1.0
         current.workers[worker_id] = worker
--- a/lycheegate/jobs/tests/test_reclaiming.py
+++ b/lycheegate/jobs/tests/test_reclaiming.py
@@ -37,7 +37,15 @@
     current.configuration = model.Configuration(1, _ROUTES, services, {"acme": account}, {}, 1)
     for number in range(len(percents)):
         current.workers[f"w{number}"] = state.WorkerState(
-            f"w{number}", "render", "a:1", "z", "r0", frozenset(), _WHOLE, _WHOLE, confirmed=True
+            f"w{number}",
+            "render",
+            "a:1",
+            "z",
+            "r0",
+            frozenset(),
+            _WHOLE,
+            _WHOLE,
+            incarnation=state.Incarnation(confirmed=True),
         )
     count = sum(map(len, percents))
     need = model.Resources(8_000 // len(percents[0]), 1_000, 8 // len(percents[0]))
@@ -209,7 +217,15 @@
     current = _make_state([[50, 50]])
     current.began_at_s = 11.0 - age_s
     current.workers["w1"] = state.WorkerState(
-        "w1", "render", "a:1", "z", "r0", frozenset(), _WHOLE, _WHOLE, confirmed=confirmed
+        "w1",
+        "render",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        _WHOLE,
+        _WHOLE,
+        incarnation=state.Incarnation(confirmed=confirmed),
     )
     current.workers["w1"].room = model.Resources()
     step = model.Step(1, model.Resources(4_000, 1_000, 4), 3.0)
--- a/lycheegate/jobs/tests/test_report_order.py
+++ b/lycheegate/jobs/tests/test_report_order.py
@@ -10,7 +10,7 @@
     capacity = model.Resources(64_000, 64_000, 64)
     current = state.SchedulerState(2, state.Policy(), 1.0)
     worker = state.WorkerState("w0", "render", "a:1", "z", "r0", frozenset(), capacity, capacity)
-    worker.confirmed = True
+    worker.incarnation.confirmed = True
     current.workers["w0"] = worker
     route = model.Route("batch", "h", "/b/", "render", 1, 3, 3.0, 1.0)
     step = model.Step(1, model.Resources(1_000, 1_000, 1), 9.0)
--- a/lycheegate/jobs/tests/test_run_ends.py
+++ b/lycheegate/jobs/tests/test_run_ends.py
@@ -12,7 +12,15 @@
     """Returns a state with a run of 1 core and 1 accelerator that began at 2 s."""
     current = state.SchedulerState(1, state.Policy(), 0.0)
     current.workers["w0"] = state.WorkerState(
-        "w0", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+        "w0",
+        "render",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        _CAPACITY,
+        _CAPACITY,
+        incarnation=state.Incarnation(confirmed=True),
     )
     current.workers["w0"].reported_at_s = 1.0
     step = model.Step(1, model.Resources(1_000, 1_000, 1), 60.0, checkpoints=checkpoints)
--- a/lycheegate/jobs/tests/test_waiting.py
+++ b/lycheegate/jobs/tests/test_waiting.py
@@ -33,7 +33,7 @@
         worker = state.WorkerState(
             f"w{number}", "render", "a:1", "z", "r0", frozenset("a"), _CAPACITY, _CAPACITY
         )
-        worker.confirmed = True
+        worker.incarnation.confirmed = True
         worker.reported_at_s = _NOW_S
         worker.leases_expire_at_s = _NOW_S + 5.0
         current.workers[worker.worker_id] = worker
@@ -410,7 +410,7 @@
     current = _make_state()
     job = _add_job(current)
     _add_run(current, job, state.RunPhase.ORDERED).awaits_first_report = True
-    current.workers["w0"].confirmed = False
+    current.workers["w0"].incarnation.confirmed = False
     current.workers["w0"].reported_at_s = 0.0
     (decision,) = _list_decisions(current)
     assert (decision.fields["reason"], decision.fields["silent_s"]) == ("worker_silent", 10.0)
--- a/lycheegate/jobs/waiting.py
+++ b/lycheegate/jobs/waiting.py
@@ -412,7 +412,7 @@
 def _is_silent(check: _Check, worker: state.WorkerState) -> bool:
     """Returns whether a worker has not reported to this scheduler, or not lately."""
     age_s = check.now_s - worker.reported_at_s
-    return not worker.confirmed or age_s >= check.current.policy.report_stale_s
+    return not worker.incarnation.confirmed or age_s >= check.current.policy.report_stale_s
 
 
 def _make_silence_fields(check: _Check, worker_id: str, lapse_s: float) -> dict[str, Any]:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -178,7 +178,7 @@
     is_new = registration.born_ms != worker.registered_born_ms
     worker.registered_born_ms = registration.born_ms
     if is_new and worker.born_ms and registration.born_ms > worker.born_ms:
-        result += handle_restart(current, worker, registration.born_ms, now_s)
+        result += handle_restart(current, worker, registration.born_ms, "registration", now_s)
     if registration.draining != worker.draining:
         result.append(
             commands.Decision(
@@ -267,7 +267,7 @@
         registration.capacity,
         registration.capacity,
         registration.draining,
-        born_ms=registration.born_ms,
+        incarnation=state.Incarnation(registration.born_ms),
         registered_born_ms=registration.born_ms,
     )
     factors.remove_other_incarnation(current.durations, worker.worker_id, worker.born_ms)
@@ -290,7 +290,11 @@
 
 
 def handle_restart(
-    current: state.SchedulerState, worker: state.WorkerState, born_ms: int, now_s: float
+    current: state.SchedulerState,
+    worker: state.WorkerState,
+    born_ms: int,
+    source: str,
+    now_s: float,
 ) -> list[commands.Command]:
     """Handles the restart of a worker, which resets its numbering of ends, clock and fencing token.
 
@@ -302,21 +306,26 @@
         current: State of the scheduler.
         worker: The worker.
         born_ms: Start of its incarnation in milliseconds since 1970.
+        source: What told of the restart, for the log.
         now_s: Time on the scheduler's clock.
     """
     crashes.record_worker_crash(current, worker, now_s)
     factors.forget_worker(current.durations, worker.worker_id)
-    worker.born_ms = born_ms
-    worker.restarted_at_s = now_s
-    worker.processed_end = worker.durable_end = 0
-    worker.confirmed = False
-    worker.clock_ms = worker.listed_clock_ms = worker.max_deadline_ms = 0
-    # A deadline from before the restart must not be restored.
-    worker.deadlines_recorded += 1
+    former = worker.incarnation
+    worker.incarnation = state.Incarnation(born_ms, known_since_s=now_s)
     leases.allow_for_restart(current, worker, now_s)
     strays.clear_strays(current, worker)
     current.schedule_due = True
-    return [commands.Decision("worker_restarted", {"worker": worker.worker_id, "born_ms": born_ms})]
+    fields = {
+        "worker": worker.worker_id,
+        "born_ms": born_ms,
+        "former_born_ms": former.born_ms,
+        "source": source,
+        "runs": len(worker.runs),
+        "former_clock_ms": former.clock_ms,
+        "acknowledged_end": former.durable_end,
+    }
+    return [commands.Decision("worker_restarted", fields)]
 
 
 def apply_report(current: state.SchedulerState, report: Report) -> list[commands.Command]:
@@ -337,28 +346,29 @@
     if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
         # An earlier incarnation cannot answer a request that was sent after the later one became
         # known. Such an answer shows that another writer has changed the registration.
-        if report.born_ms < worker.born_ms and report.sent_at_s < worker.restarted_at_s:
+        if report.born_ms < worker.born_ms and report.sent_at_s < worker.incarnation.known_since_s:
             return []
-        result += handle_restart(current, worker, report.born_ms, now_s)
-    worker.born_ms = report.born_ms or worker.born_ms
-    leases.update_clock(worker, report.clock_ms, now_s)
+        result += handle_restart(current, worker, report.born_ms, "report", now_s)
+    worker.incarnation.born_ms = report.born_ms or worker.born_ms
+    leases.update_clock(worker, report.clock_ms, report.sent_at_s, now_s)
     worker.reported_at_s = now_s
     worker.unreachable_until_s = 0.0
-    if not worker.confirmed:
-        worker.confirmed = True
+    incarnation = worker.incarnation
+    if not incarnation.confirmed:
+        incarnation.confirmed = True
         # The previous scheduler may have granted the longest lease just before this report.
         longest_ms = report.clock_ms + int(current.policy.max_lease_s * 1000.0)
-        worker.max_deadline_ms = max(worker.max_deadline_ms, longest_ms)
-        worker.deadlines_recorded += 1
+        incarnation.max_deadline_ms = max(incarnation.max_deadline_ms, longest_ms)
+        incarnation.deadlines_recorded += 1
         current.schedule_due = True
     leases.update_expiry(current, worker)
     # Reports may arrive out of order; the list of runs in an older one is outdated. One that waits
     # for an end may be made later than another that is requested meanwhile. A list that was
     # requested after the last one had arrived is newer, also if a restart has reset the clock.
     is_requested_later = report.sent_at_s >= worker.listed_at_s
-    is_latest = is_requested_later or report.clock_ms >= worker.listed_clock_ms
+    is_latest = is_requested_later or report.clock_ms >= incarnation.listed_clock_ms
     if is_latest:
-        worker.listed_clock_ms, worker.listed_at_s = report.clock_ms, now_s
+        incarnation.listed_clock_ms, worker.listed_at_s = report.clock_ms, now_s
     result += _apply_ends(current, worker, report, now_s)
     if is_latest:
         result += _apply_running(current, worker, report, now_s)
@@ -373,9 +383,9 @@
 ) -> list[commands.Command]:
     result: list[commands.Command] = []
     for ended in sorted(report.ended, key=lambda item: item.end_number):
-        if ended.end_number <= worker.processed_end:
+        if ended.end_number <= worker.incarnation.processed_end:
             continue
-        worker.processed_end = ended.end_number
+        worker.incarnation.processed_end = ended.end_number
         if ended.task is not None:
             result += _apply_end(current, worker, ended, now_s)
             job = current.jobs.get(ended.task.job_id)
@@ -482,7 +492,12 @@
     return [
         commands.Decision(
             "stray_run",
-            {"job": listed.task.job_id, "worker": worker.worker_id, "run": listed.number},
+            {
+                "job": listed.task.job_id,
+                "worker": worker.worker_id,
+                "run": listed.number,
+                "born_ms": worker.born_ms,
+            },
         ),
         commands.StopRun(worker.worker_id, listed.task, listed.number),
     ]
--- a/lycheegate/jobs/writes.py
+++ b/lycheegate/jobs/writes.py
@@ -235,8 +235,8 @@
             first_unstored[source] = min(end_number, first_unstored.get(source, end_number))
     for worker in current.workers.values():
         first = first_unstored.get((worker.worker_id, worker.born_ms))
-        stored = worker.processed_end if first is None else first - 1
-        worker.durable_end = max(worker.durable_end, stored)
+        stored = worker.incarnation.processed_end if first is None else first - 1
+        worker.incarnation.durable_end = max(worker.incarnation.durable_end, stored)
 
 
 def requeue_batch(current: state.SchedulerState, batch: Batch, versions: dict[str, int]) -> None:
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -13,6 +13,7 @@
     commands,
     crashes,
     data_centres,
+    incarnations,
     leases,
     model,
     runs,
@@ -121,7 +122,7 @@
         """Resumes polling the workers whose reported ends have all been stored."""
         for worker_id in sorted(self._awaiting_durable_ends):
             worker = self._state.workers.get(worker_id)
-            if worker is None or worker.durable_end >= worker.processed_end:
+            if worker is None or worker.incarnation.durable_end >= worker.incarnation.processed_end:
                 self._resume_poll(worker_id)
 
     def _poll(self, worker_id: str, wait_s: float) -> None:
@@ -166,7 +167,7 @@
             address,
             worker_id,
             self._state.epoch,
-            worker.durable_end,
+            worker.incarnation.durable_end,
             deadline_ms,
             wait_s,
             lambda outcome: self._guard_poll(
@@ -203,7 +204,7 @@
             worker.reported_address = address
         self._failed_polls.discard(worker_id)
         self._logged_errors.pop(worker_id, None)
-        was_confirmed = worker is not None and worker.confirmed
+        was_confirmed = worker is not None and worker.incarnation.confirmed
         report = outcome.unwrap()
         try:
             command_list = workers.apply_report(self._state, report)
@@ -216,7 +217,7 @@
         if worker is None or not was_confirmed:
             self._poll(worker_id, 0.0)
             return
-        if worker.processed_end > worker.durable_end:
+        if worker.incarnation.processed_end > worker.incarnation.durable_end:
             self._awaiting_durable_ends.add(worker_id)
             self._hooks.call_later(DURABLE_ENDS_PAUSE_S, lambda: self._resume_poll(worker_id))
             return
@@ -254,7 +255,7 @@
             worker.address,
             worker.worker_id,
             self._state.epoch,
-            worker.durable_end,
+            worker.incarnation.durable_end,
             None,
             0.0,
             self._handle_additional_report,
@@ -375,7 +376,7 @@
             order,
             self._state.epoch,
             deadline_ms,
-            lambda outcome: self._handle_start_result(order, address, outcome),
+            lambda outcome: self._handle_start_result(order, address, now_s, outcome),
         )
 
     def _find_evacuation_reason(self, worker: state.WorkerState | None, now_s: float) -> str:
@@ -409,7 +410,11 @@
             self._hooks.request_pass(True)
 
     def _handle_start_result(
-        self, order: commands.StartRun, address: str, answer: worker_calls.OrderResult
+        self,
+        order: commands.StartRun,
+        address: str,
+        sent_at_s: float,
+        answer: worker_calls.OrderResult,
     ) -> None:
         if self._hooks.is_stopped():
             return
@@ -417,7 +422,8 @@
         worker = self._state.workers.get(order.worker_id)
         run = self._find_run(order)
         if worker is not None and answer.clock_ms:
-            leases.update_clock(worker, answer.clock_ms, now_s)
+            self._check_clock(order, worker, sent_at_s, answer, now_s)
+            leases.update_clock(worker, answer.clock_ms, sent_at_s, now_s)
         outcome = answer.outcome
         key = (order.task, order.number)
         if outcome is worker_calls.StartOutcome.FENCED:
@@ -448,6 +454,30 @@
         else:
             self._handle_start_refusal(order, run, worker, outcome, now_s)
 
+    def _check_clock(
+        self,
+        order: commands.StartRun,
+        worker: state.WorkerState,
+        sent_at_s: float,
+        answer: worker_calls.OrderResult,
+        now_s: float,
+    ) -> None:
+        """Logs an answer that the known incarnation of a worker cannot have given."""
+        possible = incarnations.compute_clock_range(self._state, worker, sent_at_s, now_s)
+        if possible is not None and possible.includes(answer.clock_ms):
+            return
+        self._log.write(
+            "answer_of_other_incarnation",
+            job=order.task.job_id,
+            worker=order.worker_id,
+            run=order.number,
+            outcome=answer.outcome.value,
+            clock_ms=answer.clock_ms,
+            least_ms=possible and possible.least_ms,
+            most_ms=possible and possible.most_ms,
+            born_ms=worker.born_ms,
+        )
+
     def _handle_start_refusal(
         self,
         order: commands.StartRun,
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -45,10 +45,19 @@
         self.client = _Client()
         self.current = state.SchedulerState(1, state.Policy(), 0.0)
         self.current.workers["w0"] = state.WorkerState(
-            "w0", "render", "a:1", "z", "r0", frozenset(), _CAPACITY, _CAPACITY, confirmed=True
+            "w0",
+            "render",
+            "a:1",
+            "z",
+            "r0",
+            frozenset(),
+            _CAPACITY,
+            _CAPACITY,
+            incarnation=state.Incarnation(confirmed=True),
         )
         worker = self.current.workers["w0"]
-        worker.reported_at_s, worker.clock_ms, worker.clock_at_s = 1.0, 1_000, 1.0
+        worker.reported_at_s = 1.0
+        worker.incarnation.clock_ms, worker.incarnation.clock_at_s = 1_000, 1.0
         self.exchange = exchange.WorkerExchange(
             self.client,
             self.current,
@@ -135,7 +144,7 @@
     order = term.place()
     if is_repeated:
         term.exchange.send_start(order)
-    term.current.workers["w0"].clock_ms = 0
+    term.current.workers["w0"].incarnation.clock_ms = 0
     if is_repeated:
         term.client.starts[0](_UNKNOWN)
         term.run_later()
--- a/lycheegate/platform/tests/test_odd_answers.py
+++ b/lycheegate/platform/tests/test_odd_answers.py
@@ -192,7 +192,15 @@
     current = state.SchedulerState(1, state.Policy(), 0.0)
     capacity = model.Resources(8, 8, 8)
     current.workers["w"] = state.WorkerState(
-        "w", "s", "a:1", "z", "r0", frozenset(), capacity, capacity, confirmed=True
+        "w",
+        "s",
+        "a:1",
+        "z",
+        "r0",
+        frozenset(),
+        capacity,
+        capacity,
+        incarnation=state.Incarnation(confirmed=True),
     )
     current.workers["w"].reported_at_s = 1.0
     route = model.Route("q", "h", "/q/", "s", 1, 3, 3.0, 1.0)
