Let calls of the simulated world outlive the restart of a worker

The fake workers dropped a late order if its worker had restarted meanwhile, and never lost a request for a report.

A new field of the faults, late_calls_survive_restarts, lets late orders and requests for a report reach whatever incarnation is there, loses requests that wait on a worker that crashes or is cut off, and renews the lease with orders that start nothing. Fleet.restart_silently crashes a worker that answers nothing until it is back. A success that is acknowledged although no report has listed it is named in the violation if its task starts again.

The field is off by default.

--- a/lycheegate/node/tests/fake_store.py
+++ b/lycheegate/node/tests/fake_store.py
@@ -61,6 +61,12 @@
     late_writes: float = 0.0
     lost_orders: float = 0.0
     late_orders: float = 0.0
+    late_calls_survive_restarts: bool = False
+    """Whether the next incarnation of a worker carries out late calls of the former one.
+
+    Requests for a report are then lost and late as orders are, and those that wait on a worker get
+    no answer once it has crashed or is cut off. An order that starts nothing renews the lease.
+    """
     refused_vms: set[str] = dataclasses.field(default_factory=set)
     history_lost: bool = False
     transaction_s: float = 0.0
--- a/lycheegate/node/tests/fake_workers.py
+++ b/lycheegate/node/tests/fake_workers.py
@@ -85,6 +85,8 @@
         self.ended: list[workers.EndedRun] = []
         self.end_number = 0
         self.ended_at_s: dict[int, float] = {}
+        self.listed_end = 0
+        """Number of the last end that a report has listed."""
         self.deadline_ms = 0
         self.lapsed_at_s = self.fleet.loop.now_s
         """When its lease was last seen to have expired."""
@@ -152,15 +154,26 @@
         for ended in self.ended:
             if ended.end_number <= durable_end and ended.end is runs.End.DONE:
                 ended_at_s = self.ended_at_s[ended.end_number]
-                self.fleet.record_success(ended.task, ended_at_s, self.lapsed_at_s >= ended_at_s)
+                has_lapsed = self.lapsed_at_s >= ended_at_s
+                is_listed = ended.end_number <= self.listed_end
+                self.fleet.record_success(ended.task, ended_at_s, has_lapsed, is_listed)
         self.ended = [ended for ended in self.ended if ended.end_number > durable_end]
 
+    def renew(self, deadline_ms: int) -> None:
+        """Prolongs the lease of all runs, by the longest lease at most."""
+        limit_ms = self.clock_ms() + int(MAX_LEASE_S * 1000)
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
+
     def start(self, order: commands.StartRun, epoch: int, deadline_ms: int):
         """Handles an order to start a run."""
         self.advance()
         if epoch < self.epoch:
             return worker_calls.StartOutcome.FENCED
         self.epoch = epoch
+        if self.fleet.faults.late_calls_survive_restarts:
+            # An order that starts nothing renews the lease, too. Other plays rely on the earlier
+            # behaviour of this fake.
+            self.renew(deadline_ms)
         run = self.live.get(order.task)
         if run is not None and run.number == order.number:
             return worker_calls.StartOutcome.STARTED
@@ -168,8 +181,7 @@
             return worker_calls.StartOutcome.OLD_RUN
         if deadline_ms <= self.clock_ms():
             return worker_calls.StartOutcome.LATE
-        limit_ms = self.clock_ms() + int(MAX_LEASE_S * 1000)
-        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit_ms))
+        self.renew(deadline_ms)
         self.highest_run_numbers[order.task] = order.number
         self.fleet.check_start(order, self)
         need, work_s = self.fleet.get_work(order.task)
@@ -220,6 +232,8 @@
         self.specs: dict[str, model.Job] = {}
         self.succeeded_at_s: dict[model.TaskKey, float] = {}
         self.acknowledged: set[model.TaskKey] = set()
+        self.unlisted: set[model.TaskKey] = set()
+        """Tasks with a success that was acknowledged although no report had listed it."""
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         """Numbers of the runs of each task that have ended as failed."""
         self.starts: dict[model.TaskKey, int] = {}
@@ -269,6 +283,31 @@
         self.refusing.add(worker_id)
         self.loop.call_later(CRASH_DOWN_S, lambda: self._return_worker(worker_id))
 
+    def restart_silently(self, worker_id: str, down_s: float, registered_s: float | None) -> None:
+        """Crashes a worker, which answers nothing until it is back under its identifier.
+
+        Args:
+            worker_id: Identifier of the worker.
+            down_s: Time until it is back.
+            registered_s: Time from its return until its registration is seen, or None for never.
+        """
+        worker = self.workers[worker_id]
+        worker.reset()
+        self.unreachable.add(worker_id)
+
+        def return_worker() -> None:
+            worker.restart()
+            self.unreachable.discard(worker_id)
+            if registered_s is not None:
+                self.loop.call_later(registered_s, lambda: self.on_returned(worker_id))
+
+        self.loop.call_later(down_s, return_worker)
+
+    def list_deaf(self) -> set[str]:
+        """Returns the workers that calls on their way do not reach."""
+        deaf = self.refusing | self.replaced
+        return deaf | self.unreachable if self.faults.late_calls_survive_restarts else deaf
+
     def _return_worker(self, worker_id: str) -> None:
         self.workers[worker_id].restart()
         self.refusing.discard(worker_id)
@@ -299,7 +338,8 @@
             if order.task in other.live:
                 self.violations.append(f"started {order.task} while it runs on {other.worker_id}")
         if order.task in self.acknowledged:
-            self.violations.append(f"started {order.task} after its success")
+            suffix = ", which no report had listed" if order.task in self.unlisted else ""
+            self.violations.append(f"started {order.task} after its success{suffix}")
         self._check_constraints(order, job.steps[order.task.step], worker)
         for number in job.steps[order.task.step].depends_on:
             before = [
@@ -342,16 +382,21 @@
                 "announced its departure"
             )
 
-    def record_success(self, task: model.TaskKey, ended_at_s: float, has_lapsed: bool) -> None:
+    def record_success(
+        self, task: model.TaskKey, ended_at_s: float, has_lapsed: bool, is_listed: bool
+    ) -> None:
         """Records a success that the scheduler has acknowledged.
 
         A success that has not been acknowledged is lost if its worker restarts, and its task may
         then start again. So may a task once the lease of its worker has expired after the success,
-        as the scheduler cannot know of it.
+        as the scheduler cannot know of it. An acknowledgement is final even if no report had listed
+        the success, so the scheduler must not send one that may reach another incarnation.
         """
         if not has_lapsed and self.started_at_s[task] > ended_at_s:
             self.violations.append(f"started {task} after its success at {ended_at_s} s")
         self.acknowledged.add(task)
+        if not is_listed:
+            self.unlisted.add(task)
 
     def connect(self, vm: str) -> "FakeWorkers":
         """Returns the client of a VM."""
@@ -423,7 +468,8 @@
 
             def execute_late() -> None:
                 lost = fleet.unreachable | fleet.refusing | fleet.replaced
-                if worker.worker_id not in lost and born_ms == worker.born_ms:
+                is_known = born_ms == worker.born_ms or fleet.faults.late_calls_survive_restarts
+                if worker.worker_id not in lost and is_known:
                     execute()
 
             loop.call_later(delay_s, execute_late)
@@ -431,7 +477,7 @@
             return
 
         def arrive() -> None:
-            if worker.worker_id in fleet.refusing | fleet.replaced:
+            if worker.worker_id in fleet.list_deaf():
                 loop.call_later(0.5, lambda: callback(lost))
                 return
             answer = worker_calls.OrderResult(execute(), worker.clock_ms())
@@ -464,37 +510,57 @@
             loop.call_later(WORKER_DELAY_S, lambda: callback(refused))
             return
         sent_at_s = loop.now_s
+        may_be_lost = fleet.faults.late_calls_survive_restarts
+        draw = fleet.generator.random() if may_be_lost else 1.0
+        is_late = draw < fleet.faults.late_orders
+        is_lost = draw < fleet.faults.late_orders + fleet.faults.lost_orders
 
-        def begin() -> None:
+        def lose() -> None:
+            error = result.Failure(
+                exceptions.OutcomeUnknownError(f"no answer of worker {worker_id}")
+            )
+            loop.call_later(0.8, lambda: callback(error))
+
+        def execute() -> bool:
+            """Carries out the request; returns False if it is refused."""
             worker.advance()
             if epoch < worker.epoch:
+                return False
+            worker.epoch = epoch
+            worker.acknowledge(durable_end)
+            if deadline_ms is not None:
+                worker.renew(deadline_ms)
+            return True
+
+        def execute_late() -> None:
+            if worker_id not in fleet.unreachable | fleet.refusing | fleet.replaced:
+                execute()
+
+        def begin() -> None:
+            if may_be_lost and worker_id in fleet.list_deaf():
+                lose()
+                return
+            if not execute():
                 loop.call_later(
                     WORKER_DELAY_S, lambda: callback(result.Failure(exceptions.FencedError(0)))
                 )
                 return
-            worker.epoch = epoch
-            worker.acknowledge(durable_end)
-            if deadline_ms is not None:
-                limit_ms = worker.clock_ms() + int(MAX_LEASE_S * 1000)
-                worker.deadline_ms = max(worker.deadline_ms, min(deadline_ms, limit_ms))
-            wait(loop.now_s + wait_s)
+            wait(loop.now_s + wait_s, worker.born_ms)
 
-        def wait(end_s: float) -> None:
+        def wait(end_s: float, born_ms: int) -> None:
             worker.advance()
             if worker_id in fleet.refusing:
                 error = result.Failure(exceptions.OutcomeUnknownError(f"{worker_id} reset"))
                 loop.call_later(WORKER_DELAY_S, lambda: callback(error))
                 return
-            if worker_id in fleet.answers_lost:
-                error = result.Failure(
-                    exceptions.OutcomeUnknownError(f"no answer of worker {worker_id}")
-                )
-                loop.call_later(0.8, lambda: callback(error))
+            is_cut_off = worker_id in fleet.unreachable or worker.born_ms != born_ms
+            if worker_id in fleet.answers_lost or is_lost or (may_be_lost and is_cut_off):
+                lose()
                 return
             if worker.ended or loop.now_s >= end_s:
                 loop.call_later(WORKER_DELAY_S, lambda: callback(result.Success(make_report())))
                 return
-            loop.call_later(0.05, lambda: wait(end_s))
+            loop.call_later(0.05, lambda: wait(end_s, born_ms))
 
         def make_report() -> workers.Report:
             listed = tuple(
@@ -507,15 +573,21 @@
                 )
                 for run in worker.live.values()
             )
+            ended = tuple(worker.ended[: fleet.ends_per_report])
+            worker.listed_end = max([worker.listed_end, *(e.end_number for e in ended)])
             return workers.Report(
                 worker_id,
                 worker.clock_ms(),
                 worker.born_ms,
                 listed,
-                tuple(worker.ended[: fleet.ends_per_report]),
+                ended,
                 sent_at_s,
                 loop.now_s,
                 lists_all_ends=len(worker.ended) < fleet.ends_per_report,
             )
 
+        if is_late:
+            loop.call_later(fleet.generator.uniform(2.0, 12.0), execute_late)
+            lose()
+            return
         loop.call_later(WORKER_DELAY_S, begin)
