Raise the fencing token of a worker after a restart or a lost poll

Callers saw a task run twice at the same time, and a task start again after its success. The next incarnation of a worker carries out calls that were sent to the former one, seconds late: a start whose run the former incarnation had refused or that a report had shown to be absent, and a request for a report that acknowledges ends by the numbers of the former one. It has seen no fencing token, and all calls of a term had the same.

Once the worker has answered a call with the raised token, it refuses what was sent before. After a restart, a run whose start is not verified is absent only by a report with such a token; what the former incarnation confirmed counts no more. A refusal of a call with an earlier token of the same term does not end the term. A report that reveals a restart is followed by another at once.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -20,6 +20,7 @@
     "ClockRange",
     "compute_clock_range",
     "has_unverified_start",
+    "is_fenced",
     "record_start_answered",
     "record_start_sent",
     "record_start_unanswered",
@@ -77,6 +78,7 @@
 
 def record_start_sent(run: state.Run, now_s: float) -> None:
     """Records that a start order for a run is being sent."""
+    run.start_sent_at_s = now_s
     run.unverified_until_s = max(run.unverified_until_s or 0.0, now_s + LATE_CALL_S)
 
 
@@ -106,6 +108,19 @@
             run.unanswered_until_s = run.unverified_until_s = None
 
 
+def is_fenced(worker: state.WorkerState, run: state.Run, requested_at_s: float) -> bool:
+    """Returns whether a worker refuses all start orders for a run from a report on.
+
+    Args:
+        worker: The worker.
+        run: The run.
+        requested_at_s: When the report was requested.
+    """
+    if run.start_sent_at_s is None or worker.token_raised_at_s is None:
+        return False
+    return run.start_sent_at_s < worker.token_raised_at_s <= requested_at_s
+
+
 def has_unverified_start(worker: state.WorkerState) -> bool:
     """Returns whether an unknown incarnation of a worker may run one of its runs."""
     return any(run.unverified_until_s is not None for run in worker.runs.values())
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -139,6 +139,7 @@
         stop_sent_at_s: When the last stop order was sent, or None.
         stop_reason: Why it was stopped, or None.
         running_since_s: When its worker confirmed its start, or None.
+        start_sent_at_s: When this scheduler last sent a start order for it, or None.
         unanswered_until_s: Until when a start order for it that was not answered may be carried
             out, or None if none may.
         unverified_until_s: Until when an incarnation of the worker that is not known yet may have
@@ -173,6 +174,7 @@
     stop_sent_at_s: float | None = None
     stop_reason: StopReason | None = None
     running_since_s: float | None = None
+    start_sent_at_s: float | None = None
     unanswered_until_s: float | None = None
     unverified_until_s: float | None = None
     baseline_percent: int | None = 0
@@ -392,6 +394,8 @@
         registered_remaining_s: Time until it leaves according to its last registration, or None.
         registered: Whether the registry lists it.
         incarnation: What is known of its present incarnation.
+        token_raises: How often the fencing token of its calls was raised during this term.
+        token_raised_at_s: When it was last raised, or None if it was not.
         registered_born_ms: Start of its incarnation according to its last registration, in
             milliseconds since 1970, or 0 if unknown.
         runs: Current runs that may exist on it.
@@ -434,6 +438,8 @@
     registered_remaining_s: float | None = None
     registered: bool = True
     incarnation: Incarnation = dataclasses.field(default_factory=Incarnation)
+    token_raises: int = 0
+    token_raised_at_s: float | None = None
     registered_born_ms: int = 0
     runs: dict[model.TaskKey, Run] = dataclasses.field(default_factory=dict)
     strays: dict[tuple[model.TaskKey, int], model.Resources] = dataclasses.field(
@@ -692,7 +698,7 @@
     """Everything that the decisions of one scheduler term depend on.
 
     Attributes:
-        epoch: Epoch of the term; the fencing token of all orders.
+        epoch: Epoch of the term, the last of its range of fencing tokens.
         policy: Limits that the decisions use.
         began_at_s: When the term began.
         configuration: Configuration in force, or None before the first one arrives.
@@ -728,6 +734,7 @@
         errors: Stages that have raised, with the jobs or workers for which they have.
         deferred_shapes: Kinds of work that stand still and were searched for in vain, while some
             other such work has not been searched for yet.
+        max_token_raises: How often the fencing token of any worker was raised at most.
     """
 
     epoch: int
@@ -763,6 +770,7 @@
     unconfirmed_since_s: float | None = -1.0
     errors: dict[tuple[str, ...], StageError] = dataclasses.field(default_factory=dict)
     deferred_shapes: frozenset[tuple] = frozenset()
+    max_token_raises: int = 0
 
 
 def get_route(state: SchedulerState, job: JobState) -> model.Route:
--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -7,6 +7,7 @@
     boundaries,
     commands,
     crashes,
+    fencing,
     incarnations,
     leases,
     model,
@@ -281,6 +282,7 @@
         registered_born_ms=registration.born_ms,
     )
     factors.remove_other_incarnation(current.durations, worker.worker_id, worker.born_ms)
+    fencing.add_worker(current, worker)
     worker.leases_expire_at_s = leases.compute_inherited_end_s(current, worker.worker_id)
     worker.suspected_until_s = current.inherited_suspects.pop(worker.worker_id, 0.0)
     _update_leave_time(worker, registration.remaining_s, now_s)
@@ -328,6 +330,11 @@
         known_since_s=now_s,
         least_expiry_s=worker.deadline_open_until_s + longest_lease_s,
     )
+    fencing.raise_token(current, worker, now_s)
+    for run in worker.runs.values():
+        if run.unverified_until_s is not None:
+            # The former incarnation may have confirmed the last order, which the new one forgot.
+            run.confirmed_at_s = None
     strays.clear_strays(current, worker)
     current.schedule_due = True
     fields = {
@@ -529,15 +536,16 @@
 
     An unlisted run is proven absent if its worker confirmed the last order for it before the
     report was requested, or at the same reading of the clock. It is also proven absent if the order
-    came from an earlier term, because the worker refuses orders of earlier terms once it has
-    answered this one.
+    had a lower fencing token than the request for the report, because the worker refuses it once it
+    has answered that; so do all orders of earlier terms.
     """
     result: list[commands.Command] = []
     for run in list(worker.runs.values()):
         if (run.task, run.number) in present or run.phase is state.RunPhase.INTENDED:
             continue
         confirmed = run.confirmed_at_s is not None and run.confirmed_at_s <= sent_at_s
-        if confirmed or run.awaits_first_report:
+        is_fenced = run.awaits_first_report or incarnations.is_fenced(worker, run, sent_at_s)
+        if confirmed or is_fenced:
             has_restarted = 0 < run.worker_born_ms < worker.born_ms
             end = runs.End.CRASHED if has_restarted else runs.End.INTERRUPTED
             result += runs.end_run(current, run, end, "absent", now_s)
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -13,6 +13,7 @@
     commands,
     crashes,
     data_centres,
+    fencing,
     incarnations,
     leases,
     model,
@@ -73,6 +74,21 @@
     get_renewed_at_s: Callable[[], float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SentStart:
+    """A start order that was sent.
+
+    Attributes:
+        address: Endpoint to which it was sent.
+        token: Its fencing token.
+        sent_at_s: When it was sent.
+    """
+
+    address: str
+    token: int
+    sent_at_s: float
+
+
 class WorkerExchange:
     """Polls the workers and sends them orders during one term.
 
@@ -163,15 +179,16 @@
         if deadline_ms is not None:
             recorded = leases.record_deadline(self._state, worker, deadline_ms, now_s)
         address = worker.address
+        token = fencing.get_token(self._state, worker)
         self._client.report(
             address,
             worker_id,
-            self._state.epoch,
+            token,
             worker.incarnation.durable_end,
             deadline_ms,
             wait_s,
             lambda outcome: self._guard_poll(
-                worker_id, lambda: self._handle_report(worker_id, address, recorded, outcome)
+                worker_id, lambda: self._handle_report(worker_id, address, token, recorded, outcome)
             ),
         )
 
@@ -187,6 +204,7 @@
         self,
         worker_id: str,
         address: str,
+        token: int,
         recorded: leases.RecordedDeadline | None,
         outcome: result.Result,
     ) -> None:
@@ -198,23 +216,25 @@
             is_unsent = isinstance(error, exceptions.NotSentError)
             if is_unsent and worker is not None and recorded is not None:
                 leases.revoke_deadline(self._state, worker, recorded)
-            self._handle_report_error(worker_id, address, error)
+            self._handle_report_error(worker_id, address, token, error)
             return
         if worker is not None:
             worker.reported_address = address
         self._failed_polls.discard(worker_id)
         self._logged_errors.pop(worker_id, None)
-        was_confirmed = worker is not None and worker.incarnation.confirmed
+        known = worker.incarnation if worker is not None else state.Incarnation()
+        was_confirmed = known.confirmed
         report = outcome.unwrap()
         try:
             command_list = workers.apply_report(self._state, report)
             self._hooks.execute(command_list)
         except Exception as error:
             # A report that cannot be applied must not end the polling of its worker.
-            self._handle_report_error(worker_id, address, error)
+            self._handle_report_error(worker_id, address, token, error)
             return
         self._hooks.request_pass(bool(command_list or report.ended))
-        if worker is None or not was_confirmed:
+        # A further report at once shows what is absent for certain after a restart.
+        if worker is None or not was_confirmed or worker.incarnation is not known:
             self._poll(worker_id, 0.0)
             return
         if worker.incarnation.processed_end > worker.incarnation.durable_end:
@@ -254,7 +274,7 @@
         self._client.report(
             worker.address,
             worker.worker_id,
-            self._state.epoch,
+            fencing.get_token(self._state, worker),
             worker.incarnation.durable_end,
             None,
             0.0,
@@ -266,8 +286,12 @@
         if self._hooks.is_stopped() or not isinstance(outcome, result.Success):
             return
         report = outcome.unwrap()
+        worker = self._state.workers.get(report.worker_id)
+        known = worker.incarnation if worker is not None else None
         try:
             self._hooks.execute(workers.apply_report(self._state, report))
+            if worker is not None and worker.incarnation is not known:
+                self._request_report_soon(report.worker_id)
         except Exception as error:
             fields = errors.describe(error).make_fields(str(error))
             self._log.write("report_failed", worker=report.worker_id, **fields)
@@ -279,22 +303,27 @@
             self._awaiting_durable_ends.discard(worker_id)
             self._poll(worker_id, REPORT_WAIT_S)
 
-    def _handle_report_error(self, worker_id: str, address: str, error: Exception) -> None:
+    def _handle_report_error(
+        self, worker_id: str, address: str, token: int, error: Exception
+    ) -> None:
         worker = self._state.workers.get(worker_id)
         is_first_lost = worker_id not in self._failed_polls and isinstance(
             error, exceptions.OutcomeUnknownError
         )
         self._failed_polls.add(worker_id)
         if isinstance(error, exceptions.FencedError):
-            self._end_fenced_term(worker_id)
+            self._handle_fenced_call(worker_id, token)
         elif isinstance(error, worker_calls.WrongIncarnationError) and worker is not None:
             self._handle_replaced_worker(worker, address)
         elif isinstance(error, exceptions.OutcomeUnknownError | exceptions.UnavailableError):
             if worker is not None:
                 if is_first_lost:
                     crashes.record_lost_report(worker, self._now_s())
-                # A worker that has just been lost must get no work until it reports again.
-                worker.unreachable_until_s = self._now_s() + runs.UNREACHABLE_S
+                # A worker that has just been lost must get no work until it reports again. It may
+                # have restarted, and then what was sent before must not be carried out any more.
+                now_s = self._now_s()
+                worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
+                fencing.raise_token(self._state, worker, now_s)
         elif self._logged_errors.get(worker_id) != str(error):
             # A program that is no worker gives the same answer to each poll.
             self._logged_errors[worker_id] = str(error)
@@ -303,8 +332,14 @@
         delay_s = 0.0 if is_first_lost else REPORT_RETRY_S
         self._hooks.call_later(delay_s, lambda: self._poll(worker_id, 0.0))
 
-    def _end_fenced_term(self, worker_id: str) -> None:
-        """Ends the term because a worker has refused a call with its epoch."""
+    def _handle_fenced_call(self, worker_id: str, token: int) -> None:
+        """Ends the term because a worker has refused a call with its latest fencing token.
+
+        A call with an earlier token of this term was overtaken by a later one.
+        """
+        worker = self._state.workers.get(worker_id)
+        if worker is not None and token < fencing.get_token(self._state, worker):
+            return
         self._hooks.end_term(
             f"fenced by worker {worker_id}: it has seen a later epoch than {self._state.epoch}"
         )
@@ -371,13 +406,13 @@
             return
         leases.record_deadline(self._state, worker, deadline_ms, now_s)
         incarnations.record_start_sent(run, now_s)
-        address = worker.address
+        sent = _SentStart(worker.address, fencing.get_token(self._state, worker), now_s)
         self._client.start(
-            address,
+            sent.address,
             order,
-            self._state.epoch,
+            sent.token,
             deadline_ms,
-            lambda outcome: self._handle_start_result(order, address, now_s, outcome),
+            lambda outcome: self._handle_start_result(order, sent, outcome),
         )
 
     def _find_evacuation_reason(self, worker: state.WorkerState | None, now_s: float) -> str:
@@ -411,11 +446,7 @@
             self._hooks.request_pass(True)
 
     def _handle_start_result(
-        self,
-        order: commands.StartRun,
-        address: str,
-        sent_at_s: float,
-        answer: worker_calls.OrderResult,
+        self, order: commands.StartRun, sent: "_SentStart", answer: worker_calls.OrderResult
     ) -> None:
         if self._hooks.is_stopped():
             return
@@ -424,14 +455,16 @@
         run = self._find_run(order)
         outcome = answer.outcome
         if run is not None and outcome is worker_calls.StartOutcome.UNKNOWN:
-            incarnations.record_start_unanswered(run, sent_at_s)
+            incarnations.record_start_unanswered(run, sent.sent_at_s)
         elif worker is not None and run is not None:
-            is_known = self._check_clock(order, worker, sent_at_s, answer, now_s)
+            is_known = self._check_clock(order, worker, sent.sent_at_s, answer, now_s)
             has_started = outcome is worker_calls.StartOutcome.STARTED
             incarnations.record_start_answered(run, is_known or not has_started, now_s)
         key = (order.task, order.number)
         if outcome is worker_calls.StartOutcome.FENCED:
-            self._end_fenced_term(order.worker_id)
+            self._handle_fenced_call(order.worker_id, sent.token)
+            if run is not None and not self._hooks.is_stopped():
+                self._handle_start_refusal(order, run, worker, outcome, now_s)
         elif outcome is worker_calls.StartOutcome.UNKNOWN:
             self._unknown_starts.add(key)
             # Repeating the order is safe, and the answer shows whether the run has started.
@@ -452,7 +485,7 @@
                 run.confirmed_at_s = now_s
         elif outcome is worker_calls.StartOutcome.WRONG_INCARNATION:
             if worker is not None:
-                self._handle_replaced_worker(worker, address)
+                self._handle_replaced_worker(worker, sent.address)
             if self._find_run(order) is run and run.phase is state.RunPhase.ORDERED:
                 self._handle_start_refusal(order, run, worker, outcome, now_s)
         else:
@@ -512,21 +545,22 @@
         worker = self._state.workers.get(order.worker_id)
         if worker is None or not worker.address or not self._may_act(self._now_s()):
             return
+        token = fencing.get_token(self._state, worker)
         self._client.stop(
             worker.address,
             order,
-            self._state.epoch,
-            lambda outcome: self._handle_stop_result(order, outcome),
+            token,
+            lambda outcome: self._handle_stop_result(order, token, outcome),
         )
 
     def _handle_stop_result(
-        self, order: commands.StopRun, answer: worker_calls.OrderResult
+        self, order: commands.StopRun, token: int, answer: worker_calls.OrderResult
     ) -> None:
         if self._hooks.is_stopped():
             return
         now_s = self._now_s()
         if answer.outcome is worker_calls.StartOutcome.FENCED:
-            self._end_fenced_term(order.worker_id)
+            self._handle_fenced_call(order.worker_id, token)
         elif answer.outcome is worker_calls.StartOutcome.STARTED:
             workers.record_stop_confirmed(self._state, order.task, order.number, now_s)
             run = self._find_run(order)
--- a/lycheegate/node/terms.py
+++ b/lycheegate/node/terms.py
@@ -16,7 +16,7 @@
 
 from returns import result
 
-from lycheegate.jobs import admission, state
+from lycheegate.jobs import admission, fencing, state
 from lycheegate.node import load_row, storage, tables
 from lycheegate.utils import exceptions
 
@@ -408,7 +408,7 @@
     The claim carries the ends of leases on, as its heartbeat replaces the one that they belong to.
     The claimant grants no lease to which they apply until it has stored a later heartbeat.
     """
-    epoch = (view.holder.epoch if view.holder else 0) + 1
+    epoch = (view.holder.epoch if view.holder else 0) + fencing.EPOCHS_PER_TERM
     holder = tables.Holder(epoch, claim_id)
     heartbeat = tables.Heartbeat(
         epoch,
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -3,7 +3,17 @@
 import pytest
 from returns import result
 
-from lycheegate.jobs import commands, lifecycle, model, pool, scheduling, state, workers, writes
+from lycheegate.jobs import (
+    commands,
+    fencing,
+    lifecycle,
+    model,
+    pool,
+    scheduling,
+    state,
+    workers,
+    writes,
+)
 from lycheegate.metrics import jsonlog
 from lycheegate.node import exchange
 from lycheegate.platform import workers as worker_calls
@@ -358,3 +368,47 @@
         callback(result.Success(report) if error is None else result.Failure(error))
         term.run_later()
     assert term.delays_s == delays_s
+
+
+@pytest.mark.parametrize("kind", ["report", "start", "stop"])
+def test_call_that_a_later_call_of_the_term_has_overtaken_does_not_end_the_term(kind):
+    """Guards against a term that ends because it has raised the token of a worker itself.
+
+    A call with the earlier token may arrive after one with the raised token, and is refused.
+    """
+    term = _Term()
+    term.current.epoch = fencing.EPOCHS_PER_TERM
+    order = term.place()
+    fenced = worker_calls.OrderResult(worker_calls.StartOutcome.FENCED)
+    if kind == "report":
+        term.exchange.poll_new_workers()
+    elif kind == "start":
+        term.exchange.send_start(order)
+    else:
+        term.exchange.send_stop(commands.StopRun(order.worker_id, order.task, order.number))
+    fencing.raise_token(term.current, term.current.workers["w0"], term.now_s)
+    if kind == "report":
+        term.client.reports[-1][-1](result.Failure(exceptions.FencedError(0)))
+    else:
+        (term.client.starts or term.client.stops)[-1](fenced)
+    assert term.end_reasons == []
+
+
+@pytest.mark.parametrize(
+    ("error", "is_raised"),
+    [
+        (exceptions.OutcomeUnknownError("lost"), True),
+        (exceptions.NotSentError("refused"), True),
+        (exceptions.ProtocolError("malformed"), False),
+    ],
+    ids=["lost", "refused", "malformed"],
+)
+def test_lost_poll_raises_the_token(error, is_raised):
+    """Guards against a late order that a worker carries out after a restart nobody has noticed."""
+    term = _Term()
+    term.current.epoch = fencing.EPOCHS_PER_TERM
+    term.exchange.poll_new_workers()
+    term.client.reports[-1][-1](result.Failure(error))
+    term.run_later()
+    tokens = [arguments[2] for arguments in term.client.reports]
+    assert tokens == ([1, 2] if is_raised else [1, 1])
--- a/lycheegate/node/tests/test_refusals.py
+++ b/lycheegate/node/tests/test_refusals.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from lycheegate.entry import server
-from lycheegate.jobs import admission, load_summary, model, refusal_switch
+from lycheegate.jobs import admission, fencing, load_summary, model, refusal_switch
 from lycheegate.metrics import exposition, histograms, jsonlog
 from lycheegate.node import callers, load_row, refusals, storage, tables, terms
 from lycheegate.node.tests import fake_store, simulation
@@ -342,7 +342,7 @@
     if writes:
         row = load_row.decode_load(world.store.rows[tables.LOAD].value)
         (priority,) = row.load["render"].priorities
-        assert row.epoch == 1
+        assert row.epoch == fencing.EPOCHS_PER_TERM
         assert priority.waiting_core_s > 100_000
 
 
--- a/lycheegate/node/tests/test_terms.py
+++ b/lycheegate/node/tests/test_terms.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from lycheegate.jobs import state
+from lycheegate.jobs import fencing, state
 from lycheegate.node import storage, tables, terms
 from lycheegate.utils import exceptions
 
@@ -58,7 +58,7 @@
 def test_claim_is_conditional():
     """Guards against a claim over a heartbeat that the observer has not seen."""
     holder, transaction = terms.make_claim(_make_view(), "b/1", 10.0)
-    assert holder == tables.Holder(4, "b/1")
+    assert holder == tables.Holder(3 + fencing.EPOCHS_PER_TERM, "b/1")
     assert {(c.key, c.version) for c in transaction.conditions} == {
         (tables.HOLDER, 7),
         (tables.HEARTBEAT, 8),
