Acknowledge no ends to a worker that may have restarted

A request for a report acknowledges the ends up to a number, and each incarnation of a worker numbers its ends anew. The first request that reaches the next incarnation carried the number of the former one. An end that the next incarnation had listed up to that number was discarded unread: a success ran again, a failure was not counted.

After a lost poll, and after an answer whose clock the known incarnation cannot show, requests acknowledge nothing until a report has arrived.

Evidence: test_ends_are_not_acknowledged_to_a_worker_that_may_have_restarted fails in 2 of its 3 cases without the change and passes with it (the third is a worker in touch).

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -117,6 +117,8 @@
         self._awaiting_durable_ends: set[str] = set()
         self._failed_polls: set[str] = set()
         self._logged_errors: dict[str, str] = {}
+        self._suspected_restarts: set[str] = set()
+        """Workers whose last answer the known incarnation cannot have given."""
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
         self._additional_reports: set[str] = set()
         """Workers of which a report is about to be requested beside the polls."""
@@ -184,7 +186,7 @@
             address,
             worker_id,
             token,
-            worker.incarnation.durable_end,
+            self._get_acknowledged_end(worker),
             deadline_ms,
             wait_s,
             lambda outcome: self._guard_poll(
@@ -192,6 +194,17 @@
             ),
         )
 
+    def _get_acknowledged_end(self, worker: state.WorkerState) -> int:
+        """Returns the number up to which a worker may discard the ends of runs that it lists.
+
+        A worker that may have restarted numbers its ends anew, and would discard ends that nobody
+        has read.
+        """
+        worker_id = worker.worker_id
+        if worker_id in self._failed_polls or worker_id in self._suspected_restarts:
+            return 0
+        return worker.incarnation.durable_end
+
     def _may_act(self, now_s: float) -> bool:
         """Returns whether this scheduler may renew leases and send orders.
 
@@ -221,6 +234,7 @@
         if worker is not None:
             worker.reported_address = address
         self._failed_polls.discard(worker_id)
+        self._suspected_restarts.discard(worker_id)
         self._logged_errors.pop(worker_id, None)
         known = worker.incarnation if worker is not None else state.Incarnation()
         was_confirmed = known.confirmed
@@ -275,7 +289,7 @@
             worker.address,
             worker.worker_id,
             fencing.get_token(self._state, worker),
-            worker.incarnation.durable_end,
+            self._get_acknowledged_end(worker),
             None,
             0.0,
             self._handle_additional_report,
@@ -286,6 +300,7 @@
         if self._hooks.is_stopped() or not isinstance(outcome, result.Success):
             return
         report = outcome.unwrap()
+        self._suspected_restarts.discard(report.worker_id)
         worker = self._state.workers.get(report.worker_id)
         known = worker.incarnation if worker is not None else None
         try:
@@ -508,6 +523,7 @@
             return True
         if not answer.clock_ms:
             return False
+        self._suspected_restarts.add(worker.worker_id)
         self._request_report_soon(worker.worker_id)
         self._log.write(
             "answer_of_other_incarnation",
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -412,3 +412,33 @@
     term.run_later()
     tokens = [arguments[2] for arguments in term.client.reports]
     assert tokens == ([1, 2] if is_raised else [1, 1])
+
+
+@pytest.mark.parametrize(
+    ("is_lost", "clock_ms", "expected"),
+    [(False, 1_000, 7), (True, 1_000, 0), (False, 500, 0)],
+    ids=["in_touch", "lost_poll", "other_clock"],
+)
+def test_ends_are_not_acknowledged_to_a_worker_that_may_have_restarted(is_lost, clock_ms, expected):
+    """Guards against a success that is lost, and whose task runs again, after a restart.
+
+    The next incarnation numbers its ends anew and discards those up to the acknowledged number,
+    which belongs to the former one.
+    """
+    term = _Term()
+    worker = term.current.workers["w0"]
+    worker.incarnation.processed_end = worker.incarnation.durable_end = 7
+    order = term.place()
+    term.exchange.send_start(order)
+    started = worker_calls.OrderResult(worker_calls.StartOutcome.STARTED, clock_ms)
+    term.client.starts[-1](started)
+    term.exchange.poll_new_workers()
+    assert term.client.reports[-1][3] == expected or is_lost
+    if is_lost:
+        term.client.reports[-1][-1](result.Failure(exceptions.OutcomeUnknownError("lost")))
+        term.run_later()
+    assert term.client.reports[-1][3] == expected
+    listed = workers.ListedRun(order.task, "", order.number, "", 1)
+    report = workers.Report("w0", 2_000, 0, (listed,), (), term.now_s, term.now_s)
+    term.client.reports[-1][-1](result.Success(report))
+    assert term.client.reports[-1][3] == 7
