Count no lease for a start order of which nothing was sent

An order whose connection could not be opened counted as one that a later incarnation may carry out within 2 s, with the longest lease. Its deadline is revoked as that of a poll that was not sent.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -24,6 +24,7 @@
     "record_start_answered",
     "record_start_sent",
     "record_start_unanswered",
+    "record_start_unsent",
     "verify_starts",
 ]
 
@@ -101,6 +102,11 @@
         run.unverified_until_s = max(run.unanswered_until_s or 0.0, now_s)
 
 
+def record_start_unsent(run: state.Run) -> None:
+    """Records that nothing of the last start order for a run was sent."""
+    run.unverified_until_s = run.unanswered_until_s
+
+
 def verify_starts(worker: state.WorkerState, requested_at_s: float) -> None:
     """Verifies the starts on a worker that were all carried out before a report was requested."""
     for run in worker.runs.values():
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -81,11 +81,13 @@
     Attributes:
         address: Endpoint to which it was sent.
         token: Its fencing token.
+        recorded: Its lease deadline.
         sent_at_s: When it was sent.
     """
 
     address: str
     token: int
+    recorded: leases.RecordedDeadline
     sent_at_s: float
 
 
@@ -419,9 +421,10 @@
         if worker is None or not deadline_ms:
             self._withdraw_start(order, run, is_repeated, "worker_unknown")
             return
-        leases.record_deadline(self._state, worker, deadline_ms, now_s)
+        recorded = leases.record_deadline(self._state, worker, deadline_ms, now_s)
         incarnations.record_start_sent(run, now_s)
-        sent = _SentStart(worker.address, fencing.get_token(self._state, worker), now_s)
+        token = fencing.get_token(self._state, worker)
+        sent = _SentStart(worker.address, token, recorded, now_s)
         self._client.start(
             sent.address,
             order,
@@ -469,7 +472,11 @@
         worker = self._state.workers.get(order.worker_id)
         run = self._find_run(order)
         outcome = answer.outcome
-        if run is not None and outcome is worker_calls.StartOutcome.UNKNOWN:
+        if not answer.was_sent and worker is not None:
+            leases.revoke_deadline(self._state, worker, sent.recorded)
+        if run is not None and not answer.was_sent:
+            incarnations.record_start_unsent(run)
+        elif run is not None and outcome is worker_calls.StartOutcome.UNKNOWN:
             incarnations.record_start_unanswered(run, sent.sent_at_s)
         elif worker is not None and run is not None:
             is_known = self._check_clock(order, worker, sent.sent_at_s, answer, now_s)
--- a/lycheegate/platform/workers.py
+++ b/lycheegate/platform/workers.py
@@ -92,10 +92,12 @@
     Attributes:
         outcome: Outcome of the order.
         clock_ms: Reading of the worker's clock, or 0 if not reported.
+        was_sent: Whether any part of the order was sent.
     """
 
     outcome: StartOutcome
     clock_ms: int = 0
+    was_sent: bool = True
 
 
 _Capacity = Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
@@ -290,7 +292,8 @@
 
 def _decode_order(outcome: http.HttpResult) -> OrderResult:
     if not isinstance(outcome, result.Success):
-        return OrderResult(StartOutcome.UNKNOWN)
+        was_sent = not isinstance(outcome.failure(), exceptions.NotSentError)
+        return OrderResult(StartOutcome.UNKNOWN, was_sent=was_sent)
     response = outcome.unwrap()
     if response.status == _MISDIRECTED_STATUS:
         return OrderResult(StartOutcome.WRONG_INCARNATION)
