Search for restarts with the tokens of a whole term, and raise a token at once

The model's holders had epoch 1, whose range has no room for raised tokens, so that it played without them. They now claim as real ones do. Three mutations show that the search reaches what each protection is for; two others use the present signatures.

An answer that the known incarnation cannot have given now raises the token before the report that it requests: that report refuses calls still on their way at once.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -523,7 +523,8 @@
     ) -> bool:
         """Returns whether the known incarnation of a worker can have given an answer.
 
-        If not, the worker has probably restarted, and is asked for a report at once.
+        If not, the worker has probably restarted. It is asked for a report at once, which fences the
+        calls that are on their way to its former incarnation.
         """
         possible = incarnations.compute_clock_range(self._state, worker, sent_at_s, now_s)
         if possible is not None and possible.includes(answer.clock_ms):
@@ -531,6 +532,7 @@
         if not answer.clock_ms:
             return False
         self._suspected_restarts.add(worker.worker_id)
+        fencing.raise_token(self._state, worker, now_s)
         self._request_report_soon(worker.worker_id)
         self._log.write(
             "answer_of_other_incarnation",
--- a/lycheegate/node/tests/test_incarnations_model.py
+++ b/lycheegate/node/tests/test_incarnations_model.py
@@ -31,6 +31,7 @@
 
 from lycheegate.jobs import (
     commands,
+    fencing,
     leases,
     lifecycle,
     model,
@@ -422,7 +423,7 @@
         """Kind and description of each violation."""
         self.errors: list[str] = []
         self.holders: list[ModelHolder] = []
-        self._add_holder(1, state.InheritedLeases())
+        self._add_holder(fencing.EPOCHS_PER_TERM, state.InheritedLeases())
         self._submit()
 
     @property
@@ -908,8 +909,8 @@
     handle_restart = workers.handle_restart
 
     @functools.wraps(handle_restart)
-    def handle_restart_and_end_runs(current, worker, born_ms, source, now_s):
-        result = handle_restart(current, worker, born_ms, source, now_s)
+    def handle_restart_and_end_runs(current, worker, born_ms, now_s, source):
+        result = handle_restart(current, worker, born_ms, now_s, source)
         for run in list(worker.runs.values()):
             result += runs.end_run(current, run, runs.End.CRASHED, "restarted", now_s)
         return result
@@ -923,9 +924,9 @@
     record_deadline = leases.record_deadline
 
     @functools.wraps(record_deadline)
-    def record_nothing(current, worker, deadline_ms):
+    def record_nothing(current, worker, deadline_ms, now_s):
         former = worker.incarnation.max_deadline_ms, worker.leases_expire_at_s
-        recorded = record_deadline(current, worker, deadline_ms)
+        recorded = record_deadline(current, worker, deadline_ms, now_s)
         worker.incarnation.max_deadline_ms, worker.leases_expire_at_s = former
         return recorded
 
@@ -972,6 +973,23 @@
     assert "after_success" in search("listed", 2, max_restarts=0).counterexamples
 
 
+@pytest.mark.parametrize(
+    ("scene", "kind", "module", "name", "replacement"),
+    [
+        ("ordered", "two_runs", leases, "_compute_unverified_end_s", lambda *_: 0.0),
+        ("repeated", "two_runs", fencing, "raise_token", lambda *_: None),
+        ("ended_before", "after_success", fencing, "raise_token", lambda *_: None),
+    ],
+    ids=["unverified_starts", "fenced_orders", "fenced_acknowledgements"],
+)
+def test_search_finds_a_protection_that_is_missing(
+    scene, kind, module, name, replacement, monkeypatch
+):
+    """Guards against a search that does not reach what each protection is for."""
+    monkeypatch.setattr(module, name, replacement)
+    assert any(kind in found for found in search(scene, 2).counterexamples)
+
+
 def main() -> None:
     """Runs a deeper search; arguments are the depth, holders, restarts and scenes."""
     numbers = (*map(int, sys.argv[1:4]), *(3, 2, 1)[len(sys.argv[1:4]) :])
