Split the preview of a placement into job, step and workers

Cause: jobs/preview.py had 635 lines and three subjects: the trial of a scheduling pass, what the pass decides for one step, and why a worker is not chosen.

Change: step_preview.py takes StepPreview, Group, Victim and the placing of one step, and exclusions.py takes Exclusion, Verdict and the examination of the workers. preview.py keeps the copy, the trial of the pass and the errors. Tests change in imports and in the module before a name.

--- a/lycheegate/cli/tests/test_where.py
+++ b/lycheegate/cli/tests/test_where.py
@@ -7,16 +7,16 @@
 import werkzeug
 
 from lycheegate.cli import exits
-from lycheegate.jobs import model, preview, waiting
+from lycheegate.jobs import exclusions, model, preview, step_preview, waiting
 from lycheegate.node import callers, peer_calls, previews
 
 _JOB = '{"spec":"x","steps":[{"count":2,"cpu":1000}]}'
 _WAITING_ID = "5c0e7a21d94b36f8"
-_GROUP = preview.Group("z0", "r<b>1", 4, 2, 2, {preview.Exclusion.DRAINING: 1})
-_PLACED = preview.StepPreview(
+_GROUP = step_preview.Group("z0", "r<b>1", 4, 2, 2, {exclusions.Exclusion.DRAINING: 1})
+_PLACED = step_preview.StepPreview(
     "0.0", 2, 3, {0: "w1", 1: "w1"}, {}, (_GROUP,), 2.0, 0.0, is_learned=True
 )
-_BLOCKED = preview.StepPreview(
+_BLOCKED = step_preview.StepPreview(
     "0.1",
     2,
     4,
@@ -24,7 +24,7 @@
     groups=(_GROUP,),
     duration_s=2.0,
     starts_in_s=0.6,
-    victims=(preview.Victim("1" * 16, "other", "batch", "0.0", 2),),
+    victims=(step_preview.Victim("1" * 16, "other", "batch", "0.0", 2),),
     awaited=1,
     lost_core_s=7.25,
     reason=waiting.Reason.RESERVATION,
--- a/lycheegate/jobs/tests/test_preview.py
+++ b/lycheegate/jobs/tests/test_preview.py
@@ -9,6 +9,7 @@
 from lycheegate.jobs import (
     commands,
     evacuation,
+    exclusions,
     headroom,
     lifecycle,
     model,
@@ -191,7 +192,7 @@
 _TASK = model.Step(1, _ONE, 6.0)
 _GANG = model.Step(2, _ONE, 2.0, gang=True)
 _UNKNOWN_RUN = {("strange", 1)}
-_E = preview.Exclusion
+_E = exclusions.Exclusion
 _EXCLUSIONS = {
     _E.NOT_REGISTERED: ("batch", _TASK, _set("w1", registered=False), {}),
     _E.EVACUATED: ("batch", _TASK, _set("w1", data_centre="evacuated"), {}),
@@ -252,7 +253,7 @@
 
 def test_every_exclusion_has_a_case():
     """Guards against a reason that no test has seen."""
-    assert set(_EXCLUSIONS) == set(preview.Exclusion)
+    assert set(_EXCLUSIONS) == set(exclusions.Exclusion)
 
 
 def test_preempting_job():
--- a/lycheegate/node/previews.py
+++ b/lycheegate/node/previews.py
@@ -15,7 +15,7 @@
 import msgspec
 import werkzeug
 
-from lycheegate.jobs import model, preview, progress, state
+from lycheegate.jobs import model, preview, progress, state, step_preview
 from lycheegate.metrics import jsonlog
 from lycheegate.node import callers, holder, peer_calls
 from lycheegate.platform import submissions
@@ -257,7 +257,7 @@
     }
 
 
-def _make_step_document(step: preview.StepPreview, account: str) -> dict[str, Any]:
+def _make_step_document(step: step_preview.StepPreview, account: str) -> dict[str, Any]:
     victims = [
         {
             "job": victim.job_id if victim.account == account else None,
--- a/lycheegate/node/tests/test_previews.py
+++ b/lycheegate/node/tests/test_previews.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.jobs import preview
+from lycheegate.jobs import preview, step_preview
 from lycheegate.metrics import jsonlog
 from lycheegate.node import callers, holder, peer_calls, previews, relay, tables, terms
 from lycheegate.node.tests import simulation
@@ -312,9 +312,9 @@
 def test_jobs_of_other_accounts_are_not_named():
     """Guards against a preview that tells the identifiers with which others' jobs are cancelled."""
     victims = tuple(
-        preview.Victim(account * 16, account, "batch", "0.0", 1) for account in ("a", "b")
+        step_preview.Victim(account * 16, account, "batch", "0.0", 1) for account in ("a", "b")
     )
-    step = preview.StepPreview("0.0", 1, 0, victims=victims)
+    step = step_preview.StepPreview("0.0", 1, 0, victims=victims)
     found = preview.Preview("f" * 16, "a", "urgent", "render", 0, False, 1, 0.0, (step,))
     document = previews.make_document(found, "a")
     assert [victim["job"] for victim in document["steps"][0]["victims"]] == ["a" * 16, None]
