Split the callers' interface into calls, acceptance and store calls

Cause: node/callers.py had 635 lines and several subjects: the WSGI application, the storing and refusing of submitted jobs, repeated store calls, common responses, and the VM's view that the daemon updates.

Change: acceptance.py decodes a submitted job and stores or refuses it, store_calls.py repeats store calls until the time limit, responses.py makes the common responses, and node_view.py holds NodeView. callers.py keeps the application with status, cancellation and count. Code is moved as it stands; what were methods take the store, the clock and the log as arguments. Acceptance is made for each call from the fields of the application and counts refusals through a function, so that the counter and its lock stay where the daemon reads them.

--- a/lycheegate/cli/tests/test_where.py
+++ b/lycheegate/cli/tests/test_where.py
@@ -8,7 +8,7 @@
 
 from lycheegate.cli import exits
 from lycheegate.jobs import exclusions, model, preview, step_preview, waiting
-from lycheegate.node import callers, peer_calls, previews
+from lycheegate.node import node_view, peer_calls, previews
 
 _JOB = '{"spec":"x","steps":[{"count":2,"cpu":1000}]}'
 _WAITING_ID = "5c0e7a21d94b36f8"
@@ -51,7 +51,7 @@
             1, {"urgent": route}, {}, {"acme": account}, {"k": "acme"}, 1_000
         )
         self.application = previews.PreviewApplication(
-            callers.NodeView(configuration, confirmed_at_s=50.0),
+            node_view.NodeView(configuration, confirmed_at_s=50.0),
             lambda: 50.0,
             lambda: 100.0,
             3.5,
--- a/lycheegate/node/daemon.py
+++ b/lycheegate/node/daemon.py
@@ -18,6 +18,7 @@
     feeds,
     holder,
     members,
+    node_view,
     peer_calls,
     previews,
     relay,
@@ -97,7 +98,7 @@
             self._make_error_logger(tables.MEMBERS),
         )
         self._workers = worker_calls.PlatformWorkers(self._client, read_boottime_s)
-        self._view = callers.NodeView()
+        self._view = node_view.NodeView()
         self._store_clock = store_clock.StoreClock()
         self._histograms = histograms.Histograms()
         self._duration_errors = duration_errors.DurationErrors()
--- a/lycheegate/node/previews.py
+++ b/lycheegate/node/previews.py
@@ -17,7 +17,7 @@
 
 from lycheegate.jobs import model, preview, progress, state, step_preview
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, holder, peer_calls
+from lycheegate.node import acceptance, callers, holder, node_view, peer_calls
 from lycheegate.platform import submissions
 from lycheegate.utils import errors, exceptions
 
@@ -326,7 +326,7 @@
 
     def __init__(
         self,
-        view: callers.NodeView,
+        view: node_view.NodeView,
         now_s: Callable[[], float],
         wall_s: Callable[[], float],
         max_configuration_age_s: float,
@@ -398,10 +398,10 @@
             return _refuse(Problem.JOB_TOO_LARGE, text)
         body = request.environ["wsgi.input"].read(length)
         try:
-            _, record = callers.decode_submission(
+            _, record = acceptance.decode_submission(
                 body, job_id, route, account, self._wall_s(), self._max_row_bytes
             )
-        except callers.TooLargeError as error:
+        except acceptance.TooLargeError as error:
             return _refuse(Problem.JOB_TOO_LARGE, str(error))
         except exceptions.ProtocolError as error:
             return _refuse(Problem.JOB_INVALID, str(error))
--- a/lycheegate/node/tests/test_callers.py
+++ b/lycheegate/node/tests/test_callers.py
@@ -12,7 +12,7 @@
 
 from lycheegate.jobs import model, progress
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, storage, tables
+from lycheegate.node import callers, node_view, storage, store_calls, tables
 from lycheegate.utils import exceptions
 
 _JOB_ID = "5c0e7a21d94b36f8"
@@ -61,7 +61,7 @@
 def _make_application(confirmed_at_s=100.0, clock=lambda: 100.0):
     """Returns a store, a view, the application, and the rows of which it notified the scheduler."""
     store = _Store()
-    view = callers.NodeView(confirmed_at_s=confirmed_at_s)
+    view = node_view.NodeView(confirmed_at_s=confirmed_at_s)
     route = model.Route("q", "h.example", "/q/", "s", 1, 3, 3.0, 1.0)
     public = model.Route("p", "h.example", "/open/", "s", 1, 3, 3.0, 1.0, True)
     account = model.Account("acme", frozenset({"k"}))
@@ -318,7 +318,7 @@
     Load pattern: the store resets connections. Callers cannot repeat a call with an unknown
     outcome, so a VM that gives up after four resets within 60 ms loses the job.
     """
-    monkeypatch.setattr(callers, "MAX_LOST_ANSWER_PAUSE_S", 0.001)
+    monkeypatch.setattr(store_calls, "MAX_LOST_ANSWER_PAUSE_S", 0.001)
     store, _, application, _ = _make_application()
     store.failures = list(failures)
     store.applied_on_failure = applied
--- a/lycheegate/node/tests/test_previews.py
+++ b/lycheegate/node/tests/test_previews.py
@@ -13,7 +13,7 @@
 from lycheegate.clients import http
 from lycheegate.jobs import preview, step_preview
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, holder, peer_calls, previews, relay, tables, terms
+from lycheegate.node import holder, node_view, peer_calls, previews, relay, tables, terms
 from lycheegate.node.tests import simulation
 from lycheegate.utils import exceptions
 
@@ -56,7 +56,7 @@
             self.log,
         )
         self.term_view = terms.TermView(holder=tables.Holder(self.scheduler.epoch, "a/1"))
-        self.view = callers.NodeView(self.world.configuration, confirmed_at_s=50.0)
+        self.view = node_view.NodeView(self.world.configuration, confirmed_at_s=50.0)
         client = holder.HolderClient(
             self, "b", self.term_view, {"a": "a:1"}.get, None, lambda: 50.0, self.log
         )
--- a/lycheegate/node/tests/test_refusals.py
+++ b/lycheegate/node/tests/test_refusals.py
@@ -13,7 +13,7 @@
 from lycheegate.entry import server
 from lycheegate.jobs import admission, load_summary, model, refusal_switch
 from lycheegate.metrics import exposition, histograms, jsonlog
-from lycheegate.node import callers, load_row, refusals, storage, tables, terms
+from lycheegate.node import callers, load_row, node_view, refusals, storage, tables, terms
 from lycheegate.node.tests import fake_store, simulation
 from lycheegate.utils import exceptions
 
@@ -37,7 +37,9 @@
     return load_row.LoadRow(epoch, sent_at_ms, {"s": service})
 
 
-def _apply_version(view: callers.NodeView, version: int, route: model.Route, now_s: float) -> None:
+def _apply_version(
+    view: node_view.NodeView, version: int, route: model.Route, now_s: float
+) -> None:
     """Applies a version of the configuration as the daemon does."""
     account = model.Account("acme", frozenset({"k"}))
     configuration = model.Configuration(
@@ -95,7 +97,7 @@
             route: The queue in the first version of the configuration that the VM has seen.
             on_for_s: Time since it has seen that version.
         """
-        view = callers.NodeView(confirmed_at_s=1e9)
+        view = node_view.NodeView(confirmed_at_s=1e9)
         _apply_version(view, 1, route, self.now_s - on_for_s)
         rows = [
             storage.Row(tables.HOLDER, tables.encode_holder(tables.Holder(3, "a/1")), 7),
--- a/lycheegate/tests/test_without_refusals.py
+++ b/lycheegate/tests/test_without_refusals.py
@@ -20,7 +20,7 @@
 
 from lycheegate.jobs import model
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, storage, tables, terms
+from lycheegate.node import callers, node_view, storage, tables, terms
 from lycheegate.node.tests import fake_store, simulation
 from lycheegate.utils import exceptions
 
@@ -92,7 +92,7 @@
 def record_submissions(failures: tuple, methods: tuple, applies_lost: bool) -> list:
     """Returns the calls to the store, answers and log lines of calls for one job."""
     store, lines = _RecordingStore(failures, applies_lost), []
-    view = callers.NodeView(confirmed_at_s=100.0)
+    view = node_view.NodeView(confirmed_at_s=100.0)
     route = model.Route("q", "h.example", "/q/", "s", 1, 3, 3.0, 1.0)
     account = model.Account("acme", frozenset({"k"}))
     view.configuration = model.Configuration(
