--- a/lycheegate/node/tests/test_previews.py
+++ b/lycheegate/node/tests/test_previews.py
@@ -11,9 +11,9 @@
 from returns import result
 
 from lycheegate.clients import http
-from lycheegate.jobs import preview
+from lycheegate.jobs import preview, step_preview
 from lycheegate.metrics import jsonlog
-from lycheegate.node import callers, holder, peer_calls, previews, relay, tables, terms
+from lycheegate.node import holder, node_view, peer_calls, previews, relay, tables, terms
 from lycheegate.node.tests import simulation
 from lycheegate.utils import exceptions
 
@@ -56,7 +56,7 @@
             self.log,
         )
         self.term_view = terms.TermView(holder=tables.Holder(self.scheduler.epoch, "a/1"))
-        self.view = callers.NodeView(self.world.configuration, confirmed_at_s=50.0)
+        self.view = node_view.NodeView(self.world.configuration, confirmed_at_s=50.0)
         client = holder.HolderClient(
             self, "b", self.term_view, {"a": "a:1"}.get, None, lambda: 50.0, self.log
         )
@@ -312,9 +312,9 @@
 def test_jobs_of_other_accounts_are_not_named():
     """Guards against a preview that tells the identifiers with which others' jobs are cancelled."""
     victims = tuple(
-        preview.Victim(account * 16, account, "batch", "0.0", 1) for account in ("a", "b")
+        step_preview.Victim(account * 16, account, "batch", "0.0", 1) for account in ("a", "b")
     )
-    step = preview.StepPreview("0.0", 1, 0, victims=victims)
+    step = step_preview.StepPreview("0.0", 1, 0, victims=victims)
     found = preview.Preview("f" * 16, "a", "urgent", "render", 0, False, 1, 0.0, (step,))
     document = previews.make_document(found, "a")
     assert [victim["job"] for victim in document["steps"][0]["victims"]] == ["a" * 16, None]
