Allow for answers that a report has overtaken when clocks are compared

An answer to a start order that was sent before the last report arrived, and received after it, may honestly show an earlier clock than the report. More than 20 ms of that counted as another incarnation: the token was raised, starts on their way to a healthy worker were refused, and it got no work for 2 s. The least possible reading now lies before the last one by the time from sending the order to that report.

Found by review; test_answer_that_a_report_has_overtaken_is_one_of_the_known_incarnation fails without the change.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -68,8 +68,9 @@
     """
     if not worker.incarnation.clock_ms:
         return None
-    slowest_ratio = 1.0 - current.policy.clock_slowness_ratio
-    at_least_s = max(0.0, sent_at_s - worker.incarnation.clock_at_s) * slowest_ratio
+    at_least_s = sent_at_s - worker.incarnation.clock_at_s
+    if at_least_s > 0.0:
+        at_least_s *= 1.0 - current.policy.clock_slowness_ratio
     at_most_s = now_s - worker.incarnation.clock_sent_at_s
     return ClockRange(
         worker.incarnation.clock_ms + int(at_least_s * 1000.0) - CLOCK_TOLERANCE_MS,
--- a/lycheegate/jobs/tests/test_incarnations.py
+++ b/lycheegate/jobs/tests/test_incarnations.py
@@ -61,6 +61,17 @@
     assert possible.includes(clock_ms) is expected
 
 
+def test_answer_that_a_report_has_overtaken_is_one_of_the_known_incarnation():
+    """Guards against a healthy worker that counts as restarted because of a slow connection.
+
+    The order was sent 0.19 s before the report arrived, and is answered after it.
+    """
+    current, worker = _make_worker()
+    possible = incarnations.compute_clock_range(current, worker, 99.81, 100.2)
+    assert possible.includes(49_815)
+    assert not possible.includes(49_700)
+
+
 def test_clock_without_a_report_tells_nothing():
     """Guards against an order that counts as answered by an incarnation that never reported."""
     current, worker = _make_worker(clock_ms=0)
