Do not end a term by a late refusal of a worker that is no longer known

A refusal for the fencing token ended the term if its worker had been removed from the state meanwhile, also if a later call of the same term had raised the token. It is now compared with the highest token that a worker of the term has had. Found by review.

--- a/lycheegate/jobs/fencing.py
+++ b/lycheegate/jobs/fencing.py
@@ -9,7 +9,7 @@
 
 from lycheegate.jobs import state
 
-__all__ = ["EPOCHS_PER_TERM", "add_worker", "get_token", "raise_token"]
+__all__ = ["EPOCHS_PER_TERM", "add_worker", "get_token", "is_overtaken", "raise_token"]
 
 EPOCHS_PER_TERM = 1_000_000
 """Number of epochs that a term claims; a token is raised at most once for each lost poll. A build
@@ -21,8 +21,26 @@
 
     The epoch of a term is the last of its range. A term whose range is used up keeps the last.
     """
+    return _compute_token(current, worker.token_raises)
+
+
+def is_overtaken(
+    current: state.SchedulerState, worker: state.WorkerState | None, token: int
+) -> bool:
+    """Returns whether a later call of this term may have had a higher token than a call.
+
+    Args:
+        current: State of the scheduler.
+        worker: The worker, or None if it is not known any more.
+        token: Token of the call.
+    """
+    raises = worker.token_raises if worker is not None else current.max_token_raises
+    return token < _compute_token(current, raises)
+
+
+def _compute_token(current: state.SchedulerState, raises: int) -> int:
     first = max(0, current.epoch - EPOCHS_PER_TERM) + 1
-    return min(first + worker.token_raises, current.epoch)
+    return min(first + raises, current.epoch)
 
 
 def raise_token(current: state.SchedulerState, worker: state.WorkerState, now_s: float) -> None:
