Keep a run until an order to a worker that may restart can no longer arrive

A run whose order had not been answered was absent by the report that followed a lost poll. The lost poll is the first sign of a restart: the next incarnation has seen neither the token nor the run, and carried the late order out beside a second run. A raised token now proves nothing while an order without an answer may arrive, up to 2 s after it was sent; a report is requested then. A poll that may wait keeps its deadline open for as much longer. A restart that a registration tells of is followed by a report at once.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -118,6 +118,9 @@
 def is_fenced(worker: state.WorkerState, run: state.Run, requested_at_s: float) -> bool:
     """Returns whether a worker refuses all start orders for a run from a report on.
 
+    An order without an answer that may still arrive does not count as refused: the token was raised
+    after a lost poll, and a worker that is restarting forgets it.
+
     Args:
         worker: The worker.
         run: The run.
@@ -125,6 +128,8 @@
     """
     if run.start_sent_at_s is None or worker.token_raised_at_s is None:
         return False
+    if run.unanswered_until_s is not None:
+        return False
     return run.start_sent_at_s < worker.token_raised_at_s <= requested_at_s
 
 
--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -263,9 +263,21 @@
 
 
 def record_deadline(
-    current: state.SchedulerState, worker: state.WorkerState, deadline_ms: int, now_s: float
+    current: state.SchedulerState,
+    worker: state.WorkerState,
+    deadline_ms: int,
+    now_s: float,
+    wait_s: float = 0.0,
 ) -> RecordedDeadline:
-    """Records a lease deadline before it is sent, because it may arrive without an answer."""
+    """Records a lease deadline before it is sent, because it may arrive without an answer.
+
+    Args:
+        current: State of the scheduler.
+        worker: The worker.
+        deadline_ms: The deadline on the worker's clock.
+        now_s: Time on the scheduler's clock.
+        wait_s: How long the call may wait before it is answered.
+    """
     incarnation = worker.incarnation
     incarnation.deadlines_recorded += 1
     recorded = RecordedDeadline(
@@ -274,7 +286,7 @@
         incarnation.max_deadline_ms,
         worker.deadline_open_until_s,
     )
-    worker.deadline_open_until_s = now_s + incarnations.LATE_CALL_S
+    worker.deadline_open_until_s = now_s + wait_s + incarnations.LATE_CALL_S
     incarnation.max_deadline_ms = max(incarnation.max_deadline_ms, deadline_ms)
     update_expiry(current, worker)
     return recorded
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -126,7 +126,14 @@
         """Workers of which a report is about to be requested beside the polls."""
 
     def poll_new_workers(self) -> None:
-        """Starts polling the workers that are not polled yet, those with recorded runs first."""
+        """Starts polling the workers that are not polled yet, those with recorded runs first.
+
+        A worker whose registration tells of a restart is asked for a report at once, which fences
+        the calls that are on their way to its former incarnation.
+        """
+        for worker in self._state.workers.values():
+            if worker.incarnation.known_since_s and not worker.incarnation.confirmed:
+                self._request_report_soon(worker.worker_id)
         new_workers = [w for w in self._state.workers.values() if w.worker_id not in self._polled]
         new_workers.sort(key=lambda worker: not worker.runs)
         self._polled.update(worker.worker_id for worker in new_workers)
@@ -181,7 +188,7 @@
             if deadline_ms is None:
                 wait_s = min(wait_s, UNRENEWED_REPORT_WAIT_S)
         if deadline_ms is not None:
-            recorded = leases.record_deadline(self._state, worker, deadline_ms, now_s)
+            recorded = leases.record_deadline(self._state, worker, deadline_ms, now_s, wait_s)
         address = worker.address
         token = fencing.get_token(self._state, worker)
         self._client.report(
@@ -265,6 +272,12 @@
         if worker is not None and worker.trials:
             self._request_report(worker)
 
+    def _check_late_start(self, worker_id: str) -> None:
+        """Requests a report once an order without an answer can no longer arrive."""
+        worker = self._state.workers.get(worker_id)
+        if worker is not None and incarnations.has_unverified_start(worker):
+            self._request_report(worker)
+
     def _request_report_soon(self, worker_id: str) -> None:
         """Requests a report beside the polls.
 
@@ -355,7 +368,7 @@
         A call with an earlier token of this term was overtaken by a later one.
         """
         worker = self._state.workers.get(worker_id)
-        if worker is not None and token < fencing.get_token(self._state, worker):
+        if fencing.is_overtaken(self._state, worker, token):
             return
         self._hooks.end_term(
             f"fenced by worker {worker_id}: it has seen a later epoch than {self._state.epoch}"
@@ -489,6 +502,8 @@
                 self._handle_start_refusal(order, run, worker, outcome, now_s)
         elif outcome is worker_calls.StartOutcome.UNKNOWN:
             self._unknown_starts.add(key)
+            delay_s = sent.sent_at_s + incarnations.LATE_CALL_S - now_s
+            self._hooks.call_later(delay_s, lambda: self._check_late_start(order.worker_id))
             # Repeating the order is safe, and the answer shows whether the run has started.
             self._hooks.call_later(0.0, lambda: self.send_start(order))
         elif run is None:
@@ -523,8 +538,8 @@
     ) -> bool:
         """Returns whether the known incarnation of a worker can have given an answer.
 
-        If not, the worker has probably restarted. It is asked for a report at once, which fences the
-        calls that are on their way to its former incarnation.
+        If not, the worker has probably restarted. It is asked for a report at once, which fences
+        the calls that are on their way to its former incarnation.
         """
         possible = incarnations.compute_clock_range(self._state, worker, sent_at_s, now_s)
         if possible is not None and possible.includes(answer.clock_ms):
