End a run after a restart also if the fencing token cannot be raised

A restart took the confirmation of the start from a run that was not verified. If the range of tokens was used up, no later report proved the run absent, and it never ended. The run is now absent by a report that was requested once none of its orders can arrive any more; a stop is sent again as before.

--- a/lycheegate/jobs/workers.py
+++ b/lycheegate/jobs/workers.py
@@ -333,8 +333,10 @@
     fencing.raise_token(current, worker, now_s)
     for run in worker.runs.values():
         if run.unverified_until_s is not None:
-            # The former incarnation may have confirmed the last order, which the new one forgot.
-            run.confirmed_at_s = None
+            # The former incarnation may have confirmed the last order, which the new one forgot. A
+            # stop is sent again; a start is absent once none of its orders can arrive any more.
+            is_running = run.phase is state.RunPhase.RUNNING
+            run.confirmed_at_s = run.unverified_until_s if is_running else None
     strays.clear_strays(current, worker)
     current.schedule_due = True
     fields = {
