Count the time of a late order from when it was given up

An order that a suspended VM sends late was counted from the time before the suspension. It may now arrive for 1.5 s after it was given up, at least.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -31,6 +31,8 @@
 LATE_CALL_S = 2.0
 """Time from sending a call without an answer until which a later incarnation may carry it out. The
 client has closed the connection by then; only what is on its way can still arrive."""
+LATE_AFTER_GIVING_UP_S = 1.5
+"""The same from the moment at which the caller gave up."""
 CLOCK_TOLERANCE_MS = 20
 """Allowance for the rounding of a worker's clock and the delays of measuring it."""
 
@@ -84,9 +86,16 @@
     run.unverified_until_s = max(run.unverified_until_s or 0.0, now_s + LATE_CALL_S)
 
 
-def record_start_unanswered(run: state.Run, sent_at_s: float) -> None:
-    """Records that a start order for a run was not answered, and may be carried out late."""
-    run.unanswered_until_s = max(run.unanswered_until_s or 0.0, sent_at_s + LATE_CALL_S)
+def record_start_unanswered(run: state.Run, sent_at_s: float, now_s: float) -> None:
+    """Records that a start order for a run was not answered, and may be carried out late.
+
+    Args:
+        run: The run.
+        sent_at_s: When the order was sent.
+        now_s: When it was given up. A suspended VM may have sent it only shortly before.
+    """
+    late_until_s = max(sent_at_s + LATE_CALL_S, now_s + LATE_AFTER_GIVING_UP_S)
+    run.unanswered_until_s = max(run.unanswered_until_s or 0.0, late_until_s)
     run.unverified_until_s = max(run.unverified_until_s or 0.0, run.unanswered_until_s)
 
 
--- a/lycheegate/jobs/tests/test_incarnations.py
+++ b/lycheegate/jobs/tests/test_incarnations.py
@@ -103,7 +103,7 @@
         assert run.unverified_until_s >= sent_at_s + incarnations.LATE_CALL_S
         match fate:
             case "lost":
-                incarnations.record_start_unanswered(run, sent_at_s)
+                incarnations.record_start_unanswered(run, sent_at_s, sent_at_s + 0.5)
             case "unsent":
                 incarnations.record_start_unsent(run)
             case _:
@@ -119,7 +119,7 @@
     _, worker = _make_worker()
     run = _add_run(worker)
     incarnations.record_start_sent(run, 101.0)
-    incarnations.record_start_unanswered(run, 101.0)
+    incarnations.record_start_unanswered(run, 101.0, 101.5)
     incarnations.verify_starts(worker, requested_at_s)
     assert incarnations.has_unverified_start(worker) is expected
 
--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -490,7 +490,7 @@
         if run is not None and not answer.was_sent:
             incarnations.record_start_unsent(run)
         elif run is not None and outcome is worker_calls.StartOutcome.UNKNOWN:
-            incarnations.record_start_unanswered(run, sent.sent_at_s)
+            incarnations.record_start_unanswered(run, sent.sent_at_s, now_s)
         elif worker is not None and run is not None:
             is_known = self._check_clock(order, worker, sent.sent_at_s, answer, now_s)
             has_started = outcome is worker_calls.StartOutcome.STARTED
@@ -502,8 +502,9 @@
                 self._handle_start_refusal(order, run, worker, outcome, now_s)
         elif outcome is worker_calls.StartOutcome.UNKNOWN:
             self._unknown_starts.add(key)
-            delay_s = sent.sent_at_s + incarnations.LATE_CALL_S - now_s
-            self._hooks.call_later(delay_s, lambda: self._check_late_start(order.worker_id))
+            self._hooks.call_later(
+                incarnations.LATE_AFTER_GIVING_UP_S, lambda: self._check_late_start(order.worker_id)
+            )
             # Repeating the order is safe, and the answer shows whether the run has started.
             self._hooks.call_later(0.0, lambda: self.send_start(order))
         elif run is None:
