Fence no start order that still waits for its answer

A poll was lost, the next one answered, and a start order sent before the first of them was still to be answered. The run counted as absent, the worker restarted, and the next incarnation carried the order out beside a second run.

Evidence: the search to depth 3 finds that in the scenes ordered and restarted without the change, and not with it.

--- a/lycheegate/jobs/incarnations.py
+++ b/lycheegate/jobs/incarnations.py
@@ -83,6 +83,7 @@
 def record_start_sent(run: state.Run, now_s: float) -> None:
     """Records that a start order for a run is being sent."""
     run.start_sent_at_s = now_s
+    run.awaits_answer = True
     run.unverified_until_s = max(run.unverified_until_s or 0.0, now_s + LATE_CALL_S)
 
 
@@ -94,6 +95,7 @@
         sent_at_s: When the order was sent.
         now_s: When it was given up. A suspended VM may have sent it only shortly before.
     """
+    run.awaits_answer = False
     late_until_s = max(sent_at_s + LATE_CALL_S, now_s + LATE_AFTER_GIVING_UP_S)
     run.unanswered_until_s = max(run.unanswered_until_s or 0.0, late_until_s)
     run.unverified_until_s = max(run.unverified_until_s or 0.0, run.unanswered_until_s)
@@ -107,6 +109,7 @@
         is_known_incarnation: Whether the clock of the answer is that of the known incarnation.
         now_s: When the answer was received.
     """
+    run.awaits_answer = False
     run.unverified_until_s = run.unanswered_until_s
     if not is_known_incarnation:
         run.unverified_until_s = max(run.unanswered_until_s or 0.0, now_s)
@@ -114,6 +117,7 @@
 
 def record_start_unsent(run: state.Run) -> None:
     """Records that nothing of the last start order for a run was sent."""
+    run.awaits_answer = False
     run.unverified_until_s = run.unanswered_until_s
 
 
@@ -127,7 +131,7 @@
 def is_fenced(worker: state.WorkerState, run: state.Run, requested_at_s: float) -> bool:
     """Returns whether a worker refuses all start orders for a run from a report on.
 
-    An order without an answer that may still arrive does not count as refused: the token was raised
+    An order without an answer that may still arrive does not count as refused: the token is raised
     after a lost poll, and a worker that is restarting forgets it.
 
     Args:
@@ -137,7 +141,7 @@
     """
     if run.start_sent_at_s is None or worker.token_raised_at_s is None:
         return False
-    if run.unanswered_until_s is not None:
+    if run.awaits_answer or run.unanswered_until_s is not None:
         return False
     return run.start_sent_at_s < worker.token_raised_at_s <= requested_at_s
 
--- a/lycheegate/jobs/state.py
+++ b/lycheegate/jobs/state.py
@@ -140,6 +140,7 @@
         stop_reason: Why it was stopped, or None.
         running_since_s: When its worker confirmed its start, or None.
         start_sent_at_s: When this scheduler last sent a start order for it, or None.
+        awaits_answer: Whether the last start order that was sent for it is still to be answered.
         unanswered_until_s: Until when a start order for it that was not answered may be carried
             out, or None if none may.
         unverified_until_s: Until when an incarnation of the worker that is not known yet may have
@@ -175,6 +176,7 @@
     stop_reason: StopReason | None = None
     running_since_s: float | None = None
     start_sent_at_s: float | None = None
+    awaits_answer: bool = False
     unanswered_until_s: float | None = None
     unverified_until_s: float | None = None
     baseline_percent: int | None = 0
--- a/lycheegate/node/tests/test_incarnations_model.py
+++ b/lycheegate/node/tests/test_incarnations_model.py
@@ -80,8 +80,8 @@
 _CAPACITIES = {FAULTY: simulation.WHOLE, SOUND: model.Resources(4_000, 4_000, 4)}
 """The fullest worker is preferred, so a task starts on the sound worker if it may."""
 _OUTCOMES = worker_calls.StartOutcome
-CI_DEPTHS: dict[str, int] = {}
-"""Depths of the search in CI, with 2 for other scenes; all take about X s together."""
+CI_DEPTHS: dict[str, int] = {"ordered": 3, "unanswered": 3}
+"""Depths of the search in CI, with 2 for other scenes; all take about 13 s together."""
 Event = tuple[str, ...]
 
 
