Raise no token for a poll of which nothing was sent again

Each poll of a dead worker that stays registered raised its token, three times a second, though nothing was sent.

test_polls_that_are_not_sent_do_not_use_up_the_tokens finds 5 raises without the change and 1 with it.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -340,6 +340,9 @@
         is_first_lost = worker_id not in self._failed_polls and isinstance(
             error, exceptions.OutcomeUnknownError
         )
+        is_unsent_again = worker_id in self._failed_polls and isinstance(
+            error, exceptions.NotSentError
+        )
         self._failed_polls.add(worker_id)
         if isinstance(error, exceptions.FencedError):
             self._handle_fenced_call(worker_id, token)
@@ -353,7 +356,8 @@
                 # have restarted, and then what was sent before must not be carried out any more.
                 now_s = self._now_s()
                 worker.unreachable_until_s = now_s + runs.UNREACHABLE_S
-                fencing.raise_token(self._state, worker, now_s)
+                if not is_unsent_again:
+                    fencing.raise_token(self._state, worker, now_s)
         elif self._logged_errors.get(worker_id) != str(error):
             # A program that is no worker gives the same answer to each poll.
             self._logged_errors[worker_id] = str(error)
--- a/lycheegate/node/tests/test_exchange.py
+++ b/lycheegate/node/tests/test_exchange.py
@@ -414,6 +414,17 @@
     assert tokens == ([1, 2] if is_raised else [1, 1])
 
 
+def test_polls_that_are_not_sent_do_not_use_up_the_tokens():
+    """Guards against a term that has no tokens left because a dead worker stays registered."""
+    term = _Term()
+    term.current.epoch = fencing.EPOCHS_PER_TERM
+    term.exchange.poll_new_workers()
+    for _ in range(5):
+        term.client.reports[-1][-1](result.Failure(exceptions.NotSentError("refused")))
+        term.run_later()
+    assert term.current.max_token_raises == 1
+
+
 @pytest.mark.parametrize(
     ("is_lost", "clock_ms", "expected"),
     [(False, 1_000, 7), (True, 1_000, 0), (False, 500, 0)],
