--- a/lycheegate/node/tests/test_worker_incarnations.py
+++ b/lycheegate/node/tests/test_worker_incarnations.py
@@ -332,3 +332,83 @@
     world.run(LONGEST_PLAY_S)
     assert world.fleet.violations == []
     assert world.fleet.starts == {TASK: 2}
+
+
+@pytest.mark.parametrize("away_s", [0.5, 4.0, 20.0])
+@pytest.mark.parametrize("has_restarted", [False, True])
+def test_worker_that_is_registered_again_does_not_end_the_term(monkeypatch, has_restarted, away_s):
+    """Guards against a holder that takes its own fencing token for that of a later one.
+
+    The worker has carried out calls that were not answered, and may have restarted before them. It
+    leaves the registry, and the scheduler forgets it once nothing runs there.
+    """
+    world = _make_world(monkeypatch, work_s=2.0)
+    worker_id, other_id = world.fleet.workers
+    if has_restarted:
+        world.fleet.restart_silently(worker_id, 0.1, 0.0)
+        world.run(2.0)
+    world.fleet.answers_lost.add(worker_id)
+    world.run(4.0)
+    world.unregister(worker_id)
+    world.run(away_s)
+    # Workers that have left are forgotten with a change of the registry.
+    world.resize(other_id, model.Resources(16_000, 31_000, 8))
+    world.run(0.5)
+    world.fleet.answers_lost.discard(worker_id)
+    world.register(worker_id)
+    both = simulation.make_step(2, simulation.WHOLE, gang=True)
+    world.submit(simulation.make_job(JOB_ID, both))
+    world.run(6.0)
+    assert world.fleet.violations == []
+    simulation.assert_all_succeed(world)
+
+
+@pytest.mark.parametrize("is_stop", [False, True])
+def test_order_that_a_newer_call_has_overtaken_does_not_end_the_term(monkeypatch, is_stop):
+    """Guards against a holder that ends its term because a worker refuses an overtaken order.
+
+    A request for a report is lost while the order is on its way, and the next one arrives before
+    the order.
+    """
+    world = _make_world(monkeypatch, work_s=60.0 if is_stop else 2.0, worker_count=1)
+    name = "stop" if is_stop else "start"
+    if is_stop:
+        world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+        world.run(3.0)
+    request = fake_workers.FakeWorkers.report
+    lost_at_s: list[float] = []
+
+    def report(client, address, worker_id, epoch, durable_end, deadline_ms, wait_s, callback):
+        monkeypatch.setattr(fake_workers.FakeWorkers, "report", request)
+        lost_at_s.append(world.loop.now_s + 0.8)
+        error = exceptions.OutcomeUnknownError(f"no answer of worker {worker_id}")
+        world.loop.call_later(0.8, lambda: callback(result.Failure(error)))
+
+    monkeypatch.setattr(fake_workers.FakeWorkers, "report", report)
+    while not lost_at_s:
+        world.run(0.01)
+    send = getattr(fake_workers.FakeWorkers, name)
+
+    def delay(*arguments):
+        monkeypatch.setattr(fake_workers.FakeWorkers, name, send)
+        assert world.loop.now_s < lost_at_s[0]
+        world.loop.call_later(0.3, lambda: send(*arguments))
+
+    world.run(0.7)
+    monkeypatch.setattr(fake_workers.FakeWorkers, name, delay)
+    if is_stop:
+        world.cancel(JOB_ID)
+    else:
+        world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
+    world.run(8.0)
+    assert getattr(fake_workers.FakeWorkers, name) is send
+    assert world.fleet.violations == []
+    expected = model.Outcome.CANCELLED if is_stop else model.Outcome.SUCCEEDED
+    assert world.read_status(JOB_ID).outcome is expected
+    (worker,) = world.fleet.workers.values()
+    assert worker.count_live() == 0
+    # The term goes on.
+    world.submit(simulation.make_job("1" * 16, simulation.make_step(1)))
+    world.fleet.job_work_s["1" * 16] = 1.0
+    world.run(4.0)
+    assert world.read_status("1" * 16).outcome is model.Outcome.SUCCEEDED
