--- a/lycheegate/node/tests/test_random_restarts.py
+++ b/lycheegate/node/tests/test_random_restarts.py
@@ -15,7 +15,7 @@
 WORKERS = 6
 ROUNDS = 12
 CALM_S = 90.0
-"""Time in which all jobs succeed once the faults have ended: runs of 30 s, and room for them all."""
+"""Time in which all jobs succeed once the faults have ended: runs of 30 s, and room for all."""
 
 
 class Incidents:
