--- a/lycheegate/node/tests/test_review_of_incarnations.py
+++ b/lycheegate/node/tests/test_review_of_incarnations.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 
 import pytest
+from returns import result
 
-from lycheegate.jobs import commands, fencing, incarnations, state
+from lycheegate.jobs import commands, fencing, incarnations, state, workers
 from lycheegate.node.tests import (
     fake_workers,
     simulation,
@@ -22,6 +23,8 @@
 TASK = test_worker_incarnations.TASK
 ORDER_TIMEOUT_S = test_worker_incarnations.ORDER_TIMEOUT_S
 LONGEST_PLAY_S = test_worker_incarnations.LONGEST_PLAY_S
+LAST_ARRIVAL_S = 1.5
+"""Age of a call from which it does not arrive at the next incarnation any more in these tests."""
 _LOST = worker_calls.OrderResult(worker_calls.StartOutcome.UNKNOWN)
 
 
@@ -42,14 +45,16 @@
     return late, worker_ids
 
 
-def _run_until_started_elsewhere(world: simulation.World, worker_ids: list[str]) -> None:
-    """Lets time pass until the task has started; its first worker announces its departure."""
-    end_s = world.loop.now_s + 10.0
-    while TASK not in world.fleet.starts:
-        assert world.loop.now_s < end_s
+def _run_until_started_elsewhere(
+    world: simulation.World, worker_id: str, read_sent_at_s: Callable[[], float]
+) -> None:
+    """Lets time pass until the task has started, while its last order to a worker may still arrive.
+
+    The worker announces its departure, so that the task starts on the other one.
+    """
+    world.register(worker_id, draining=True)
+    while TASK not in world.fleet.starts and world.loop.now_s - read_sent_at_s() < LAST_ARRIVAL_S:
         world.run(0.01)
-        if worker_ids and world.fleet.workers[worker_ids[0]].draining_since_s is None:
-            world.register(worker_ids[0], draining=True)
 
 
 @pytest.mark.parametrize("late_s", [0.02, 0.1, 0.3])
@@ -63,11 +68,12 @@
     world = test_worker_incarnations._make_world(monkeypatch, work_s=8.0)
     late: list[tuple[float, Callable]] = []
     worker_ids: list[str] = []
+    has_restarted = False
 
     def handle(number, order, forward, callback):
         if number == 1:
             worker_ids.append(order.worker_id)
-        if order.worker_id != worker_ids[0]:
+        if order.worker_id != worker_ids[0] or has_restarted:
             forward(callback)
             return
         late.append((world.loop.now_s, forward))
@@ -75,7 +81,10 @@
 
     test_worker_incarnations._intercept_starts(monkeypatch, handle)
     world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
-    _run_until_started_elsewhere(world, worker_ids)
+    while not late:
+        world.run(0.01)
+    _run_until_started_elsewhere(world, worker_ids[0], lambda: late[-1][0])
+    has_restarted = True
     world.fleet.restart_silently(worker_ids[0], 0.1, 0.0)
     world.run(0.1 + late_s)
     sent_at_s, forward = late[-1]
@@ -243,11 +252,55 @@
     world.submit(simulation.make_job(JOB_ID, simulation.make_step(1)))
     while not late:
         world.run(0.01)
+    sent_at_s = world.loop.now_s
     world.schedulers["a"].stop("killed")
     world.claim_term("b")
-    _run_until_started_elsewhere(world, worker_ids)
+    _run_until_started_elsewhere(world, worker_ids[0], lambda: sent_at_s)
     world.fleet.restart_silently(worker_ids[0], 0.1, 0.0)
     world.run(0.1 + late_s)
     late[0](test_worker_incarnations._ignore)
     world.run(LONGEST_PLAY_S)
     assert world.fleet.violations == []
+
+
+def test_earlier_report_does_not_clear_the_suspicion_of_a_restart():
+    """Guards against ends that are acknowledged to the next incarnation, which nobody has read.
+
+    The poll was requested before the order whose answer shows another clock. Its answer comes from
+    the former incarnation and arrives last.
+    """
+    term = test_exchange._Term()
+    worker = term.current.workers["w0"]
+    worker.incarnation.born_ms = 1
+    worker.incarnation.processed_end = worker.incarnation.durable_end = 7
+    order = term.place()
+    term.exchange.poll_new_workers()
+    requested_at_s = term.now_s
+    term.exchange.send_start(order)
+    term.now_s += 0.1
+    started = worker_calls.OrderResult(worker_calls.StartOutcome.STARTED, 500)
+    term.client.starts[-1](started)
+    report = workers.Report("w0", 1_000, 1, (), (), requested_at_s, term.now_s)
+    term.client.reports[0][-1](result.Success(report))
+    assert len(term.client.reports) > 1
+    assert [arguments[3] for arguments in term.client.reports[1:]] == [0]
+
+
+def test_another_worker_at_the_former_address_ends_no_run_at_the_present_one():
+    """Guards against a second run of a task on a worker that has moved to another address.
+
+    A poll of its former address is answered by another worker, after a run has started at the
+    present one.
+    """
+    term = test_exchange._Term()
+    worker = term.current.workers["w0"]
+    worker.reported_address = "a:1"
+    term.exchange.poll_new_workers()
+    worker.address = "b:1"
+    order = term.place()
+    term.exchange.send_start(order)
+    started = worker_calls.OrderResult(worker_calls.StartOutcome.STARTED, 1_000)
+    term.client.starts[-1](started)
+    error = worker_calls.WrongIncarnationError("endpoint no longer belongs to worker w0")
+    term.client.reports[0][-1](result.Failure(error))
+    assert order.task in worker.runs
