End the suspicion of a restart only by a report requested since

A report that had been requested before an answer showed another incarnation ended the suspicion, and the next request acknowledged ends by the numbers of the former one.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -119,8 +119,8 @@
         self._awaiting_durable_ends: set[str] = set()
         self._failed_polls: set[str] = set()
         self._logged_errors: dict[str, str] = {}
-        self._suspected_restarts: set[str] = set()
-        """Workers whose last answer the known incarnation cannot have given."""
+        self._suspected_restarts: dict[str, float] = {}
+        """When a worker gave an answer that its known incarnation cannot have given."""
         self._unknown_starts: set[tuple[model.TaskKey, int]] = set()
         self._additional_reports: set[str] = set()
         """Workers of which a report is about to be requested beside the polls."""
@@ -243,11 +243,11 @@
         if worker is not None:
             worker.reported_address = address
         self._failed_polls.discard(worker_id)
-        self._suspected_restarts.discard(worker_id)
         self._logged_errors.pop(worker_id, None)
         known = worker.incarnation if worker is not None else state.Incarnation()
         was_confirmed = known.confirmed
         report = outcome.unwrap()
+        self._clear_suspicion(report)
         try:
             command_list = workers.apply_report(self._state, report)
             self._hooks.execute(command_list)
@@ -266,6 +266,12 @@
             return
         self._poll(worker_id, _get_report_wait_s(worker))
 
+    def _clear_suspicion(self, report: workers.Report) -> None:
+        """Ends the suspicion of a restart with a report that was requested since."""
+        suspected_at_s = self._suspected_restarts.get(report.worker_id)
+        if suspected_at_s is not None and report.sent_at_s >= suspected_at_s:
+            del self._suspected_restarts[report.worker_id]
+
     def _check_trial(self, worker_id: str) -> None:
         """Requests a report beside the polls, to learn whether a task on trial has survived."""
         worker = self._state.workers.get(worker_id)
@@ -315,7 +321,7 @@
         if self._hooks.is_stopped() or not isinstance(outcome, result.Success):
             return
         report = outcome.unwrap()
-        self._suspected_restarts.discard(report.worker_id)
+        self._clear_suspicion(report)
         worker = self._state.workers.get(report.worker_id)
         known = worker.incarnation if worker is not None else None
         try:
@@ -551,7 +557,7 @@
             return True
         if not answer.clock_ms:
             return False
-        self._suspected_restarts.add(worker.worker_id)
+        self._suspected_restarts[worker.worker_id] = now_s
         fencing.raise_token(self._state, worker, now_s)
         self._request_report_soon(worker.worker_id)
         self._log.write(
