Ignore another worker at the former address of a worker

An answer from an address that a worker has left, which another worker serves now, ended the runs that had been ordered to its present address.

Found by review: test_another_worker_at_the_former_address_ends_no_run_at_the_present_one fails without the change.

--- a/lycheegate/node/exchange.py
+++ b/lycheegate/node/exchange.py
@@ -390,6 +390,9 @@
         Another worker at an address from which this one never reported proves nothing: another
         writer may have changed its registration. Its runs end when their lease has expired.
         """
+        if address != worker.address:
+            # The worker has registered at another endpoint since.
+            return
         now_s = self._now_s()
         worker.registered = False
         if address != worker.reported_address:
