Repeat temporary refusals in the other fault tests

Cause: six submissions in test_faults.py were sent once to an entry VM that may know no owner just then, because the partition is handed over or the first heartbeat of its owner has not arrived. The refusal with no_owner is allowed and is not the subject of these tests.

Change: they are repeated for temporary refusals within the existing deadline, and each such refusal must report that the call has started nothing. test_accepted_requests_are_recovered requires status 202 of each submission and kills the owner read after them. It and test_drain_with_requests_in_flight require that exactly their requests have started, each once; before, any request that had started was allowed. The other assertions are the same, and some print the reply.

--- a/lycheegate/entry/tests/test_faults.py
+++ b/lycheegate/entry/tests/test_faults.py
@@ -115,10 +115,14 @@
 
 def test_accepted_requests_are_recovered(three_vms):
     """Guards against accepted requests that are lost with their owner, which was killed."""
+    accepting = _find_owner(three_vms)
+    body = {"class": "match", "payload": {"answer": "kept", "run_s": 1.0}}
+    replies = [_submit_when_admitted(three_vms, accepting, _make_key(), **body) for _ in range(4)]
+    assert [reply.status for reply in replies] == [202] * 4, replies
+    paths = [reply.headers["location"] for reply in replies]
+    # The partition may have been handed over since, and the test must kill its current owner.
     owner = _find_owner(three_vms)
     survivor = three_vms.entries[_list_others(three_vms, owner)[0]].address
-    body = {"class": "match", "payload": {"answer": "kept", "run_s": 1.0}}
-    paths = [_submit(three_vms, owner, _make_key(), **body).headers["location"] for _ in range(4)]
     three_vms.entries[owner].send_signal(signal.SIGKILL)
     for path in paths:
         # A status call only reads, so nothing but the recovery can end the request.
@@ -127,7 +131,8 @@
             conftest.TIMEOUT_S,
             "end of an accepted request",
         )
-    assert all(members == {0: 1} for members in three_vms.count_starts().values())
+    request_ids = [reply.body["request_id"] for reply in replies]
+    assert three_vms.count_starts() == {name: {0: 1} for name in request_ids}
 
 
 def test_accepted_request_survives_kill_of_accepting_vm(three_vms):
@@ -138,8 +143,8 @@
     assert _submit_when_admitted(three_vms, accepting, key, **body).status == 202
     three_vms.entries[accepting].send_signal(signal.SIGKILL)
     other = _list_others(three_vms, accepting)[0]
-    reply = _submit(three_vms, other, key, **body, wait_s=30)
-    assert (reply.status, reply.body) == (200, b"kept")
+    reply = _submit_when_admitted(three_vms, other, key, **body, wait_s=30)
+    assert (reply.status, reply.body) == (200, b"kept"), reply
     assert three_vms.count_starts()[reply.headers["x-request-id"]] == {0: 1}
 
 
@@ -175,7 +180,7 @@
     )
     assert ended.body == b"x"
     three_vms.entries[owner].send_signal(signal.SIGCONT)
-    reply = _submit(three_vms, survivor, key, **body, wait_s=30)
+    reply = _submit_when_admitted(three_vms, survivor, key, **body, wait_s=30)
     assert (reply.status, reply.body) == (200, b"once"), reply
     # The resumed process serves again, through the new owner. A worker may tell it that it was
     # replaced before a heartbeat names the new owner; until then it refuses with no_owner.
@@ -218,7 +223,10 @@
     owner = _find_owner(three_vms)
     body = {"class": "match", "payload": {"answer": "whole", "run_s": 2.5}, "wait_s": 30}
     with concurrent.futures.ThreadPoolExecutor(6) as pool:
-        replies = [pool.submit(_submit, three_vms, owner, _make_key(), **body) for _ in range(6)]
+        replies = [
+            pool.submit(_submit_when_admitted, three_vms, owner, _make_key(), **body)
+            for _ in range(6)
+        ]
         deployment.wait_until(
             lambda: len(three_vms.count_starts()) == 6, conftest.TIMEOUT_S, "start at workers"
         )
@@ -233,7 +241,8 @@
     assert three_vms.entries[owner].process.wait(conftest.TIMEOUT_S) == 0
     assert _find_owner(three_vms) != owner
     assert three_vms.table.rows.get("member", owner) is None
-    assert all(members == {0: 1} for members in three_vms.count_starts().values())
+    request_ids = [reply.headers["x-request-id"] for reply in answers]
+    assert three_vms.count_starts() == {name: {0: 1} for name in request_ids}
 
 
 def test_table_outage(three_vms):
@@ -244,7 +253,7 @@
     """
     owner = _find_owner(three_vms)
     key, body = _make_key(), {"class": "match", "payload": {"answer": "held", "run_s": 1.0}}
-    assert _submit(three_vms, owner, key, **body).status == 202
+    assert _submit_when_admitted(three_vms, owner, key, **body).status == 202
     three_vms.table.faults.set(down=True)
     try:
 
@@ -282,10 +291,10 @@
         body = json.dumps({"partition": PARTITION, "epoch": lease["epoch"] + 1, "lease_s": 60})
         reply = client.call(worker.address, "POST", "/v1/fence", "", body.encode())
         assert reply.status == 200
-    reply = _submit(
+    reply = _submit_when_admitted(
         three_vms, owner, _make_key(), **{"class": "preview", "payload": {}, "wait_s": 1}
     )
-    assert reply.status in (200, 202)
+    assert reply.status in (200, 202), reply
     _wait_until_taken_over(three_vms, lease["epoch"])
     deployment.wait_until(
         lambda: (
