--- a/lycheegate/node/tests/test_incarnations_model.py
+++ b/lycheegate/node/tests/test_incarnations_model.py
@@ -848,6 +848,7 @@
     "stopped": (*_LISTED, ("preempt",), ("answer", "w0/stop/1")),
     "silent": (*_LISTED, ("pass", str(LONG_PASS_S)), ("pass", str(LONG_PASS_S))),
     "restarted": (*_ORDERED, ("restart", "w0")),
+    "restarted_confirmed": (*_ORDERED, ("restart", "w0"), ("answer", "w0/start/1")),
     "restarted_unanswered": (*_ORDERED, ("fail", "w0/start/1"), ("restart", "w0")),
     "restarted_repeated": (*_REPEATED, ("restart", "w0")),
     "restarted_listed": (*_LISTED, ("restart", "w0")),
