--- a/lycheegate/node/tests/test_incarnations_model.py
+++ b/lycheegate/node/tests/test_incarnations_model.py
@@ -81,7 +81,7 @@
 """Attributes of the exchange that hold nothing that it has learned."""
 _OUTCOMES = worker_calls.StartOutcome
 CI_DEPTH = 2
-"""Depth of the search in CI; all scenes take 7 s together, and 58 s with a depth of 3."""
+"""Depth of the search in CI; all scenes take 7 s together, and 73 s with a depth of 3."""
 Event = tuple[str, ...]
 
 
