Tell the end of leases on workers with ends that are not stored

A holder had read the success of a run, and the store had rejected its record. When it released the term, it told that no leases were left on the worker, as it knew of no run there. The record still named the run, so the next holder took its lease for expired 0.24 s after the begin of its term, before the worker had reported, and started the task again. The worker then listed the success, which was acknowledged.

A worker with ends that are not stored now counts as one with runs.

--- a/lycheegate/jobs/leases.py
+++ b/lycheegate/jobs/leases.py
@@ -94,7 +94,7 @@
     departed: dict[str, float] = {}
     others_s = now_s
     for worker in current.workers.values():
-        if not worker.runs and not worker.strays:
+        if not worker.runs and not worker.strays and not _has_unstored_ends(worker):
             continue
         is_silent = now_s - worker.reported_at_s >= MAX_REPORT_AGE_S
         if is_silent and not worker.registered and len(departed) < MAX_LISTED_WORKERS:
@@ -162,6 +162,11 @@
     ]
 
 
+def _has_unstored_ends(worker: state.WorkerState) -> bool:
+    """Returns whether the records may still name runs that have ended on a worker."""
+    return worker.incarnation.processed_end > worker.incarnation.durable_end
+
+
 def _compute_end_s(current: state.SchedulerState, worker: state.WorkerState) -> float:
     """Returns when all leases on a worker have expired, whichever incarnation has granted them."""
     ends_s = [_compute_unverified_end_s(current, worker, run) for run in worker.runs.values()]
