--- a/lycheegate/jobs/fencing.py
+++ b/lycheegate/jobs/fencing.py
@@ -3,8 +3,8 @@
 A worker refuses calls with a lower token than the highest that it has seen. Each term claims a
 range of epochs, so that its tokens are higher than those of all earlier terms. Within its range, a
 scheduler raises the token of a worker after a restart or a lost poll. Once the worker has answered
-a call with the raised token, it carries out no earlier call any more, also if it has restarted
-since that call was sent and remembers nothing of it.
+a call with the raised token, it carries out no earlier call any more, also if it had restarted
+since that call was sent. It forgets the token when it restarts again.
 """
 
 from lycheegate.jobs import state
